--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The damasktrack command line for operators.
+
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The damasktrackd daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/filetests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scenario files on virtual time, measurements and fuzz targets.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of daemons: member table, gossip and anti-entropy.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon as a library: actor, servers, clients, metrics, logs and shutdown.
--- /dev/null
+++ b/crates/resource/src/lib.rs
@@ -0,0 +1,1 @@
+//! Declared resources, their verifier, revisions and change log.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Daemon settings: declaration, JSON reading and verification.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Test tools: stand-ins for the platform store, backend servers and callers.
