--- /dev/null
+++ b/crates/admission/src/admission_gate.rs
@@ -0,0 +1,463 @@
+//! Decides which calls the backend server runs, and when.
+
+use std::collections;
+use std::time;
+
+use damasktrack_entity::{admission_level, call_outcome, ids};
+
+use crate::admission_policy;
+use crate::class_queue;
+use crate::concurrency_limit;
+use crate::gate_report::{ArrivalDecision, CallArrival, CallLane, CancelDecision, FinishResult, GateCounts, NextStart};
+use crate::level_controller;
+use crate::service_estimate;
+use crate::tenant_share;
+
+/// Longest time until the gate is polled again while calls are queued.
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// Admission of calls to one backend server.
+///
+/// Each offered call gets exactly one outcome: it is refused, dropped after `cancel`, or started. A started call is
+/// never refused. The running calls never exceed the limit at the time of a start.
+#[derive(Debug)]
+pub struct AdmissionGate {
+    policy: admission_policy::AdmissionPolicy,
+    limit: concurrency_limit::ConcurrencyLimit,
+    short: LaneState,
+    long: LaneState,
+    classes: Vec<ClassState>,
+    class_index: collections::HashMap<ids::ClassName, usize>,
+    shares: tenant_share::TenantShare,
+    running: collections::HashMap<ids::CallId, RunningCall>,
+    /// Refusals that `poll` has yet to report.
+    refusals: collections::VecDeque<(ids::CallId, call_outcome::RefusalReason)>,
+    /// Reused by `tick`.
+    expired: Vec<ids::CallId>,
+    counts: GateCounts,
+    draining: bool,
+}
+
+#[derive(Debug)]
+struct LaneState {
+    queue: class_queue::ClassQueue,
+    levels: level_controller::LevelController,
+    /// When the queue was last seen empty.
+    empty_at: Option<time::Instant>,
+}
+
+#[derive(Debug)]
+struct ClassState {
+    lane: CallLane,
+    estimate: service_estimate::ServiceEstimate,
+    baseline: concurrency_limit::ServiceBaseline,
+}
+
+#[derive(Debug)]
+struct RunningCall {
+    class: usize,
+    lane: CallLane,
+    started: time::Instant,
+    /// Nested calls in flight, and since when there was at least one.
+    nested: u32,
+    nested_since: time::Instant,
+    /// Time spent with nested calls in flight.
+    nested_time: time::Duration,
+}
+
+impl LaneState {
+    fn new(policy: &admission_policy::AdmissionPolicy) -> Self {
+        Self {
+            queue: class_queue::ClassQueue::default(),
+            levels: level_controller::LevelController::new(policy.level_window, policy.level_calls),
+            empty_at: None,
+        }
+    }
+
+    /// Returns how long a non-critical call may wait now.
+    fn wait_bound(&self, policy: &admission_policy::AdmissionPolicy, now: time::Instant) -> time::Duration {
+        let standing = |at: time::Instant| now.saturating_duration_since(at) > policy.standing_after;
+        if self.empty_at.is_some_and(standing) {
+            policy.queue_target
+        } else {
+            policy.queue_burst
+        }
+    }
+}
+
+impl AdmissionGate {
+    /// Returns a gate for one backend server.
+    #[must_use]
+    pub fn new(policy: admission_policy::AdmissionPolicy) -> Self {
+        Self {
+            limit: concurrency_limit::ConcurrencyLimit::new(policy.slots, policy.limit_factor),
+            short: LaneState::new(&policy),
+            long: LaneState::new(&policy),
+            classes: Vec::new(),
+            class_index: collections::HashMap::new(),
+            shares: tenant_share::TenantShare::default(),
+            running: collections::HashMap::new(),
+            refusals: collections::VecDeque::new(),
+            expired: Vec::new(),
+            counts: GateCounts::default(),
+            draining: false,
+            policy,
+        }
+    }
+
+    /// Sets the weight of a declared tenant.
+    pub fn set_tenant_weight(&mut self, tenant: &ids::TenantName, weight: u32) {
+        self.shares.set_weight(tenant, weight);
+    }
+
+    /// Decides on an arriving call.
+    pub fn offer(&mut self, arrival: &CallArrival, now: time::Instant) -> ArrivalDecision {
+        self.counts.offered += 1;
+        if self.draining {
+            return self.refuse(call_outcome::RefusalReason::Leaving);
+        }
+        let importance = arrival.importance.min(admission_level::MAX_IMPORTANCE);
+        let class = self.enter_class(&arrival.class, arrival.lane);
+        let tenant = self.shares.enter(&arrival.tenant);
+        self.lane_mut(arrival.lane).levels.note_arrival(arrival.level);
+        self.note_state(now);
+        let low = self.classes[class].estimate.low(now);
+        let left = arrival.deadline.saturating_duration_since(now);
+        if left <= low {
+            return self.refuse(call_outcome::RefusalReason::DeadlineTooShort);
+        }
+        if self.can_start(arrival.lane) && self.lane(arrival.lane).queue.is_empty() {
+            self.begin(arrival.call, class, now);
+            return ArrivalDecision::Start;
+        }
+        self.limit.note_saturated();
+        let wait = self.lane(arrival.lane).queue.work_ahead(importance) / self.limit.limit();
+        if left <= low + wait {
+            return self.refuse(call_outcome::RefusalReason::DeadlineTooShort);
+        }
+        let cost = self.classes[class].estimate.mean(now);
+        let capacity = self.policy.queue_capacity;
+        let lane = if arrival.lane == CallLane::Short {
+            &mut self.short
+        } else {
+            &mut self.long
+        };
+        let least = lane.queue.least_importance();
+        // A call below the level still waits if a less important one is queued, which would otherwise start in its place.
+        let outranks = least.is_some_and(|least| least < importance);
+        if !arrival.critical && !outranks && arrival.level < lane.levels.level() {
+            return self.refuse(call_outcome::RefusalReason::Overloaded);
+        }
+        lane.queue.push(class_queue::QueuedCall {
+            call: arrival.call,
+            class,
+            tenant,
+            importance: arrival
+                .importance
+                .min(damasktrack_entity::admission_level::MAX_IMPORTANCE),
+            critical: arrival.critical,
+            deadline: arrival.deadline,
+            queued_at: now,
+            cost,
+        });
+        if lane.queue.len() > capacity
+            && let Some(shed) = lane.queue.pop_victim(&self.shares)
+        {
+            lane.levels.note_overdue(shed.call.critical);
+            let reason = shed_reason(&shed);
+            if shed.call.call == arrival.call {
+                return self.refuse(reason);
+            }
+            self.counts.refused += 1;
+            self.refusals.push_back((shed.call.call, reason));
+        }
+        ArrivalDecision::Queued
+    }
+
+    /// Returns what to do next; called until `Idle` after each event and at `next_wake`.
+    pub fn poll(&mut self, now: time::Instant) -> NextStart {
+        if let Some((call, reason)) = self.refusals.pop_front() {
+            return NextStart::Refuse(call, reason);
+        }
+        for lane in [&mut self.short, &mut self.long] {
+            let bound = lane.wait_bound(&self.policy, now);
+            if let Some(shed) = lane.queue.pop_overdue(bound, &self.shares, now) {
+                lane.levels.note_overdue(shed.call.critical);
+                self.counts.refused += 1;
+                return NextStart::Refuse(shed.call.call, shed_reason(&shed));
+            }
+        }
+        if let Some(lane) = self.next_lane() {
+            let state = if lane == CallLane::Short {
+                &mut self.short
+            } else {
+                &mut self.long
+            };
+            let Some(call) = state.queue.pop(&self.shares) else {
+                return NextStart::Idle;
+            };
+            if call.deadline <= now + self.classes[call.class].estimate.low(now) {
+                state.levels.note_overdue(call.critical);
+                self.counts.refused += 1;
+                return NextStart::Refuse(call.call, call_outcome::RefusalReason::DeadlineTooShort);
+            }
+            self.begin(call.call, call.class, now);
+            return NextStart::Start(call.call);
+        }
+        self.note_state(now);
+        NextStart::Idle
+    }
+
+    /// Notes that the backend server made a call to another service for a running call.
+    ///
+    /// Time with nested calls in flight does not count for the concurrency limit: a slow service below must not lower the
+    /// limits of all services above it.
+    pub fn nested_started(&mut self, call: ids::CallId, now: time::Instant) {
+        let Some(running) = self.running.get_mut(&call) else {
+            return;
+        };
+        if running.nested == 0 {
+            running.nested_since = now;
+        }
+        running.nested += 1;
+    }
+
+    /// Notes the end of a nested call.
+    pub fn nested_finished(&mut self, call: ids::CallId, now: time::Instant) {
+        let Some(running) = self.running.get_mut(&call) else {
+            return;
+        };
+        running.nested = running.nested.saturating_sub(1);
+        if running.nested == 0 {
+            running.nested_time += now.saturating_duration_since(running.nested_since);
+        }
+    }
+
+    /// Ends a running call.
+    pub fn finish(&mut self, call: ids::CallId, result: FinishResult, now: time::Instant) {
+        let Some(ended) = self.running.remove(&call) else {
+            return;
+        };
+        let running = self.counts.running;
+        self.counts.running -= 1;
+        self.counts.running_long -= u32::from(ended.lane == CallLane::Long);
+        let total = now.saturating_duration_since(ended.started);
+        let open = if ended.nested > 0 {
+            now.saturating_duration_since(ended.nested_since)
+        } else {
+            time::Duration::ZERO
+        };
+        let own = total.saturating_sub(ended.nested_time + open);
+        let class = &mut self.classes[ended.class];
+        match result {
+            FinishResult::Completed => {
+                class.estimate.add(total, now);
+                let ratio = class.baseline.add(own);
+                if ended.lane == CallLane::Short {
+                    self.limit.add(ratio, now);
+                }
+            }
+            FinishResult::ShedByBackendServer => self.limit.shed(running, now),
+            FinishResult::Failed | FinishResult::Cancelled => {
+                // The full service time is not known, but it is at least this long.
+                let ratio = class.baseline.ratio(own);
+                if ended.lane == CallLane::Short && ratio > 1.0 {
+                    self.limit.add(ratio, now);
+                }
+            }
+        }
+        self.note_state(now);
+    }
+
+    /// Ends a call whose caller went away.
+    pub fn cancel(&mut self, call: ids::CallId) -> CancelDecision {
+        if self.running.contains_key(&call) {
+            return CancelDecision::Running;
+        }
+        if self.short.queue.remove(call).is_some() || self.long.queue.remove(call).is_some() {
+            self.counts.dropped += 1;
+            return CancelDecision::Dropped;
+        }
+        CancelDecision::Absent
+    }
+
+    /// Refuses queued calls whose deadline has passed, and adapts levels; called at least every 100 ms.
+    pub fn tick(&mut self, now: time::Instant) {
+        for lane in [&mut self.short, &mut self.long] {
+            lane.queue.take_expired(now, &mut self.expired);
+            for call in self.expired.drain(..) {
+                lane.levels.note_overdue(false);
+                self.counts.refused += 1;
+                self.refusals
+                    .push_back((call, call_outcome::RefusalReason::DeadlineTooShort));
+            }
+        }
+        self.note_state(now);
+    }
+
+    /// Refuses queued calls and all later ones. Running calls go on.
+    pub fn drain(&mut self) {
+        self.draining = true;
+        for lane in [&mut self.short, &mut self.long] {
+            while let Some(call) = lane.queue.pop(&self.shares) {
+                self.counts.refused += 1;
+                self.refusals
+                    .push_back((call.call, call_outcome::RefusalReason::Leaving));
+            }
+        }
+    }
+
+    fn refuse(&mut self, reason: call_outcome::RefusalReason) -> ArrivalDecision {
+        self.counts.refused += 1;
+        ArrivalDecision::Refuse(reason)
+    }
+
+    fn begin(&mut self, call: ids::CallId, class: usize, now: time::Instant) {
+        let lane = self.classes[class].lane;
+        self.counts.started += 1;
+        self.counts.running += 1;
+        self.counts.running_long += u32::from(lane == CallLane::Long);
+        self.lane_mut(lane).levels.note_start();
+        let started = RunningCall {
+            class,
+            lane,
+            started: now,
+            nested: 0,
+            nested_since: now,
+            nested_time: time::Duration::ZERO,
+        };
+        self.running.insert(call, started);
+    }
+
+    fn enter_class(&mut self, name: &ids::ClassName, lane: CallLane) -> usize {
+        if let Some(index) = self.class_index.get(name) {
+            self.classes[*index].lane = lane;
+            return *index;
+        }
+        let index = self.classes.len();
+        self.classes.push(ClassState {
+            lane,
+            estimate: service_estimate::ServiceEstimate::default(),
+            baseline: concurrency_limit::ServiceBaseline::default(),
+        });
+        self.class_index.insert(name.clone(), index);
+        index
+    }
+
+    fn note_state(&mut self, now: time::Instant) {
+        for lane in [CallLane::Short, CallLane::Long] {
+            let slot_free = self.can_start(lane);
+            let state = self.lane_mut(lane);
+            let empty = state.queue.is_empty();
+            if empty {
+                state.empty_at = Some(now);
+            }
+            state.levels.note_state(empty, slot_free);
+            state.levels.tick(empty, slot_free, now);
+        }
+    }
+
+    fn lane_mut(&mut self, lane: CallLane) -> &mut LaneState {
+        match lane {
+            CallLane::Short => &mut self.short,
+            CallLane::Long => &mut self.long,
+        }
+    }
+}
+
+impl AdmissionGate {
+    /// Returns the lowest level that this callee admits for a class, as its responses report it. Levels met below by the
+    /// backend server's own calls are added by [`crate::level_view::worse`].
+    #[must_use]
+    pub fn report(&self, class: &ids::ClassName) -> call_outcome::LevelReport {
+        let index = self.class_index.get(class);
+        let lane = index.map_or(CallLane::Short, |index| self.classes[*index].lane);
+        call_outcome::LevelReport {
+            level: self.lane(lane).levels.level(),
+            age: time::Duration::ZERO,
+        }
+    }
+
+    /// Returns the number of calls that may run at once.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        self.limit.limit()
+    }
+
+    /// Returns the number of calls of the long lane that may run at once.
+    #[must_use]
+    pub fn long_limit(&self) -> u32 {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a share of the declared slots"
+        )]
+        let limit = (f64::from(self.policy.slots) * self.policy.long_share) as u32;
+        limit.clamp(1, self.limit.limit())
+    }
+
+    /// Returns the counts of the gate.
+    #[must_use]
+    pub fn counts(&self) -> GateCounts {
+        GateCounts {
+            queued: self.short.queue.len() + self.long.queue.len(),
+            ..self.counts
+        }
+    }
+
+    /// Returns when to poll again if no event comes first.
+    #[must_use]
+    pub fn next_wake(&self, now: time::Instant) -> Option<time::Instant> {
+        if !self.refusals.is_empty() {
+            return Some(now);
+        }
+        let lanes = [&self.short, &self.long].into_iter();
+        let wakes = lanes.filter(|lane| !lane.queue.is_empty()).map(|lane| {
+            let bound = lane.wait_bound(&self.policy, now);
+            let overdue = lane.queue.oldest_queued_at().map(|at| at + bound);
+            overdue.unwrap_or(now + POLL_INTERVAL).clamp(now, now + POLL_INTERVAL)
+        });
+        wakes.min()
+    }
+
+    fn lane(&self, lane: CallLane) -> &LaneState {
+        match lane {
+            CallLane::Short => &self.short,
+            CallLane::Long => &self.long,
+        }
+    }
+
+    fn can_start(&self, lane: CallLane) -> bool {
+        let room = self.counts.running < self.limit.limit();
+        room && (lane == CallLane::Short || self.counts.running_long < self.long_limit())
+    }
+
+    /// Returns the lane whose queue starts next: the more important head, and the long lane among equals, since its own
+    /// limit bounds it and short work would otherwise starve it.
+    fn next_lane(&self) -> Option<CallLane> {
+        let short = self
+            .short
+            .queue
+            .greatest_importance()
+            .filter(|_| self.can_start(CallLane::Short));
+        let long = self
+            .long
+            .queue
+            .greatest_importance()
+            .filter(|_| self.can_start(CallLane::Long));
+        match (short, long) {
+            (None, None) => None,
+            (Some(short), Some(long)) if short > long => Some(CallLane::Short),
+            (Some(_), None) => Some(CallLane::Short),
+            (_, Some(_)) => Some(CallLane::Long),
+        }
+    }
+}
+
+fn shed_reason(shed: &class_queue::ShedCall) -> call_outcome::RefusalReason {
+    if shed.over_share {
+        call_outcome::RefusalReason::TenantOverShare
+    } else {
+        call_outcome::RefusalReason::QueueFull
+    }
+}
--- /dev/null
+++ b/crates/admission/src/concurrency_limit.rs
@@ -0,0 +1,147 @@
+//! Limit of calls that run at once, found from the gradient of the service time.
+
+use std::time;
+
+/// Service time, as a multiple of the baseline, up to which the limit does not fall. Random variation of the service
+/// time of an idle server stays below it in windows of [`MIN_SAMPLES`].
+const TOLERANCE: f64 = 1.3;
+/// Least factor by which one window changes the limit.
+const LEAST_GRADIENT: f64 = 0.7;
+/// Samples that a window needs.
+const MIN_SAMPLES: u32 = 10;
+/// Least length of a window.
+const WINDOW: time::Duration = time::Duration::from_millis(100);
+/// Factor by which the limit falls when the backend server refuses a call.
+const SHED_FACTOR: f64 = 0.9;
+/// Several refusals within this time are one event.
+const SHED_PAUSE: time::Duration = time::Duration::from_millis(20);
+/// Weight of a window in a baseline that has to rise; about 10 s until a lasting change is taken as normal.
+const BASELINE_RISE: f64 = 0.01;
+/// Weight of a window in a baseline that has to fall.
+const BASELINE_FALL: f64 = 0.2;
+
+/// Concurrency limit of one backend server.
+#[derive(Debug)]
+pub struct ConcurrencyLimit {
+    /// Within 1 and `greatest`.
+    limit: f64,
+    greatest: f64,
+    window_start: Option<time::Instant>,
+    samples: u32,
+    ratio_sum: f64,
+    /// Whether the limit was reached in this window; an unused limit does not grow.
+    saturated: bool,
+    last_shed: Option<time::Instant>,
+}
+
+/// Slow baseline of the own service time of one class.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceBaseline {
+    /// Seconds; 0 until the first sample.
+    baseline: f64,
+    window_sum: f64,
+    window_count: u32,
+}
+
+impl ServiceBaseline {
+    /// Adds a sample and returns it as a multiple of the baseline.
+    pub fn add(&mut self, sample: time::Duration) -> f64 {
+        let sample = sample.as_secs_f64().max(1e-6);
+        self.window_sum += sample;
+        self.window_count += 1;
+        if self.baseline == 0.0 {
+            self.baseline = sample;
+        }
+        if self.window_count >= MIN_SAMPLES {
+            let mean = self.window_sum / f64::from(self.window_count);
+            let weight = if mean > self.baseline {
+                BASELINE_RISE
+            } else {
+                BASELINE_FALL
+            };
+            self.baseline += (mean - self.baseline) * weight;
+            self.window_sum = 0.0;
+            self.window_count = 0;
+        }
+        sample / self.baseline
+    }
+}
+
+impl ServiceBaseline {
+    /// Returns a sample as a multiple of the baseline, without adding it.
+    #[must_use]
+    pub fn ratio(&self, sample: time::Duration) -> f64 {
+        if self.baseline == 0.0 {
+            1.0
+        } else {
+            sample.as_secs_f64() / self.baseline
+        }
+    }
+}
+
+impl ConcurrencyLimit {
+    /// Returns the limit of a backend server that declares `slots` slots.
+    #[must_use]
+    pub fn new(slots: u32, limit_factor: f64) -> Self {
+        let slots = f64::from(slots.max(1));
+        Self {
+            limit: slots,
+            greatest: (slots * limit_factor).max(1.0),
+            window_start: None,
+            samples: 0,
+            ratio_sum: 0.0,
+            saturated: false,
+            last_shed: None,
+        }
+    }
+
+    /// Notes that a call had to wait or to be refused because the limit was reached.
+    pub fn note_saturated(&mut self) {
+        self.saturated = true;
+    }
+
+    /// Adds the service time of a call, as a multiple of its class's baseline.
+    pub fn add(&mut self, ratio: f64, now: time::Instant) {
+        self.samples += 1;
+        self.ratio_sum += ratio;
+        let start = *self.window_start.get_or_insert(now);
+        if self.samples < MIN_SAMPLES || now.saturating_duration_since(start) < WINDOW {
+            return;
+        }
+        let ratio = self.ratio_sum / f64::from(self.samples);
+        if ratio > TOLERANCE {
+            self.limit *= (TOLERANCE / ratio).max(LEAST_GRADIENT);
+        } else if self.saturated {
+            self.limit += self.limit.sqrt() * (TOLERANCE - ratio).min(1.0);
+        }
+        self.limit = self.limit.clamp(1.0, self.greatest);
+        self.window_start = Some(now);
+        self.samples = 0;
+        self.ratio_sum = 0.0;
+        self.saturated = false;
+    }
+
+    /// Lowers the limit at once because the backend server refused a call while `running` calls ran.
+    pub fn shed(&mut self, running: u32, now: time::Instant) {
+        let recent = |at: time::Instant| now.saturating_duration_since(at) < SHED_PAUSE;
+        if self.last_shed.is_some_and(recent) {
+            return;
+        }
+        self.last_shed = Some(now);
+        self.limit = (self.limit.min(f64::from(running)) * SHED_FACTOR).max(1.0);
+    }
+}
+
+impl ConcurrencyLimit {
+    /// Returns the number of calls that may run at once; at least 1.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the limit lies between 1 and a multiple of the declared slots"
+        )]
+        let limit = self.limit as u32;
+        limit.max(1)
+    }
+}
