Add the routing crate: route table, ejection and budgets

Change: route table with typed keys, peak EWMA and censored mean latency per server and class, straggler ejection with probes, cold ramp, region and retry budgets, hedge policy.

--- /dev/null
+++ b/crates/routing/src/hedge_policy.rs
@@ -0,0 +1,128 @@
+//! When a second copy of a slow idempotent call is sent.
+
+use std::collections;
+use std::time;
+
+use damasktrack_entity::ids;
+
+/// Time after which samples are set aside and those before them dropped.
+const WINDOW: time::Duration = time::Duration::from_secs(10);
+/// Fewer samples give no usable 95th percentile.
+const MIN_SAMPLES: usize = 40;
+/// Samples kept per class and window; further ones replace older ones in turn.
+const MAX_SAMPLES: usize = 512;
+/// Hedges sooner than this would mostly duplicate calls whose response is already under way.
+const MIN_DELAY: time::Duration = time::Duration::from_millis(2);
+
+/// A running call that may be hedged.
+#[derive(Clone, Copy, Debug)]
+pub struct HedgeRequest<'a> {
+    /// Class of the call.
+    pub class: &'a ids::ClassName,
+    /// Whether the class is declared idempotent; others are never hedged.
+    pub idempotent: bool,
+    /// Time since the call was sent.
+    pub elapsed: time::Duration,
+    /// Time left until the deadline.
+    pub remaining: time::Duration,
+    /// Copies sent already, without the first.
+    pub hedges: u32,
+}
+
+/// What to do about a running call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HedgeDecision {
+    /// Never hedge this call.
+    Never,
+    /// Ask again after this time if the call is still running.
+    Wait(time::Duration),
+    /// Send a copy to another server, after charging the retry budget and the request's owner.
+    Send,
+}
+
+/// Latencies by class, for the 95th percentile.
+///
+/// Only completed first attempts are to be recorded: cancelled, refused and failed calls would look like fast ones.
+#[derive(Debug, Default)]
+pub struct HedgePolicy {
+    classes: collections::HashMap<ids::ClassName, ClassSamples>,
+}
+
+#[derive(Debug)]
+struct ClassSamples {
+    started: time::Instant,
+    /// At most [`MAX_SAMPLES`].
+    current: Vec<time::Duration>,
+    recorded: usize,
+    /// 95th percentile of the window before, `None` if it had too few samples.
+    delay: Option<time::Duration>,
+}
+
+impl HedgePolicy {
+    /// Creates a policy without samples; it hedges nothing yet.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records the latency of a completed call.
+    pub fn record(&mut self, class: &ids::ClassName, latency: time::Duration, now: time::Instant) {
+        let samples = self.classes.entry(class.clone()).or_insert_with(|| ClassSamples {
+            started: now,
+            current: Vec::new(),
+            recorded: 0,
+            delay: None,
+        });
+        if samples.current.len() < MAX_SAMPLES {
+            samples.current.push(latency);
+        } else {
+            let position = samples.recorded % MAX_SAMPLES;
+            samples.current[position] = latency;
+        }
+        samples.recorded += 1;
+        let first = samples.delay.is_none() && samples.current.len() >= MIN_SAMPLES;
+        if first || now.saturating_duration_since(samples.started) >= WINDOW {
+            samples.turn_over(now);
+        }
+    }
+}
+
+impl HedgePolicy {
+    /// Decides about a running call.
+    #[must_use]
+    pub fn decide(&self, request: HedgeRequest<'_>) -> HedgeDecision {
+        if !request.idempotent || request.hedges > 0 {
+            return HedgeDecision::Never;
+        }
+        let Some(delay) = self.delay(request.class) else {
+            return HedgeDecision::Never;
+        };
+        if request.elapsed < delay {
+            return HedgeDecision::Wait(delay.saturating_sub(request.elapsed));
+        }
+        // A copy that can't finish within the deadline is wasted work.
+        if request.remaining < delay {
+            return HedgeDecision::Never;
+        }
+        HedgeDecision::Send
+    }
+
+    /// Returns the time after which calls of a class are hedged; `None` while too few calls were recorded.
+    #[must_use]
+    pub fn delay(&self, class: &ids::ClassName) -> Option<time::Duration> {
+        self.classes.get(class).and_then(|samples| samples.delay)
+    }
+}
+
+impl ClassSamples {
+    fn turn_over(&mut self, now: time::Instant) {
+        if self.current.len() >= MIN_SAMPLES {
+            self.current.sort_unstable();
+            let position = (self.current.len() * 95 / 100).min(self.current.len() - 1);
+            self.delay = Some(self.current[position].max(MIN_DELAY));
+        }
+        self.current.clear();
+        self.recorded = 0;
+        self.started = now;
+    }
+}
--- /dev/null
+++ b/crates/routing/src/server_state.rs
@@ -0,0 +1,190 @@
+//! What is observed of one server.
+
+use std::collections;
+use std::time;
+
+use damasktrack_entity::call_outcome;
+use damasktrack_entity::ids;
+use damasktrack_entity::server_location;
+
+use crate::cold_ramp;
+use crate::latency_estimate;
+use crate::route_candidate;
+use crate::straggler_ejection;
+
+/// Time for which a server that refused for load counts as full.
+const FULL_DURATION: time::Duration = time::Duration::from_millis(100);
+/// Time for which a server that refused because it starts gets no calls.
+const START_PAUSE: time::Duration = time::Duration::from_millis(500);
+/// Share of a server's slots that long work may use.
+const LONG_SHARE: f64 = 0.3;
+/// Multiple of its slots up to which a server's own limit may rise.
+const SLOT_HEADROOM: f64 = 1.5;
+
+#[derive(Debug)]
+pub(crate) struct ServerState {
+    pub(crate) candidate: route_candidate::RouteCandidate,
+    pub(crate) distance: server_location::ServerDistance,
+    pub(crate) classes: collections::HashMap<ids::ClassName, latency_estimate::LatencyEstimate>,
+    pub(crate) short_in_flight: u32,
+    pub(crate) long_in_flight: u32,
+    pub(crate) ejection: Option<straggler_ejection::EjectionState>,
+    pub(crate) ramp: Option<cold_ramp::ColdRamp>,
+    pub(crate) full_until: Option<time::Instant>,
+    pub(crate) paused_until: Option<time::Instant>,
+    pub(crate) failures: u32,
+    /// Set by a refusal for leaving, which arrives before the gossip about it; final for the incarnation.
+    pub(crate) refused_leaving: bool,
+}
+
+#[derive(Debug)]
+pub(crate) struct RunningCall {
+    pub(crate) server: route_candidate::ServerKey,
+    pub(crate) class: ids::ClassName,
+    pub(crate) lane: route_candidate::RouteLane,
+    pub(crate) started: time::Instant,
+    pub(crate) probe: bool,
+}
+
+/// How willingly a server is used; a lower one is used first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Preference {
+    Room(server_location::ServerDistance),
+    Full(server_location::ServerDistance),
+    Suspect(server_location::ServerDistance),
+    Ejected(server_location::ServerDistance),
+}
+
+impl ServerState {
+    pub(crate) fn new(candidate: route_candidate::RouteCandidate, distance: server_location::ServerDistance) -> Self {
+        let ready_since = candidate.ready_since;
+        Self {
+            candidate,
+            distance,
+            classes: collections::HashMap::new(),
+            short_in_flight: 0,
+            long_in_flight: 0,
+            ejection: None,
+            ramp: ready_since.map(|since| cold_ramp::ColdRamp::new(since, cold_ramp::RAMP_DURATION)),
+            full_until: None,
+            paused_until: None,
+            failures: 0,
+            refused_leaving: false,
+        }
+    }
+
+    pub(crate) fn update(&mut self, candidate: route_candidate::RouteCandidate) {
+        let starting = self.candidate.state == route_candidate::CandidateState::Starting;
+        if starting && let Some(since) = candidate.ready_since {
+            self.ramp = Some(cold_ramp::ColdRamp::new(since, cold_ramp::RAMP_DURATION));
+        }
+        let leaving = self.candidate.state == route_candidate::CandidateState::Leaving;
+        self.candidate = candidate;
+        if leaving {
+            self.candidate.state = route_candidate::CandidateState::Leaving;
+        }
+    }
+
+    /// Ends the ejection. What was observed before it no longer counts; `probe` is the latency that was observed last.
+    pub(crate) fn readmit(&mut self, probe: Option<(&ids::ClassName, time::Duration)>, now: time::Instant) {
+        self.ejection = None;
+        self.failures = 0;
+        for (class, estimate) in &mut self.classes {
+            let latency = probe.filter(|(probed, _latency)| *probed == class);
+            estimate.reset(latency.map(|(_probed, latency)| latency), now);
+        }
+        self.ramp = Some(cold_ramp::ColdRamp::new(now, cold_ramp::RETURN_DURATION));
+    }
+
+    pub(crate) fn observe(&mut self, call: &RunningCall, result: route_candidate::RouteResult, now: time::Instant) {
+        let Some(estimate) = self.classes.get_mut(&call.class) else {
+            return;
+        };
+        match result {
+            route_candidate::RouteResult::Completed => {
+                estimate.complete(call.started, now);
+                self.failures = 0;
+            }
+            route_candidate::RouteResult::Cancelled => estimate.give_up(call.started, now),
+            route_candidate::RouteResult::Failed | route_candidate::RouteResult::Silent => {
+                estimate.give_up(call.started, now);
+                self.failures += 1;
+            }
+            route_candidate::RouteResult::Refused(reason) => {
+                estimate.withdraw(call.started, now);
+                self.refused(reason, now);
+            }
+        }
+    }
+
+    fn refused(&mut self, reason: call_outcome::RefusalReason, now: time::Instant) {
+        match reason {
+            call_outcome::RefusalReason::Leaving => self.refused_leaving = true,
+            call_outcome::RefusalReason::Starting => self.paused_until = Some(now + START_PAUSE),
+            call_outcome::RefusalReason::Overloaded
+            | call_outcome::RefusalReason::QueueFull
+            | call_outcome::RefusalReason::ShedByBackendServer => self.full_until = Some(now + FULL_DURATION),
+            _ => {}
+        }
+    }
+
+    /// Returns whether the server may get calls at all, now or after its ejection.
+    pub(crate) fn takes_calls(&self) -> bool {
+        let announced = matches!(
+            self.candidate.state,
+            route_candidate::CandidateState::Ready | route_candidate::CandidateState::Suspect
+        );
+        announced && !self.refused_leaving
+    }
+
+    pub(crate) fn lane_count(&mut self, lane: route_candidate::RouteLane, change: i32) {
+        let count = match lane {
+            route_candidate::RouteLane::Short => &mut self.short_in_flight,
+            route_candidate::RouteLane::Long => &mut self.long_in_flight,
+        };
+        *count = count.saturating_add_signed(change);
+    }
+
+    pub(crate) fn lane_in_flight(&self, lane: route_candidate::RouteLane) -> u32 {
+        match lane {
+            route_candidate::RouteLane::Short => self.short_in_flight,
+            route_candidate::RouteLane::Long => self.long_in_flight,
+        }
+    }
+
+    /// Returns how willingly the server is used for a call; `None` if never.
+    pub(crate) fn preference(
+        &self,
+        request: &route_candidate::RouteRequest<'_>,
+        now: time::Instant,
+    ) -> Option<Preference> {
+        let distance = self.distance;
+        if distance == server_location::ServerDistance::CrossRegion && !request.cross_region {
+            return None;
+        }
+        if self.refused_leaving || self.paused_until.is_some_and(|until| now < until) {
+            return None;
+        }
+        match self.candidate.state {
+            route_candidate::CandidateState::Leaving | route_candidate::CandidateState::Starting => None,
+            _ if self.ejection.is_some() => Some(Preference::Ejected(distance)),
+            route_candidate::CandidateState::Suspect => Some(Preference::Suspect(distance)),
+            route_candidate::CandidateState::Ready if self.has_room(request.lane, now) => {
+                Some(Preference::Room(distance))
+            }
+            route_candidate::CandidateState::Ready => Some(Preference::Full(distance)),
+        }
+    }
+
+    fn has_room(&self, lane: route_candidate::RouteLane, now: time::Instant) -> bool {
+        if self.full_until.is_some_and(|until| now < until) {
+            return false;
+        }
+        let share = match lane {
+            route_candidate::RouteLane::Short => SLOT_HEADROOM,
+            route_candidate::RouteLane::Long => LONG_SHARE,
+        };
+        let limit = (f64::from(self.candidate.slots) * share).max(1.0);
+        f64::from(self.lane_in_flight(lane)) < limit
+    }
+}
