Add the membership crate: table, gossip, exchange and join

Change: member records with a merge order, table with a digest by buckets, gossip with indirect probes, suspicion and refutation, bucketed exchanges, join plan for the table service, spreading of configuration revisions.

--- /dev/null
+++ b/crates/membership/src/gossip_detector.rs
@@ -0,0 +1,500 @@
+//! Failure detection: which member to probe, and when silence becomes suspicion and death.
+
+use std::net;
+use std::time;
+
+use bytes::Bytes;
+use damasktrack_entity::ids;
+use rand::RngExt;
+use rand::seq::SliceRandom;
+
+use crate::anti_entropy;
+use crate::gossip_context;
+use crate::gossip_context::GossipContext;
+use crate::gossip_message;
+use crate::member_record;
+use crate::member_table;
+
+/// Time after which a direct probe counts as unanswered. The longest delay between regions and back is 60 ms.
+const DIRECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+/// Time after which a probe has failed, with its indirect probes.
+const PROBE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Members asked to probe in this daemon's place.
+const INDIRECT_PROBES: usize = 3;
+/// Time that a suspect has to refute.
+pub const SUSPICION_TIME: time::Duration = time::Duration::from_secs(3);
+/// Time between two probes of dead members. They find a region again that was cut off.
+const DEAD_PROBE_INTERVAL: time::Duration = time::Duration::from_secs(10);
+/// Time for which dead members are probed in each period after one of them came back: others probably did as well.
+const REJOIN_TIME: time::Duration = time::Duration::from_mins(1);
+/// A longer time between two ticks means that this process was paused and must not judge others by it.
+const PAUSE_LIMIT: time::Duration = time::Duration::from_secs(2);
+/// Time for which dead and left members are kept: a row of the store is removed after 24 h, and must be gone before
+/// its member is forgotten, since it would bring the member back.
+pub const FORGET_TIME: time::Duration = time::Duration::from_hours(25);
+/// Time between two searches for members to forget.
+const FORGET_INTERVAL: time::Duration = time::Duration::from_mins(10);
+/// Most members kept for verification; more claims are taken up again by exchanges.
+const MAX_VERIFICATIONS: usize = 1024;
+/// Share by which a measured network delay may rise per measurement, so that it follows a changed path.
+const DELAY_RISE: f64 = 0.05;
+
+/// Why a probe was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ProbePurpose {
+    /// Failure detection; silence leads to suspicion.
+    Detect,
+    /// Contact with a dead member or a seed; silence means nothing.
+    Contact,
+    /// Carries news of this daemon; silence means nothing.
+    Tell,
+}
+
+/// A probe without an answer so far.
+#[derive(Clone, Debug)]
+struct OutstandingProbe {
+    sequence: u64,
+    /// `None` for a seed whose id isn't known.
+    key: Option<member_table::MemberKey>,
+    purpose: ProbePurpose,
+    sent: time::Instant,
+    indirect: bool,
+    /// Daemon on whose behalf the probe was sent, and its sequence.
+    asked_by: Option<(net::SocketAddr, u64)>,
+}
+
+/// State of the failure detector.
+#[derive(Debug)]
+pub(crate) struct DetectorState {
+    sequence: u64,
+    outstanding: Vec<OutstandingProbe>,
+    /// Members in random order; each is probed once before any is probed twice.
+    round: Vec<member_table::MemberKey>,
+    next_probe: time::Instant,
+    next_dead_probe: time::Instant,
+    rejoin_until: Option<time::Instant>,
+    ticked: time::Instant,
+    next_forget: time::Instant,
+    /// Suspects, with whether this daemon's own probe found them silent.
+    suspects: Vec<(member_table::MemberKey, bool)>,
+    /// Members that others hold for dead and this daemon does not.
+    claims: Vec<member_table::MemberKey>,
+}
+
+impl DetectorState {
+    pub(crate) fn new(now: time::Instant, phase: time::Duration) -> Self {
+        Self {
+            sequence: 0,
+            outstanding: Vec::new(),
+            round: Vec::new(),
+            next_probe: now + phase,
+            next_dead_probe: now + DEAD_PROBE_INTERVAL + phase,
+            rejoin_until: None,
+            ticked: now,
+            next_forget: now + FORGET_INTERVAL,
+            suspects: Vec::new(),
+            claims: Vec::new(),
+        }
+    }
+
+    pub(crate) fn suspect(&mut self, key: member_table::MemberKey, own_probe: bool) {
+        match self.suspects.iter_mut().find(|(other, _own)| *other == key) {
+            Some((_key, own)) => *own |= own_probe,
+            None => self.suspects.push((key, own_probe)),
+        }
+    }
+
+    pub(crate) fn claim(&mut self, key: member_table::MemberKey) {
+        if self.claims.len() < MAX_VERIFICATIONS && !self.claims.contains(&key) {
+            self.claims.push(key);
+        }
+    }
+
+    /// Probes dead members more often for a while, since one of them came back.
+    pub(crate) fn expect_returns(&mut self, now: time::Instant) {
+        self.rejoin_until = Some(now + REJOIN_TIME);
+    }
+}
+
+/// Timers.
+impl GossipContext {
+    pub(crate) fn detect(&mut self, now: time::Instant) {
+        let paused = now.saturating_duration_since(self.detector.ticked) > PAUSE_LIMIT;
+        self.detector.ticked = now;
+        if paused {
+            self.resume(now);
+        }
+        self.check_outstanding(now);
+        self.check_suspects(now);
+        if now >= self.detector.next_probe {
+            // A late tick does not lead to a burst of probes.
+            self.detector.next_probe = (self.detector.next_probe + gossip_context::GOSSIP_PERIOD).max(now);
+            self.probe_next(now);
+            self.probe_claimed(now);
+        }
+        if now >= self.detector.next_dead_probe {
+            self.probe_dead(now);
+        }
+        if now >= self.detector.next_forget {
+            self.detector.next_forget = now + FORGET_INTERVAL;
+            self.table.forget(FORGET_TIME, now);
+        }
+    }
+
+    pub(crate) fn next_due(&self) -> time::Instant {
+        let detector = &self.detector;
+        let mut due = detector.next_probe.min(detector.next_dead_probe);
+        for probe in &detector.outstanding {
+            let timeout = if probe.indirect { PROBE_TIMEOUT } else { DIRECT_TIMEOUT };
+            due = due.min(probe.sent + timeout);
+        }
+        for (key, _own) in &detector.suspects {
+            if let Some(entry) = self.table.get(*key) {
+                due = due.min(entry.since + SUSPICION_TIME);
+            }
+        }
+        due
+    }
+
+    /// Forgets what the pause made look like silence.
+    fn resume(&mut self, now: time::Instant) {
+        self.detector.outstanding.clear();
+        for (key, _own) in &self.detector.suspects {
+            self.table.restart_state(*key, now);
+        }
+    }
+
+    fn check_outstanding(&mut self, now: time::Instant) {
+        let mut position = 0;
+        while position < self.detector.outstanding.len() {
+            let probe = self.detector.outstanding[position].clone();
+            let waited = now.saturating_duration_since(probe.sent);
+            if waited >= PROBE_TIMEOUT {
+                self.detector.outstanding.swap_remove(position);
+                self.probe_failed(&probe, now);
+                continue;
+            }
+            if waited >= DIRECT_TIMEOUT && !probe.indirect {
+                self.detector.outstanding[position].indirect = true;
+                if probe.purpose == ProbePurpose::Detect {
+                    self.ask_others(&probe);
+                }
+            }
+            position += 1;
+        }
+    }
+
+    fn probe_failed(&mut self, probe: &OutstandingProbe, now: time::Instant) {
+        if probe.purpose != ProbePurpose::Detect {
+            return;
+        }
+        let Some((key, entry)) = probe.key.and_then(|key| Some((key, self.table.get(key)?))) else {
+            return;
+        };
+        let before = entry.record.state;
+        if !before.is_live() || before == member_record::MemberState::Suspect {
+            return;
+        }
+        let mut record = entry.record.clone();
+        record.state = member_record::MemberState::Suspect;
+        self.table.replace(key, record, now);
+        self.queue.push(key);
+        self.detector.suspect(key, true);
+        self.changed(key, Some(before));
+    }
+
+    fn check_suspects(&mut self, now: time::Instant) {
+        let mut position = 0;
+        while position < self.detector.suspects.len() {
+            let (key, own_probe) = self.detector.suspects[position];
+            let entry = self.table.get(key);
+            let entry = entry.filter(|entry| entry.record.state == member_record::MemberState::Suspect);
+            let Some(entry) = entry else {
+                self.detector.suspects.swap_remove(position);
+                continue;
+            };
+            if now.saturating_duration_since(entry.since) < SUSPICION_TIME {
+                position += 1;
+                continue;
+            }
+            let mut record = entry.record.clone();
+            record.state = member_record::MemberState::Dead;
+            self.table.replace(key, record, now);
+            // Those who heard of the suspicion have timers of their own; only those who raised it tell of the death.
+            if own_probe {
+                self.queue.push(key);
+            } else {
+                self.queue.remove(key);
+            }
+            self.detector.suspects.swap_remove(position);
+            self.changed(key, Some(member_record::MemberState::Suspect));
+        }
+    }
+
+    fn probe_next(&mut self, now: time::Instant) {
+        if self.own_record().state == member_record::MemberState::Left {
+            return;
+        }
+        // One refill at most: all members of a fresh round may be dead.
+        for _refill in 0..2 {
+            while let Some(key) = self.detector.round.pop() {
+                if self.is_live_other(key) {
+                    self.probe_member(key, ProbePurpose::Detect, now);
+                    return;
+                }
+            }
+            let keys = self.table.iter().map(|(key, _entry)| key);
+            self.detector.round = keys.filter(|key| *key != self.own).collect();
+            self.detector.round.shuffle(&mut self.rng);
+        }
+    }
+
+    /// Probes one member that others claim to be dead or that is suspected here, so that it hears of it and refutes.
+    fn probe_claimed(&mut self, now: time::Instant) {
+        while let Some(key) = self.detector.claims.pop() {
+            if self.is_live_other(key) {
+                self.probe_member(key, ProbePurpose::Detect, now);
+                break;
+            }
+        }
+        let suspects = &self.detector.suspects;
+        let own: Vec<member_table::MemberKey> = suspects
+            .iter()
+            .filter(|(_key, own)| *own)
+            .map(|(key, _)| *key)
+            .collect();
+        if !own.is_empty() {
+            let key = own[self.rng.random_range(0..own.len())];
+            self.probe_member(key, ProbePurpose::Tell, now);
+        }
+    }
+
+    fn probe_dead(&mut self, now: time::Instant) {
+        let rejoin = self.detector.rejoin_until.is_some_and(|until| now < until);
+        let interval = if rejoin {
+            gossip_context::GOSSIP_PERIOD
+        } else {
+            DEAD_PROBE_INTERVAL
+        };
+        self.detector.next_dead_probe = now + interval.mul_f64(self.rng.random_range(0.8..1.2));
+        if self.own_record().state == member_record::MemberState::Left {
+            return;
+        }
+        let members = self.table.iter();
+        let dead = members.filter(|(_key, entry)| entry.record.state == member_record::MemberState::Dead);
+        let dead: Vec<member_table::MemberKey> = dead.map(|(key, _entry)| key).collect();
+        if !dead.is_empty() {
+            let key = dead[self.rng.random_range(0..dead.len())];
+            self.probe_member(key, ProbePurpose::Contact, now);
+        }
+    }
+
+    fn ask_others(&mut self, probe: &OutstandingProbe) {
+        let Some(target) = probe.key.and_then(|key| self.table.get(key)) else {
+            return;
+        };
+        let kind = gossip_message::GossipKind::IndirectProbe {
+            sequence: probe.sequence,
+            target: target.record.daemon_id.clone(),
+            address: target.record.address,
+        };
+        for key in self.random_live(INDIRECT_PROBES, probe.key) {
+            if let Some(entry) = self.table.get(key) {
+                let address = entry.record.address;
+                self.send(address, kind.clone(), &[]);
+            }
+        }
+    }
+
+    pub(crate) fn random_live(
+        &mut self,
+        count: usize,
+        except: Option<member_table::MemberKey>,
+    ) -> Vec<member_table::MemberKey> {
+        let members = self.table.iter();
+        let members = members.filter(|(key, entry)| {
+            let state = entry.record.state;
+            let live = state.is_live() && state != member_record::MemberState::Suspect;
+            live && *key != self.own && Some(*key) != except
+        });
+        let mut keys: Vec<member_table::MemberKey> = members.map(|(key, _entry)| key).collect();
+        let (chosen, _rest) = keys.partial_shuffle(&mut self.rng, count);
+        chosen.to_vec()
+    }
+
+    fn is_live_other(&self, key: member_table::MemberKey) -> bool {
+        key != self.own && self.table.get(key).is_some_and(|entry| entry.record.state.is_live())
+    }
+}
+
+/// Messages.
+impl GossipContext {
+    pub(crate) fn probe_member(&mut self, key: member_table::MemberKey, purpose: ProbePurpose, now: time::Instant) {
+        let Some(entry) = self.table.get(key) else {
+            return;
+        };
+        let (address, target) = (entry.record.address, entry.record.daemon_id.clone());
+        let sequence = self.start_probe(Some(key), purpose, None, now);
+        let about = self.claim_about(key);
+        let kind = gossip_message::GossipKind::Probe { sequence, target };
+        self.send(address, kind, about.as_slice());
+    }
+
+    pub(crate) fn probe_address(&mut self, address: net::SocketAddr, now: time::Instant) {
+        let sequence = self.start_probe(None, ProbePurpose::Contact, None, now);
+        let kind = gossip_message::GossipKind::Probe {
+            sequence,
+            target: Bytes::new(),
+        };
+        self.send(address, kind, &[self.own]);
+    }
+
+    pub(crate) fn handle(&mut self, from: net::SocketAddr, message: gossip_message::GossipMessage, now: time::Instant) {
+        if message.sender == self.own_record().daemon_id {
+            // An earlier or later process with this daemon's id, or a reflected datagram.
+            for record in &message.updates {
+                self.apply(record, now);
+            }
+            return;
+        }
+        for record in &message.updates {
+            self.apply(record, now);
+        }
+        match message.kind {
+            gossip_message::GossipKind::Probe { sequence, target } => {
+                self.answer(from, &message.sender, sequence, &target);
+            }
+            gossip_message::GossipKind::ProbeAck { sequence, subject } => {
+                self.acknowledged(from, sequence, &subject, now);
+            }
+            gossip_message::GossipKind::IndirectProbe {
+                sequence,
+                target,
+                address,
+            } => self.probe_for(from, sequence, target, address, now),
+        }
+        self.compare(from, message.digest, message.revision, now);
+    }
+
+    fn answer(&mut self, from: net::SocketAddr, sender: &ids::DaemonId, sequence: u64, target: &ids::DaemonId) {
+        let own = self.own_record().daemon_id.clone();
+        if !target.is_empty() && *target != own {
+            return;
+        }
+        let mut about = Vec::new();
+        match self.table.key_of(sender) {
+            Some(key) => about.extend(self.claim_about(key)),
+            None => about.push(self.own),
+        }
+        if target.is_empty() {
+            about = vec![self.own];
+        }
+        let kind = gossip_message::GossipKind::ProbeAck { sequence, subject: own };
+        self.send(from, kind, &about);
+    }
+
+    fn acknowledged(&mut self, from: net::SocketAddr, sequence: u64, subject: &ids::DaemonId, now: time::Instant) {
+        let found = self
+            .detector
+            .outstanding
+            .iter()
+            .position(|probe| probe.sequence == sequence);
+        let Some(position) = found else {
+            return;
+        };
+        let probe = &self.detector.outstanding[position];
+        let subject_key = self.table.key_of(subject);
+        if probe.key.is_some() && probe.key != subject_key {
+            return;
+        }
+        let probe = self.detector.outstanding.swap_remove(position);
+        if let Some((address, sequence)) = probe.asked_by {
+            let kind = gossip_message::GossipKind::ProbeAck {
+                sequence,
+                subject: subject.clone(),
+            };
+            self.send(address, kind, &[]);
+        } else if !probe.indirect
+            && let Some(key) = subject_key
+        {
+            self.measure(key, now.saturating_duration_since(probe.sent));
+        }
+        if self.joining {
+            self.joining = false;
+            let event = gossip_context::GossipEvent::ExchangeDue { address: from };
+            self.output.events.push(event);
+        }
+    }
+
+    fn probe_for(
+        &mut self,
+        from: net::SocketAddr,
+        sequence: u64,
+        target: ids::DaemonId,
+        address: net::SocketAddr,
+        now: time::Instant,
+    ) {
+        let key = self.table.key_of(&target);
+        let own = self.start_probe(key, ProbePurpose::Contact, Some((from, sequence)), now);
+        let kind = gossip_message::GossipKind::Probe { sequence: own, target };
+        let about = key.and_then(|key| self.claim_about(key));
+        self.send(address, kind, about.as_slice());
+    }
+
+    fn compare(&mut self, from: net::SocketAddr, digest: u64, revision: ids::Revision, now: time::Instant) {
+        let equal = digest == self.table.digest();
+        if self.limiter.observe(equal, now, &mut self.rng) == anti_entropy::ExchangeDecision::Start {
+            let event = gossip_context::GossipEvent::ExchangeDue { address: from };
+            self.output.events.push(event);
+        }
+        if revision > self.revision {
+            let event = gossip_context::GossipEvent::RevisionAhead {
+                address: from,
+                revision,
+            };
+            self.output.events.push(event);
+        }
+    }
+
+    fn start_probe(
+        &mut self,
+        key: Option<member_table::MemberKey>,
+        purpose: ProbePurpose,
+        asked_by: Option<(net::SocketAddr, u64)>,
+        now: time::Instant,
+    ) -> u64 {
+        self.detector.sequence += 1;
+        self.detector.outstanding.push(OutstandingProbe {
+            sequence: self.detector.sequence,
+            key,
+            purpose,
+            sent: now,
+            indirect: false,
+            asked_by,
+        });
+        self.detector.sequence
+    }
+
+    /// Returns the member itself if it has something to refute; it is told so in each message to it.
+    fn claim_about(&self, key: member_table::MemberKey) -> Option<member_table::MemberKey> {
+        let state = self.table.get(key)?.record.state;
+        let claimed = matches!(
+            state,
+            member_record::MemberState::Suspect | member_record::MemberState::Dead
+        );
+        claimed.then_some(key)
+    }
+
+    fn measure(&mut self, key: member_table::MemberKey, delay: time::Duration) {
+        let Some(entry) = self.table.get(key) else {
+            return;
+        };
+        let known = self.delays.entry(entry.record.location.clone()).or_insert(delay);
+        *known = delay.min(known.mul_f64(1.0 + DELAY_RISE));
+    }
+
+    pub(crate) fn changed(&mut self, key: member_table::MemberKey, before: Option<member_record::MemberState>) {
+        let event = gossip_context::GossipEvent::MemberChanged { key, before };
+        self.output.events.push(event);
+    }
+}
--- /dev/null
+++ b/crates/membership/src/member_row.rs
@@ -0,0 +1,73 @@
+//! Row of a member in the table service.
+
+use std::net;
+
+use bytes::Bytes;
+use damasktrack_entity::ids;
+use damasktrack_entity::server_location;
+
+use crate::member_record;
+
+/// Table that holds one row per daemon; the key is the daemon id.
+pub const MEMBERS_TABLE: &str = "members";
+
+/// JSON form of a member's record, readable for operators. A row is written by its own daemon only.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct MemberRow {
+    /// See [`member_record::MemberRecord`], also for the other fields.
+    pub daemon_id: String,
+    /// Start of the process in milliseconds since 1970.
+    pub started_ms: u64,
+    /// Incarnation in hexadecimal, since JSON readers may round numbers beyond 2^53.
+    pub incarnation: String,
+    /// Version when the row was written.
+    pub version: u64,
+    /// Peer and gossip address.
+    pub address: net::SocketAddr,
+    /// Service of the backend server.
+    pub service: String,
+    /// Region.
+    pub region: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Declared slots.
+    pub slots: u32,
+}
+
+impl MemberRow {
+    /// Returns the row of a record.
+    #[must_use]
+    pub fn from_record(record: &member_record::MemberRecord) -> Self {
+        Self {
+            daemon_id: ids::text(&record.daemon_id).into_owned(),
+            started_ms: record.started_ms,
+            incarnation: format!("{:016x}", record.incarnation),
+            version: record.version,
+            address: record.address,
+            service: ids::text(&record.service).into_owned(),
+            region: ids::text(&record.location.region).into_owned(),
+            data_centre: ids::text(&record.location.data_centre).into_owned(),
+            slots: record.slots,
+        }
+    }
+
+    /// Returns the record of a row, as a joining member: the state is learned by gossip. `None` for a bad incarnation.
+    #[must_use]
+    pub fn to_record(&self) -> Option<member_record::MemberRecord> {
+        Some(member_record::MemberRecord {
+            daemon_id: Bytes::copy_from_slice(self.daemon_id.as_bytes()),
+            started_ms: self.started_ms,
+            incarnation: u64::from_str_radix(&self.incarnation, 16).ok()?,
+            version: self.version,
+            state: member_record::MemberState::Joining,
+            leaving: false,
+            address: self.address,
+            service: Bytes::copy_from_slice(self.service.as_bytes()),
+            location: server_location::ServerLocation {
+                region: Bytes::copy_from_slice(self.region.as_bytes()),
+                data_centre: Bytes::copy_from_slice(self.data_centre.as_bytes()),
+            },
+            slots: self.slots,
+        })
+    }
+}
