--- a/crates/ownership/src/action_step.rs
+++ b/crates/ownership/src/action_step.rs
@@ -111,8 +111,7 @@
 pub enum RetryStep {
     /// Send the call once more; the action is recorded as dispatched.
     Dispatch(AttemptNumber),
-    /// The call no longer drives the action, or its deadline has passed. It is answered as unknown, since a repeat may
-    /// have taken the action over.
+    /// The call no longer drives the action, or its deadline has passed. It calls `release` to learn its outcome.
     Stale,
 }
 
--- a/crates/ownership/src/retry_ledger.rs
+++ b/crates/ownership/src/retry_ledger.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use bytes::Bytes;
+use damasktrack_entity::request_identity;
 
 /// Limits of a [`RetryLedger`].
 #[derive(Clone, Copy, Debug)]
@@ -56,6 +57,9 @@
     /// The request's deadline has passed.
     #[display("deadline_passed")]
     DeadlinePassed,
+    /// Another incarnation owns the id.
+    #[display("not_owner")]
+    NotOwner,
     /// No record can be kept, and a grant without a record would not be counted.
     #[display("ledger_full")]
     LedgerFull,
@@ -81,6 +85,8 @@
 /// Records of the requests that one daemon owns.
 #[derive(Debug)]
 pub struct RetryLedger {
+    /// Only this incarnation grants retries of its bound ids: a restarted owner does not know what was granted.
+    owner: request_identity::RequestOwner,
     limits: RetryLimits,
     /// At most `limits.max_requests`. A record is only dropped after its expiry, never to make room: a dropped record
     /// would grant its allowance anew.
@@ -92,8 +98,9 @@
 impl RetryLedger {
     /// Makes an empty ledger.
     #[must_use]
-    pub fn new(limits: RetryLimits) -> Self {
+    pub fn new(owner: request_identity::RequestOwner, limits: RetryLimits) -> Self {
         Self {
+            owner,
             limits,
             records: collections::HashMap::new(),
             expiries: collections::BTreeSet::new(),
@@ -114,6 +121,11 @@
     /// Grants one more attempt if the request's allowance is not spent.
     pub fn grant(&mut self, call: &GrantCall, now: time::Instant) -> GrantReply {
         self.expire(now);
+        if let request_identity::RequestIdentity::Bound { owner, .. } = request_identity::parse(&call.request_id)
+            && owner != self.owner
+        {
+            return GrantReply::Denied(DenialReason::NotOwner);
+        }
         if now >= call.deadline {
             return GrantReply::Denied(DenialReason::DeadlinePassed);
         }
--- /dev/null
+++ b/crates/ownership/tests/retry_fuzz.rs
@@ -0,0 +1,149 @@
+//! Fuzz test of the retry ledger against a count of grants without limits of memory.
+
+#[path = "support/case_runner.rs"]
+mod case_runner;
+
+use std::collections;
+use std::time::{Duration, Instant};
+
+use bolero::TypeGenerator;
+use bytes::Bytes;
+use damasktrack_entity::request_identity;
+use damasktrack_ownership::request_issuer;
+use damasktrack_ownership::retry_ledger::{ArrivalReply, GrantCall, GrantReply, RetryLedger, RetryLimits};
+
+const LIMITS: RetryLimits = RetryLimits {
+    max_requests: 3,
+    keep_after_deadline: Duration::from_millis(200),
+};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// Each hop keeps a ledger of its own.
+    PerHop,
+    /// A full ledger drops its records.
+    DropWhenFull,
+    /// A restarted owner keeps its incarnation.
+    KeepIncarnation,
+}
+
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum Operation {
+    Grant { id: u8, hop: u8, patience: u8 },
+    Arrive { id: u8, patience: u8 },
+    Issue,
+    Advance { steps: u8 },
+    Restart { really: u8 },
+}
+
+/// Grants of a request and the time until which they count.
+struct Counted {
+    grants: u32,
+    until: Instant,
+}
+
+fn owner(incarnation: u64) -> request_identity::RequestOwner {
+    request_identity::RequestOwner {
+        daemon_id: Bytes::from_static(b"d1"),
+        incarnation,
+    }
+}
+
+fn check(fault: Fault, operations: &[Operation]) -> Result<(), String> {
+    const ALLOWANCE: u32 = 2;
+    let mut now = Instant::now();
+    let mut incarnation = 1;
+    let new = |incarnation| {
+        (0..3)
+            .map(|_| RetryLedger::new(owner(incarnation), LIMITS))
+            .collect::<Vec<_>>()
+    };
+    let mut ledgers = new(incarnation);
+    let mut issuer = request_issuer::RequestIssuer::new(owner(incarnation));
+    // Opaque ids belong to a keeper that a restart may change, so only bound ids are counted over restarts.
+    let mut ids = vec![issuer.issue(), issuer.issue()];
+    let mut counted: collections::HashMap<Bytes, Counted> = collections::HashMap::new();
+    for operation in operations {
+        let (id, hop, patience, arrival) = match *operation {
+            Operation::Grant { id, hop, patience } => (id, hop, patience, false),
+            Operation::Arrive { id, patience } => (id, 0, patience, true),
+            Operation::Issue => {
+                ids.push(issuer.issue());
+                continue;
+            }
+            Operation::Advance { steps } => {
+                now += Duration::from_millis(u64::from(steps % 32) * 10);
+                continue;
+            }
+            Operation::Restart { really } => {
+                if really < 32 {
+                    incarnation += u64::from(fault != Fault::KeepIncarnation);
+                    ledgers = new(incarnation);
+                }
+                continue;
+            }
+        };
+        let hop = if fault == Fault::PerHop {
+            usize::from(hop) % 3
+        } else {
+            0
+        };
+        let call = GrantCall {
+            request_id: ids[usize::from(id) % ids.len()].clone(),
+            allowance: ALLOWANCE,
+            deadline: now + Duration::from_millis(u64::from(patience) * 4),
+        };
+        if fault == Fault::DropWhenFull && ledgers[hop].len() >= LIMITS.max_requests {
+            ledgers[hop] = RetryLedger::new(owner(incarnation), LIMITS);
+        }
+        let granted = if arrival {
+            matches!(
+                ledgers[hop].arrive(&call, now),
+                ArrivalReply::Repeat(GrantReply::Granted { .. })
+            )
+        } else {
+            matches!(ledgers[hop].grant(&call, now), GrantReply::Granted { .. })
+        };
+        if ledgers[hop].len() > LIMITS.max_requests {
+            return Err("memory bound exceeded".to_owned());
+        }
+        let until = call.deadline + LIMITS.keep_after_deadline;
+        let count = counted
+            .entry(call.request_id.clone())
+            .or_insert(Counted { grants: 0, until });
+        if now >= count.until {
+            *count = Counted { grants: 0, until };
+        }
+        if granted {
+            count.grants += 1;
+            count.until = count.until.max(until);
+        }
+        if count.grants > ALLOWANCE {
+            return Err(format!("{} grants for {:?}", count.grants, call.request_id));
+        }
+    }
+    Ok(())
+}
+
+fn run(fault: Fault) -> Result<(), String> {
+    case_runner::run(&format!("grants, {fault:?} off"), 5_000, 120, |operations| {
+        check(fault, operations)
+    })
+}
+
+/// Guards against retries that multiply at each hop, by a flood of ids, or by a restarted owner.
+#[test]
+fn grants_never_exceed_the_allowance() {
+    if let Err(objection) = run(Fault::None) {
+        panic!("{objection}");
+    }
+}
+
+/// Guards against an oracle that does not notice the missing mechanisms.
+#[test]
+fn oracle_notices_ledgers_that_forget_grants() {
+    for fault in [Fault::PerHop, Fault::DropWhenFull, Fault::KeepIncarnation] {
+        case_runner::expect_objection(run(fault), "grants for");
+    }
+}
--- /dev/null
+++ b/crates/ownership/tests/support/action_world.rs
@@ -0,0 +1,710 @@
+//! Owners, a table service that fails, backend servers and callers, with an oracle of executions and refusals.
+
+use std::collections;
+use std::time::{Duration, Instant};
+
+use bolero::TypeGenerator;
+use bytes::Bytes;
+use damasktrack_entity::{call_outcome, request_identity};
+use damasktrack_ownership::action_ledger::{self, ActionLedger};
+use damasktrack_ownership::action_step::{ActionResult, ActionStep, FinishStep, NextClaim, RetryStep, UnknownReason};
+use damasktrack_ownership::claim_plan::{ClaimPlan, ClaimResult, ClaimRow};
+use damasktrack_ownership::{action_key, action_step, answer_cache};
+
+const DAEMONS: usize = 3;
+const LIMITS: action_ledger::LedgerLimits = action_ledger::LedgerLimits {
+    max_actions: 4,
+    max_actions_per_request: 2,
+    max_waiters: 8,
+    max_waiters_per_action: 3,
+    max_answer_bytes: 700,
+};
+
+/// Mechanism that the world switches off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// An opaque id is taken as owned without a claim.
+    SkipClaim,
+    /// An insert without an answer is taken as confirmed.
+    TrustLostAnswer,
+    /// A row of the same incarnation is taken as this claim's, whatever its token.
+    IgnoreToken,
+    /// A restarted daemon keeps its incarnation.
+    KeepIncarnation,
+    /// A forgotten bound id runs as if it were new.
+    IgnoreFloor,
+    /// An ambiguous result is taken as not run.
+    AmbiguousAsNotRun,
+    /// A result that arrives twice is taken as that of the latest dispatch.
+    IgnoreAttempt,
+    /// A call whose claim can't be settled is refused.
+    RefuseUnsettledClaim,
+}
+
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+pub enum StoreFault {
+    None,
+    Fine,
+    Down,
+    LoseRequest,
+    LoseAnswer,
+    WriteLate,
+}
+
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+pub enum BackendResult {
+    Done,
+    LargeAnswer,
+    NotRun,
+    RanWithoutAnswer,
+    LostBeforeRun,
+}
+
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+pub enum Operation {
+    Issue {
+        daemon: u8,
+    },
+    /// Enough new actions run at once for the ledger to forget older ones.
+    Flood {
+        daemon: u8,
+    },
+    Call {
+        daemon: u8,
+        id: u8,
+        path: bool,
+        other_body: u8,
+        patience: u8,
+    },
+    Repeat {
+        daemon: u8,
+        back: u8,
+        patience: u8,
+    },
+    Store {
+        pick: u8,
+        fault: StoreFault,
+    },
+    LateWrite {
+        pick: u8,
+    },
+    Send {
+        pick: u8,
+    },
+    Backend {
+        pick: u8,
+        result: BackendResult,
+        twice: bool,
+    },
+    Decide {
+        pick: u8,
+        retry: bool,
+    },
+    /// A result arrives once more, late.
+    Echo {
+        pick: u8,
+    },
+    Cancel {
+        pick: u8,
+    },
+    Advance {
+        steps: u8,
+    },
+    Expire {
+        daemon: u8,
+    },
+    Pause {
+        daemon: u8,
+        really: u8,
+    },
+    Resume {
+        daemon: u8,
+    },
+    Restart {
+        daemon: u8,
+        really: u8,
+    },
+}
+
+struct Daemon {
+    incarnation: u64,
+    ledger: ActionLedger,
+    paused: bool,
+}
+
+/// Call of a caller, in order of arrival.
+#[derive(Clone)]
+struct Call {
+    key: action_key::ActionKey,
+    digest: action_key::Sha256Digest,
+    /// Event of its arrival at the daemon that decides about it. A refusal can't speak for a repeat that is still on
+    /// its way from another daemon: the owner does not know of it.
+    arrived: usize,
+    daemon: usize,
+    incarnation: u64,
+    outcomes: u32,
+    /// Its outcome is that of its dispatch, or nobody waits for it.
+    driving: bool,
+    cancelled: bool,
+}
+
+struct StoreCall {
+    daemon: usize,
+    incarnation: u64,
+    plan: ClaimPlan,
+    read: bool,
+}
+
+#[derive(Clone)]
+struct Dispatch {
+    daemon: usize,
+    incarnation: u64,
+    call: usize,
+    attempt: u32,
+}
+
+#[derive(Default)]
+struct Oracle {
+    event: usize,
+    executions: collections::HashMap<action_key::ActionKey, (action_key::Sha256Digest, Bytes)>,
+    refusals: collections::HashMap<action_key::ActionKey, (usize, action_key::Sha256Digest)>,
+    objection: Option<String>,
+}
+
+pub struct World {
+    fault: Fault,
+    now: Instant,
+    daemons: Vec<Daemon>,
+    incarnations: u64,
+    ids: Vec<Bytes>,
+    calls: Vec<Call>,
+    rows: collections::HashMap<String, ClaimRow>,
+    late: Vec<(String, ClaimRow)>,
+    store_calls: Vec<StoreCall>,
+    /// Decided by the owner and not sent yet.
+    unsent: Vec<Dispatch>,
+    sent: Vec<Dispatch>,
+    /// Ended as not run; the owner decides on a retry.
+    idle: Vec<Dispatch>,
+    echoes: Vec<(Dispatch, ActionResult)>,
+    oracle: Oracle,
+}
+
+impl Oracle {
+    fn object(&mut self, text: String) {
+        self.objection.get_or_insert(text);
+    }
+
+    fn execute(&mut self, call: &Call) -> Bytes {
+        let answer = Bytes::from(format!("answer {}", self.event));
+        if self.executions.contains_key(&call.key) {
+            self.object(format!("second execution of {:?}", call.key));
+        }
+        let refused = self.refusals.get(&call.key);
+        if refused.is_some_and(|(event, digest)| *event > call.arrived && *digest == call.digest) {
+            self.object(format!("execution after a refusal of {:?}", call.key));
+        }
+        self.executions.insert(call.key.clone(), (call.digest, answer.clone()));
+        answer
+    }
+
+    fn refuse(&mut self, call: &Call) {
+        if self
+            .executions
+            .get(&call.key)
+            .is_some_and(|executed| executed.0 == call.digest)
+        {
+            self.object(format!("refusal after an execution of {:?}", call.key));
+        }
+        self.refusals.insert(call.key.clone(), (self.event, call.digest));
+    }
+
+    fn answer(&mut self, call: &Call, answer: &answer_cache::StoredAnswer) {
+        let expected = self.executions.get(&call.key);
+        if !expected.is_some_and(|(digest, body)| *digest == call.digest && *body == answer.body) {
+            self.object(format!("another answer for {:?}", call.key));
+        }
+    }
+}
+
+fn new_ledger(daemon: usize, incarnation: u64) -> ActionLedger {
+    let owner = request_identity::RequestOwner {
+        daemon_id: Bytes::from(format!("d{daemon}")),
+        incarnation,
+    };
+    ActionLedger::new(owner, LIMITS)
+}
+
+fn pick<T>(list: &mut Vec<T>, pick: u8) -> Option<T> {
+    if list.is_empty() {
+        return None;
+    }
+    let index = usize::from(pick) % list.len();
+    Some(list.remove(index))
+}
+
+/// Runs the operations and returns the oracle's first objection.
+pub fn check(fault: Fault, operations: &[Operation]) -> Result<(), String> {
+    let mut world = World::new(fault);
+    for operation in operations {
+        world.step(*operation);
+        world.check_bounds();
+        if let Some(objection) = world.oracle.objection.take() {
+            return Err(objection);
+        }
+    }
+    world.drain();
+    world.oracle.objection.map_or(Ok(()), Err)
+}
+
+impl World {
+    fn new(fault: Fault) -> Self {
+        let daemon = |index| Daemon {
+            incarnation: index as u64 + 1,
+            ledger: new_ledger(index, index as u64 + 1),
+            paused: false,
+        };
+        Self {
+            fault,
+            now: Instant::now(),
+            daemons: (0..DAEMONS).map(daemon).collect(),
+            incarnations: DAEMONS as u64,
+            ids: (0..4).map(|index| Bytes::from(format!("opaque-{index}"))).collect(),
+            calls: Vec::new(),
+            rows: collections::HashMap::new(),
+            late: Vec::new(),
+            store_calls: Vec::new(),
+            unsent: Vec::new(),
+            sent: Vec::new(),
+            idle: Vec::new(),
+            echoes: Vec::new(),
+            oracle: Oracle::default(),
+        }
+    }
+
+    fn step(&mut self, operation: Operation) {
+        self.oracle.event += 1;
+        match operation {
+            Operation::Issue { daemon } => {
+                let daemon = usize::from(daemon) % DAEMONS;
+                let id = self.daemons[daemon].ledger.issue_id();
+                self.ids.push(id);
+            }
+            Operation::Flood { daemon } => self.flood(usize::from(daemon) % DAEMONS),
+            Operation::Call {
+                daemon,
+                id,
+                path,
+                other_body,
+                patience,
+            } => {
+                let key = action_key::ActionKey {
+                    request_id: self.ids[usize::from(id) % self.ids.len()].clone(),
+                    service: Bytes::from_static(b"pairing"),
+                    method: Bytes::from_static(b"POST"),
+                    path: Bytes::from_static(if path { b"/a" } else { b"/b" }),
+                };
+                self.call(
+                    usize::from(daemon) % DAEMONS,
+                    key,
+                    [u8::from(other_body < 24); 32],
+                    patience,
+                );
+            }
+            Operation::Repeat { daemon, back, patience } => {
+                let index = self.calls.len().checked_sub(1 + usize::from(back % 12));
+                if let Some(earlier) = index.map(|index| self.calls[index].clone()) {
+                    self.call(usize::from(daemon) % DAEMONS, earlier.key, earlier.digest, patience);
+                }
+            }
+            Operation::Store { pick: index, fault } => {
+                if let Some(call) = pick(&mut self.store_calls, index) {
+                    self.serve_store(call, fault);
+                }
+            }
+            Operation::LateWrite { pick: index } => {
+                if let Some((key, row)) = pick(&mut self.late, index) {
+                    self.rows.entry(key).or_insert(row);
+                }
+            }
+            Operation::Send { pick: index } => {
+                if let Some(dispatch) = pick(&mut self.unsent, index) {
+                    if self.is_running(dispatch.daemon, dispatch.incarnation) {
+                        self.sent.push(dispatch);
+                    } else if self.daemons[dispatch.daemon].paused {
+                        self.unsent.push(dispatch);
+                    }
+                }
+            }
+            Operation::Backend {
+                pick: index,
+                result,
+                twice,
+            } => {
+                if let Some(dispatch) = pick(&mut self.sent, index) {
+                    self.run_backend(&dispatch, result, twice);
+                }
+            }
+            Operation::Decide { pick: index, retry } => {
+                if let Some(dispatch) = pick(&mut self.idle, index) {
+                    self.decide(dispatch, retry);
+                }
+            }
+            Operation::Echo { pick: index } => {
+                if let Some((dispatch, result)) = pick(&mut self.echoes, index) {
+                    self.echo(&dispatch, &result);
+                }
+            }
+            Operation::Cancel { pick: index } => {
+                let index = usize::from(index) % self.calls.len().max(1);
+                if let Some(call) = self.calls.get_mut(index).filter(|call| call.outcomes == 0) {
+                    call.cancelled = true;
+                    self.daemons[call.daemon].ledger.cancel(&call.key, index as u64);
+                }
+            }
+            Operation::Advance { steps } => self.now += Duration::from_millis(u64::from(steps) * 3),
+            Operation::Expire { daemon } => self.expire(usize::from(daemon) % DAEMONS),
+            Operation::Pause { daemon, really } => self.daemons[usize::from(daemon) % DAEMONS].paused |= really < 96,
+            Operation::Resume { daemon } => self.daemons[usize::from(daemon) % DAEMONS].paused = false,
+            Operation::Restart { daemon, really } if really < 64 => {
+                let daemon = usize::from(daemon) % DAEMONS;
+                self.incarnations += u64::from(self.fault != Fault::KeepIncarnation);
+                let kept = self.fault == Fault::KeepIncarnation;
+                let incarnation = if kept {
+                    self.daemons[daemon].incarnation
+                } else {
+                    self.incarnations
+                };
+                self.daemons[daemon] = Daemon {
+                    incarnation,
+                    ledger: new_ledger(daemon, incarnation),
+                    paused: false,
+                };
+            }
+            Operation::Restart { .. } => {}
+        }
+    }
+
+    fn flood(&mut self, daemon: usize) {
+        for _ in 0..LIMITS.max_actions {
+            let key = action_key::ActionKey {
+                request_id: self.daemons[daemon].ledger.issue_id(),
+                service: Bytes::from_static(b"pairing"),
+                method: Bytes::from_static(b"POST"),
+                path: Bytes::from_static(b"/a"),
+            };
+            let before = self.unsent.len();
+            self.call(daemon, key, [0; 32], 100);
+            if self.unsent.len() > before
+                && let Some(dispatch) = self.unsent.pop()
+            {
+                self.run_backend(&dispatch, BackendResult::Done, false);
+            }
+        }
+    }
+
+    fn is_running(&self, daemon: usize, incarnation: u64) -> bool {
+        !self.daemons[daemon].paused && self.daemons[daemon].incarnation == incarnation
+    }
+
+    fn call(&mut self, daemon: usize, key: action_key::ActionKey, digest: action_key::Sha256Digest, patience: u8) {
+        if self.daemons[daemon].paused {
+            return;
+        }
+        let index = self.calls.len();
+        self.calls.push(Call {
+            key,
+            digest,
+            arrived: self.oracle.event,
+            daemon,
+            incarnation: self.daemons[daemon].incarnation,
+            outcomes: 0,
+            driving: false,
+            cancelled: false,
+        });
+        self.begin(daemon, index, patience, false);
+    }
+
+    fn begin(&mut self, daemon: usize, index: usize, patience: u8, forwarded: bool) {
+        let call = &mut self.calls[index];
+        call.daemon = daemon;
+        call.arrived = self.oracle.event;
+        call.incarnation = self.daemons[daemon].incarnation;
+        let request = action_step::ActionRequest {
+            key: call.key.clone(),
+            digest: call.digest,
+            waiter: index as u64,
+            deadline: self.now + Duration::from_millis(u64::from(patience) * 10),
+            forwarded,
+        };
+        let step = self.daemons[daemon].ledger.begin(&request, self.now);
+        self.follow(daemon, index, step);
+    }
+
+    /// Does what the ledger asks for one call.
+    fn follow(&mut self, daemon: usize, index: usize, step: ActionStep) {
+        let call = self.calls[index].clone();
+        match step {
+            ActionStep::Claim(plan) => self.ask_store(daemon, plan, false),
+            ActionStep::ReadBack(plan) => self.ask_store(daemon, plan, true),
+            ActionStep::Dispatch(attempt) => {
+                self.calls[index].driving = true;
+                self.unsent.push(Dispatch {
+                    daemon,
+                    incarnation: call.incarnation,
+                    call: index,
+                    attempt,
+                });
+            }
+            ActionStep::Wait => {}
+            ActionStep::Forward(owner) => {
+                let text = owner.daemon_id[1..].to_vec();
+                let target: usize = String::from_utf8(text).unwrap().parse().unwrap();
+                assert_ne!(target, daemon, "a daemon forwarded to itself");
+                if self.daemons[target].paused {
+                    self.end(index);
+                } else {
+                    self.begin(target, index, 100, true);
+                }
+            }
+            ActionStep::Answer(answer) => {
+                self.oracle.answer(&call, &answer);
+                self.end(index);
+            }
+            ActionStep::Unknown(UnknownReason::Forgotten) if self.fault == Fault::IgnoreFloor => {
+                self.unsent.push(Dispatch {
+                    daemon,
+                    incarnation: call.incarnation,
+                    call: index,
+                    attempt: 1,
+                });
+            }
+            ActionStep::Unknown(UnknownReason::StoreUnavailable) if self.fault == Fault::RefuseUnsettledClaim => {
+                self.oracle.refuse(&call);
+                self.end(index);
+            }
+            ActionStep::Unknown(_) => self.end(index),
+            ActionStep::Refuse(_) => {
+                self.oracle.refuse(&call);
+                self.end(index);
+            }
+        }
+    }
+
+    fn end(&mut self, index: usize) {
+        self.calls[index].outcomes += 1;
+        if self.calls[index].outcomes > 1 && self.fault == Fault::None {
+            self.oracle.object(format!("call {index} ended twice"));
+        }
+    }
+
+    fn follow_all(&mut self, daemon: usize, replies: Vec<action_step::WaiterReply>) {
+        for reply in replies {
+            self.follow(daemon, usize::try_from(reply.waiter).unwrap(), reply.step);
+        }
+    }
+
+    fn ask_store(&mut self, daemon: usize, plan: ClaimPlan, read: bool) {
+        let incarnation = self.daemons[daemon].incarnation;
+        let call = StoreCall {
+            daemon,
+            incarnation,
+            plan,
+            read,
+        };
+        if self.fault == Fault::SkipClaim {
+            return self.settle(&call, &ClaimResult::Inserted);
+        }
+        self.store_calls.push(call);
+    }
+
+    fn serve_store(&mut self, call: StoreCall, fault: StoreFault) {
+        if !self.is_running(call.daemon, call.incarnation) {
+            // The request of a paused or ended daemon may still reach the store.
+            if !call.read && matches!(fault, StoreFault::None | StoreFault::WriteLate) {
+                self.late.push((call.plan.key.clone(), call.plan.row.clone()));
+            }
+            if self.daemons[call.daemon].incarnation == call.incarnation {
+                self.store_calls.push(call);
+            }
+            return;
+        }
+        let found = self.rows.get(&call.plan.key).cloned();
+        let result = match fault {
+            StoreFault::Down => ClaimResult::Unavailable,
+            StoreFault::LoseRequest => ClaimResult::Unsettled,
+            _ if call.read => match (found, fault) {
+                (_, StoreFault::LoseAnswer | StoreFault::WriteLate) => ClaimResult::Unsettled,
+                (Some(row), _) => ClaimResult::Found(row),
+                (None, _) => ClaimResult::Absent,
+            },
+            StoreFault::WriteLate => {
+                self.late.push((call.plan.key.clone(), call.plan.row.clone()));
+                ClaimResult::Unsettled
+            }
+            _ => {
+                let inserted = found.is_none();
+                self.rows
+                    .entry(call.plan.key.clone())
+                    .or_insert_with(|| call.plan.row.clone());
+                match fault {
+                    StoreFault::LoseAnswer => ClaimResult::Unsettled,
+                    _ if inserted => ClaimResult::Inserted,
+                    _ => ClaimResult::Conflict,
+                }
+            }
+        };
+        self.settle(&call, &result);
+    }
+
+    fn settle(&mut self, call: &StoreCall, result: &ClaimResult) {
+        let mut result = result.clone();
+        if self.fault == Fault::TrustLostAnswer && result == ClaimResult::Unsettled && !call.read {
+            result = ClaimResult::Inserted;
+        }
+        if let ClaimResult::Found(row) = &mut result
+            && self.fault == Fault::IgnoreToken
+        {
+            row.token = call.plan.token;
+        }
+        let ledger = &mut self.daemons[call.daemon].ledger;
+        let step = ledger.claim_settled(&call.plan.request_id, call.plan.token, &result, self.now);
+        match step.next {
+            NextClaim::Idle => {}
+            NextClaim::Insert(plan) => self.ask_store(call.daemon, plan, false),
+            NextClaim::Read(plan) => self.ask_store(call.daemon, plan, true),
+        }
+        self.follow_all(call.daemon, step.replies);
+    }
+
+    fn run_backend(&mut self, dispatch: &Dispatch, result: BackendResult, twice: bool) {
+        let call = self.calls[dispatch.call].clone();
+        let result = match result {
+            BackendResult::Done | BackendResult::LargeAnswer => {
+                let body = self.oracle.execute(&call);
+                let large = matches!(result, BackendResult::LargeAnswer);
+                let headers = vec![(Bytes::from_static(b"a"), Bytes::from(vec![0; 600]))];
+                ActionResult::Done(answer_cache::StoredAnswer {
+                    status: 200,
+                    headers: if large { headers } else { Vec::new() },
+                    body,
+                })
+            }
+            BackendResult::RanWithoutAnswer => {
+                self.oracle.execute(&call);
+                ActionResult::Ambiguous
+            }
+            BackendResult::LostBeforeRun => ActionResult::Ambiguous,
+            BackendResult::NotRun => ActionResult::NotRun(call_outcome::RefusalReason::ShedByBackendServer),
+        };
+        let result = match result {
+            ActionResult::Ambiguous if self.fault == Fault::AmbiguousAsNotRun => {
+                ActionResult::NotRun(call_outcome::RefusalReason::BackendServerDown)
+            }
+            result => result,
+        };
+        if !self.is_running(dispatch.daemon, dispatch.incarnation) {
+            // The owner is gone, or its connection was closed as silent.
+            return;
+        }
+        if twice {
+            self.echoes.push((dispatch.clone(), result.clone()));
+        }
+        self.finish(dispatch, result);
+    }
+
+    fn echo(&mut self, dispatch: &Dispatch, result: &ActionResult) {
+        if !self.is_running(dispatch.daemon, dispatch.incarnation) {
+            return;
+        }
+        self.finish(dispatch, result.clone());
+        if self.fault == Fault::IgnoreAttempt {
+            for attempt in 1..6 {
+                let latest = Dispatch {
+                    attempt,
+                    ..dispatch.clone()
+                };
+                self.finish(&latest, result.clone());
+            }
+        }
+    }
+
+    fn finish(&mut self, dispatch: &Dispatch, result: ActionResult) {
+        let key = self.calls[dispatch.call].key.clone();
+        match self.daemons[dispatch.daemon]
+            .ledger
+            .finish(&key, dispatch.attempt, result)
+        {
+            FinishStep::Ended(replies) => {
+                self.end(dispatch.call);
+                self.follow_all(dispatch.daemon, replies);
+            }
+            FinishStep::Ready => self.idle.push(dispatch.clone()),
+            FinishStep::Stale => {}
+        }
+    }
+
+    fn decide(&mut self, dispatch: Dispatch, retry: bool) {
+        if !self.is_running(dispatch.daemon, dispatch.incarnation) {
+            if self.daemons[dispatch.daemon].incarnation == dispatch.incarnation {
+                self.idle.push(dispatch);
+            }
+            return;
+        }
+        let call = self.calls[dispatch.call].clone();
+        let ledger = &mut self.daemons[dispatch.daemon].ledger;
+        if retry && let RetryStep::Dispatch(attempt) = ledger.retry(&call.key, dispatch.attempt, self.now) {
+            self.unsent.push(Dispatch { attempt, ..dispatch });
+            return;
+        }
+        let reason = call_outcome::RefusalReason::ShedByBackendServer;
+        match ledger.release(&call.key, dispatch.attempt, reason) {
+            FinishStep::Ended(replies) => {
+                self.oracle.refuse(&call);
+                self.end(dispatch.call);
+                self.follow_all(dispatch.daemon, replies);
+            }
+            FinishStep::Ready | FinishStep::Stale => self.end(dispatch.call),
+        }
+    }
+
+    fn expire(&mut self, daemon: usize) {
+        if !self.daemons[daemon].paused {
+            let replies = self.daemons[daemon].ledger.expire(self.now);
+            self.follow_all(daemon, replies);
+        }
+    }
+
+    fn check_bounds(&mut self) {
+        for daemon in &self.daemons {
+            let counts = daemon.ledger.counts();
+            let within = counts.actions <= LIMITS.max_actions
+                && counts.requests <= counts.actions
+                && counts.waiters <= LIMITS.max_waiters
+                && counts.answer_bytes <= LIMITS.max_answer_bytes;
+            if !within {
+                self.oracle.object(format!("memory bound exceeded: {counts:?}"));
+            }
+        }
+    }
+
+    /// Lets all time pass: no waiter may remain in a ledger.
+    fn drain(&mut self) {
+        self.now += Duration::from_hours(1);
+        for daemon in 0..DAEMONS {
+            self.daemons[daemon].paused = false;
+            self.expire(daemon);
+            let waiters = self.daemons[daemon].ledger.counts().waiters;
+            if waiters > 0 {
+                self.oracle.object(format!("{waiters} calls wait for ever"));
+            }
+        }
+        for (index, call) in self.calls.iter().enumerate() {
+            let lost = call.incarnation != self.daemons[call.daemon].incarnation;
+            if self.fault == Fault::None && call.outcomes == 0 && !call.driving && !call.cancelled && !lost {
+                self.oracle.object(format!("call {index} got no outcome"));
+            }
+        }
+    }
+}
