--- a/crates/resource/tests/support/config_world.rs
+++ b/crates/resource/tests/support/config_world.rs
@@ -63,6 +63,12 @@
         pick: u8,
         fault: CommitFault,
     },
+    /// Read, plan and commit without another operation in between.
+    Complete {
+        pick: u8,
+        steady: u8,
+        fault: CommitFault,
+    },
     GiveUp {
         pick: u8,
     },
@@ -174,8 +180,17 @@
     }
 }
 
+/// What the cases of a run reached; a run that reaches little proves little.
+#[derive(Debug, Default)]
+pub struct Coverage {
+    pub commits: usize,
+    pub accepted: usize,
+    pub rejected: usize,
+    pub unsettled: usize,
+}
+
 /// Runs the operations and returns the oracle's first objection.
-pub fn check(fault: Fault, operations: &[Operation]) -> Result<(), String> {
+pub fn check(fault: Fault, operations: &[Operation], coverage: &mut Coverage) -> Result<(), String> {
     let mut world = World {
         fault,
         store: Store::default(),
@@ -192,6 +207,14 @@
     for planned in std::mem::take(&mut world.late) {
         world.store.commit(&planned.commit, &planned.change);
     }
+    let count = |wanted: fn(&Outcome) -> bool| {
+        let outcomes = world.attempts.iter().filter_map(|attempt| attempt.outcome);
+        outcomes.filter(wanted).count()
+    };
+    coverage.commits += world.store.log.len();
+    coverage.accepted += count(|outcome| matches!(outcome, Outcome::Accepted(_)));
+    coverage.rejected += count(|outcome| *outcome == Outcome::Rejected);
+    coverage.unsettled += count(|outcome| *outcome == Outcome::Unsettled);
     world.check_store()
 }
 
@@ -219,6 +242,17 @@
                     self.commit(index, fault);
                 }
             }
+            Operation::Complete { pick, steady, fault } => {
+                let fault = if steady < 192 { CommitFault::Fine } else { fault };
+                if let Some(index) = self.open_attempt(pick, |attempt| attempt.planned.is_none()) {
+                    self.catch_up(self.attempts[index].daemon);
+                    self.read(index);
+                    self.plan(index);
+                    if self.attempts[index].planned.is_some() {
+                        self.commit(index, fault);
+                    }
+                }
+            }
             Operation::GiveUp { pick } => {
                 if let Some(index) = self.open_attempt(pick, |attempt| attempt.planned.is_none()) {
                     let step = self.attempts[index].attempt.give_up();
