Add scenario files, their harness and the measurements

The harness runs scenario files on virtual time over the real decisions of admission and routing; backend servers, network delay and callers are fakes. damasktrack-measure runs the arms none, per-hop and damasktrack for the same load, and scripts/measure dispatches to it or to scripts/measure.d/NAME.

The baseline now moves by time (20 s up, 4 s down) over windows of 25 samples.

--- a/crates/admission/src/admission_gate.rs
+++ b/crates/admission/src/admission_gate.rs
@@ -252,7 +252,7 @@
         match result {
             FinishResult::Completed => {
                 class.estimate.add(total, now);
-                let ratio = class.baseline.add(own);
+                let ratio = class.baseline.add(own, now);
                 if ended.lane == CallLane::Short {
                     self.limit.add(ratio, now);
                 }
--- a/crates/admission/src/concurrency_limit.rs
+++ b/crates/admission/src/concurrency_limit.rs
@@ -4,21 +4,22 @@
 
 /// Service time, as a multiple of the baseline, up to which the limit does not fall. Random variation of the service
 /// time of an idle server stays below it in windows of [`MIN_SAMPLES`].
-const TOLERANCE: f64 = 1.3;
+const TOLERANCE: f64 = 1.5;
 /// Least factor by which one window changes the limit.
 const LEAST_GRADIENT: f64 = 0.7;
 /// Samples that a window needs.
-const MIN_SAMPLES: u32 = 10;
+const MIN_SAMPLES: u32 = 25;
 /// Least length of a window.
 const WINDOW: time::Duration = time::Duration::from_millis(100);
 /// Factor by which the limit falls when the backend server refuses a call.
 const SHED_FACTOR: f64 = 0.9;
 /// Several refusals within this time are one event.
 const SHED_PAUSE: time::Duration = time::Duration::from_millis(20);
-/// Weight of a window in a baseline that has to rise; about 10 s until a lasting change is taken as normal.
-const BASELINE_RISE: f64 = 0.01;
-/// Weight of a window in a baseline that has to fall.
-const BASELINE_FALL: f64 = 0.2;
+/// Time in which a baseline rises to a lasting service time.
+const BASELINE_RISE: time::Duration = time::Duration::from_secs(20);
+/// Time in which a baseline falls to a lasting service time. A fall is taken sooner than a rise, but not at once: a
+/// baseline that follows each short window downwards ends well below the mean, and the limit then falls without cause.
+const BASELINE_FALL: time::Duration = time::Duration::from_secs(4);
 
 /// Concurrency limit of one backend server.
 #[derive(Debug)]
@@ -37,33 +38,34 @@
 /// Slow baseline of the own service time of one class.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceBaseline {
-    /// Seconds; 0 until the first sample.
+    /// Seconds; 0 until the first window has ended.
     baseline: f64,
+    window_start: Option<time::Instant>,
     window_sum: f64,
     window_count: u32,
 }
 
 impl ServiceBaseline {
     /// Adds a sample and returns it as a multiple of the baseline.
-    pub fn add(&mut self, sample: time::Duration) -> f64 {
-        let sample = sample.as_secs_f64().max(1e-6);
-        self.window_sum += sample;
+    pub fn add(&mut self, sample: time::Duration, now: time::Instant) -> f64 {
+        let start = *self.window_start.get_or_insert(now);
+        self.window_sum += sample.as_secs_f64().max(1e-6);
         self.window_count += 1;
-        if self.baseline == 0.0 {
-            self.baseline = sample;
-        }
         if self.window_count >= MIN_SAMPLES {
             let mean = self.window_sum / f64::from(self.window_count);
-            let weight = if mean > self.baseline {
+            let time = if mean > self.baseline {
                 BASELINE_RISE
             } else {
                 BASELINE_FALL
             };
+            let weight = now.saturating_duration_since(start).as_secs_f64() / time.as_secs_f64();
+            let weight = if self.baseline == 0.0 { 1.0 } else { weight.min(1.0) };
             self.baseline += (mean - self.baseline) * weight;
+            self.window_start = Some(now);
             self.window_sum = 0.0;
             self.window_count = 0;
         }
-        sample / self.baseline
+        self.ratio(sample)
     }
 }
 
--- /dev/null
+++ b/crates/filetests/src/world_node.rs
@@ -0,0 +1,145 @@
+//! Daemons of a run, each with its decisions and, beside a backend server, the fake of that server.
+
+use std::net;
+use std::time;
+
+use bytes::Bytes;
+use damasktrack_admission::{admission_gate, admission_policy, level_view};
+use damasktrack_entity::server_location;
+use damasktrack_routing::{hedge_policy, retry_budget, route_candidate, route_table};
+
+use crate::control_arm;
+use crate::fake_backend;
+use crate::scenario_file;
+
+slotmap::new_key_type! {
+    /// Key of a call that was sent to a server.
+    pub struct CallKey;
+    /// Key of a call as its sender sees it: one or more copies sent to servers.
+    pub struct SendKey;
+}
+
+/// A daemon.
+#[derive(Debug)]
+pub struct WorldNode {
+    /// Service of the backend server beside it; none for daemons that only take calls of callers.
+    pub service: Option<usize>,
+    /// Decides on calls to the backend server.
+    pub gate: admission_gate::AdmissionGate,
+    /// Takes the place of `gate` in the `per-hop` arm.
+    pub fixed: control_arm::FixedGate<CallKey>,
+    /// The backend server.
+    pub backend: fake_backend::FakeBackend<CallKey>,
+    /// Levels of other services.
+    pub view: level_view::LevelView,
+    /// Servers of other services.
+    pub table: route_table::RouteTable,
+    /// Budget of retries and hedges.
+    pub budget: retry_budget::RetryBudget,
+    /// When to hedge, by service.
+    pub hedges: Vec<hedge_policy::HedgePolicy>,
+    /// Next scheduled poll of the gate.
+    pub wake_at: Option<time::Instant>,
+}
+
+/// Returns the name under which a daemon announces itself.
+#[must_use]
+pub fn daemon_id(node: usize) -> Bytes {
+    Bytes::from(format!("d{node}"))
+}
+
+/// Returns the number of a daemon from its name.
+#[must_use]
+pub fn node_of(daemon_id: &[u8]) -> usize {
+    let text = std::str::from_utf8(&daemon_id[1..]).unwrap_or("0");
+    text.parse().unwrap_or(0)
+}
+
+/// Returns the announcement of a daemon's backend server.
+#[must_use]
+pub fn candidate(
+    setting: &scenario_file::ServiceSetting,
+    node: usize,
+    state: route_candidate::CandidateState,
+) -> route_candidate::RouteCandidate {
+    route_candidate::RouteCandidate {
+        daemon_id: daemon_id(node),
+        incarnation: 1,
+        service: Bytes::from(setting.name.clone()),
+        address: net::SocketAddr::from(([127, 0, 0, 1], 9000)),
+        location: location(),
+        slots: setting.slots,
+        state,
+        ready_since: None,
+    }
+}
+
+/// Returns the daemons of a scenario: first those that callers use, then those of each service in turn.
+#[must_use]
+pub fn nodes(scenario: &scenario_file::Scenario, now: time::Instant) -> Vec<WorldNode> {
+    let entries = std::iter::repeat_n(None, scenario.entries);
+    let servers = scenario.services.iter().enumerate();
+    let servers = servers.flat_map(|(service, setting)| std::iter::repeat_n(Some(service), setting.servers));
+    let mut nodes: Vec<_> = entries
+        .chain(servers)
+        .map(|service| node(scenario, service, now))
+        .collect();
+    let services: Vec<_> = nodes.iter().map(|node| node.service).collect();
+    for node in &mut nodes {
+        for (other, service) in services.iter().enumerate() {
+            let Some(service) = service else { continue };
+            let announced = candidate(
+                &scenario.services[*service],
+                other,
+                route_candidate::CandidateState::Ready,
+            );
+            node.table.upsert(announced);
+        }
+    }
+    for fault in &scenario.faults {
+        let servers = nodes
+            .iter_mut()
+            .filter(|node| node.service == Some(fault.service))
+            .enumerate();
+        for (_, node) in servers.filter(|(at, _)| fault.server.is_none_or(|server| server == *at)) {
+            match fault.kind {
+                scenario_file::FaultKind::Slow(factor) => node.backend.add_slow(factor, fault.span, false),
+                scenario_file::FaultKind::Cold(factor) => node.backend.add_slow(factor, fault.span, true),
+                scenario_file::FaultKind::Leave => {}
+            }
+        }
+    }
+    nodes
+}
+
+fn node(scenario: &scenario_file::Scenario, service: Option<usize>, now: time::Instant) -> WorldNode {
+    let setting = service.map(|service| &scenario.services[service]);
+    let slots = setting.map_or(1, |setting| setting.slots);
+    let mean = setting.map_or(time::Duration::ZERO, |setting| setting.time);
+    let mut gate = admission_gate::AdmissionGate::new(admission_policy::AdmissionPolicy::for_slots(slots));
+    for (tenant, weight) in &scenario.tenants {
+        gate.set_tenant_weight(&Bytes::from(tenant.clone()), *weight);
+    }
+    WorldNode {
+        service,
+        gate,
+        fixed: control_arm::FixedGate::new(slots),
+        backend: fake_backend::FakeBackend::new(slots, mean),
+        view: level_view::LevelView::default(),
+        table: route_table::RouteTable::new(location()),
+        budget: retry_budget::RetryBudget::new(now),
+        hedges: scenario
+            .services
+            .iter()
+            .map(|_| hedge_policy::HedgePolicy::new())
+            .collect(),
+        wake_at: None,
+    }
+}
+
+fn location() -> server_location::ServerLocation {
+    server_location::ServerLocation {
+        region: Bytes::from_static(b"lahore"),
+        data_centre: Bytes::from_static(b"lahore-1"),
+    }
+}
