Steer levels by idle slots and charge retries at the request's owner

Cause: in a trace of depth 4 at 2x, levels swung across importances without demand (5.100 to 10.15) and their mean over servers refused whole classes that had room; any overdue call raised the level by the full excess; and the 20 ms queue bound, less than half of the 50 ms service time, let slots run idle between two ends. Attempts exceeded 1.1 because each daemon on the path earned and spent a retry budget of its own, and hedges were sent to services that were shedding.

Change: a report is held to the range of the class's importance; the level moves by the idle part of the slots against the refused part of the arrivals and skips unused importances; the queue bound is at least the mean own service time. The budget is charged by the request's owner, hedges and retries of non-critical requests pause while the service sheds.

Not reached: recovery after a slow deep service (3.2 s, 3.4 s, 7.3 s) and after a surge at depth 12 (5.3 s).

--- a/crates/admission/src/admission_gate.rs
+++ b/crates/admission/src/admission_gate.rs
@@ -42,6 +42,8 @@
 struct LaneState {
     queue: class_queue::ClassQueue,
     levels: level_controller::LevelController,
+    /// Own service time of the calls of the lane.
+    service: service_estimate::ServiceEstimate,
     /// When the queue was last seen empty.
     empty_at: Option<time::Instant>,
 }
@@ -49,6 +51,7 @@
 #[derive(Debug)]
 struct ClassState {
     lane: CallLane,
+    importance: u8,
     estimate: service_estimate::ServiceEstimate,
     baseline: concurrency_limit::ServiceBaseline,
 }
@@ -70,15 +73,21 @@
         Self {
             queue: class_queue::ClassQueue::default(),
             levels: level_controller::LevelController::new(policy.level_window, policy.level_calls),
+            service: service_estimate::ServiceEstimate::default(),
             empty_at: None,
         }
     }
 
     /// Returns how long a non-critical call may wait now.
+    ///
+    /// The bound is at least the mean service time of the lane: a queue shorter than that runs empty between two calls
+    /// that end, and slots stay idle.
     fn wait_bound(&self, policy: &admission_policy::AdmissionPolicy, now: time::Instant) -> time::Duration {
         let standing = |at: time::Instant| now.saturating_duration_since(at) > policy.standing_after;
+        let service = self.service.mean(now).min(policy.queue_burst);
+        let target = policy.queue_target.max(service);
         if self.empty_at.is_some_and(standing) {
-            policy.queue_target
+            target
         } else {
             policy.queue_burst
         }
@@ -117,7 +126,7 @@
             return self.refuse(call_outcome::RefusalReason::Leaving);
         }
         let importance = arrival.importance.min(admission_level::MAX_IMPORTANCE);
-        let class = self.enter_class(&arrival.class, arrival.lane);
+        let class = self.enter_class(&arrival.class, importance, arrival.lane);
         let tenant = self.shares.enter(&arrival.tenant);
         self.lane_mut(arrival.lane).levels.note_arrival(arrival.level);
         self.note_state(now);
@@ -252,6 +261,12 @@
         match result {
             FinishResult::Completed => {
                 class.estimate.add(total, now);
+                let lane = if ended.lane == CallLane::Short {
+                    &mut self.short
+                } else {
+                    &mut self.long
+                };
+                lane.service.add(own, now);
                 let ratio = class.baseline.add(own, now);
                 if ended.lane == CallLane::Short {
                     self.limit.add(ratio, now);
@@ -317,7 +332,6 @@
         self.counts.started += 1;
         self.counts.running += 1;
         self.counts.running_long += u32::from(lane == CallLane::Long);
-        self.lane_mut(lane).levels.note_start();
         let started = RunningCall {
             class,
             lane,
@@ -329,14 +343,16 @@
         self.running.insert(call, started);
     }
 
-    fn enter_class(&mut self, name: &ids::ClassName, lane: CallLane) -> usize {
+    fn enter_class(&mut self, name: &ids::ClassName, importance: u8, lane: CallLane) -> usize {
         if let Some(index) = self.class_index.get(name) {
             self.classes[*index].lane = lane;
+            self.classes[*index].importance = importance;
             return *index;
         }
         let index = self.classes.len();
         self.classes.push(ClassState {
             lane,
+            importance,
             estimate: service_estimate::ServiceEstimate::default(),
             baseline: concurrency_limit::ServiceBaseline::default(),
         });
@@ -346,14 +362,22 @@
 
     fn note_state(&mut self, now: time::Instant) {
         for lane in [CallLane::Short, CallLane::Long] {
-            let slot_free = self.can_start(lane);
+            let (limit, running) = match lane {
+                CallLane::Short => (self.limit.limit(), self.counts.running),
+                CallLane::Long => (self.long_limit(), self.counts.running_long),
+            };
+            let free = if self.can_start(lane) {
+                limit.saturating_sub(running)
+            } else {
+                0
+            };
             let state = self.lane_mut(lane);
             let empty = state.queue.is_empty();
             if empty {
                 state.empty_at = Some(now);
             }
-            state.levels.note_state(empty, slot_free);
-            state.levels.tick(empty, slot_free, now);
+            let idle = if empty { free as f32 / limit as f32 } else { 0.0 };
+            state.levels.note_idle(idle, now);
         }
     }
 
@@ -368,12 +392,23 @@
 impl AdmissionGate {
     /// Returns the lowest level that this callee admits for a class, as its responses report it. Levels met below by the
     /// backend server's own calls are added by [`crate::level_view::worse`].
+    ///
+    /// The level is held to the range of the class's importance: its lowest level means that the whole class is admitted.
+    /// A caller that takes the mean of several servers' reports would otherwise count importances that nobody uses.
     #[must_use]
     pub fn report(&self, class: &ids::ClassName) -> call_outcome::LevelReport {
-        let index = self.class_index.get(class);
-        let lane = index.map_or(CallLane::Short, |index| self.classes[*index].lane);
+        let class = self.class_index.get(class).map(|index| &self.classes[*index]);
+        let level = class.map_or(admission_level::AdmissionLevel::LOWEST, |class| {
+            let start = admission_level::AdmissionLevel {
+                importance: class.importance,
+                cohort: 0,
+            };
+            let end = start.index() + usize::from(admission_level::COHORT_COUNT);
+            let level = self.lane(class.lane).levels.level();
+            level.clamp(start, admission_level::AdmissionLevel::from_index(end))
+        });
         call_outcome::LevelReport {
-            level: self.lane(lane).levels.level(),
+            level,
             age: time::Duration::ZERO,
         }
     }
--- a/crates/admission/src/level_view.rs
+++ b/crates/admission/src/level_view.rs
@@ -137,6 +137,19 @@
         live.map_or(admission_level::AdmissionLevel::LOWEST, smoothed)
     }
 
+    /// Returns whether a service sheds calls of a class, given the importance of the class.
+    #[must_use]
+    pub fn sheds(
+        &self,
+        service: &ids::ServiceName,
+        class: &ids::ClassName,
+        importance: u8,
+        now: time::Instant,
+    ) -> bool {
+        let whole = admission_level::AdmissionLevel { importance, cohort: 0 };
+        self.level(service, class, now) > whole
+    }
+
     /// Returns the worst level that calls of the local backend server met for a class.
     #[must_use]
     pub fn worst_below(&self, class: &ids::ClassName, now: time::Instant) -> Option<call_outcome::LevelReport> {
--- a/crates/filetests/src/call_world.rs
+++ b/crates/filetests/src/call_world.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use damasktrack_admission::{admission_gate, gate_report, level_view};
 use damasktrack_entity::{admission_level, call_outcome};
+use damasktrack_ownership::retry_ledger;
 use damasktrack_routing::{hedge_policy, retry_budget, route_candidate};
 use rand::{RngExt, SeedableRng};
 use slotmap::Key;
@@ -34,6 +35,7 @@
 struct CallerRequest {
     class: usize,
     tenant: usize,
+    id: Bytes,
     level: admission_level::AdmissionLevel,
     started: time::Instant,
     tries: u32,
@@ -42,8 +44,8 @@
     ended: bool,
     /// Number of times that the call was sent to each service.
     sent: Vec<u32>,
-    /// Retries granted by the owner.
-    grants: u32,
+    /// Daemon that owns the id.
+    owner: usize,
 }
 
 /// A call as its sender sees it.
@@ -309,17 +311,19 @@
         Self::later(cx, pause, WorldEvent::Arrive(index));
         let id = Bytes::from(format!("r{}", self.requests.len()));
         let importance = self.scenario.classes[class].importance;
+        let owner = self.rng.random_range(0..self.scenario.entries);
         self.open += 1;
         self.requests.push(CallerRequest {
             class,
             tenant,
             level: admission_level::AdmissionLevel::of_request(importance, &id),
+            id,
             started: now,
             tries: 0,
             current: None,
             ended: false,
             sent: vec![0; self.services.len()],
-            grants: 0,
+            owner,
         });
         Self::later(cx, self.scenario.network, WorldEvent::Try(self.requests.len() - 1));
     }
@@ -331,20 +335,21 @@
         request.tries += 1;
         let (class, level, was_sent) = (request.class, request.level, request.sent[0] > 0);
         if self.is_damasktrack() {
-            // A try that was refused before it was sent to a server cost nothing, and the next one needs no grant.
-            let granted = !was_sent || self.grant(index, node, now);
-            if !granted {
-                self.deny(call_outcome::RefusalReason::Overloaded);
-                return Self::later(cx, self.scenario.network, WorldEvent::Result(index, CallReply::Error));
-            }
             let view = &mut self.nodes[node].view;
-            if view.check(&self.services[0], &self.classes[class], level, now) == level_view::LevelCheck::Refuse {
-                if was_sent {
-                    self.ungrant(index, node);
-                }
+            let check = view.check(&self.services[0], &self.classes[class], level, now);
+            // A try that was refused before it was sent to a server cost nothing, and the next one needs no grant. While a
+            // service sheds, a retry takes the place of another request, so only critical requests are retried.
+            let (importance, critical) = (level.importance, self.scenario.classes[class].critical);
+            let sheds = !critical && view.sheds(&self.services[0], &self.classes[class], importance, now);
+            let denied = check == level_view::LevelCheck::Refuse || (was_sent && sheds);
+            if denied || (was_sent && !self.grant(index, now)) {
                 self.deny(call_outcome::RefusalReason::Overloaded);
                 return Self::later(cx, self.scenario.network, WorldEvent::Result(index, CallReply::Error));
             }
+            if !was_sent {
+                let owner = self.requests[index].owner;
+                self.nodes[owner].budget.first_attempt();
+            }
         }
         let deadline = now + self.scenario.classes[class].deadline;
         let send = self.send(cx, index, 0, None, node, deadline);
@@ -405,9 +410,6 @@
             tried: Vec::new(),
             hedges: 0,
         });
-        if self.is_damasktrack() {
-            self.nodes[node].budget.first_attempt();
-        }
         self.dispatch(cx, send);
         send
     }
@@ -506,6 +508,13 @@
         };
         let (request, node, service) = (send.request, send.node, send.service);
         let class = self.requests[request].class;
+        // While a service sheds, a second copy takes the slot of another request.
+        let level = self.nodes[node]
+            .view
+            .level(&self.services[service], &self.classes[class], now);
+        if level > admission_level::AdmissionLevel::LOWEST {
+            return;
+        }
         let decision = self.nodes[node].hedges[service].decide(hedge_policy::HedgeRequest {
             class: &self.classes[class],
             idempotent: !self.scenario.classes[class].long,
@@ -519,7 +528,7 @@
                 Self::later(cx, delay.max(time::Duration::from_millis(1)), WorldEvent::Hedge(key));
             }
             hedge_policy::HedgeDecision::Send => {
-                if self.grant(request, node, now) {
+                if self.grant(request, now) {
                     self.sends[key].hedges += 1;
                     self.dispatch(cx, key);
                 }
@@ -527,21 +536,27 @@
         }
     }
 
-    /// Asks the budget of a daemon and the request's owner for a retry.
-    fn grant(&mut self, request: usize, node: usize, now: time::Instant) -> bool {
-        let allowance = self.scenario.classes[self.requests[request].class].allowance;
-        if self.requests[request].grants >= allowance
-            || self.nodes[node].budget.try_retry(now) == retry_budget::RetryDecision::Denied
-        {
+    /// Asks the request's owner for a retry; the owner charges its budget and the allowance of the request.
+    fn grant(&mut self, index: usize, now: time::Instant) -> bool {
+        let request = &self.requests[index];
+        let class = &self.scenario.classes[request.class];
+        let owner = &mut self.nodes[request.owner];
+        if owner.budget.try_retry(now) == retry_budget::RetryDecision::Denied {
             return false;
         }
-        self.requests[request].grants += 1;
-        true
-    }
-
-    fn ungrant(&mut self, request: usize, node: usize) {
-        self.requests[request].grants -= 1;
-        self.nodes[node].budget.give_back();
+        let call = retry_ledger::GrantCall {
+            request_id: request.id.clone(),
+            allowance: class.allowance,
+            deadline: now + class.deadline,
+        };
+        let granted = matches!(
+            owner.retries.grant(&call, now),
+            retry_ledger::GrantReply::Granted { .. }
+        );
+        if !granted {
+            owner.budget.give_back();
+        }
+        granted
     }
 
     fn reply(&mut self, cx: CX![], key: CallKey, reply: CallReply, report: Option<call_outcome::LevelReport>) {
@@ -596,7 +611,7 @@
             CallReply::Refused(reason)
                 if self.is_damasktrack()
                     && reason.advice() == call_outcome::RefusalAdvice::TryElsewhere
-                    && self.grant(request, node, now) =>
+                    && self.grant(request, now) =>
             {
                 self.dispatch(cx, send_key);
             }
--- a/crates/filetests/src/world_node.rs
+++ b/crates/filetests/src/world_node.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use damasktrack_admission::{admission_gate, admission_policy, level_view};
-use damasktrack_entity::server_location;
+use damasktrack_entity::{request_identity, server_location};
+use damasktrack_ownership::retry_ledger;
 use damasktrack_routing::{hedge_policy, retry_budget, route_candidate, route_table};
 
 use crate::control_arm;
@@ -34,7 +35,9 @@
     pub view: level_view::LevelView,
     /// Servers of other services.
     pub table: route_table::RouteTable,
-    /// Budget of retries and hedges.
+    /// Retries granted to the requests that this daemon owns.
+    pub retries: retry_ledger::RetryLedger,
+    /// Budget of retries and hedges of the requests that this daemon owns.
     pub budget: retry_budget::RetryBudget,
     /// When to hedge, by service.
     pub hedges: Vec<hedge_policy::HedgePolicy>,
@@ -120,6 +123,10 @@
     for (tenant, weight) in &scenario.tenants {
         gate.set_tenant_weight(&Bytes::from(tenant.clone()), *weight);
     }
+    let owner = request_identity::RequestOwner {
+        daemon_id: Bytes::from_static(b"owner"),
+        incarnation: 1,
+    };
     WorldNode {
         service,
         gate,
@@ -127,6 +134,7 @@
         backend: fake_backend::FakeBackend::new(slots, mean),
         view: level_view::LevelView::default(),
         table: route_table::RouteTable::new(location()),
+        retries: retry_ledger::RetryLedger::new(owner, retry_ledger::RetryLimits::default()),
         budget: retry_budget::RetryBudget::new(now),
         hedges: scenario
             .services
