Recover within a second after a slow deep service

Cause, from traces of the deep service 5x slower for 30 s: the gradient fell to a limit of 1 although fewer calls did not make the server faster, which left 26 of 240 possible completions/s; at a limit of 1 a window of 25 samples took over a second. At depth 12 the callee's level was back after 0.4 s, but the first hop followed 3 to 7 s later: each hop refused calls by its own smoothed view, let 2% of the remaining probes through, and took a mean of its own.

Change: a fall of the limit is a trial, undone and held for 5 s if the service time does not follow; long windows need 5 samples. Only the first hop checks levels; nested calls are left to the gate of the callee, and the newest nested report is passed on unsmoothed. The mean at the first hop weighs reports by their distance in time.

--- a/crates/admission/src/admission_gate.rs
+++ b/crates/admission/src/admission_gate.rs
@@ -269,7 +269,7 @@
                 lane.service.add(own, now);
                 let ratio = class.baseline.add(own, now);
                 if ended.lane == CallLane::Short {
-                    self.limit.add(ratio, now);
+                    self.limit.add(ratio, ended.started, now);
                 }
             }
             FinishResult::ShedByBackendServer => self.limit.shed(running, now),
@@ -277,7 +277,7 @@
                 // The full service time is not known, but it is at least this long.
                 let ratio = class.baseline.ratio(own);
                 if ended.lane == CallLane::Short && ratio > 1.0 {
-                    self.limit.add(ratio, now);
+                    self.limit.add(ratio, ended.started, now);
                 }
             }
         }
--- a/crates/admission/src/concurrency_limit.rs
+++ b/crates/admission/src/concurrency_limit.rs
@@ -9,6 +9,16 @@
 const LEAST_GRADIENT: f64 = 0.7;
 /// Samples that a window needs.
 const MIN_SAMPLES: u32 = 25;
+/// Samples that a window which lasts [`LONG_WINDOW`] needs; a backend server with a low limit gives few.
+const FEW_SAMPLES: u32 = 5;
+/// Length from which a window needs only [`FEW_SAMPLES`].
+const LONG_WINDOW: time::Duration = time::Duration::from_millis(500);
+/// A lower limit has helped if the service time fell at least to this part of what it was.
+const HELP_RATIO: f64 = 0.85;
+/// Time for which the limit is held after a lower one did not help.
+const HOLD_TIME: time::Duration = time::Duration::from_secs(5);
+/// A held limit falls again if the service time rises by this factor.
+const WORSE_RATIO: f64 = 1.5;
 /// Least length of a window.
 const WINDOW: time::Duration = time::Duration::from_millis(100);
 /// Factor by which the limit falls when the backend server refuses a call.
@@ -22,16 +32,25 @@
 const BASELINE_FALL: time::Duration = time::Duration::from_secs(4);
 
 /// Concurrency limit of one backend server.
+///
+/// Each fall is a trial: if the service time of calls started afterwards has not fallen as well, the cause is not the
+/// number of calls, and the limit from before the trial is restored and held. A backend server that is slow for another
+/// reason would otherwise end at a limit of 1 and complete a fraction of what it could.
 #[derive(Debug)]
 pub struct ConcurrencyLimit {
     /// Within 1 and `greatest`.
     limit: f64,
     greatest: f64,
+    /// Calls started earlier ran under another limit and do not count.
     window_start: Option<time::Instant>,
     samples: u32,
     ratio_sum: f64,
     /// Whether the limit was reached in this window; an unused limit does not grow.
     saturated: bool,
+    /// Limit and service time before the last fall.
+    trial: Option<(f64, f64)>,
+    /// Service time at which lower limits did not help, and until when this is taken to hold.
+    held: Option<(f64, time::Instant)>,
     last_shed: Option<time::Instant>,
 }
 
@@ -93,6 +112,8 @@
             samples: 0,
             ratio_sum: 0.0,
             saturated: false,
+            trial: None,
+            held: None,
             last_shed: None,
         }
     }
@@ -102,19 +123,28 @@
         self.saturated = true;
     }
 
-    /// Adds the service time of a call, as a multiple of its class's baseline.
-    pub fn add(&mut self, ratio: f64, now: time::Instant) {
+    /// Adds the service time of a call started at `started`, as a multiple of its class's baseline.
+    pub fn add(&mut self, ratio: f64, started: time::Instant, now: time::Instant) {
+        let start = *self.window_start.get_or_insert(started);
+        if started < start {
+            return;
+        }
         self.samples += 1;
         self.ratio_sum += ratio;
-        let start = *self.window_start.get_or_insert(now);
-        if self.samples < MIN_SAMPLES || now.saturating_duration_since(start) < WINDOW {
+        let age = now.saturating_duration_since(start);
+        let needed = if age >= LONG_WINDOW { FEW_SAMPLES } else { MIN_SAMPLES };
+        if self.samples < needed || age < WINDOW {
             return;
         }
         let ratio = self.ratio_sum / f64::from(self.samples);
         if ratio > TOLERANCE {
-            self.limit *= (TOLERANCE / ratio).max(LEAST_GRADIENT);
-        } else if self.saturated {
-            self.limit += self.limit.sqrt() * (TOLERANCE - ratio).min(1.0);
+            self.fall(ratio, now);
+        } else {
+            self.trial = None;
+            self.held = None;
+            if self.saturated {
+                self.limit += self.limit.sqrt() * (TOLERANCE - ratio).min(1.0);
+            }
         }
         self.limit = self.limit.clamp(1.0, self.greatest);
         self.window_start = Some(now);
@@ -123,6 +153,25 @@
         self.saturated = false;
     }
 
+    fn fall(&mut self, ratio: f64, now: time::Instant) {
+        if self
+            .held
+            .is_some_and(|(held, until)| ratio < held * WORSE_RATIO && now < until)
+        {
+            return;
+        }
+        if let Some((limit, before)) = self.trial.take()
+            && ratio > before * HELP_RATIO
+        {
+            self.limit = limit;
+            self.held = Some((ratio, now + HOLD_TIME));
+            return;
+        }
+        self.trial = Some((self.limit, ratio));
+        self.held = None;
+        self.limit *= (TOLERANCE / ratio).max(LEAST_GRADIENT);
+    }
+
     /// Lowers the limit at once because the backend server refused a call while `running` calls ran.
     pub fn shed(&mut self, running: u32, now: time::Instant) {
         let recent = |at: time::Instant| now.saturating_duration_since(at) < SHED_PAUSE;
@@ -130,6 +179,7 @@
             return;
         }
         self.last_shed = Some(now);
+        self.trial = None;
         self.limit = (self.limit.min(f64::from(running)) * SHED_FACTOR).max(1.0);
     }
 }
--- a/crates/admission/src/level_view.rs
+++ b/crates/admission/src/level_view.rs
@@ -12,6 +12,9 @@
 /// Weight of a new report. The servers of one service report different levels; the weighted mean stands for the level
 /// at which the service as a whole takes the offered calls.
 const REPORT_WEIGHT: f64 = 0.2;
+/// Time after which a new report counts fully. With few reports, each would otherwise move the level too little, and at
+/// each hop again.
+const FORGET_TIME: time::Duration = time::Duration::from_millis(200);
 
 /// Who made the call that brought a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -45,8 +48,10 @@
     level: f64,
     /// When the newest report was observed at the server that set it.
     observed: time::Instant,
-    /// When the newest report of a nested call was observed.
-    nested: Option<time::Instant>,
+    learned: time::Instant,
+    /// Newest report of a nested call, and when it was observed. It is passed on as it is: a mean at each hop would delay
+    /// a change by the depth of the chain, and the daemon at the first hop takes the mean anyway.
+    nested: Option<(admission_level::AdmissionLevel, time::Instant)>,
     below: u32,
 }
 
@@ -73,25 +78,25 @@
             return;
         };
         let reported = report.level.index() as f64;
-        let nested = (origin == CallOrigin::Nested).then_some(observed);
+        let nested = (origin == CallOrigin::Nested).then_some((report.level, observed));
         let Some(entry) = classes.get_mut(class) else {
             classes.insert(
                 class.clone(),
                 ViewEntry {
                     level: reported,
                     observed,
+                    learned: now,
                     nested,
                     below: 0,
                 },
             );
             return;
         };
-        if is_expired(entry.observed, now) {
-            entry.level = reported;
-        }
-        entry.level += (reported - entry.level) * REPORT_WEIGHT;
+        let age = now.saturating_duration_since(entry.learned).as_secs_f64() / FORGET_TIME.as_secs_f64();
+        entry.level += (reported - entry.level) * age.clamp(REPORT_WEIGHT, 1.0);
+        entry.learned = now;
         entry.observed = entry.observed.max(observed);
-        entry.nested = entry.nested.max(nested);
+        entry.nested = nested.or(entry.nested);
     }
 
     /// Decides whether a call may be sent to a service.
@@ -155,11 +160,9 @@
     pub fn worst_below(&self, class: &ids::ClassName, now: time::Instant) -> Option<call_outcome::LevelReport> {
         let entries = self.entries.values().filter_map(|classes| classes.get(class));
         let met = entries.filter_map(|entry| {
-            let nested = entry.nested.filter(|nested| !is_expired(*nested, now))?;
-            Some(call_outcome::LevelReport {
-                level: smoothed(entry),
-                age: now.saturating_duration_since(nested),
-            })
+            let (level, observed) = entry.nested.filter(|nested| !is_expired(nested.1, now))?;
+            let age = now.saturating_duration_since(observed);
+            Some(call_outcome::LevelReport { level, age })
         });
         met.max_by_key(|report| report.level)
     }
--- a/crates/filetests/src/call_world.rs
+++ b/crates/filetests/src/call_world.rs
@@ -751,14 +751,6 @@
         let Some(callee) = self.scenario.services[service].calls else {
             return self.complete(cx, key, CallReply::Done);
         };
-        if self.is_damasktrack() {
-            let CallerRequest { class, level, .. } = self.requests[request];
-            let view = &mut self.nodes[node].view;
-            if view.check(&self.services[callee], &self.classes[class], level, now) == level_view::LevelCheck::Refuse {
-                self.deny(call_outcome::RefusalReason::Overloaded);
-                return self.complete(cx, key, CallReply::Error);
-            }
-        }
         self.nodes[node].gate.nested_started(key.data().as_ffi(), now);
         // The phase is set first: a call without a candidate settles, and completes its parent, at once.
         let send = self.send(cx, request, callee, Some(key), node, deadline);
