Fuzz the admission gate against an oracle

The oracle checks one outcome for each call, no refusal of a started call, the limits, no idle slot beside a waiting call, no refusal for queue pressure while less important work is queued, and starts of backlogged tenants by weight; three broken variants show that it objects.

Found: the fixed quantum of 10 ms started up to 20 short calls of one tenant in a row (3 to 0 starts at the first check). The quantum is now the mean cost of the queued calls; the starts of tenants differ by at most 2 calls for each unit of weight (300 cases).

--- a/crates/admission/src/class_queue.rs
+++ b/crates/admission/src/class_queue.rs
@@ -7,8 +7,6 @@
 
 use crate::tenant_share;
 
-/// Slot time, in microseconds, that a tenant of weight 1 gets in each round.
-const ROUND_QUANTUM: i64 = 10_000;
 /// Costs are held to this range, so that a round ends after a few turns.
 const COST_RANGE: (i64, i64) = (500, 100_000);
 const BAND_COUNT: usize = admission_level::MAX_IMPORTANCE as usize + 1;
@@ -118,7 +116,10 @@
             let &(_, _, key) = queue.order.first()?;
             let cost = cost_us(self.calls[key].cost);
             if queue.deficit < cost {
-                queue.deficit += ROUND_QUANTUM * i64::from(shares.weight(tenant));
+                // The mean cost gives a tenant of weight 1 about one call a turn. A fixed quantum would start many short
+                // calls of one tenant in a row while those of others wait past their bound.
+                let quantum = band.cost_us / i64::try_from(band.count).unwrap_or(1);
+                queue.deficit += quantum.max(COST_RANGE.0) * i64::from(shares.weight(tenant));
                 band.round.rotate_left(1);
                 continue;
             }
--- /dev/null
+++ b/crates/admission/tests/support/case_runner.rs
@@ -0,0 +1,51 @@
+//! Generates bounded fuzz cases from a fixed seed and reports the first one that an oracle objects to.
+
+use bolero::generator::bolero_generator::TypeGenerator;
+use bolero::generator::bolero_generator::driver;
+
+/// Default seed; `DAMASKTRACK_FUZZ_SEED` overrides it.
+const SEED: u64 = 20_260_131;
+/// Bytes that one operation takes at most.
+const OPERATION_BYTES: usize = 24;
+
+/// Runs `cases` sequences of up to `length` operations; an error names seed, case and operations.
+pub fn run<T: TypeGenerator + std::fmt::Debug>(
+    name: &str,
+    cases: u64,
+    length: usize,
+    mut check: impl FnMut(&[T]) -> Result<(), String>,
+) -> Result<(), String> {
+    let given = std::env::var("DAMASKTRACK_FUZZ_SEED").ok();
+    let seed = given.and_then(|text| text.parse().ok()).unwrap_or(SEED);
+    println!("{name}: seed {seed}, {cases} cases of up to {length} operations");
+    for case in 0..cases {
+        let operations = generate(seed.wrapping_add(case), length);
+        check(&operations)
+            .map_err(|objection| format!("{name}: seed {seed}, case {case}: {objection}\n{operations:#?}"))?;
+    }
+    Ok(())
+}
+
+/// Expects that the oracle objects to some case, and returns the objection.
+pub fn expect_objection(result: Result<(), String>, part: &str) {
+    let objection = result.expect_err("the oracle did not notice that the mechanism is off");
+    let first = objection.lines().next().unwrap_or_default();
+    println!("objection: {first}");
+    assert!(first.contains(part), "another objection than '{part}': {first}");
+}
+
+fn generate<T: TypeGenerator>(seed: u64, length: usize) -> Vec<T> {
+    let mut state = seed;
+    let mut bytes = Vec::with_capacity(length * OPERATION_BYTES);
+    while bytes.len() < length * OPERATION_BYTES {
+        // SplitMix64 (Steele, Lea, Flood, OOPSLA 2014).
+        state = state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut word = state;
+        word = (word ^ (word >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        word = (word ^ (word >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        bytes.extend_from_slice(&(word ^ (word >> 31)).to_le_bytes());
+    }
+    let options = driver::Options::default().with_max_len(bytes.len());
+    let mut source = driver::ByteSliceDriver::new(bytes.as_slice(), &options);
+    (0..length).map_while(|_| T::generate(&mut source)).collect()
+}
