--- a/crates/filetests/src/measure_cases.rs
+++ b/crates/filetests/src/measure_cases.rs
@@ -210,26 +210,23 @@
 fn recovery(sink: &mut FigureSink<'_>) {
     let last = time::Duration::from_secs;
     for depth in [1, 4, 12] {
-        let surge = format!(
-            "duration 30s\n{}{}{}",
-            chain(depth),
-            mixed_load(0.7 * CAPACITY, 0, 30_000),
-            mixed_load(3.3 * CAPACITY, 5_000, 10_000),
-        );
-        let slow = format!(
-            "duration 55s\n{}{}fault slow s{depth} all factor 5 from 5s to 35s\n",
-            chain(depth),
-            mixed_load(0.7 * CAPACITY, 0, 55_000),
-        );
-        for (text, case, end, run_end) in [
-            (surge, "surge=4x for 5s", 10, 30),
-            (slow, "deep service 5x slower for 30s", 35, 55),
-        ] {
+        let calm = |seconds: u32| {
+            let load = mixed_load(0.7 * CAPACITY, 0, seconds * 1000);
+            format!("duration {seconds}s\n{}{load}", chain(depth))
+        };
+        let surge = mixed_load(3.3 * CAPACITY, 5_000, 10_000);
+        let slow = format!("fault slow s{depth} all factor 5 from 5s to 35s\n");
+        let cases = [
+            (30, surge, "surge=4x for 5s", 10),
+            (55, slow, "deep service 5x slower for 30s", 35),
+        ];
+        for (seconds, disturbance, name, end) in cases {
             for arm in ControlArm::ALL {
-                let tally = sink.run(arm, &text);
-                let time = tally.recovery(last(5), last(end), last(run_end));
+                let calm = calm(seconds);
+                let tally = sink.run(arm, &format!("{calm}{disturbance}"));
+                let time = tally.recovery(&sink.run(arm, &calm), last(end), last(u64::from(seconds)));
                 let value = time.map(|time| time.as_secs_f64());
-                let case = format!("depth={depth} {case}");
+                let case = format!("depth={depth} {name}");
                 sink.put(arm, &case, "recovery_s", "s", value, FigureTarget::AtMost(2.0));
             }
         }
--- a/crates/filetests/src/world_tally.rs
+++ b/crates/filetests/src/world_tally.rs
@@ -126,22 +126,22 @@
         })
     }
 
-    /// Returns the time after `end` until requests complete and take as long as before `start` again.
+    /// Returns the time after `end` until requests complete and take as long as in a run without the disturbance.
     ///
-    /// Windows of 1 s are compared: the completed share has to be at least 98% of the least one before, and the p99 at
-    /// most 1.1 times the greatest one before, and this has to hold for the rest of the run.
+    /// Windows of 1 s are compared: the completed share has to be at least 98% of the least one of `calm`, and the p99 at
+    /// most 1.1 times the greatest one, and this has to hold for the rest of the run.
     #[must_use]
-    pub fn recovery(&self, start: time::Duration, end: time::Duration, last: time::Duration) -> Option<time::Duration> {
+    pub fn recovery(&self, calm: &Self, end: time::Duration, last: time::Duration) -> Option<time::Duration> {
         let (step, width) = (time::Duration::from_millis(100), time::Duration::from_secs(1));
         let filter = RequestFilter::default();
-        let figures = |at: time::Duration| {
+        let figures = |tally: &Self, at: time::Duration| {
             let span = (at, at + width);
-            (self.completed_ratio(filter, span), self.latency(filter, span, 0.99))
+            (tally.completed_ratio(filter, span), tally.latency(filter, span, 0.99))
         };
         let (mut low, mut high) = (1.0_f64, 0.0_f64);
         let mut at = width;
-        while at + width <= start {
-            let (ratio, latency) = figures(at);
+        while at + width <= last {
+            let (ratio, latency) = figures(calm, at);
             low = low.min(ratio);
             high = high.max(latency);
             at += step;
@@ -149,7 +149,7 @@
         let mut back = None;
         at = end;
         while at + width <= last {
-            let (ratio, latency) = figures(at);
+            let (ratio, latency) = figures(self, at);
             let normal = ratio >= low * 0.98 && latency <= high * 1.1;
             back = if normal {
                 back.or(Some(at.saturating_sub(end)))
