Keep the concurrency limit near the slots that help

Cause: the limit grew while the service time was under 1.5 times the baseline and fell only above it, so after overload it stayed at 1.5 times the slots, where the extra calls wait inside of the backend server.

Change: the limit falls above 1.35 times the baseline and grows below 1.15.

--- a/crates/admission/src/concurrency_limit.rs
+++ b/crates/admission/src/concurrency_limit.rs
@@ -4,7 +4,10 @@
 
 /// Service time, as a multiple of the baseline, up to which the limit does not fall. Random variation of the service
 /// time of an idle server stays below it in windows of [`MIN_SAMPLES`].
-const TOLERANCE: f64 = 1.5;
+const TOLERANCE: f64 = 1.35;
+/// Service time, as a multiple of the baseline, up to which the limit grows. Calls beyond the slots wait inside of the
+/// backend server, out of the order of the queue, and already show as a longer service time.
+const GROWTH_RATIO: f64 = 1.15;
 /// Least factor by which one window changes the limit.
 const LEAST_GRADIENT: f64 = 0.7;
 /// Samples that a window needs.
@@ -143,7 +146,7 @@
             self.trial = None;
             self.held = None;
             if self.saturated {
-                self.limit += self.limit.sqrt() * (TOLERANCE - ratio).min(1.0);
+                self.limit += self.limit.sqrt() * (GROWTH_RATIO - ratio).clamp(0.0, 1.0);
             }
         }
         self.limit = self.limit.clamp(1.0, self.greatest);
