--- /dev/null
+++ b/crates/node/src/call_runner.rs
@@ -0,0 +1,281 @@
+//! One call from this daemon to a backend server, over all its attempts.
+
+use std::cell;
+use std::rc;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use damasktrack_entity::call_outcome;
+use damasktrack_entity::ids;
+use damasktrack_wire::call_frame;
+use damasktrack_wire::codec;
+use damasktrack_wire::peer_message;
+
+use crate::call_watch;
+use crate::callee_runner;
+use crate::core_command;
+use crate::frame_sink;
+use crate::node_core;
+use crate::node_shared;
+use crate::peer_client;
+use crate::route_choice;
+
+/// Time past the deadline in which the callee's own report of it is awaited.
+const DEADLINE_GRACE: time::Duration = time::Duration::from_millis(100);
+
+/// Call without its context, the same for all attempts.
+#[derive(Clone, Debug)]
+pub struct OutgoingRequest {
+    /// Service that is called.
+    pub service: ids::ServiceName,
+    /// HTTP method.
+    pub method: Bytes,
+    /// Path and query.
+    pub path: Bytes,
+    /// Headers to pass on.
+    pub headers: Vec<call_frame::HeaderPair>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What the frames of an attempt have shown so far.
+#[derive(Debug, Default)]
+struct AttemptState {
+    head_passed: bool,
+    bytes: u64,
+    last: Option<call_frame::CallFrame>,
+}
+
+/// Runs a call and writes the frames of its response; the last one is `End`, `Refused` or `Abort`.
+pub fn run(
+    shared: &sync::Arc<node_shared::NodeShared>,
+    plan: core_command::CallPlan,
+    request: &OutgoingRequest,
+    cancelled: &call_watch::CancelFlag,
+    sink: &frame_sink::FrameSink,
+) -> core_command::CallSummary {
+    let mut attempt = plan.attempt;
+    let mut attempts = 0;
+    loop {
+        attempts += 1;
+        let started = time::Instant::now();
+        let state = rc::Rc::new(cell::RefCell::new(AttemptState::default()));
+        let end = match attempt.target {
+            route_choice::RouteTarget::Peer(address) => {
+                let watch = new_watch(plan.deadline + DEADLINE_GRACE, cancelled, sink);
+                let body = encode_call(shared, plan.call, &attempt, request);
+                match body {
+                    Ok(body) => shared
+                        .peers
+                        .call(address, body, watch, &mut |frame| pass_frame(&state, sink, frame)),
+                    Err(error) => {
+                        log::error!(call:? = plan.call, error:% = error; "call can't be encoded");
+                        peer_client::PeerEnd::NotSent
+                    }
+                }
+            }
+            route_choice::RouteTarget::Local => {
+                run_local(shared, plan.call, &attempt, request, &state, sink);
+                peer_client::PeerEnd::Ended
+            }
+        };
+        let state = state.borrow();
+        let result = attempt_result(end, &state, started, plan.deadline);
+        let next = next_step(shared, plan.call, result, &state, plan.class.idempotent);
+        match next {
+            core_command::RetryDecision::Again(next) => attempt = next,
+            core_command::RetryDecision::GiveUp(end) => {
+                let summary = core_command::CallSummary { end, attempts };
+                frame_sink::send(sink, last_frame(end, result));
+                shared
+                    .core
+                    .send(core_command::CoreCommand::Finish(plan.call, result, summary));
+                return summary;
+            }
+            core_command::RetryDecision::AskOwner(..) => unreachable!("next_step settles grants"),
+        }
+    }
+}
+
+/// Decides what follows an attempt; a response whose head was passed on can't be replaced by another attempt.
+fn next_step(
+    shared: &node_shared::NodeShared,
+    call: ids::CallId,
+    result: core_command::AttemptResult,
+    state: &AttemptState,
+    idempotent: bool,
+) -> core_command::RetryDecision {
+    if matches!(result, core_command::AttemptResult::Completed { .. }) {
+        return core_command::RetryDecision::GiveUp(core_command::CallEnd::Done);
+    }
+    if state.head_passed {
+        let end = match result {
+            core_command::AttemptResult::Cancelled => core_command::CallEnd::Cancelled,
+            _ => core_command::CallEnd::Lost(node_core::lost_outcome(idempotent)),
+        };
+        return core_command::RetryDecision::GiveUp(end);
+    }
+    let decision = shared
+        .core
+        .ask(|reply| core_command::CoreCommand::Retry(call, result, reply));
+    let settled = match decision {
+        Some(core_command::RetryDecision::AskOwner(address, request)) => {
+            let answer = shared.peers.message(address, "/peer/grant", &request);
+            let grant = answer.unwrap_or(peer_message::GrantReply::Denied);
+            shared
+                .core
+                .ask(|reply| core_command::CoreCommand::Granted(call, grant, reply))
+        }
+        other => other,
+    };
+    let lost = core_command::CallEnd::Lost(node_core::lost_outcome(idempotent));
+    settled.unwrap_or(core_command::RetryDecision::GiveUp(lost))
+}
+
+fn new_watch(
+    deadline: time::Instant,
+    cancelled: &call_watch::CancelFlag,
+    sink: &frame_sink::FrameSink,
+) -> call_watch::CallWatch {
+    let waiting = rc::Rc::clone(sink);
+    call_watch::CallWatch {
+        deadline,
+        silence: Some(call_watch::PEER_SILENCE),
+        cancelled: sync::Arc::clone(cancelled),
+        on_wait: Box::new(
+            move || match frame_sink::send(&waiting, call_frame::CallFrame::Working) {
+                frame_sink::SinkStep::Continue => call_watch::WatchStep::Continue,
+                frame_sink::SinkStep::Gone => call_watch::WatchStep::Stop,
+            },
+        ),
+    }
+}
+
+fn run_local(
+    shared: &node_shared::NodeShared,
+    call: ids::CallId,
+    attempt: &core_command::AttemptPlan,
+    request: &OutgoingRequest,
+    state: &rc::Rc<cell::RefCell<AttemptState>>,
+    sink: &frame_sink::FrameSink,
+) {
+    let work = callee_runner::WorkRequest {
+        sender: (shared.identity.clone(), call),
+        context: attempt.context.clone(),
+        service: request.service.clone(),
+        method: request.method.clone(),
+        path: request.path.clone(),
+        headers: request.headers.clone(),
+        body: request.body.clone(),
+    };
+    let state = rc::Rc::clone(state);
+    let outer = rc::Rc::clone(sink);
+    let inner: frame_sink::FrameSink = rc::Rc::new(cell::RefCell::new(move |frame| pass_frame(&state, &outer, frame)));
+    callee_runner::run(shared, &work, &inner);
+}
+
+/// Passes head, body and `Working` on, and keeps the last frame for the decision.
+fn pass_frame(
+    state: &cell::RefCell<AttemptState>,
+    sink: &frame_sink::FrameSink,
+    frame: call_frame::CallFrame,
+) -> frame_sink::SinkStep {
+    match &frame {
+        call_frame::CallFrame::Working => return frame_sink::send(sink, frame),
+        call_frame::CallFrame::Head { .. } if !state.borrow().head_passed => {
+            state.borrow_mut().head_passed = true;
+            return frame_sink::send(sink, frame);
+        }
+        call_frame::CallFrame::Data(data) if state.borrow().head_passed => {
+            state.borrow_mut().bytes += data.len() as u64;
+            return frame_sink::send(sink, frame);
+        }
+        // Frames out of order end the attempt as an abort.
+        call_frame::CallFrame::Head { .. } | call_frame::CallFrame::Data(_) | call_frame::CallFrame::Call(_) => {
+            state.borrow_mut().last = Some(call_frame::CallFrame::Abort {
+                outcome: call_outcome::CallOutcome::Unknown,
+            });
+            return frame_sink::SinkStep::Gone;
+        }
+        call_frame::CallFrame::Refused { .. }
+        | call_frame::CallFrame::End { .. }
+        | call_frame::CallFrame::Abort { .. } => {}
+    }
+    state.borrow_mut().last = Some(frame);
+    frame_sink::SinkStep::Continue
+}
+
+fn attempt_result(
+    end: peer_client::PeerEnd,
+    state: &AttemptState,
+    started: time::Instant,
+    deadline: time::Instant,
+) -> core_command::AttemptResult {
+    let now = time::Instant::now();
+    match (end, &state.last) {
+        (peer_client::PeerEnd::Ended, Some(call_frame::CallFrame::End { report })) if state.head_passed => {
+            core_command::AttemptResult::Completed {
+                latency: now - started,
+                bytes: state.bytes,
+                report: *report,
+            }
+        }
+        (peer_client::PeerEnd::Ended, Some(call_frame::CallFrame::Refused { reason, report }))
+            if !state.head_passed =>
+        {
+            core_command::AttemptResult::Refused {
+                reason: *reason,
+                report: *report,
+            }
+        }
+        (peer_client::PeerEnd::NotSent, _) => core_command::AttemptResult::NotSent,
+        (peer_client::PeerEnd::Silent, _) => core_command::AttemptResult::Silent,
+        (peer_client::PeerEnd::Deadline, _) => core_command::AttemptResult::Deadline,
+        (peer_client::PeerEnd::Cancelled, None) => core_command::AttemptResult::Cancelled,
+        _ if now >= deadline => core_command::AttemptResult::Deadline,
+        _ => core_command::AttemptResult::Failed,
+    }
+}
+
+fn last_frame(end: core_command::CallEnd, result: core_command::AttemptResult) -> call_frame::CallFrame {
+    let report = match result {
+        core_command::AttemptResult::Completed { report, .. } | core_command::AttemptResult::Refused { report, .. } => {
+            report
+        }
+        _ => None,
+    };
+    match end {
+        core_command::CallEnd::Done => call_frame::CallFrame::End { report },
+        core_command::CallEnd::Refused(reason) => call_frame::CallFrame::Refused { reason, report },
+        core_command::CallEnd::Lost(outcome) => call_frame::CallFrame::Abort { outcome },
+        core_command::CallEnd::Cancelled => call_frame::CallFrame::Abort {
+            outcome: call_outcome::CallOutcome::Unknown,
+        },
+    }
+}
+
+fn encode_call(
+    shared: &node_shared::NodeShared,
+    call: ids::CallId,
+    attempt: &core_command::AttemptPlan,
+    request: &OutgoingRequest,
+) -> Result<Vec<u8>, codec::CodecError> {
+    let mut bytes = call_frame::encode_frame(&call_frame::CallFrame::Call(Box::new(call_frame::CallHead {
+        stage: attempt.stage,
+        sender: shared.identity.clone(),
+        sender_call: call,
+        context: attempt.context.clone(),
+        service: request.service.clone(),
+        method: request.method.clone(),
+        path: request.path.clone(),
+        headers: request.headers.clone(),
+    })))?;
+    let mut rest = request.body.clone();
+    while !rest.is_empty() {
+        let piece = rest.split_to(rest.len().min(call_frame::MAX_DATA_BYTES));
+        bytes.extend(call_frame::encode_frame(&call_frame::CallFrame::Data(piece))?);
+    }
+    bytes.extend(call_frame::encode_frame(&call_frame::CallFrame::End { report: None })?);
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/node/src/call_table.rs
@@ -0,0 +1,151 @@
+//! Calls in progress at this daemon.
+
+use std::collections;
+use std::time;
+
+use damasktrack_entity::call_context;
+use damasktrack_entity::ids;
+use damasktrack_entity::request_identity;
+
+use crate::call_class;
+use crate::call_watch;
+use crate::core_command;
+use crate::route_choice;
+
+/// Daemon and call that wait for a call of this daemon.
+pub type SenderCall = (request_identity::RequestOwner, ids::CallId);
+
+/// Call that this daemon sends to a backend server.
+#[derive(Debug)]
+pub struct OutgoingCall {
+    /// Context of the current attempt.
+    pub context: call_context::CallContext,
+    /// Service that is called.
+    pub service: ids::ServiceName,
+    /// Class of the call.
+    pub class: call_class::CallClass,
+    /// End of the remaining time.
+    pub deadline: time::Instant,
+    /// Work of the local backend server that made the call.
+    pub parent: Option<ids::CallId>,
+    /// Candidates that were tried.
+    pub tried: Vec<route_choice::RouteKey>,
+    /// Candidate of the current attempt; absent while the owner of the request routes the call.
+    pub route: Option<route_choice::RouteKey>,
+    /// Target of the current attempt.
+    pub target: route_choice::RouteTarget,
+    /// Result of the last attempt, kept while a grant is asked for.
+    pub last_result: Option<core_command::AttemptResult>,
+    /// Cancellation of the call.
+    pub cancelled: call_watch::CancelFlag,
+    /// Peer that forwarded the call to this daemon as its owner.
+    pub sender: Option<SenderCall>,
+}
+
+/// Work of the local backend server, queued or running.
+#[derive(Debug)]
+pub struct WorkEntry {
+    /// Context of the chain.
+    pub context: call_context::CallContext,
+    /// Class of the call at this service.
+    pub class: call_class::CallClass,
+    /// End of the remaining time.
+    pub deadline: time::Instant,
+    /// Daemon and call that wait for it.
+    pub sender: SenderCall,
+    /// Reply to send when the work leaves the queue; absent once it runs.
+    pub waiting: Option<core_command::ReplySender<core_command::WorkDecision>>,
+    /// Cancellation of the work.
+    pub cancelled: call_watch::CancelFlag,
+}
+
+/// Table of all calls in progress. Invariant: `by_sender` names exactly the calls and works that have a sender.
+#[derive(Debug, Default)]
+pub struct CallTable {
+    outgoing: collections::HashMap<ids::CallId, OutgoingCall>,
+    work: collections::HashMap<ids::CallId, WorkEntry>,
+    by_sender: collections::HashMap<SenderCall, ids::CallId>,
+}
+
+/// Commands.
+impl CallTable {
+    /// Adds a call.
+    pub fn add_outgoing(&mut self, call: ids::CallId, entry: OutgoingCall) {
+        if let Some(sender) = &entry.sender {
+            self.by_sender.insert(sender.clone(), call);
+        }
+        self.outgoing.insert(call, entry);
+    }
+
+    /// Removes a call.
+    pub fn remove_outgoing(&mut self, call: ids::CallId) -> Option<OutgoingCall> {
+        let entry = self.outgoing.remove(&call)?;
+        if let Some(sender) = &entry.sender {
+            self.by_sender.remove(sender);
+        }
+        Some(entry)
+    }
+
+    /// Returns a call for change.
+    pub fn outgoing_mut(&mut self, call: ids::CallId) -> Option<&mut OutgoingCall> {
+        self.outgoing.get_mut(&call)
+    }
+
+    /// Adds work.
+    pub fn add_work(&mut self, call: ids::CallId, entry: WorkEntry) {
+        self.by_sender.insert(entry.sender.clone(), call);
+        self.work.insert(call, entry);
+    }
+
+    /// Removes work.
+    pub fn remove_work(&mut self, call: ids::CallId) -> Option<WorkEntry> {
+        let entry = self.work.remove(&call)?;
+        self.by_sender.remove(&entry.sender);
+        Some(entry)
+    }
+
+    /// Returns work for change.
+    pub fn work_mut(&mut self, call: ids::CallId) -> Option<&mut WorkEntry> {
+        self.work.get_mut(&call)
+    }
+}
+
+/// Queries.
+impl CallTable {
+    /// Returns a call.
+    #[must_use]
+    pub fn outgoing(&self, call: ids::CallId) -> Option<&OutgoingCall> {
+        self.outgoing.get(&call)
+    }
+
+    /// Returns work.
+    #[must_use]
+    pub fn work(&self, call: ids::CallId) -> Option<&WorkEntry> {
+        self.work.get(&call)
+    }
+
+    /// Returns the call or work that a daemon waits for.
+    #[must_use]
+    pub fn find_sender(&self, sender: &SenderCall) -> Option<ids::CallId> {
+        self.by_sender.get(sender).copied()
+    }
+
+    /// Returns the calls that a piece of work made.
+    #[must_use]
+    pub fn children(&self, parent: ids::CallId) -> Vec<ids::CallId> {
+        let calls = self.outgoing.iter().filter(|entry| entry.1.parent == Some(parent));
+        calls.map(|entry| *entry.0).collect()
+    }
+
+    /// Returns the number of calls.
+    #[must_use]
+    pub fn outgoing_count(&self) -> usize {
+        self.outgoing.len()
+    }
+
+    /// Returns the number of queued and running works.
+    #[must_use]
+    pub fn work_count(&self) -> usize {
+        self.work.len()
+    }
+}
--- /dev/null
+++ b/crates/node/src/core_command.rs
@@ -0,0 +1,261 @@
+//! Commands to the thread that owns all decision state, and its replies.
+
+use std::net;
+use std::sync::mpsc;
+use std::time;
+
+use bytes::Bytes;
+use damasktrack_entity::call_context;
+use damasktrack_entity::call_outcome;
+use damasktrack_entity::ids;
+use damasktrack_entity::request_identity;
+use damasktrack_wire::call_frame;
+use damasktrack_wire::peer_message;
+
+use crate::admission_control;
+use crate::call_class;
+use crate::call_watch;
+use crate::peer_directory;
+use crate::route_choice;
+
+/// Sender of one reply; it has room for the reply, so the core never waits.
+pub type ReplySender<T> = mpsc::SyncSender<T>;
+
+/// Command to the core.
+#[derive(Debug)]
+pub enum CoreCommand {
+    /// A call arrived at the entry listener, or a peer forwarded it to its owner.
+    Begin(Box<CallStart>, ReplySender<CallDecision>),
+    /// An attempt ended without a response; another one is wanted.
+    Retry(ids::CallId, AttemptResult, ReplySender<RetryDecision>),
+    /// The owner of the request answered about a retry.
+    Granted(ids::CallId, peer_message::GrantReply, ReplySender<RetryDecision>),
+    /// A call ended; no further attempt follows.
+    Finish(ids::CallId, AttemptResult, CallSummary),
+    /// The caller of a call is gone.
+    CallerGone(ids::CallId),
+    /// A call arrived for the backend server of this daemon.
+    Arrive(Box<WorkArrival>, ReplySender<WorkDecision>),
+    /// Admitted work ended.
+    FinishWork(ids::CallId, admission_control::FinishResult),
+    /// A peer no longer waits for a call.
+    CancelFromPeer(peer_message::CancelRequest),
+    /// A peer asks for an attempt of a request that this daemon owns.
+    Grant(peer_message::GrantRequest, ReplySender<peer_message::GrantReply>),
+    /// A caller asks for a request id.
+    IssueId(ReplySender<Bytes>),
+    /// Peers told who they are.
+    PeersLearned(Vec<peer_directory::PeerIdentity>),
+    /// A health check of the backend server ended.
+    BackendServerChecked(bool),
+    /// New work is refused from now on.
+    Drain,
+    /// Asks for the state that shutdown and readiness depend on.
+    Counts(ReplySender<NodeCounts>),
+    /// Ends the core.
+    Stop,
+}
+
+/// Call before any decision.
+#[derive(Debug)]
+pub struct CallStart {
+    /// Id of the call at this daemon.
+    pub call: ids::CallId,
+    /// Where the call came from.
+    pub origin: CallOrigin,
+    /// Service that is called.
+    pub service: ids::ServiceName,
+    /// HTTP method.
+    pub method: Bytes,
+    /// Path and query as the backend server receives them.
+    pub path: Bytes,
+    /// Hash of the body; tells another body under the same request id.
+    pub body_digest: u64,
+    /// Cancellation of the call.
+    pub cancelled: call_watch::CancelFlag,
+}
+
+/// Where a call came from.
+#[derive(Debug)]
+pub enum CallOrigin {
+    /// A caller or the local backend server.
+    Caller {
+        /// Context header, if one was sent and could be read.
+        context: Option<call_context::CallContext>,
+        /// Whether the connection comes from the loopback address.
+        loopback: bool,
+        /// Request id that the caller sent.
+        request_id: Option<Bytes>,
+        /// Tenant that the caller named.
+        tenant: Option<Bytes>,
+        /// Deadline that the caller asked for.
+        timeout: Option<time::Duration>,
+    },
+    /// A peer that does not own the request.
+    Peer {
+        /// Context as the peer sent it.
+        context: call_context::CallContext,
+        /// Daemon and call at the peer, for cancellation.
+        sender: (request_identity::RequestOwner, ids::CallId),
+    },
+}
+
+/// What to do with a call.
+#[derive(Debug)]
+pub enum CallDecision {
+    /// Send it there.
+    Run(Box<CallPlan>),
+    /// Answer that it did not run.
+    Refuse {
+        /// Id of the request.
+        request_id: Bytes,
+        /// Why.
+        reason: call_outcome::RefusalReason,
+    },
+    /// Answer that its outcome can't be known.
+    Unknown {
+        /// Id of the request.
+        request_id: Bytes,
+    },
+}
+
+/// First attempt of a call and what holds for all attempts.
+#[derive(Debug)]
+pub struct CallPlan {
+    /// Id of the call at this daemon.
+    pub call: ids::CallId,
+    /// Class of the call.
+    pub class: call_class::CallClass,
+    /// End of the remaining time.
+    pub deadline: time::Instant,
+    /// First attempt.
+    pub attempt: AttemptPlan,
+}
+
+/// One attempt of a call.
+#[derive(Clone, Debug)]
+pub struct AttemptPlan {
+    /// Where to send it.
+    pub target: route_choice::RouteTarget,
+    /// Part that the receiver plays.
+    pub stage: call_frame::CallStage,
+    /// Context that the receiver gets.
+    pub context: call_context::CallContext,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptResult {
+    /// The response is complete.
+    Completed {
+        /// Time until the end of the response.
+        latency: time::Duration,
+        /// Length of its body.
+        bytes: u64,
+        /// Level that the path admits.
+        report: Option<call_outcome::LevelReport>,
+    },
+    /// The call did not run.
+    Refused {
+        /// Why.
+        reason: call_outcome::RefusalReason,
+        /// Level that the path admits.
+        report: Option<call_outcome::LevelReport>,
+    },
+    /// The connection could not be opened; the call did not run.
+    NotSent,
+    /// The call may have run.
+    Failed,
+    /// The connection fell silent; the call may have run.
+    Silent,
+    /// The deadline passed; the call may have run.
+    Deadline,
+    /// The caller is gone.
+    Cancelled,
+}
+
+/// What to do after an attempt without a response.
+#[derive(Debug)]
+pub enum RetryDecision {
+    /// Send it there.
+    Again(AttemptPlan),
+    /// Ask the owner of the request for a grant, and send [`CoreCommand::Granted`].
+    AskOwner(net::SocketAddr, peer_message::GrantRequest),
+    /// Answer with this outcome.
+    GiveUp(CallEnd),
+}
+
+/// Outcome of a call as the caller gets it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    /// The response is complete.
+    Done,
+    /// The call did not run.
+    Refused(call_outcome::RefusalReason),
+    /// The call did not complete; `Failed` or `Unknown`.
+    Lost(call_outcome::CallOutcome),
+    /// The caller is gone.
+    Cancelled,
+}
+
+/// Figures of an ended call.
+#[derive(Clone, Copy, Debug)]
+pub struct CallSummary {
+    /// Outcome.
+    pub end: CallEnd,
+    /// Attempts, from 1.
+    pub attempts: u32,
+}
+
+/// Call for the backend server before admission.
+#[derive(Debug)]
+pub struct WorkArrival {
+    /// Id of the call at this daemon; the backend server gets it as `call` in the context.
+    pub call: ids::CallId,
+    /// Daemon and call that wait for it.
+    pub sender: (request_identity::RequestOwner, ids::CallId),
+    /// Service that is called.
+    pub service: ids::ServiceName,
+    /// HTTP method.
+    pub method: Bytes,
+    /// Path and query.
+    pub path: Bytes,
+    /// Context of the chain.
+    pub context: call_context::CallContext,
+    /// End of the remaining time, by this daemon's clock.
+    pub deadline: time::Instant,
+    /// Cancellation of the call.
+    pub cancelled: call_watch::CancelFlag,
+}
+
+/// Whether work may be dispatched.
+#[derive(Clone, Copy, Debug)]
+pub enum WorkDecision {
+    /// Dispatch it.
+    Start {
+        /// Level that the path admits for the class.
+        report: Option<call_outcome::LevelReport>,
+        /// Whether the call may run more than once.
+        idempotent: bool,
+        /// Whether a response that ends with its connection counts as complete.
+        close_delimited: bool,
+    },
+    /// Answer that it did not run.
+    Refuse {
+        /// Why.
+        reason: call_outcome::RefusalReason,
+        /// Level that the path admits for the class.
+        report: Option<call_outcome::LevelReport>,
+    },
+}
+
+/// State that shutdown and readiness depend on.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeCounts {
+    /// Calls that this daemon sends to backend servers for its callers and peers.
+    pub calls: usize,
+    /// Queued and running work of the local backend server.
+    pub work: usize,
+    /// Whether the daemon may take new calls.
+    pub ready: bool,
+}
--- /dev/null
+++ b/crates/node/src/core_thread.rs
@@ -0,0 +1,106 @@
+//! The stakker thread, and the handle by which other threads reach it.
+
+use std::io;
+use std::sync::mpsc;
+use std::thread;
+use std::time;
+// The `after!` macro of stakker names `Duration` without a path.
+use std::time::Duration;
+
+use crate::core_command;
+use crate::node_core;
+
+/// Longest sleep of the thread; timers and commands end it earlier.
+const MAX_SLEEP: Duration = Duration::from_mins(1);
+
+/// Handle of the core; cheap to clone.
+#[derive(Clone)]
+pub struct CoreHandle {
+    channel: stakker::sync::Channel<core_command::CoreCommand>,
+}
+
+impl std::fmt::Debug for CoreHandle {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("CoreHandle").finish_non_exhaustive()
+    }
+}
+
+impl CoreHandle {
+    /// Sends a command without waiting for it. A stopped core drops it.
+    pub fn send(&self, command: core_command::CoreCommand) {
+        self.channel.send(command);
+    }
+
+    /// Sends a command and waits for its reply; `None` if the core has stopped.
+    pub fn ask<T>(&self, command: impl FnOnce(core_command::ReplySender<T>) -> core_command::CoreCommand) -> Option<T> {
+        let (reply, answer) = mpsc::sync_channel(1);
+        self.channel.send(command(reply));
+        answer.recv().ok()
+    }
+}
+
+struct CoreActor {
+    core: node_core::NodeCore,
+    /// Closes the channel when the actor ends, which ends all waits for replies.
+    _guard: stakker::sync::ChannelGuard,
+}
+
+impl CoreActor {
+    #[expect(clippy::needless_pass_by_value, reason = "an actor owns the arguments of its start")]
+    fn init(
+        cx: stakker::CX![],
+        core: node_core::NodeCore,
+        ready: mpsc::SyncSender<stakker::sync::Channel<core_command::CoreCommand>>,
+    ) -> Option<Self> {
+        let receiver = stakker::fwd_to!([cx], receive() as (core_command::CoreCommand));
+        let (channel, guard) = stakker::sync::Channel::new(cx, receiver);
+        ready.send(channel).ok()?;
+        stakker::after!(node_core::TICK_INTERVAL, [cx], tick());
+        Some(Self { core, _guard: guard })
+    }
+
+    fn receive(&mut self, cx: stakker::CX![], command: core_command::CoreCommand) {
+        if matches!(command, core_command::CoreCommand::Stop) {
+            stakker::stop!(cx);
+            return;
+        }
+        let now = cx.now();
+        self.core.handle(command, now);
+    }
+
+    fn tick(&mut self, cx: stakker::CX![]) {
+        let now = cx.now();
+        self.core.tick(now);
+        stakker::after!(node_core::TICK_INTERVAL, [cx], tick());
+    }
+}
+
+/// Starts the thread. A process runs one core, since stakker with its default features allows one instance only.
+///
+/// # Errors
+/// Returns an error if the thread can't be started.
+pub fn start(core: node_core::NodeCore) -> io::Result<CoreHandle> {
+    let (ready, channel) = mpsc::sync_channel(1);
+    thread::Builder::new()
+        .name("core".to_owned())
+        .spawn(move || run(core, ready))?;
+    let channel = channel
+        .recv()
+        .map_err(|_closed| io::Error::other("the core thread ended at its start"))?;
+    Ok(CoreHandle { channel })
+}
+
+fn run(core: node_core::NodeCore, ready: mpsc::SyncSender<stakker::sync::Channel<core_command::CoreCommand>>) {
+    let mut runtime = stakker::Stakker::new(time::Instant::now());
+    let sleeper = thread::current();
+    runtime.set_poll_waker(move || sleeper.unpark());
+    let actor = stakker::actor!(runtime, CoreActor::init(core, ready), stakker::ret_shutdown!(runtime));
+    while runtime.not_shutdown() {
+        runtime.poll_wake();
+        runtime.run(time::Instant::now(), false);
+        let sleep = runtime.next_wait_max(time::Instant::now(), MAX_SLEEP, false);
+        // A wake between the poll and this call is kept as the thread's token, so it is not lost.
+        thread::park_timeout(sleep);
+    }
+    drop(actor);
+}
--- /dev/null
+++ b/crates/node/src/entry_response.rs
@@ -0,0 +1,216 @@
+//! Responses to callers, and the frames that they are made of.
+
+use std::time;
+
+use bytes::Bytes;
+use damasktrack_entity::call_outcome;
+use damasktrack_wire::call_frame;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::entry_body;
+use crate::frame_sink;
+use crate::header_filter;
+
+/// Start of a response, as the worker hands it to the listener.
+#[derive(Debug)]
+pub enum EntryAnswer {
+    /// The whole response.
+    Whole {
+        /// Status and headers.
+        head: ResponseHead,
+        /// Body.
+        body: Bytes,
+    },
+    /// A response whose body streams.
+    Stream {
+        /// Status and headers.
+        head: ResponseHead,
+        /// First piece of the body.
+        first: Option<Bytes>,
+        /// Further pieces.
+        pieces: mpsc::Receiver<entry_body::BodyPiece>,
+    },
+    /// The call did not run.
+    Refused {
+        /// Id of the request.
+        request_id: Bytes,
+        /// Why.
+        reason: call_outcome::RefusalReason,
+    },
+    /// The call may have run and has no response.
+    Lost {
+        /// Id of the request.
+        request_id: Bytes,
+        /// `Failed` or `Unknown`.
+        outcome: call_outcome::CallOutcome,
+        /// Whether the deadline has passed.
+        timed_out: bool,
+    },
+}
+
+/// Status and headers of a response.
+#[derive(Debug)]
+pub struct ResponseHead {
+    /// Id of the request.
+    pub request_id: Bytes,
+    /// HTTP status.
+    pub status: u16,
+    /// Headers to pass on.
+    pub headers: Vec<call_frame::HeaderPair>,
+}
+
+/// Builder of a response from frames. A response that fits one piece is handed over whole, in one wake-up of the
+/// listener; the head of any other is handed over with its first piece.
+#[derive(Debug)]
+pub struct EntryResponder {
+    request_id: Bytes,
+    deadline: time::Instant,
+    answer: Option<oneshot::Sender<EntryAnswer>>,
+    held: Option<ResponseHead>,
+    body: Option<Bytes>,
+    pieces: Option<mpsc::Sender<entry_body::BodyPiece>>,
+}
+
+impl EntryResponder {
+    /// Creates a responder for one request.
+    #[must_use]
+    pub fn new(request_id: Bytes, deadline: time::Instant, answer: oneshot::Sender<EntryAnswer>) -> Self {
+        Self {
+            request_id,
+            deadline,
+            answer: Some(answer),
+            held: None,
+            body: None,
+            pieces: None,
+        }
+    }
+
+    /// Takes a frame.
+    pub fn push(&mut self, frame: call_frame::CallFrame) -> frame_sink::SinkStep {
+        match frame {
+            call_frame::CallFrame::Head { status, headers } => {
+                self.held = Some(ResponseHead {
+                    request_id: self.request_id.clone(),
+                    status,
+                    headers,
+                });
+                frame_sink::SinkStep::Continue
+            }
+            call_frame::CallFrame::Data(data) => self.push_data(data),
+            call_frame::CallFrame::Working => {
+                if self.held.is_some() {
+                    self.start_stream();
+                }
+                self.receiver_step()
+            }
+            call_frame::CallFrame::End { .. } => {
+                self.end();
+                frame_sink::SinkStep::Continue
+            }
+            call_frame::CallFrame::Refused { reason, .. } => {
+                let request_id = self.request_id.clone();
+                self.answer(EntryAnswer::Refused { request_id, reason })
+            }
+            call_frame::CallFrame::Abort { outcome } => self.abort(outcome),
+            call_frame::CallFrame::Call(_) => frame_sink::SinkStep::Gone,
+        }
+    }
+
+    fn push_data(&mut self, data: Bytes) -> frame_sink::SinkStep {
+        if let Some(head) = &self.held {
+            let expected = header_filter::content_length(&head.headers);
+            if self.body.is_none() && expected == Some(data.len() as u64) {
+                self.body = Some(data);
+                return frame_sink::SinkStep::Continue;
+            }
+            if self.body.is_none() {
+                self.body = Some(data);
+                return self.start_stream();
+            }
+            self.start_stream();
+        }
+        self.send_piece(entry_body::BodyPiece::Data(data))
+    }
+
+    fn start_stream(&mut self) -> frame_sink::SinkStep {
+        let Some(head) = self.held.take() else {
+            return frame_sink::SinkStep::Gone;
+        };
+        let (sender, pieces) = mpsc::channel(entry_body::PIECES_IN_FLIGHT);
+        self.pieces = Some(sender);
+        let first = self.body.take();
+        self.answer(EntryAnswer::Stream { head, first, pieces })
+    }
+
+    fn end(&mut self) {
+        if let Some(head) = self.held.take() {
+            let body = self.body.take().unwrap_or_default();
+            self.answer(EntryAnswer::Whole { head, body });
+        } else {
+            self.send_piece(entry_body::BodyPiece::End);
+            self.pieces = None;
+        }
+    }
+
+    /// A response whose head is still held becomes an error; one that streams is cut off, which aborts the caller's
+    /// connection.
+    fn abort(&mut self, outcome: call_outcome::CallOutcome) -> frame_sink::SinkStep {
+        if self.pieces.take().is_some() {
+            return frame_sink::SinkStep::Gone;
+        }
+        self.held = None;
+        let request_id = self.request_id.clone();
+        let timed_out = time::Instant::now() >= self.deadline;
+        self.answer(EntryAnswer::Lost {
+            request_id,
+            outcome,
+            timed_out,
+        })
+    }
+
+    fn answer(&mut self, answer: EntryAnswer) -> frame_sink::SinkStep {
+        match self.answer.take().map(|sender| sender.send(answer)) {
+            Some(Ok(())) => frame_sink::SinkStep::Continue,
+            Some(Err(_)) | None => frame_sink::SinkStep::Gone,
+        }
+    }
+
+    fn send_piece(&mut self, piece: entry_body::BodyPiece) -> frame_sink::SinkStep {
+        match self.pieces.as_ref().map(|pieces| pieces.blocking_send(piece)) {
+            Some(Ok(())) => frame_sink::SinkStep::Continue,
+            Some(Err(_)) | None => frame_sink::SinkStep::Gone,
+        }
+    }
+
+    fn receiver_step(&self) -> frame_sink::SinkStep {
+        let answer_gone = self.answer.as_ref().is_some_and(oneshot::Sender::is_closed);
+        let pieces_gone = self.pieces.as_ref().is_some_and(mpsc::Sender::is_closed);
+        if answer_gone || pieces_gone {
+            frame_sink::SinkStep::Gone
+        } else {
+            frame_sink::SinkStep::Continue
+        }
+    }
+}
+
+/// Returns the HTTP status of a refusal.
+#[must_use]
+pub fn refusal_status(reason: call_outcome::RefusalReason) -> u16 {
+    match reason {
+        call_outcome::RefusalReason::TenantOverShare => 429,
+        call_outcome::RefusalReason::BodyMismatch => 422,
+        call_outcome::RefusalReason::NotDeclared => 404,
+        call_outcome::RefusalReason::Overloaded
+        | call_outcome::RefusalReason::QueueFull
+        | call_outcome::RefusalReason::DeadlineTooShort
+        | call_outcome::RefusalReason::Cancelled
+        | call_outcome::RefusalReason::Leaving
+        | call_outcome::RefusalReason::Starting
+        | call_outcome::RefusalReason::BackendServerDown
+        | call_outcome::RefusalReason::ShedByBackendServer
+        | call_outcome::RefusalReason::NoCandidate
+        | call_outcome::RefusalReason::StoreUnavailable
+        | call_outcome::RefusalReason::TooDeep => 503,
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry_server.rs
@@ -0,0 +1,459 @@
+//! Listener for callers and for the local backend server.
+
+use std::convert;
+use std::io;
+use std::net;
+use std::pin;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::server::conn::http1;
+use hyper_util::rt;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::call_runner;
+use crate::call_watch;
+use crate::core_command;
+use crate::entry_body;
+use crate::entry_request;
+use crate::entry_response;
+use crate::header_filter;
+use crate::http_listener;
+use crate::node_shared;
+use crate::worker_pool;
+
+/// Path under which callers get request ids.
+const ISSUE_PATH: &str = "/damasktrack/v1/request-ids";
+/// Time and bytes that are still read after an error response. A connection that closes with unread input resets, which
+/// can destroy the response before the caller has read it.
+const LINGER_TIME: time::Duration = time::Duration::from_millis(500);
+const LINGER_BYTES: usize = 8 << 20;
+/// Input buffer of a connection, when the largest header is smaller.
+const MIN_BUFFER_BYTES: usize = 64 << 10;
+/// Pause after a failed accept, for example when no file descriptor is left.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// State of a planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EntryPhase {
+    /// All connections are kept.
+    Serving,
+    /// Requests are served, and their responses close the connection.
+    Closing,
+    /// No connection is accepted and idle ones are closed.
+    Closed,
+}
+
+/// Handle of the listener.
+#[derive(Debug)]
+pub struct EntryServer {
+    address: net::SocketAddr,
+    phase: watch::Sender<EntryPhase>,
+    connections: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl EntryServer {
+    /// Starts the listener on a thread of its own.
+    ///
+    /// # Errors
+    /// Returns an error if the address can't be listened on.
+    pub fn start(listener: net::TcpListener, shared: sync::Arc<node_shared::NodeShared>) -> io::Result<Self> {
+        let address = listener.local_addr()?;
+        listener.set_nonblocking(true)?;
+        let (phase, phases) = watch::channel(EntryPhase::Serving);
+        let connections = sync::Arc::new(atomic::AtomicUsize::new(0));
+        let counter = sync::Arc::clone(&connections);
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_io()
+            .enable_time()
+            .build()?;
+        thread::Builder::new()
+            .name("entry".to_owned())
+            .spawn(move || runtime.block_on(accept_all(listener, shared, phases, counter)))?;
+        Ok(Self {
+            address,
+            phase,
+            connections,
+        })
+    }
+}
+
+/// Commands.
+impl EntryServer {
+    /// Enters a phase.
+    pub fn enter(&self, phase: EntryPhase) {
+        self.phase.send_replace(phase);
+    }
+}
+
+/// Queries.
+impl EntryServer {
+    /// Returns the address in use.
+    #[must_use]
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Returns the number of open connections.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.connections.load(atomic::Ordering::Relaxed)
+    }
+}
+
+/// Counts a connection while it lives.
+struct ConnectionCount(sync::Arc<atomic::AtomicUsize>);
+
+impl Drop for ConnectionCount {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+async fn accept_all(
+    listener: net::TcpListener,
+    shared: sync::Arc<node_shared::NodeShared>,
+    mut phases: watch::Receiver<EntryPhase>,
+    connections: sync::Arc<atomic::AtomicUsize>,
+) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!(error:% = error; "entry listener can't be registered");
+            return;
+        }
+    };
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = wait_closed(&mut phases) => break,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                let open = connections.fetch_add(1, atomic::Ordering::Relaxed);
+                let count = ConnectionCount(sync::Arc::clone(&connections));
+                if open >= shared.settings.max_connections {
+                    log::warn!(caller:% = peer; "connection closed since max_connections are open");
+                    continue;
+                }
+                let shared = sync::Arc::clone(&shared);
+                let phases = phases.clone();
+                tokio::spawn(async move {
+                    serve_connection(stream, peer, shared, phases).await;
+                    drop(count);
+                });
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "connection can't be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    // Dropping the runtime would end its connections; the process ends when the shutdown has waited for them.
+    std::future::pending::<()>().await;
+}
+
+/// Waits for [`EntryPhase::Closed`]; the end of the server counts as it.
+async fn wait_closed(phases: &mut watch::Receiver<EntryPhase>) {
+    let _phase = phases.wait_for(|phase| *phase == EntryPhase::Closed).await;
+}
+
+async fn serve_connection(
+    stream: tokio::net::TcpStream,
+    peer: net::SocketAddr,
+    shared: sync::Arc<node_shared::NodeShared>,
+    mut phases: watch::Receiver<EntryPhase>,
+) {
+    let _unsupported = stream.set_nodelay(true);
+    let settings = &shared.settings;
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(settings.header_timeout)
+        .max_header_size(settings.max_header_bytes)
+        .max_buf_size(settings.max_header_bytes.max(MIN_BUFFER_BYTES));
+    let loopback = peer.ip().is_loopback();
+    let request_phases = phases.clone();
+    let service = hyper::service::service_fn(|request| {
+        let closing = *request_phases.borrow() != EntryPhase::Serving;
+        handle(sync::Arc::clone(&shared), request, loopback, closing)
+    });
+    let mut connection = builder.serve_connection(rt::TokioIo::new(stream), service);
+    let served = tokio::select! {
+        served = &mut connection => served,
+        () = wait_closed(&mut phases) => {
+            pin::Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    let Err(error) = served else {
+        return;
+    };
+    log::debug!(caller:% = peer, error:% = error; "connection of a caller ended");
+    let parts = connection.into_parts();
+    let mut stream = parts.io.into_inner();
+    if error.is_timeout() && !parts.read_buf.is_empty() {
+        let _gone = stream
+            .write_all(b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+            .await;
+    }
+    if error.is_timeout() || error.is_parse() {
+        linger(stream).await;
+    }
+}
+
+/// Reads what a caller still sends, so that it can read its response.
+async fn linger(mut stream: tokio::net::TcpStream) {
+    let _gone = stream.shutdown().await;
+    let mut buffer = vec![0; 16 << 10];
+    let discard = async {
+        let mut total = 0;
+        while let Ok(length) = stream.read(&mut buffer).await {
+            total += length;
+            if length == 0 || total > LINGER_BYTES {
+                return;
+            }
+        }
+    };
+    let _timeout = tokio::time::timeout(LINGER_TIME, discard).await;
+}
+
+async fn handle(
+    shared: sync::Arc<node_shared::NodeShared>,
+    request: hyper::Request<hyper::body::Incoming>,
+    loopback: bool,
+    closing: bool,
+) -> Result<hyper::Response<entry_body::EntryBody>, convert::Infallible> {
+    let mut response = match answer(&shared, request, loopback).await {
+        Ok(response) => response,
+        Err(fault) => fault_response(fault),
+    };
+    if closing {
+        let close = hyper::header::HeaderValue::from_static("close");
+        response.headers_mut().insert(hyper::header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+async fn answer(
+    shared: &sync::Arc<node_shared::NodeShared>,
+    request: hyper::Request<hyper::body::Incoming>,
+    loopback: bool,
+) -> Result<hyper::Response<entry_body::EntryBody>, entry_request::RequestFault> {
+    let arrived = time::Instant::now();
+    let (parts, body) = request.into_parts();
+    let origin = entry_request::read_origin(&parts.headers, loopback)?;
+    let body = read_body(shared, body).await?;
+    if parts.method == hyper::Method::POST && parts.uri.path() == ISSUE_PATH {
+        return issue_id(shared).await;
+    }
+    let (service, path) = entry_request::split_path(&parts.uri);
+    let cancelled = call_watch::CancelFlag::default();
+    let call = shared.next_call();
+    let entry = entry_request::EntryRequest {
+        call,
+        arrived,
+        origin,
+        outgoing: call_runner::OutgoingRequest {
+            service,
+            method: Bytes::copy_from_slice(parts.method.as_str().as_bytes()),
+            path,
+            headers: header_filter::request_headers(&parts.headers),
+            body,
+        },
+        cancelled: sync::Arc::clone(&cancelled),
+    };
+    let mut guard = entry_body::CallerGuard::new(sync::Arc::clone(shared), call, cancelled);
+    let (sender, answer) = oneshot::channel();
+    let job_shared = sync::Arc::clone(shared);
+    let submitted = shared
+        .pool
+        .submit(move || entry_request::run(&job_shared, entry, sender));
+    if submitted == worker_pool::SubmitResult::Full {
+        guard.disarm();
+        let reason = damasktrack_entity::call_outcome::RefusalReason::QueueFull;
+        return Ok(refused_response(&Bytes::new(), reason));
+    }
+    let answer = answer.await;
+    if !matches!(answer, Ok(entry_response::EntryAnswer::Stream { .. })) {
+        guard.disarm();
+    }
+    Ok(match answer {
+        Ok(entry_response::EntryAnswer::Whole { head, body }) => {
+            passed_response(&head, entry_body::EntryBody::whole(body))
+        }
+        Ok(entry_response::EntryAnswer::Stream { head, first, pieces }) => {
+            passed_response(&head, entry_body::EntryBody::stream(first, pieces, guard))
+        }
+        Ok(entry_response::EntryAnswer::Refused { request_id, reason }) => refused_response(&request_id, reason),
+        Ok(entry_response::EntryAnswer::Lost {
+            request_id,
+            outcome,
+            timed_out,
+        }) => lost_response(&request_id, outcome, timed_out),
+        // The worker ended without an answer, which is a bug; the call may have run.
+        Err(_closed) => lost_response(
+            &Bytes::new(),
+            damasktrack_entity::call_outcome::CallOutcome::Unknown,
+            false,
+        ),
+    })
+}
+
+async fn read_body(
+    shared: &node_shared::NodeShared,
+    body: hyper::body::Incoming,
+) -> Result<Bytes, entry_request::RequestFault> {
+    let max = shared.settings.max_body_bytes;
+    let too_large = entry_request::RequestFault {
+        status: 413,
+        text: "the request body is too large\n",
+    };
+    if hyper::body::Body::is_end_stream(&body) {
+        return Ok(Bytes::new());
+    }
+    let declared = hyper::body::Body::size_hint(&body).lower();
+    if declared > max as u64 {
+        discard(body).await;
+        return Err(too_large);
+    }
+    let mut limited = http_body_util::Limited::new(body, max);
+    let collected = tokio::time::timeout(shared.settings.body_timeout, (&mut limited).collect()).await;
+    match collected {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large),
+        Ok(Err(_broken)) => Err(entry_request::RequestFault {
+            status: 400,
+            text: "the request body broke off\n",
+        }),
+        Err(_elapsed) => Err(entry_request::RequestFault {
+            status: 408,
+            text: "the request body did not arrive in time\n",
+        }),
+    }
+}
+
+/// Reads and drops a body that is too large, within bounds, so that the caller can read its response.
+async fn discard(mut body: hyper::body::Incoming) {
+    let discard = async {
+        let mut total = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            total += frame.data_ref().map_or(0, Bytes::len);
+            if total > LINGER_BYTES {
+                return;
+            }
+        }
+    };
+    let _timeout = tokio::time::timeout(LINGER_TIME, discard).await;
+}
+
+async fn issue_id(
+    shared: &sync::Arc<node_shared::NodeShared>,
+) -> Result<hyper::Response<entry_body::EntryBody>, entry_request::RequestFault> {
+    let (sender, issued) = oneshot::channel();
+    let job_shared = sync::Arc::clone(shared);
+    shared.pool.submit(move || {
+        let id = job_shared.core.ask(core_command::CoreCommand::IssueId);
+        let _gone = sender.send(id);
+    });
+    let Ok(Some(id)) = issued.await else {
+        return Err(entry_request::RequestFault {
+            status: 503,
+            text: "no request id can be issued now\n",
+        });
+    };
+    let text = format!("{{\"request_id\":\"{}\"}}\n", damasktrack_entity::ids::text(&id));
+    let mut response = hyper::Response::new(entry_body::EntryBody::whole(Bytes::from(text)));
+    let json = hyper::header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+    Ok(response)
+}
+
+fn passed_response(
+    head: &entry_response::ResponseHead,
+    body: entry_body::EntryBody,
+) -> hyper::Response<entry_body::EntryBody> {
+    let mut response = hyper::Response::new(body);
+    *response.status_mut() = hyper::StatusCode::from_u16(head.status).unwrap_or(hyper::StatusCode::BAD_GATEWAY);
+    for (name, value) in &head.headers {
+        let name = hyper::header::HeaderName::from_bytes(name);
+        let value = hyper::header::HeaderValue::from_bytes(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    mark(&mut response, &head.request_id, "done");
+    response
+}
+
+fn refused_response(
+    request_id: &Bytes,
+    reason: damasktrack_entity::call_outcome::RefusalReason,
+) -> hyper::Response<entry_body::EntryBody> {
+    let text = format!("refused: {reason}\n");
+    let mut response = hyper::Response::new(entry_body::EntryBody::whole(Bytes::from(text)));
+    let status = entry_response::refusal_status(reason);
+    *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or(hyper::StatusCode::SERVICE_UNAVAILABLE);
+    if matches!(status, 429 | 503) {
+        let seconds = hyper::header::HeaderValue::from_static("1");
+        response.headers_mut().insert(hyper::header::RETRY_AFTER, seconds);
+    }
+    mark(&mut response, request_id, "refused");
+    response
+}
+
+fn lost_response(
+    request_id: &Bytes,
+    outcome: damasktrack_entity::call_outcome::CallOutcome,
+    timed_out: bool,
+) -> hyper::Response<entry_body::EntryBody> {
+    let text = format!("{outcome}: the call may have run and has no complete response\n");
+    let mut response = hyper::Response::new(entry_body::EntryBody::whole(Bytes::from(text)));
+    *response.status_mut() = if timed_out {
+        hyper::StatusCode::GATEWAY_TIMEOUT
+    } else {
+        hyper::StatusCode::BAD_GATEWAY
+    };
+    mark(&mut response, request_id, &outcome.to_string());
+    response
+}
+
+/// A request that can't be read did not run.
+fn fault_response(fault: entry_request::RequestFault) -> hyper::Response<entry_body::EntryBody> {
+    let mut response = hyper::Response::new(entry_body::EntryBody::whole(Bytes::from_static(fault.text.as_bytes())));
+    *response.status_mut() = hyper::StatusCode::from_u16(fault.status).unwrap_or(hyper::StatusCode::BAD_REQUEST);
+    if matches!(fault.status, 408 | 413) {
+        let close = hyper::header::HeaderValue::from_static("close");
+        response.headers_mut().insert(hyper::header::CONNECTION, close);
+    }
+    mark(&mut response, &Bytes::new(), "refused");
+    response
+}
+
+fn mark(response: &mut hyper::Response<entry_body::EntryBody>, request_id: &Bytes, outcome: &str) {
+    if let Ok(value) = hyper::header::HeaderValue::from_bytes(request_id)
+        && !request_id.is_empty()
+    {
+        response.headers_mut().insert(header_filter::REQUEST_ID_HEADER, value);
+    }
+    if let Ok(value) = hyper::header::HeaderValue::from_str(outcome) {
+        response.headers_mut().insert(header_filter::OUTCOME_HEADER, value);
+    }
+}
+
+/// Opens the listener of the entry side.
+///
+/// # Errors
+/// Returns an error if the address can't be listened on.
+pub fn bind(address: net::SocketAddr) -> io::Result<net::TcpListener> {
+    http_listener::listen(address)
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,39 @@
 //! The daemon as a library: actor, servers, clients, metrics, logs and shutdown.
+//!
+//! [`node_run::run`] starts a daemon. Decisions live in [`call_class`], [`admission_control`], [`route_choice`],
+//! [`request_owner`] and [`peer_directory`]; only [`node_core`] calls them, on the one thread of [`core_thread`]. All
+//! other modules move bytes.
+
+pub mod admission_control;
+pub mod api_server;
+pub mod backend_client;
+pub mod background_checks;
+pub mod call_class;
+pub mod call_runner;
+pub mod call_table;
+pub mod call_watch;
+pub mod callee_runner;
+pub mod core_command;
+pub mod core_thread;
+pub mod entry_body;
+pub mod entry_request;
+pub mod entry_response;
+pub mod entry_server;
+pub mod frame_sink;
+pub mod frame_writer;
+pub mod graceful_shutdown;
+pub mod header_filter;
+pub mod http_agent;
+pub mod http_listener;
+pub mod node_core;
+pub mod node_effects;
+pub mod node_logs;
+pub mod node_metrics;
+pub mod node_run;
+pub mod node_shared;
+pub mod peer_client;
+pub mod peer_directory;
+pub mod peer_server;
+pub mod request_owner;
+pub mod route_choice;
+pub mod worker_pool;
--- /dev/null
+++ b/crates/node/src/node_effects.rs
@@ -0,0 +1,76 @@
+//! Messages that the core causes and nobody waits for.
+
+use std::net;
+use std::sync;
+
+use damasktrack_entity::ids;
+use damasktrack_entity::request_identity;
+use damasktrack_wire::peer_message;
+
+use crate::backend_client;
+use crate::peer_client;
+use crate::worker_pool;
+
+/// Threads for messages; each message is bounded by a timeout, so a few are enough.
+const MAX_MESSAGE_WORKERS: usize = 16;
+
+/// Clients that the core may use without waiting.
+#[derive(Clone, Debug)]
+pub struct NodeEffects {
+    identity: request_identity::RequestOwner,
+    peers: sync::Arc<peer_client::PeerClient>,
+    backend: Option<sync::Arc<backend_client::BackendClient>>,
+    pool: worker_pool::WorkerPool,
+}
+
+impl NodeEffects {
+    /// Creates the effects of a daemon.
+    #[must_use]
+    pub fn new(
+        identity: request_identity::RequestOwner,
+        peers: sync::Arc<peer_client::PeerClient>,
+        backend: Option<sync::Arc<backend_client::BackendClient>>,
+    ) -> Self {
+        Self {
+            identity,
+            peers,
+            backend,
+            pool: worker_pool::WorkerPool::new("message", MAX_MESSAGE_WORKERS),
+        }
+    }
+
+    /// Tells a peer that this daemon no longer waits for a call.
+    pub fn cancel_at_peer(&self, address: net::SocketAddr, call: ids::CallId) {
+        let request = peer_message::CancelRequest {
+            sender: self.identity.clone(),
+            sender_call: call,
+        };
+        let peers = sync::Arc::clone(&self.peers);
+        self.submit(move || {
+            if let Err(error) = peers.message::<_, ()>(address, "/peer/cancel", &request) {
+                log::info!(peer:% = address, error:% = error; "peer took no cancellation");
+            }
+        });
+    }
+
+    /// Tells the backend server to stop a call.
+    pub fn cancel_at_backend_server(&self, call: ids::CallId) {
+        if let Some(backend) = self.backend.clone() {
+            self.submit(move || backend.cancel(call));
+        }
+    }
+
+    /// Tells the backend server that its planned stop begins.
+    pub fn drain_backend_server(&self) {
+        if let Some(backend) = self.backend.clone() {
+            self.submit(move || backend.drain());
+        }
+    }
+
+    fn submit(&self, job: impl FnOnce() + Send + 'static) {
+        if self.pool.submit(job) == worker_pool::SubmitResult::Full {
+            // The receiver still notices a cancellation when the connection of the call closes.
+            log::warn!("message dropped since all message workers are busy");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/node_run.rs
@@ -0,0 +1,118 @@
+//! Start of a daemon, and its run until a signal ends it.
+
+use std::io;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+
+use damasktrack_entity::request_identity;
+use damasktrack_settings::daemon_settings;
+
+use crate::api_server;
+use crate::backend_client;
+use crate::background_checks;
+use crate::core_thread;
+use crate::entry_server;
+use crate::graceful_shutdown;
+use crate::node_core;
+use crate::node_effects;
+use crate::node_logs;
+use crate::node_metrics;
+use crate::node_shared;
+use crate::peer_client;
+use crate::peer_server;
+use crate::request_owner;
+use crate::worker_pool;
+
+/// Addresses in use; they differ from the settings where those name port 0.
+#[derive(Clone, Copy, Debug)]
+pub struct ListenAddresses {
+    /// Callers and the local backend server.
+    pub entry: net::SocketAddr,
+    /// Peers.
+    pub peer: net::SocketAddr,
+    /// Operators.
+    pub api: net::SocketAddr,
+}
+
+/// Why a daemon can't run.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub enum NodeError {
+    /// A listener, thread or signal handler can't be set up.
+    #[display("{_0}")]
+    Io(io::Error),
+    /// The metrics can't be set up.
+    #[display("{_0}")]
+    Metrics(node_metrics::MetricsError),
+}
+
+/// Runs a daemon until SIGTERM or SIGINT.
+///
+/// # Errors
+/// Returns an error if the daemon can't start.
+pub fn run(settings: daemon_settings::DaemonSettings) -> Result<graceful_shutdown::ShutdownResult, NodeError> {
+    run_with(settings, |_addresses| {})
+}
+
+/// As [`run`]; `on_listening` learns the addresses in use before the first request is answered.
+///
+/// # Errors
+/// Returns an error if the daemon can't start.
+pub fn run_with(
+    settings: daemon_settings::DaemonSettings,
+    on_listening: impl FnOnce(ListenAddresses),
+) -> Result<graceful_shutdown::ShutdownResult, NodeError> {
+    node_logs::start(&settings.log_level);
+    // The handler is set before anything listens, so that an early signal is not lost.
+    let mut signals = signal_hook::iterator::Signals::new([signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT])?;
+    let peer_server = peer_server::PeerServer::bind(settings.peer_listen)?;
+    let api_server = api_server::ApiServer::bind(settings.api_listen)?;
+    let entry_listener = entry_server::bind(settings.entry_listen)?;
+    let shared = build(settings, peer_server.address())?;
+    peer_server.start(&shared);
+    api_server.start(&shared)?;
+    let entry = entry_server::EntryServer::start(entry_listener, sync::Arc::clone(&shared))?;
+    background_checks::start(&shared)?;
+    let addresses = ListenAddresses {
+        entry: entry.address(),
+        peer: peer_server.address(),
+        api: api_server.address(),
+    };
+    log::info!(entry:% = addresses.entry, peer:% = addresses.peer, api:% = addresses.api; "listening");
+    on_listening(addresses);
+    let _signal = signals.forever().next();
+    Ok(graceful_shutdown::run(&shared, &entry))
+}
+
+fn build(
+    settings: daemon_settings::DaemonSettings,
+    peer_address: net::SocketAddr,
+) -> Result<sync::Arc<node_shared::NodeShared>, NodeError> {
+    let identity = request_identity::RequestOwner {
+        daemon_id: settings.daemon_id.clone(),
+        incarnation: request_owner::random_incarnation(),
+    };
+    let metrics = node_metrics::NodeMetrics::new()?;
+    let peers = sync::Arc::new(peer_client::PeerClient::default());
+    let backend = settings
+        .backend_server
+        .clone()
+        .map(|backend| sync::Arc::new(backend_client::BackendClient::new(backend)));
+    let effects = node_effects::NodeEffects::new(identity.clone(), sync::Arc::clone(&peers), backend.clone());
+    let core = node_core::NodeCore::new(&settings, identity.clone(), effects.clone(), metrics.clone());
+    Ok(sync::Arc::new(node_shared::NodeShared {
+        pool: worker_pool::WorkerPool::new("call", settings.max_calls),
+        settings,
+        identity,
+        peer_address,
+        core: core_thread::start(core)?,
+        effects,
+        peers,
+        backend,
+        metrics,
+        peer_requests: atomic::AtomicUsize::new(0),
+        draining: atomic::AtomicBool::new(false),
+        // Below 2^63, so that the ids of a process never wrap.
+        next_call: atomic::AtomicU64::new(request_owner::random_incarnation() >> 1),
+    }))
+}
--- /dev/null
+++ b/crates/node/src/peer_client.rs
@@ -0,0 +1,173 @@
+//! Calls and messages to other daemons.
+
+use std::collections;
+use std::io;
+use std::net;
+use std::sync;
+use std::time;
+
+use damasktrack_wire::call_frame;
+use damasktrack_wire::codec;
+use damasktrack_wire::frame_reader;
+
+use crate::call_watch;
+use crate::frame_sink;
+use crate::http_agent;
+
+/// Idle connections that are kept for each peer.
+const MAX_IDLE_CONNECTIONS: usize = 64;
+/// Time for a message that no call waits for.
+const MESSAGE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// How a call at a peer ended on the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerEnd {
+    /// The stream ended with `End`, `Refused` or `Abort`.
+    Ended,
+    /// No byte of the request left this daemon.
+    NotSent,
+    /// The stream broke off, or was not understood.
+    Broken,
+    /// The connection was silent for too long.
+    Silent,
+    /// The deadline passed.
+    Deadline,
+    /// The call was cancelled, or the receiver of the frames is gone.
+    Cancelled,
+}
+
+/// Why a message got no answer.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub enum MessageError {
+    /// The peer can't be reached or did not answer.
+    #[display("peer did not answer: {_0}")]
+    Transport(ureq::Error),
+    /// The peer refused the message.
+    #[display("peer answered with status {status}")]
+    #[from(skip)]
+    Status {
+        /// HTTP status.
+        status: u16,
+    },
+    /// The message can't be written or read.
+    #[display("{_0}")]
+    Codec(codec::CodecError),
+}
+
+/// Clients by peer. Each peer has a pool of its own, since a pool search is linear in its connections.
+#[derive(Debug, Default)]
+pub struct PeerClient {
+    agents: sync::RwLock<collections::HashMap<net::SocketAddr, ureq::Agent>>,
+}
+
+impl PeerClient {
+    /// Sends a call and hands the frames of its response to `on_frame`.
+    pub fn call(
+        &self,
+        address: net::SocketAddr,
+        body: Vec<u8>,
+        watch: call_watch::CallWatch,
+        on_frame: &mut dyn FnMut(call_frame::CallFrame) -> frame_sink::SinkStep,
+    ) -> PeerEnd {
+        let agent = self.agent(address);
+        let (result, report) = call_watch::run(watch, || exchange(&agent, address, body, on_frame));
+        match (result, report.stop) {
+            (Ok(end), _) => end,
+            (Err(_), Some(call_watch::WatchStop::Deadline)) => PeerEnd::Deadline,
+            (Err(_), Some(call_watch::WatchStop::Silent)) => PeerEnd::Silent,
+            (Err(_), Some(call_watch::WatchStop::Cancelled)) => PeerEnd::Cancelled,
+            (Err(_), None) if !report.sent => PeerEnd::NotSent,
+            (Err(error), None) => {
+                log::debug!(peer:% = address, error:% = error; "peer connection broke");
+                PeerEnd::Broken
+            }
+        }
+    }
+
+    /// Sends a message and reads its answer.
+    ///
+    /// # Errors
+    /// Returns an error if the peer did not answer, or not with a message of the type.
+    pub fn message<Q: serde::Serialize, A: serde::de::DeserializeOwned>(
+        &self,
+        address: net::SocketAddr,
+        path: &str,
+        message: &Q,
+    ) -> Result<A, MessageError> {
+        let body = codec::encode(message)?;
+        let agent = self.agent(address);
+        let watch = call_watch::CallWatch::for_message(MESSAGE_TIMEOUT);
+        let (result, _report) = call_watch::run(watch, || {
+            let request = post(address, path, body)?;
+            let mut response = agent.run(request)?;
+            let status = response.status().as_u16();
+            if status != 200 {
+                return Err(MessageError::Status { status });
+            }
+            let limit = codec::MAX_MESSAGE_BYTES as u64;
+            Ok(response.body_mut().with_config().limit(limit).read_to_vec()?)
+        });
+        Ok(codec::decode(&result?)?)
+    }
+
+    fn agent(&self, address: net::SocketAddr) -> ureq::Agent {
+        let agents = self.agents.read().unwrap_or_else(sync::PoisonError::into_inner);
+        if let Some(agent) = agents.get(&address) {
+            return agent.clone();
+        }
+        drop(agents);
+        let mut agents = self.agents.write().unwrap_or_else(sync::PoisonError::into_inner);
+        agents
+            .entry(address)
+            .or_insert_with(|| http_agent::new_agent(MAX_IDLE_CONNECTIONS))
+            .clone()
+    }
+}
+
+fn post(address: net::SocketAddr, path: &str, body: Vec<u8>) -> Result<ureq::http::Request<Vec<u8>>, ureq::Error> {
+    let request = ureq::http::Request::post(format!("http://{address}{path}")).body(body);
+    request.map_err(ureq::Error::Http)
+}
+
+fn exchange(
+    agent: &ureq::Agent,
+    address: net::SocketAddr,
+    body: Vec<u8>,
+    on_frame: &mut dyn FnMut(call_frame::CallFrame) -> frame_sink::SinkStep,
+) -> Result<PeerEnd, ExchangeError> {
+    let response = agent.run(post(address, "/peer/call", body)?)?;
+    if response.status().as_u16() != 200 {
+        return Ok(PeerEnd::Broken);
+    }
+    let mut frames = frame_reader::FrameReader::new(response.into_body().into_reader());
+    loop {
+        let Some(frame) = frames.next_frame()? else {
+            return Ok(PeerEnd::Broken);
+        };
+        let last = matches!(
+            frame,
+            call_frame::CallFrame::End { .. }
+                | call_frame::CallFrame::Refused { .. }
+                | call_frame::CallFrame::Abort { .. }
+        );
+        if on_frame(frame) == frame_sink::SinkStep::Gone {
+            return Ok(PeerEnd::Cancelled);
+        }
+        if last {
+            // Only a body that was read to its end gives the connection back to the pool. A fault here does not
+            // concern the call, which is complete.
+            let _end = frames.next_frame();
+            return Ok(PeerEnd::Ended);
+        }
+    }
+}
+
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+enum ExchangeError {
+    #[display("{_0}")]
+    Http(ureq::Error),
+    #[display("{_0}")]
+    Frame(frame_reader::FrameError),
+    #[display("{_0}")]
+    Stream(io::Error),
+}
--- /dev/null
+++ b/crates/node/src/peer_server.rs
@@ -0,0 +1,292 @@
+//! Server for other daemons.
+
+use std::cell;
+use std::io;
+use std::net;
+use std::rc;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use damasktrack_entity::call_outcome;
+use damasktrack_wire::call_frame;
+use damasktrack_wire::codec;
+use damasktrack_wire::frame_reader;
+use damasktrack_wire::peer_message;
+
+use crate::call_runner;
+use crate::call_watch;
+use crate::callee_runner;
+use crate::core_command;
+use crate::frame_sink;
+use crate::frame_writer;
+use crate::http_listener;
+use crate::node_shared;
+use crate::worker_pool;
+
+/// Idle threads that stay; further ones end after [`IDLE_TIME`].
+const MIN_IDLE_THREADS: usize = 4;
+/// Wait of an idle thread before it looks whether it is still needed.
+const IDLE_TIME: time::Duration = time::Duration::from_secs(30);
+/// Threads beyond `max_calls`, so that refusals and messages are answered while all call threads are busy.
+const SPARE_THREADS: usize = 32;
+
+/// Running server.
+#[derive(Debug)]
+pub struct PeerServer {
+    address: net::SocketAddr,
+    server: sync::Arc<http_listener::HttpServer>,
+}
+
+#[derive(Debug, Default)]
+struct ThreadCounts {
+    threads: atomic::AtomicUsize,
+    idle: atomic::AtomicUsize,
+}
+
+impl PeerServer {
+    /// Opens the listener. Connections wait in its backlog until [`Self::start`].
+    ///
+    /// # Errors
+    /// Returns an error if the address can't be listened on.
+    pub fn bind(address: net::SocketAddr) -> io::Result<Self> {
+        let (server, address) = http_listener::bind(address)?;
+        Ok(Self {
+            address,
+            server: sync::Arc::new(server),
+        })
+    }
+
+    /// Returns the address in use.
+    #[must_use]
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Starts to answer.
+    pub fn start(&self, shared: &sync::Arc<node_shared::NodeShared>) {
+        let counts = sync::Arc::new(ThreadCounts::default());
+        for _ in 0..MIN_IDLE_THREADS {
+            start_thread(&self.server, shared, &counts);
+        }
+    }
+}
+
+fn start_thread(
+    server: &sync::Arc<http_listener::HttpServer>,
+    shared: &sync::Arc<node_shared::NodeShared>,
+    counts: &sync::Arc<ThreadCounts>,
+) {
+    let server = sync::Arc::clone(server);
+    let shared = sync::Arc::clone(shared);
+    let counts = sync::Arc::clone(counts);
+    counts.threads.fetch_add(1, atomic::Ordering::Relaxed);
+    counts.idle.fetch_add(1, atomic::Ordering::Relaxed);
+    let thread_counts = sync::Arc::clone(&counts);
+    let started = thread::Builder::new()
+        .name("peer".to_owned())
+        .stack_size(worker_pool::WORKER_STACK_BYTES)
+        .spawn(move || serve(&server, &shared, &thread_counts));
+    if let Err(error) = started {
+        log::error!(error:% = error; "peer thread can't be started");
+        counts.threads.fetch_sub(1, atomic::Ordering::Relaxed);
+        counts.idle.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+/// Answers requests; the calling thread counts as idle at the start.
+fn serve(
+    server: &sync::Arc<http_listener::HttpServer>,
+    shared: &sync::Arc<node_shared::NodeShared>,
+    counts: &sync::Arc<ThreadCounts>,
+) {
+    let max_threads = shared.settings.max_calls + SPARE_THREADS;
+    loop {
+        let received = server.receive(IDLE_TIME);
+        let idle = counts.idle.fetch_sub(1, atomic::Ordering::Relaxed) - 1;
+        match received {
+            http_listener::Received::Request(request) => {
+                if idle == 0 && counts.threads.load(atomic::Ordering::Relaxed) < max_threads {
+                    start_thread(server, shared, counts);
+                }
+                answer(shared, *request);
+            }
+            http_listener::Received::Nothing if idle >= MIN_IDLE_THREADS => break,
+            http_listener::Received::Nothing => {}
+            http_listener::Received::Closed => break,
+        }
+        counts.idle.fetch_add(1, atomic::Ordering::Relaxed);
+    }
+    counts.threads.fetch_sub(1, atomic::Ordering::Relaxed);
+}
+
+fn answer(shared: &sync::Arc<node_shared::NodeShared>, request: tiny_http::Request) {
+    let in_progress = shared.peer_requests.fetch_add(1, atomic::Ordering::Relaxed);
+    let overfull = in_progress >= shared.settings.max_calls;
+    match request.url() {
+        "/peer/call" => answer_call(shared, request, overfull),
+        "/peer/cancel" => answer_message(request, |message: peer_message::CancelRequest| {
+            shared.core.send(core_command::CoreCommand::CancelFromPeer(message));
+            Some(())
+        }),
+        "/peer/grant" => answer_message(request, |message: peer_message::GrantRequest| {
+            shared
+                .core
+                .ask(|reply| core_command::CoreCommand::Grant(message, reply))
+        }),
+        "/peer/members" => answer_message(request, |(): ()| Some(vec![shared.describe()])),
+        _ => http_listener::respond_text(request, 404, "no such path\n"),
+    }
+    shared.peer_requests.fetch_sub(1, atomic::Ordering::Relaxed);
+}
+
+fn answer_message<Q: serde::de::DeserializeOwned, A: serde::Serialize>(
+    mut request: tiny_http::Request,
+    handle: impl FnOnce(Q) -> Option<A>,
+) {
+    let mut bytes = Vec::new();
+    let mut limited = io::Read::take(request.as_reader(), codec::MAX_MESSAGE_BYTES as u64);
+    let read = io::Read::read_to_end(&mut limited, &mut bytes);
+    let message = read.ok().and_then(|_length| codec::decode::<Q>(&bytes).ok());
+    let Some(message) = message else {
+        http_listener::respond_text(request, 400, "message can't be read\n");
+        return;
+    };
+    let answer = handle(message).and_then(|answer| codec::encode(&answer).ok());
+    match answer {
+        Some(bytes) => http_listener::respond_bytes(request, bytes),
+        None => http_listener::respond_text(request, 503, "stopping\n"),
+    }
+}
+
+fn answer_call(shared: &sync::Arc<node_shared::NodeShared>, mut request: tiny_http::Request, overfull: bool) {
+    let call = match read_call(&mut request, shared.settings.max_body_bytes) {
+        Ok(call) => call,
+        Err(error) => {
+            log::warn!(error:% = error; "call of a peer can't be read");
+            http_listener::respond_text(request, 400, "call can't be read\n");
+            return;
+        }
+    };
+    let mut writer = frame_writer::FrameWriter::new(request.into_writer());
+    if overfull {
+        writer.push(&call_frame::CallFrame::Refused {
+            reason: call_outcome::RefusalReason::QueueFull,
+            report: None,
+        });
+        return;
+    }
+    let sink: frame_sink::FrameSink = rc::Rc::new(cell::RefCell::new(move |frame| writer.push(&frame)));
+    match call.head.stage {
+        call_frame::CallStage::Callee => callee_runner::run(shared, &work_request(call), &sink),
+        call_frame::CallStage::Owner => run_as_owner(shared, call, &sink),
+    }
+}
+
+/// Call as read from a peer.
+struct PeerCall {
+    head: call_frame::CallHead,
+    body: Bytes,
+}
+
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+enum PeerCallError {
+    #[display("{_0}")]
+    Frame(frame_reader::FrameError),
+    #[display("the body exceeds {max} bytes")]
+    #[from(skip)]
+    TooLarge { max: usize },
+    #[display("the stream of frames ends early or is out of order")]
+    #[from(skip)]
+    OutOfOrder,
+}
+
+fn read_call(request: &mut tiny_http::Request, max_body_bytes: usize) -> Result<PeerCall, PeerCallError> {
+    let mut frames = frame_reader::FrameReader::new(io::BufReader::new(request.as_reader()));
+    let Some(call_frame::CallFrame::Call(head)) = frames.next_frame()? else {
+        return Err(PeerCallError::OutOfOrder);
+    };
+    let mut body = BytesMut::new();
+    loop {
+        match frames.next_frame()? {
+            Some(call_frame::CallFrame::Data(data)) => {
+                if body.len() + data.len() > max_body_bytes {
+                    return Err(PeerCallError::TooLarge { max: max_body_bytes });
+                }
+                body.extend_from_slice(&data);
+            }
+            Some(call_frame::CallFrame::End { .. }) => break,
+            _ => return Err(PeerCallError::OutOfOrder),
+        }
+    }
+    Ok(PeerCall {
+        head: *head,
+        body: body.freeze(),
+    })
+}
+
+fn work_request(call: PeerCall) -> callee_runner::WorkRequest {
+    callee_runner::WorkRequest {
+        sender: (call.head.sender, call.head.sender_call),
+        context: call.head.context,
+        service: call.head.service,
+        method: call.head.method,
+        path: call.head.path,
+        headers: call.head.headers,
+        body: call.body,
+    }
+}
+
+fn run_as_owner(shared: &sync::Arc<node_shared::NodeShared>, call: PeerCall, sink: &frame_sink::FrameSink) {
+    let cancelled = call_watch::CancelFlag::default();
+    let start = core_command::CallStart {
+        call: shared.next_call(),
+        origin: core_command::CallOrigin::Peer {
+            context: call.head.context,
+            sender: (call.head.sender, call.head.sender_call),
+        },
+        service: call.head.service.clone(),
+        method: call.head.method.clone(),
+        path: call.head.path.clone(),
+        body_digest: xxhash_rust::xxh3::xxh3_64(&call.body),
+        cancelled: sync::Arc::clone(&cancelled),
+    };
+    let decision = shared
+        .core
+        .ask(|reply| core_command::CoreCommand::Begin(Box::new(start), reply));
+    let request = call_runner::OutgoingRequest {
+        service: call.head.service,
+        method: call.head.method,
+        path: call.head.path,
+        headers: call.head.headers,
+        body: call.body,
+    };
+    match decision {
+        Some(core_command::CallDecision::Run(plan)) => {
+            call_runner::run(shared, *plan, &request, &cancelled, sink);
+        }
+        Some(core_command::CallDecision::Refuse { reason, .. }) => {
+            frame_sink::send(sink, call_frame::CallFrame::Refused { reason, report: None });
+        }
+        Some(core_command::CallDecision::Unknown { .. }) => {
+            frame_sink::send(
+                sink,
+                call_frame::CallFrame::Abort {
+                    outcome: call_outcome::CallOutcome::Unknown,
+                },
+            );
+        }
+        None => {
+            frame_sink::send(
+                sink,
+                call_frame::CallFrame::Refused {
+                    reason: call_outcome::RefusalReason::Leaving,
+                    report: None,
+                },
+            );
+        }
+    }
+}
