Test the request path with real processes, and greet peers on new connections

A burst of connections to a tiny_http server can leave some of them unserved until another one closes: its pool queues them behind an idle thread that it counts several times. A call is now sent only on connections on which the peer has answered a greeting, and the daemon occupies the idle threads of its peer server at the start.

--- /dev/null
+++ b/crates/daemon/tests/processes/failures.rs
@@ -0,0 +1,268 @@
+//! Failures on the request path: truncation, disconnects and faulty requests.
+
+use std::io::Write;
+use std::net;
+use std::sync;
+use std::sync::mpsc;
+use std::thread;
+
+use crate::support;
+
+/// Backend server whose `/half` responses stop in mid-body until the test lets go.
+fn halting() -> (support::BackendServer, mpsc::Sender<()>) {
+    let (release, wait) = mpsc::channel::<()>();
+    let wait = sync::Mutex::new(wait);
+    let backend = support::BackendServer::start(move |request, stream| {
+        if request.path != "/half" {
+            return support::respond(stream, &request.body);
+        }
+        let _written = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n");
+        let _written = stream.write_all(&vec![b'x'; 50_000]);
+        let _released = wait.lock().unwrap().recv();
+        stream.write_all(&vec![b'x'; 50_000]).is_ok()
+    });
+    (backend, release)
+}
+
+/// Sends a request for `/half` and reads until its body has begun.
+fn begin_half(entry: net::SocketAddr) -> support::Caller {
+    let mut caller = support::Caller::open(entry);
+    caller.send("GET", "/s/half", "", b"");
+    let mut begun = 0;
+    while begun < 10_000 {
+        let length = std::io::BufRead::fill_buf(&mut caller.reader).unwrap().len();
+        assert!(length > 0, "the response ended before its body began");
+        begun += length;
+        if begun < 10_000 {
+            std::io::BufRead::consume(&mut caller.reader, length);
+        }
+    }
+    caller
+}
+
+/// Reads the rest of the connection and returns whether it ended short of the announced body.
+fn is_cut_short(caller: &mut support::Caller) -> bool {
+    let mut rest = Vec::new();
+    let read = std::io::Read::read_to_end(&mut caller.reader, &mut rest);
+    read.is_err() || rest.len() < 100_000
+}
+
+fn assert_echo(entry: net::SocketAddr, body: &[u8]) {
+    let response = support::Caller::open(entry)
+        .exchange("POST", "/s/echo", "", body)
+        .unwrap();
+    assert_eq!((response.status, response.body.as_slice()), (200, body));
+}
+
+/// Guards against a truncated body that the caller takes for complete, and against a pooled connection that carries the
+/// rest of it into another response.
+#[test]
+fn backend_server_lost_in_mid_body_aborts_the_response() {
+    let (backend, _release) = halting();
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    let mut caller = begin_half(entry.entry);
+    backend.break_connections();
+    assert!(is_cut_short(&mut caller));
+    for number in 0..20 {
+        assert_echo(entry.entry, format!("after {number}").as_bytes());
+    }
+}
+
+/// As above, for the daemon between.
+#[test]
+fn callee_daemon_lost_in_mid_body_aborts_the_response() {
+    let (backend, _release) = halting();
+    let mut beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    let mut caller = begin_half(entry.entry);
+    beside.kill();
+    assert!(is_cut_short(&mut caller));
+    let refused = support::Caller::open(entry.entry)
+        .exchange("POST", "/s/echo", "", b"x")
+        .unwrap();
+    assert_eq!(refused.status, 503);
+    assert_eq!(
+        support::header_value(&refused.header, "damasktrack-outcome"),
+        Some("refused")
+    );
+}
+
+/// Guards against work that goes on for a caller that is gone: before the head, and in mid-body.
+#[test]
+fn caller_that_disconnects_cancels_at_the_backend_server() {
+    let (release, wait) = mpsc::channel::<()>();
+    let wait = sync::Mutex::new(wait);
+    let backend = support::BackendServer::start(move |request, stream| {
+        if request.path == "/slow" {
+            let _released = wait.lock().unwrap().recv();
+            return false;
+        }
+        support::respond(stream, b"")
+    });
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    let mut caller = support::Caller::open(entry.entry);
+    caller.send("GET", "/s/slow", "", b"");
+    let running = backend.wait_request("/slow");
+    drop(caller);
+    let cancel = backend.wait_request("/cancel?call=");
+    let context = support::header_value(&running.header, "damasktrack-context").unwrap();
+    let call = cancel.path.strip_prefix("/cancel?call=").unwrap();
+    assert_eq!(cancel.method, "POST");
+    assert!(context.contains(&format!(";call={call};")), "{context} {call}");
+    drop(release);
+
+    let (backend, _release) = halting();
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    drop(begin_half(entry.entry));
+    backend.wait_request("/cancel?call=");
+}
+
+/// Guards against work that goes on when the entry daemon ends.
+#[test]
+fn lost_entry_daemon_cancels_at_the_backend_server() {
+    let (backend, _release) = halting();
+    let beside = support::Daemon::beside(&backend, "");
+    let mut entry = support::Daemon::in_front_of(&beside, "");
+    let _caller = begin_half(entry.entry);
+    entry.kill();
+    backend.wait_request("/cancel?call=");
+}
+
+/// Guards against faulty requests that get no clear response, or that harm the daemon.
+#[test]
+fn faulty_requests_get_a_clear_error() {
+    let (backend, _release) = halting();
+    let beside = support::Daemon::beside(&backend, "");
+    let limits = r#","max_header_bytes":8192,"max_body_bytes":10000,"header_timeout_ms":300,"body_timeout_ms":300"#;
+    let entry = support::Daemon::in_front_of(&beside, limits);
+
+    let mut half_header = support::Caller::open(entry.entry);
+    half_header.send_raw(b"GET /s/echo HTTP/1.1\r\nHos");
+    assert_eq!(half_header.receive().unwrap().status, 408);
+
+    let mut half_body = support::Caller::open(entry.entry);
+    half_body.send_raw(b"POST /s/echo HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf");
+    assert_eq!(half_body.receive().unwrap().status, 408);
+
+    let mut large_header = support::Caller::open(entry.entry);
+    let header = format!("X-Large: {}\r\n", "x".repeat(100_000));
+    assert_eq!(
+        large_header.exchange("GET", "/s/echo", &header, b"").unwrap().status,
+        431
+    );
+
+    let mut large_body = support::Caller::open(entry.entry);
+    let response = large_body
+        .exchange("POST", "/s/echo", "", &vec![b'x'; 2_000_000])
+        .unwrap();
+    assert_eq!(response.status, 413);
+    assert_eq!(
+        support::header_value(&response.header, "damasktrack-outcome"),
+        Some("refused")
+    );
+
+    let mut chunked = support::Caller::open(entry.entry);
+    chunked.send_raw(b"POST /s/echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4e20\r\n");
+    chunked.send_raw(&vec![b'x'; 20_000]);
+    assert_eq!(chunked.receive().unwrap().status, 413);
+
+    let mut garbage = support::Caller::open(entry.entry);
+    garbage.send_raw(b"\x16\x03\x01 not http\r\n\r\n");
+    assert_eq!(garbage.receive().unwrap().status, 400);
+
+    let mut header = support::Caller::open(entry.entry);
+    let response = header.exchange("GET", "/s/echo", "Damasktrack-Timeout-Ms: soon\r\n", b"");
+    assert_eq!(response.unwrap().status, 400);
+
+    assert_echo(entry.entry, b"still here");
+    let reached = backend.requests.try_iter().filter(|request| request.path == "/echo");
+    assert_eq!(reached.count(), 1, "only the last request reaches the backend server");
+}
+
+/// Guards against a planned stop that cuts requests, on the entry side and on the callee side.
+#[test]
+fn planned_stop_cuts_no_request() {
+    const CALLS: usize = 8;
+    for stops_entry in [true, false] {
+        let (backend, release) = halting();
+        let mut beside = support::Daemon::beside(&backend, r#","drain_notice_ms":100"#);
+        let mut entry = support::Daemon::in_front_of(&beside, r#","drain_notice_ms":100"#);
+        let callers: Vec<_> = (0..CALLS)
+            .map(|_| {
+                let mut caller = support::Caller::open(entry.entry);
+                caller.send("GET", "/s/half", "", b"");
+                thread::spawn(move || caller.receive())
+            })
+            .collect();
+        for _ in 0..CALLS {
+            backend.wait_request("/half");
+        }
+        let stopping = if stops_entry { &mut entry } else { &mut beside };
+        stopping.terminate();
+        if stops_entry {
+            support::wait_for("the listener to close", || {
+                net::TcpStream::connect(stopping.entry).err()
+            });
+        } else {
+            // The announcement shows that the stop has begun.
+            backend.wait_request("/drain");
+        }
+        for _ in 0..CALLS {
+            release.send(()).unwrap();
+        }
+        for caller in callers {
+            let response = caller.join().unwrap().unwrap();
+            assert_eq!((response.status, response.body.len()), (200, 100_000));
+        }
+        assert_eq!(stopping.exit_code(), Some(0));
+    }
+}
+
+/// Guards against a leaving server that takes new work, and against a refusal that is not final or not true.
+#[test]
+fn leaving_daemon_refuses_new_work() {
+    let (backend, release) = halting();
+    let mut beside = support::Daemon::beside(&backend, r#","drain_notice_ms":100"#);
+    let entry = support::Daemon::in_front_of(&beside, "");
+    let running = begin_half(entry.entry);
+    beside.terminate();
+    backend.wait_request("/drain");
+    let refused = support::Caller::open(entry.entry)
+        .exchange("POST", "/s/echo", "", b"x")
+        .unwrap();
+    assert_eq!(refused.status, 503);
+    assert_eq!(
+        support::header_value(&refused.header, "damasktrack-outcome"),
+        Some("refused")
+    );
+    release.send(()).unwrap();
+    drop(running);
+    assert_eq!(beside.exit_code(), Some(0));
+    let reached = backend.requests.try_iter().filter(|request| request.path == "/echo");
+    assert_eq!(reached.count(), 0);
+}
+
+/// Guards against a backend server's own refusal that is reported as run, and against one that can't be reached.
+#[test]
+fn refusals_of_the_backend_server_are_reported_as_not_run() {
+    let backend = support::BackendServer::start(|_request, stream| {
+        stream
+            .write_all(b"HTTP/1.1 503 Busy\r\nDamasktrack-Not-Run: true\r\nContent-Length: 4\r\n\r\nbusy")
+            .is_ok()
+    });
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    let mut caller = support::Caller::open(entry.entry);
+    for _ in 0..3 {
+        let response = caller.exchange("POST", "/s/x", "", b"x").unwrap();
+        assert_eq!(response.status, 503);
+        assert_eq!(
+            support::header_value(&response.header, "damasktrack-outcome"),
+            Some("refused")
+        );
+        assert_eq!(support::header_value(&response.header, "retry-after"), Some("1"));
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/processes/request_path.rs
@@ -0,0 +1,161 @@
+//! The request path through two daemons and a backend server, as processes.
+
+use std::io::Write;
+use std::thread;
+
+use crate::support;
+
+/// Backend server that returns the body of a request, or as many bytes as the path `/bytes/N` says.
+fn echo() -> support::BackendServer {
+    support::BackendServer::start(|request, stream| match request.path.strip_prefix("/bytes/") {
+        Some(count) => support::respond(stream, &pattern(count.parse().unwrap())),
+        None => support::respond(stream, &request.body),
+    })
+}
+
+fn pattern(length: usize) -> Vec<u8> {
+    (0..length).map(|index| u8::try_from(index % 251).unwrap()).collect()
+}
+
+/// Guards against lost or mixed-up responses, request ids and contexts on the whole path.
+#[test]
+fn calls_return_their_own_response() {
+    let backend = echo();
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    let callers: Vec<_> = (0..8)
+        .map(|caller| {
+            let address = entry.entry;
+            thread::spawn(move || {
+                let mut connection = support::Caller::open(address);
+                let mut ids = Vec::new();
+                for number in 0..50 {
+                    let body = format!("{caller}-{number}");
+                    let response = connection.exchange("POST", "/s/a/b?c=d", "", body.as_bytes()).unwrap();
+                    assert_eq!((response.status, response.body), (200, body.into_bytes()));
+                    let outcome = support::header_value(&response.header, "damasktrack-outcome");
+                    assert_eq!(outcome, Some("done"));
+                    ids.push(
+                        support::header_value(&response.header, "damasktrack-request-id")
+                            .unwrap()
+                            .to_owned(),
+                    );
+                }
+                ids
+            })
+        })
+        .collect();
+    let mut ids: Vec<_> = callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect();
+    ids.sort();
+    ids.dedup();
+    assert_eq!(ids.len(), 400);
+    let seen = backend.wait_request("/a/b?c=d");
+    let context = support::header_value(&seen.header, "damasktrack-context").unwrap();
+    assert!(
+        context.contains("attempt=1;") && context.contains("depth=0;"),
+        "{context}"
+    );
+}
+
+/// Guards against frame sizes and chunk borders at which a body is damaged.
+#[test]
+fn bodies_of_all_sizes_arrive_unchanged() {
+    let backend = echo();
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    let mut connection = support::Caller::open(entry.entry);
+    for length in [
+        0, 1, 200, 3000, 61_439, 61_440, 65_535, 65_536, 65_537, 200_000, 1_000_000,
+    ] {
+        let sent = connection.exchange("POST", "/s/echo", "", &pattern(length)).unwrap();
+        assert!(sent.body == pattern(length), "request body of {length} bytes");
+        let path = format!("/s/bytes/{length}");
+        let received = connection.exchange("GET", &path, "", b"").unwrap();
+        assert!(received.body == pattern(length), "response body of {length} bytes");
+    }
+}
+
+/// Guards against a daemon that gathers a response in memory while its caller reads slowly.
+#[test]
+fn large_response_passes_in_bounded_memory() {
+    let backend = echo();
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    let response = support::Caller::open(entry.entry)
+        .exchange("GET", "/s/bytes/50000000", "", b"")
+        .unwrap();
+    assert!(response.body == pattern(50_000_000));
+    for daemon in [&beside, &entry] {
+        let peak = daemon.peak_memory_kib();
+        assert!(peak < 40 << 10, "peak of {peak} KiB for a response of 48,828 KiB");
+    }
+}
+
+/// Guards against a nested call that loses its request, its deadline or its depth, and against a context that outlives
+/// its call.
+#[test]
+fn nested_call_continues_its_request() {
+    let leaf = echo();
+    let leaf_daemon = support::Daemon::beside(&leaf, "");
+    let (address, of_daemon) = std::sync::mpsc::channel();
+    let of_daemon = std::sync::Mutex::new(of_daemon);
+    let middle = support::BackendServer::start(move |request, stream| {
+        let entry = of_daemon.lock().unwrap().recv().unwrap();
+        let context = support::header_value(&request.header, "damasktrack-context").unwrap();
+        let header = format!("Damasktrack-Context: {context}\r\n");
+        let nested = support::Caller::open(entry)
+            .exchange("GET", "/s/bytes/7", &header, b"")
+            .unwrap();
+        support::respond(stream, &nested.body)
+    });
+    let settings = format!(
+        r#","service":"m","seeds":["{}"],"backend_server":{{"address":"{}","slots":4}}"#,
+        leaf_daemon.peer, middle.address
+    );
+    let daemon = support::Daemon::start("middle", &settings);
+    support::wait_for("the leaf to be known", || {
+        let response = support::Caller::open(daemon.api)
+            .exchange("GET", "/ready", "", b"")
+            .ok();
+        response.filter(|response| response.status == 200)
+    });
+    address.send(daemon.entry).unwrap();
+    let response = support::Caller::open(daemon.entry)
+        .exchange("GET", "/m/x", "", b"")
+        .unwrap();
+    assert_eq!(response.body, pattern(7));
+    let outer = middle.wait_request("/x");
+    let inner = leaf.wait_request("/bytes/7");
+    let outer = support::header_value(&outer.header, "damasktrack-context").unwrap();
+    let inner = support::header_value(&inner.header, "damasktrack-context").unwrap();
+    assert_eq!(outer.split(';').next(), inner.split(';').next());
+    assert!(inner.contains("depth=1;"), "{inner}");
+    let late = format!("Damasktrack-Context: {outer}\r\n");
+    let refused = support::Caller::open(daemon.entry)
+        .exchange("GET", "/s/bytes/7", &late, b"")
+        .unwrap();
+    assert_eq!(refused.status, 503);
+    assert_eq!(
+        support::header_value(&refused.header, "damasktrack-outcome"),
+        Some("refused")
+    );
+}
+
+/// Guards against a response without a length that is passed on as complete.
+#[test]
+fn close_delimited_response_is_not_passed_on_as_complete() {
+    let backend = support::BackendServer::start(|_request, stream| {
+        let _written = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nperhaps cut sh");
+        false
+    });
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    let response = support::Caller::open(entry.entry)
+        .exchange("POST", "/s/x", "", b"")
+        .unwrap();
+    assert_eq!(response.status, 502);
+    assert_eq!(
+        support::header_value(&response.header, "damasktrack-outcome"),
+        Some("unknown")
+    );
+}
--- a/crates/node/src/http_agent.rs
+++ b/crates/node/src/http_agent.rs
@@ -8,6 +8,7 @@
 use ureq::unversioned::transport::Connector;
 
 use crate::call_watch;
+use crate::peer_connector;
 
 /// Time for a connection to open; half of the silence bound, so that a dead VM is noticed within it.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -21,7 +22,19 @@
 /// Creates a client whose reads obey [`call_watch`]; it sets `TCP_NODELAY` and sends no headers of its own.
 #[must_use]
 pub fn new_agent(max_idle_connections: usize) -> ureq::Agent {
-    let config = ureq::Agent::config_builder()
+    let connector = ().chain(transport::TcpConnector::default()).chain(call_watch::WatchConnector);
+    ureq::Agent::with_parts(new_config(max_idle_connections), connector, AddressResolver)
+}
+
+/// Creates a client of a peer, as [`new_agent`]; it uses no connection that the peer does not serve.
+#[must_use]
+pub fn new_peer_agent(max_idle_connections: usize) -> ureq::Agent {
+    let connector = peer_connector::PeerConnector::default().chain(call_watch::WatchConnector);
+    ureq::Agent::with_parts(new_config(max_idle_connections), connector, AddressResolver)
+}
+
+fn new_config(max_idle_connections: usize) -> ureq::config::Config {
+    ureq::Agent::config_builder()
         .http_status_as_error(false)
         .max_redirects(0)
         .proxy(None)
@@ -36,9 +49,7 @@
         .max_idle_connections_per_host(max_idle_connections)
         .input_buffer_size(INPUT_BUFFER_BYTES)
         .output_buffer_size(OUTPUT_BUFFER_BYTES)
-        .build();
-    let connector = ().chain(transport::TcpConnector::default()).chain(call_watch::WatchConnector);
-    ureq::Agent::with_parts(config, connector, AddressResolver)
+        .build()
 }
 
 /// Resolver of IP numbers; the daemon looks up no host names.
--- a/crates/node/src/http_listener.rs
+++ b/crates/node/src/http_listener.rs
@@ -73,6 +73,14 @@
     Ok((HttpServer { server }, address))
 }
 
+/// Answers with status 204.
+pub fn respond_empty(request: tiny_http::Request) {
+    finish(
+        request,
+        tiny_http::Response::from_data(Vec::new()).with_status_code(204),
+    );
+}
+
 /// Answers with a text.
 pub fn respond_text(request: tiny_http::Request, status: u16, text: &str) {
     finish(request, tiny_http::Response::from_string(text).with_status_code(status));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod node_run;
 pub mod node_shared;
 pub mod peer_client;
+mod peer_connector;
 pub mod peer_directory;
 pub mod peer_server;
 pub mod request_owner;
--- a/crates/node/src/peer_client.rs
+++ b/crates/node/src/peer_client.rs
@@ -119,7 +119,7 @@
         let mut agents = self.agents.write().unwrap_or_else(sync::PoisonError::into_inner);
         agents
             .entry(address)
-            .or_insert_with(|| http_agent::new_agent(MAX_IDLE_CONNECTIONS))
+            .or_insert_with(|| http_agent::new_peer_agent(MAX_IDLE_CONNECTIONS))
             .clone()
     }
 }
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -25,6 +25,7 @@
 use crate::frame_writer;
 use crate::http_listener;
 use crate::node_shared;
+use crate::peer_connector;
 use crate::worker_pool;
 
 /// Idle threads that stay; further ones end after [`IDLE_TIME`].
@@ -34,11 +35,17 @@
 /// Threads beyond `max_calls`, so that refusals and messages are answered while all call threads are busy.
 const SPARE_THREADS: usize = 32;
 
+/// Idle connection threads that `tiny_http` starts with.
+const TINY_HTTP_IDLE_THREADS: usize = 4;
+
 /// Running server.
 #[derive(Debug)]
 pub struct PeerServer {
     address: net::SocketAddr,
     server: sync::Arc<http_listener::HttpServer>,
+    /// Connections of the daemon to itself that occupy the idle threads of `tiny_http`. A connection that arrives
+    /// while none is idle gets a thread of its own at once; see [`peer_connector`] for the fault that this avoids.
+    _occupied: Vec<net::TcpStream>,
 }
 
 #[derive(Debug, Default)]
@@ -54,9 +61,13 @@
     /// Returns an error if the address can't be listened on.
     pub fn bind(address: net::SocketAddr) -> io::Result<Self> {
         let (server, address) = http_listener::bind(address)?;
+        let occupied: io::Result<Vec<_>> = (0..TINY_HTTP_IDLE_THREADS)
+            .map(|_| net::TcpStream::connect(address))
+            .collect();
         Ok(Self {
             address,
             server: sync::Arc::new(server),
+            _occupied: occupied?,
         })
     }
 
@@ -127,6 +138,7 @@
     let in_progress = shared.peer_requests.fetch_add(1, atomic::Ordering::Relaxed);
     let overfull = in_progress >= shared.settings.max_calls;
     match request.url() {
+        peer_connector::GREETING_PATH => http_listener::respond_empty(request),
         "/peer/call" => answer_call(shared, request, overfull),
         "/peer/cancel" => answer_message(request, |message: peer_message::CancelRequest| {
             shared.core.send(core_command::CoreCommand::CancelFromPeer(message));
