--- /dev/null
+++ b/crates/standins/src/answer_body.rs
@@ -0,0 +1,37 @@
+//! Bodies of answers that the load generator can check byte by byte without a digest in a header.
+
+use xxhash_rust::xxh3;
+
+/// Returns the seed of the answer to a request at a path (without service and query).
+#[must_use]
+pub fn seed(request_id: &str, path: &str) -> u64 {
+    xxh3::xxh3_64(format!("{request_id}\n{path}").as_bytes())
+}
+
+/// Fills a buffer with the bytes of the answer from an offset.
+pub fn fill(seed: u64, offset: u64, buffer: &mut [u8]) {
+    let mut block = block_at(seed, offset / 8);
+    for (position, byte) in (offset..).zip(buffer) {
+        let index = position % 8;
+        if index == 0 {
+            block = block_at(seed, position / 8);
+        }
+        *byte = block[usize::try_from(index).unwrap_or(0)];
+    }
+}
+
+/// Returns whether the bytes from an offset are those of the answer.
+#[must_use]
+pub fn matches(seed: u64, offset: u64, bytes: &[u8]) -> bool {
+    let mut expected = vec![0; bytes.len()];
+    fill(seed, offset, &mut expected);
+    expected == bytes
+}
+
+/// Splitmix64 of the block number, so that each block differs and any block can be made by itself.
+fn block_at(seed: u64, block: u64) -> [u8; 8] {
+    let mut mixed = seed.wrapping_add(block.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    (mixed ^ (mixed >> 31)).to_le_bytes()
+}
--- /dev/null
+++ b/crates/standins/src/backend_slots.rs
@@ -0,0 +1,238 @@
+//! Slots of the backend server's stand-in: a queue in order of arrival, work that can be cancelled, and draining.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+/// Number of a call within the server.
+pub type CallTicket = u64;
+
+/// Whether a call may start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EnterResult {
+    /// The call holds a slot until [`SlotTable::leave`].
+    Entered(CallTicket),
+    /// All slots are taken, and the server does not queue.
+    Full,
+    /// The server is draining.
+    Draining,
+    /// The deadline passed in the queue.
+    DeadlinePassed,
+    /// The call was cancelled in the queue.
+    Cancelled,
+}
+
+/// How a piece of work ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkResult {
+    /// The whole time was spent.
+    Finished,
+    /// The call was cancelled.
+    Cancelled,
+    /// The deadline passed.
+    DeadlinePassed,
+}
+
+/// What a call wants from the slots.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlotRequest {
+    /// Id of the call at the daemon, 0 for none.
+    pub call_id: u64,
+    /// When the caller stops waiting.
+    pub deadline: Option<time::Instant>,
+    /// Refuse instead of queueing.
+    pub refuse_when_full: bool,
+}
+
+#[derive(Debug)]
+struct SlotCall {
+    call_id: u64,
+    running: bool,
+    cancelled: bool,
+    wake: sync::Arc<sync::Condvar>,
+}
+
+#[derive(Debug, Default)]
+struct SlotState {
+    calls: collections::HashMap<CallTicket, SlotCall>,
+    /// Tickets in order of arrival.
+    queue: collections::BTreeSet<CallTicket>,
+    /// Number of `calls` that run; at most the slots.
+    running: usize,
+    next_ticket: CallTicket,
+    draining: bool,
+}
+
+/// Counts of the slots.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SlotCounts {
+    /// Calls that hold a slot.
+    pub running: usize,
+    /// Calls that wait for one.
+    pub queued: usize,
+    /// Whether new calls are refused.
+    pub draining: bool,
+}
+
+/// Slots of a server.
+#[derive(Debug)]
+pub struct SlotTable {
+    slots: usize,
+    state: sync::Mutex<SlotState>,
+}
+
+/// Commands.
+impl SlotTable {
+    /// Returns a table of free slots.
+    #[must_use]
+    pub fn new(slots: usize) -> Self {
+        Self {
+            slots,
+            state: sync::Mutex::new(SlotState::default()),
+        }
+    }
+
+    /// Waits for a slot.
+    pub fn enter(&self, request: SlotRequest) -> EnterResult {
+        let mut state = self.lock();
+        if state.draining {
+            return EnterResult::Draining;
+        }
+        let full = state.running >= self.slots || !state.queue.is_empty();
+        if full && request.refuse_when_full {
+            return EnterResult::Full;
+        }
+        let ticket = state.next_ticket;
+        state.next_ticket += 1;
+        let wake = sync::Arc::new(sync::Condvar::new());
+        let call = SlotCall {
+            call_id: request.call_id,
+            running: !full,
+            cancelled: false,
+            wake: sync::Arc::clone(&wake),
+        };
+        state.calls.insert(ticket, call);
+        if !full {
+            state.running += 1;
+            return EnterResult::Entered(ticket);
+        }
+        state.queue.insert(ticket);
+        loop {
+            let call = state.calls.get(&ticket);
+            let (running, cancelled) = call.map_or((false, true), |call| (call.running, call.cancelled));
+            if running {
+                return EnterResult::Entered(ticket);
+            }
+            let passed = request
+                .deadline
+                .is_some_and(|deadline| deadline <= time::Instant::now());
+            if cancelled || passed {
+                state.queue.remove(&ticket);
+                state.calls.remove(&ticket);
+                return if cancelled {
+                    EnterResult::Cancelled
+                } else {
+                    EnterResult::DeadlinePassed
+                };
+            }
+            state = wait_until(&wake, state, request.deadline);
+        }
+    }
+
+    /// Spends time on a call that holds a slot.
+    pub fn work(&self, ticket: CallTicket, length: time::Duration, deadline: Option<time::Instant>) -> WorkResult {
+        let end = time::Instant::now() + length;
+        let mut state = self.lock();
+        loop {
+            let Some(call) = state.calls.get(&ticket) else {
+                return WorkResult::Cancelled;
+            };
+            let now = time::Instant::now();
+            if call.cancelled {
+                return WorkResult::Cancelled;
+            }
+            if deadline.is_some_and(|deadline| deadline <= now) {
+                return WorkResult::DeadlinePassed;
+            }
+            if end <= now {
+                return WorkResult::Finished;
+            }
+            let wake = sync::Arc::clone(&call.wake);
+            let until = deadline.map_or(end, |deadline| deadline.min(end));
+            state = wait_until(&wake, state, Some(until));
+        }
+    }
+
+    /// Gives a slot back and hands it to the first queued call.
+    pub fn leave(&self, ticket: CallTicket) {
+        let mut state = self.lock();
+        if state.calls.remove(&ticket).is_none() {
+            return;
+        }
+        state.running -= 1;
+        while state.running < self.slots {
+            let Some(next) = state.queue.pop_first() else {
+                return;
+            };
+            if let Some(call) = state.calls.get_mut(&next) {
+                call.running = true;
+                call.wake.notify_all();
+                state.running += 1;
+            }
+        }
+    }
+
+    /// Cancels the calls with an id and returns how many there were.
+    pub fn cancel(&self, call_id: u64) -> usize {
+        let mut state = self.lock();
+        let mut count = 0;
+        for call in state.calls.values_mut().filter(|call| call.call_id == call_id) {
+            call.cancelled = true;
+            call.wake.notify_all();
+            count += 1;
+        }
+        count
+    }
+
+    /// Refuses new calls from now on; queued and running ones go on.
+    pub fn drain(&self) {
+        self.lock().draining = true;
+    }
+}
+
+/// Queries.
+impl SlotTable {
+    /// Returns the number of slots.
+    #[must_use]
+    pub fn slots(&self) -> usize {
+        self.slots
+    }
+
+    /// Returns the counts of calls.
+    #[must_use]
+    pub fn counts(&self) -> SlotCounts {
+        let state = self.lock();
+        SlotCounts {
+            running: state.running,
+            queued: state.queue.len(),
+            draining: state.draining,
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, SlotState> {
+        self.state.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+fn wait_until<'a>(
+    wake: &sync::Condvar,
+    state: sync::MutexGuard<'a, SlotState>,
+    until: Option<time::Instant>,
+) -> sync::MutexGuard<'a, SlotState> {
+    let Some(until) = until else {
+        return wake.wait(state).unwrap_or_else(sync::PoisonError::into_inner);
+    };
+    let left = until.saturating_duration_since(time::Instant::now());
+    let waited = wake.wait_timeout(state, left);
+    waited.unwrap_or_else(sync::PoisonError::into_inner).0
+}
--- /dev/null
+++ b/crates/standins/src/bin/standin_load.rs
@@ -0,0 +1,3 @@
+//! Load generator.
+
+fn main() {}
--- /dev/null
+++ b/crates/standins/src/http_exchange.rs
@@ -0,0 +1,236 @@
+//! A small HTTP/1.1 responder over plain sockets. It can end a connection in mid-body, which `tiny_http` can't.
+
+use std::io;
+use std::io::{BufRead, Read, Write};
+
+use crate::answer_body;
+
+/// Largest accepted head of a request.
+const MAX_HEAD_BYTES: u64 = 64 * 1024;
+/// Largest accepted body of a request.
+const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+/// Bytes of a body that are made and written at once.
+const BLOCK_BYTES: u64 = 64 * 1024;
+
+/// A request with its whole body.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HttpRequest {
+    /// Method, for example `GET`.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Headers in their order.
+    pub headers: Vec<(String, String)>,
+    /// The body, without its framing.
+    pub body: Vec<u8>,
+}
+
+impl HttpRequest {
+    /// Returns the first value of a header.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let header = self.headers.iter().find(|header| header.0.eq_ignore_ascii_case(name));
+        header.map(|header| header.1.as_str())
+    }
+
+    /// Returns whether the client wants the connection closed after the answer.
+    #[must_use]
+    pub fn closes(&self) -> bool {
+        self.header("connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"))
+    }
+}
+
+/// How the end of an answer's body is marked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// `Content-Length`.
+    #[default]
+    Length,
+    /// `Transfer-Encoding: chunked`.
+    Chunked,
+    /// The connection closes.
+    Close,
+}
+
+/// Body of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HttpBody {
+    /// These bytes.
+    Text(String),
+    /// Bytes of [`answer_body`], written as they are made.
+    Pattern {
+        /// Seed of the bytes.
+        seed: u64,
+        /// Number of bytes.
+        length: u64,
+    },
+}
+
+/// An answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HttpAnswer {
+    /// Status code.
+    pub status: u16,
+    /// Headers besides those of the framing.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body.
+    pub body: HttpBody,
+    /// How the end of the body is marked.
+    pub framing: BodyFraming,
+    /// End the connection after this many bytes of the body.
+    pub cut_after: Option<u64>,
+}
+
+impl HttpAnswer {
+    /// Returns an answer with a JSON body.
+    #[must_use]
+    pub fn json(status: u16, value: &serde_json::Value) -> Self {
+        Self {
+            status,
+            headers: vec![("Content-Type", "application/json".to_owned())],
+            body: HttpBody::Text(value.to_string()),
+            framing: BodyFraming::Length,
+            cut_after: None,
+        }
+    }
+
+    /// Returns the number of bytes of the body.
+    #[must_use]
+    pub fn length(&self) -> u64 {
+        match &self.body {
+            HttpBody::Text(text) => text.len() as u64,
+            HttpBody::Pattern { length, .. } => *length,
+        }
+    }
+}
+
+/// Whether the connection can carry another request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionStep {
+    /// The answer is complete and its end is marked.
+    KeepOpen,
+    /// The connection has to end.
+    Close,
+}
+
+/// Reads a request; `None` if the client ended the connection between requests.
+///
+/// # Errors
+/// Returns the error of the socket, or one of kind `InvalidData` for a malformed request.
+pub fn read_request(reader: &mut impl BufRead) -> io::Result<Option<HttpRequest>> {
+    let mut head = reader.by_ref().take(MAX_HEAD_BYTES);
+    let mut line = String::new();
+    if head.read_line(&mut line)? == 0 {
+        return Ok(None);
+    }
+    let mut parts = line.split_whitespace();
+    let (Some(method), Some(target)) = (parts.next(), parts.next()) else {
+        return Err(malformed("request line"));
+    };
+    let mut request = HttpRequest {
+        method: method.to_owned(),
+        target: target.to_owned(),
+        ..HttpRequest::default()
+    };
+    loop {
+        line.clear();
+        if head.read_line(&mut line)? == 0 {
+            return Err(malformed("head"));
+        }
+        let text = line.trim_end();
+        if text.is_empty() {
+            break;
+        }
+        let (name, value) = text.split_once(':').ok_or_else(|| malformed("header"))?;
+        request.headers.push((name.to_owned(), value.trim().to_owned()));
+    }
+    request.body = read_body(reader, &request)?;
+    Ok(Some(request))
+}
+
+fn read_body(reader: &mut impl BufRead, request: &HttpRequest) -> io::Result<Vec<u8>> {
+    let mut body = Vec::new();
+    let chunked = request.header("transfer-encoding");
+    if chunked.is_some_and(|value| value.eq_ignore_ascii_case("chunked")) {
+        let decoder = chunked_transfer::Decoder::new(reader);
+        decoder.take(MAX_BODY_BYTES).read_to_end(&mut body)?;
+        return Ok(body);
+    }
+    let Some(length) = request.header("content-length") else {
+        return Ok(body);
+    };
+    let length: u64 = length.parse().ok().ok_or_else(|| malformed("content-length"))?;
+    if length > MAX_BODY_BYTES {
+        return Err(malformed("content-length"));
+    }
+    reader.take(length).read_to_end(&mut body)?;
+    if body.len() as u64 != length {
+        return Err(io::Error::from(io::ErrorKind::UnexpectedEof));
+    }
+    Ok(body)
+}
+
+fn malformed(part: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, format!("malformed {part}"))
+}
+
+/// Writes an answer.
+///
+/// # Errors
+/// Returns the error of the socket.
+pub fn write_answer(writer: &mut impl Write, answer: &HttpAnswer) -> io::Result<ConnectionStep> {
+    let mut block = format!("HTTP/1.1 {} -\r\n", answer.status).into_bytes();
+    for (name, value) in &answer.headers {
+        write!(block, "{name}: {value}\r\n")?;
+    }
+    match answer.framing {
+        BodyFraming::Length => write!(block, "Content-Length: {}\r\n\r\n", answer.length())?,
+        BodyFraming::Chunked => block.extend_from_slice(b"Transfer-Encoding: chunked\r\n\r\n"),
+        BodyFraming::Close => block.extend_from_slice(b"Connection: close\r\n\r\n"),
+    }
+    let end = answer.cut_after.unwrap_or(u64::MAX).min(answer.length());
+    let mut offset = 0;
+    while offset < end {
+        let size = (end - offset).min(BLOCK_BYTES);
+        if answer.framing == BodyFraming::Chunked {
+            write!(block, "{size:x}\r\n")?;
+        }
+        let start = block.len();
+        match &answer.body {
+            HttpBody::Text(text) => {
+                let bytes = text.as_bytes().iter().skip(usize_of(offset)).take(usize_of(size));
+                block.extend(bytes);
+            }
+            HttpBody::Pattern { seed, .. } => {
+                block.resize(start + usize_of(size), 0);
+                answer_body::fill(*seed, offset, &mut block[start..]);
+            }
+        }
+        if answer.framing == BodyFraming::Chunked {
+            block.extend_from_slice(b"\r\n");
+        }
+        // The head goes out with the first block, so that a short answer is one packet.
+        writer.write_all(&block)?;
+        block.clear();
+        offset += size;
+    }
+    if answer.cut_after.is_some() {
+        writer.write_all(&block)?;
+        writer.flush()?;
+        return Ok(ConnectionStep::Close);
+    }
+    if answer.framing == BodyFraming::Chunked {
+        block.extend_from_slice(b"0\r\n\r\n");
+    }
+    writer.write_all(&block)?;
+    writer.flush()?;
+    match answer.framing {
+        BodyFraming::Close => Ok(ConnectionStep::Close),
+        BodyFraming::Length | BodyFraming::Chunked => Ok(ConnectionStep::KeepOpen),
+    }
+}
+
+fn usize_of(count: u64) -> usize {
+    usize::try_from(count).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/crates/standins/src/next_call.rs
@@ -0,0 +1,162 @@
+//! Calls of a backend server to the next services, through its daemon on loopback.
+
+use std::io;
+use std::net;
+use std::time;
+
+use damasktrack_entity::call_context;
+
+use crate::http_query;
+
+/// Longest wait for a next call without a deadline.
+const DEFAULT_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+
+/// A call to make: `[METHOD@]SERVICE:/PATH`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NextCall {
+    /// Method, `GET` if none was given.
+    pub method: String,
+    /// Service to call.
+    pub service: String,
+    /// Path and query at that service.
+    pub target: String,
+}
+
+/// Calls that requests below a path prefix make: `[/PREFIX=][METHOD@]SERVICE:/PATH`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NextRule {
+    /// Path prefix of the requests, `/` for all.
+    pub prefix: String,
+    /// The call to make.
+    pub call: NextCall,
+}
+
+/// How a next call ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NextResult {
+    /// A complete answer with a status below 400.
+    Completed,
+    /// Anything else: the status (0 for none) and the outcome or error.
+    Failed(u16, String),
+}
+
+/// Reads `[METHOD@]SERVICE:/PATH`.
+///
+/// # Errors
+/// Returns what is wrong with the text.
+pub fn parse_call(text: &str) -> Result<NextCall, String> {
+    let (method, rest) = match text.split_once('@') {
+        Some((method, rest)) if !method.contains(['/', ':']) => (method, rest),
+        _ => ("GET", text),
+    };
+    let (service, target) = rest
+        .split_once(':')
+        .ok_or_else(|| format!("'{text}' is not [METHOD@]SERVICE:/PATH"))?;
+    if service.is_empty() || !target.starts_with('/') {
+        return Err(format!("'{text}' is not [METHOD@]SERVICE:/PATH"));
+    }
+    Ok(NextCall {
+        method: method.to_owned(),
+        service: service.to_owned(),
+        target: target.to_owned(),
+    })
+}
+
+/// Reads `[/PREFIX=][METHOD@]SERVICE:/PATH`.
+///
+/// # Errors
+/// Returns what is wrong with the text.
+pub fn parse_rule(text: &str) -> Result<NextRule, String> {
+    let (prefix, call) = match text.split_once('=') {
+        Some((prefix, call)) if prefix.starts_with('/') => (prefix, call),
+        _ => ("/", text),
+    };
+    Ok(NextRule {
+        prefix: prefix.to_owned(),
+        call: parse_call(call)?,
+    })
+}
+
+/// Returns the calls that a request makes: each `next=` of its query, the first of its `chain=`, otherwise those of the
+/// rules with the longest prefix that fits.
+///
+/// `chain=a:/x,b:/y` calls `a` and passes the rest on, so that `a` calls `b`.
+///
+/// # Errors
+/// Returns what is wrong with a query parameter.
+pub fn calls_of(target: &str, rules: &[NextRule]) -> Result<Vec<NextCall>, String> {
+    let (path, query) = http_query::split(target);
+    let mut calls = Vec::new();
+    for text in http_query::values(query, "next") {
+        calls.push(parse_call(&text)?);
+    }
+    if let Some(chain) = http_query::value(query, "chain").filter(|chain| !chain.is_empty()) {
+        let (first, rest) = chain.split_once(',').unwrap_or((&chain, ""));
+        let mut call = parse_call(first)?;
+        if !rest.is_empty() {
+            let mark = if call.target.contains('?') { '&' } else { '?' };
+            call.target = format!("{}{mark}chain={}", call.target, http_query::encode(rest));
+        }
+        calls.push(call);
+    }
+    if !calls.is_empty() {
+        return Ok(calls);
+    }
+    let fitting = rules.iter().filter(|rule| path.starts_with(&rule.prefix));
+    let longest = fitting.map(|rule| rule.prefix.len()).max();
+    let rules = rules
+        .iter()
+        .filter(|rule| path.starts_with(&rule.prefix) && Some(rule.prefix.len()) == longest);
+    Ok(rules.map(|rule| rule.call.clone()).collect())
+}
+
+/// Makes a call through the daemon and reads its whole answer.
+#[must_use]
+pub fn send(
+    agent: &ureq::Agent,
+    daemon: net::SocketAddr,
+    call: &NextCall,
+    context: Option<&str>,
+    deadline: Option<time::Instant>,
+) -> NextResult {
+    let left = deadline.map(|deadline| deadline.saturating_duration_since(time::Instant::now()));
+    let left = left.unwrap_or(DEFAULT_TIMEOUT).max(time::Duration::from_millis(1));
+    let mut request = ureq::http::Request::builder()
+        .method(call.method.as_str())
+        .uri(format!("http://{daemon}/{}{}", call.service, call.target));
+    if let Some(context) = context {
+        request = request.header(call_context::CONTEXT_HEADER, context);
+    }
+    let body: &[u8] = match call.method.as_str() {
+        "POST" | "PUT" | "PATCH" => b"{}",
+        _ => b"",
+    };
+    let Ok(request) = request.body(body) else {
+        return NextResult::Failed(0, format!("'{}' is no valid request", call.target));
+    };
+    let request = agent
+        .configure_request(request)
+        .timeout_global(Some(left))
+        .http_status_as_error(false)
+        .build();
+    match agent.run(request) {
+        Ok(response) => finish(response),
+        Err(error) => NextResult::Failed(0, error.to_string()),
+    }
+}
+
+fn finish(response: ureq::http::Response<ureq::Body>) -> NextResult {
+    let status = response.status().as_u16();
+    let outcome = response.headers().get("Damasktrack-Outcome");
+    let outcome = outcome
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("none")
+        .to_owned();
+    if let Err(error) = io::copy(&mut response.into_body().into_reader(), &mut io::sink()) {
+        return NextResult::Failed(status, error.to_string());
+    }
+    if status >= 400 {
+        return NextResult::Failed(status, outcome);
+    }
+    NextResult::Completed
+}
