--- a/crates/standins/src/answer_body.rs
+++ b/crates/standins/src/answer_body.rs
@@ -10,13 +10,17 @@
 
 /// Fills a buffer with the bytes of the answer from an offset.
 pub fn fill(seed: u64, offset: u64, buffer: &mut [u8]) {
-    let mut block = block_at(seed, offset / 8);
-    for (position, byte) in (offset..).zip(buffer) {
-        let index = position % 8;
-        if index == 0 {
-            block = block_at(seed, position / 8);
-        }
-        *byte = block[usize::try_from(index).unwrap_or(0)];
+    let skipped = usize::try_from(offset % 8).unwrap_or(0);
+    let head = if skipped == 0 {
+        0
+    } else {
+        (8 - skipped).min(buffer.len())
+    };
+    let (first, rest) = buffer.split_at_mut(head);
+    first.copy_from_slice(&block_at(seed, offset / 8)[skipped % 8..][..head]);
+    for (block, bytes) in (offset.div_ceil(8)..).zip(rest.chunks_mut(8)) {
+        let length = bytes.len();
+        bytes.copy_from_slice(&block_at(seed, block)[..length]);
     }
 }
 
--- /dev/null
+++ b/crates/standins/src/load_mix.rs
@@ -0,0 +1,174 @@
+//! Requests that the load generator sends, and when.
+
+use std::collections;
+use std::time;
+
+use rand::{RngExt, SeedableRng};
+
+/// Most requests of one run.
+const MAX_REQUESTS: usize = 20_000_000;
+
+/// Where the request id of an entry's requests comes from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum KeyMode {
+    /// No `Idempotency-Key`; the daemon issues an id for each attempt.
+    #[default]
+    None,
+    /// An id of the caller, the same for all attempts of a request.
+    Unique,
+    /// An id that a daemon issued, the same for all attempts of a request.
+    Issued,
+}
+
+/// How much of an answer is checked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BodyCheck {
+    /// Each byte, against the body that belongs to the request id and the path.
+    #[default]
+    Pattern,
+    /// Only that the body arrives to its end.
+    Length,
+}
+
+/// One kind of request.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MixEntry {
+    /// Name in the summary.
+    pub name: String,
+    /// Method.
+    #[serde(default = "default_method")]
+    pub method: String,
+    /// URL path with query; the first segment names the service. `?bytes=` sets the size of the answer.
+    pub path: String,
+    /// Headers.
+    #[serde(default)]
+    pub headers: collections::BTreeMap<String, String>,
+    /// Share of the requests, relative to the other entries.
+    #[serde(default = "default_weight")]
+    pub weight: f64,
+    /// Request body.
+    #[serde(default)]
+    pub body: String,
+    /// Where the request id comes from.
+    #[serde(default)]
+    pub key: KeyMode,
+    /// Attempts beyond the first.
+    #[serde(default)]
+    pub retries: u32,
+    /// Wait before each of them.
+    #[serde(default = "default_retry_delay")]
+    pub retry_delay_ms: u64,
+    /// Longest wait for one answer.
+    #[serde(default = "default_timeout")]
+    pub timeout_ms: u64,
+    /// How much of the answer is checked.
+    #[serde(default)]
+    pub check: BodyCheck,
+}
+
+fn default_method() -> String {
+    "GET".to_owned()
+}
+
+fn default_weight() -> f64 {
+    1.0
+}
+
+fn default_retry_delay() -> u64 {
+    50
+}
+
+fn default_timeout() -> u64 {
+    10_000
+}
+
+/// A mix of requests.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadMix {
+    /// The kinds of requests.
+    pub entries: Vec<MixEntry>,
+}
+
+/// A rate that holds for a time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RateStep {
+    /// Requests per second.
+    pub rate: f64,
+    /// How long the rate holds.
+    pub length: time::Duration,
+}
+
+/// A request to send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// When, since the start of the run.
+    pub at: time::Duration,
+    /// Index of the mix entry.
+    pub entry: usize,
+}
+
+/// Reads `RATE:SECONDS,RATE:SECONDS,…`.
+///
+/// # Errors
+/// Returns the step that can't be read.
+pub fn parse_steps(text: &str) -> Result<Vec<RateStep>, String> {
+    text.split(',').map(parse_step).collect()
+}
+
+fn parse_step(text: &str) -> Result<RateStep, String> {
+    let pair = text.split_once(':');
+    let numbers = pair.and_then(|(rate, seconds)| Some((rate.parse().ok()?, seconds.parse().ok()?)));
+    let step = numbers.and_then(|(rate, seconds): (f64, f64)| {
+        let length = time::Duration::try_from_secs_f64(seconds).ok()?;
+        (rate >= 0.0 && rate.is_finite()).then_some(RateStep { rate, length })
+    });
+    step.ok_or_else(|| format!("'{text}' is not RATE:SECONDS"))
+}
+
+/// Returns the requests of a run, evenly spaced within each step; the seed decides which entry each belongs to.
+///
+/// # Errors
+/// Returns what makes the run impossible.
+pub fn schedule(mix: &LoadMix, steps: &[RateStep], seed: u64) -> Result<Vec<Arrival>, String> {
+    let total: f64 = mix.entries.iter().map(|entry| entry.weight).sum();
+    let negative = mix.entries.iter().any(|entry| entry.weight < 0.0);
+    if negative || total <= 0.0 || !total.is_finite() {
+        return Err("the weights of the mix must be 0 or more with a sum over 0".to_owned());
+    }
+    let mut rng = rand::rngs::StdRng::seed_from_u64(seed);
+    let mut arrivals = Vec::new();
+    let mut start = time::Duration::ZERO;
+    for step in steps {
+        let mut index = 0_u32;
+        loop {
+            let offset = f64::from(index) / step.rate.max(f64::MIN_POSITIVE);
+            if offset >= step.length.as_secs_f64() {
+                break;
+            }
+            if arrivals.len() == MAX_REQUESTS {
+                return Err(format!("the run has more than {MAX_REQUESTS} requests"));
+            }
+            arrivals.push(Arrival {
+                at: start + time::Duration::from_secs_f64(offset),
+                entry: pick(mix, rng.random_range(0.0..total)),
+            });
+            index += 1;
+        }
+        start += step.length;
+    }
+    Ok(arrivals)
+}
+
+fn pick(mix: &LoadMix, mut share: f64) -> usize {
+    for (index, entry) in mix.entries.iter().enumerate() {
+        if share < entry.weight {
+            return index;
+        }
+        share -= entry.weight;
+    }
+    mix.entries.len() - 1
+}
--- a/crates/standins/tests/backend.rs
+++ b/crates/standins/tests/backend.rs
@@ -69,6 +69,21 @@
     assert_eq!(fixture.executions()["request"], json!({ "/x": 4 }));
 }
 
+/// Guards against bodies that depend on how they are divided into reads.
+#[test]
+fn body_parts_fit_together() {
+    let mut whole = [0; 40];
+    answer_body::fill(9, 0, &mut whole);
+    for start in 0..40 {
+        for end in start..40 {
+            assert!(
+                answer_body::matches(9, start as u64, &whole[start..end]),
+                "{start}..{end}"
+            );
+        }
+    }
+}
+
 /// Guards against `Damasktrack-Not-Run` on a call that ran, and its absence on one that did not.
 #[test]
 fn only_calls_that_did_not_run_say_so() {
