Add the operators' command line

Cause: operators need get, apply, delete, watch, status and changes over the resource API, and a check of settings files. Change: damasktrack sends a change with an id, asks once what became of it when the response is lost, and reports findings by place in the operator's file. A proxy from the environment is not used.

--- /dev/null
+++ b/crates/cli/src/api_client.rs
@@ -0,0 +1,216 @@
+//! Client of the resource API.
+
+use std::env;
+use std::fs;
+use std::io;
+use std::net;
+use std::time;
+
+use crate::cli_error;
+
+/// Longest wait for an answer; the API answers within its own timeout for the store.
+const TIMEOUT: time::Duration = time::Duration::from_secs(15);
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// Largest accepted answer.
+const MAX_ANSWER_BYTES: u64 = 256 * 1024 * 1024;
+
+/// Connection data of a daemon's API.
+#[derive(Debug)]
+pub struct ApiClient {
+    agent: ureq::Agent,
+    address: net::SocketAddr,
+    /// Bearer key; never printed.
+    key: Option<BearerKey>,
+}
+
+/// An operator's key.
+struct BearerKey(String);
+
+impl std::fmt::Debug for BearerKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("BearerKey(…)")
+    }
+}
+
+/// An answer of the API.
+#[derive(Debug)]
+pub struct ApiAnswer {
+    /// Status code.
+    pub status: u16,
+    /// Body; null if it was not JSON.
+    pub body: serde_json::Value,
+}
+
+/// Why there is no answer.
+#[derive(Debug)]
+pub enum ApiFailure {
+    /// The request did not reach the daemon.
+    NotSent(String),
+    /// The request may have reached the daemon.
+    NoAnswer(String),
+}
+
+impl ApiFailure {
+    /// Returns the failure of a request that changes nothing.
+    pub fn of_query(self) -> cli_error::CliError {
+        match self {
+            Self::NotSent(reason) | Self::NoAnswer(reason) => cli_error::CliError::Failed(reason),
+        }
+    }
+}
+
+impl ApiClient {
+    /// Returns the client that the options and the environment describe.
+    pub fn from_options(matches: &clap::ArgMatches) -> Result<Self, cli_error::CliError> {
+        let address = match matches.get_one::<net::SocketAddr>("api") {
+            Some(address) => *address,
+            None => address_of_environment()?,
+        };
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            // Daemons are reached by IP address; a proxy of the environment is for other destinations.
+            .proxy(None)
+            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .build();
+        Ok(Self {
+            agent: ureq::Agent::new_with_config(config),
+            address,
+            key: read_key(matches)?,
+        })
+    }
+
+    /// Sends a request.
+    pub fn send(&self, method: &str, path: &str, change_id: Option<&str>, body: &str) -> Result<ApiAnswer, ApiFailure> {
+        self.send_within(TIMEOUT, method, path, change_id, body)
+    }
+
+    /// Sends a `GET` request whose answer may take a while.
+    pub fn poll(&self, path: &str, wait: time::Duration) -> Result<ApiAnswer, ApiFailure> {
+        self.send_within(TIMEOUT + wait, "GET", path, None, "")
+    }
+
+    fn send_within(
+        &self,
+        timeout: time::Duration,
+        method: &str,
+        path: &str,
+        change_id: Option<&str>,
+        body: &str,
+    ) -> Result<ApiAnswer, ApiFailure> {
+        let mut request = ureq::http::Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address));
+        if let Some(key) = &self.key {
+            request = request.header("Authorization", format!("Bearer {}", key.0));
+        }
+        if let Some(change_id) = change_id {
+            request = request.header("Idempotency-Key", change_id);
+        }
+        if !body.is_empty() {
+            request = request.header("Content-Type", "application/json");
+        }
+        let built = request.body(body);
+        let request = built.map_err(|error| ApiFailure::NotSent(format!("the request can't be built: {error}")))?;
+        let request = self
+            .agent
+            .configure_request(request)
+            .timeout_global(Some(timeout))
+            .build();
+        let mut response = self.agent.run(request).map_err(|error| self.failure(&error))?;
+        let status = response.status().as_u16();
+        let text = response
+            .body_mut()
+            .with_config()
+            .limit(MAX_ANSWER_BYTES)
+            .read_to_string();
+        let text = text.map_err(|error| ApiFailure::NoAnswer(format!("{}: {error}", self.address)))?;
+        let body = match serde_json::from_str(&text) {
+            Ok(body) => body,
+            Err(error) if status == 200 => {
+                let reason = format!("{}: the answer is not JSON: {error}", self.address);
+                return Err(ApiFailure::NoAnswer(reason));
+            }
+            Err(_) => serde_json::Value::Null,
+        };
+        Ok(ApiAnswer { status, body })
+    }
+
+    fn failure(&self, error: &ureq::Error) -> ApiFailure {
+        let text = format!("{}: {error}", self.address);
+        match error {
+            ureq::Error::ConnectionFailed | ureq::Error::Timeout(ureq::Timeout::Connect) => {
+                ApiFailure::NotSent(format!("{text} (is a daemon's API listening there?)"))
+            }
+            ureq::Error::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                ApiFailure::NotSent(format!("{text} (is a daemon's API listening there?)"))
+            }
+            _ => ApiFailure::NoAnswer(text),
+        }
+    }
+}
+
+fn address_of_environment() -> Result<net::SocketAddr, cli_error::CliError> {
+    let Ok(text) = env::var("DAMASKTRACK_API") else {
+        let message = "no API address: give --api ADDRESS or set DAMASKTRACK_API";
+        return Err(cli_error::CliError::Failed(message.to_owned()));
+    };
+    let address = text.parse().ok();
+    address.ok_or_else(|| {
+        cli_error::CliError::Failed(format!("DAMASKTRACK_API: '{text}' is not an IP address with a port"))
+    })
+}
+
+fn read_key(matches: &clap::ArgMatches) -> Result<Option<BearerKey>, cli_error::CliError> {
+    let key = match matches.get_one::<String>("key-file") {
+        Some(path) => {
+            Some(fs::read_to_string(path).map_err(|error| cli_error::CliError::Failed(format!("{path}: {error}")))?)
+        }
+        None => env::var("DAMASKTRACK_KEY").ok(),
+    };
+    let key = key.map(|key| key.trim().to_owned()).filter(|key| !key.is_empty());
+    Ok(key.map(BearerKey))
+}
+
+impl ApiAnswer {
+    /// Returns the failure that an answer describes.
+    pub fn failure(&self) -> cli_error::CliError {
+        self.failure_with_places(ToOwned::to_owned)
+    }
+
+    /// Returns the failure that an answer describes, with places put into other words.
+    pub fn failure_with_places(&self, place: impl Fn(&str) -> String) -> cli_error::CliError {
+        let error = self.body["error"].as_str().unwrap_or("the answer gives no reason");
+        let mut message = match self.status {
+            401 => format!("no valid key: {error} (give --key-file FILE or set DAMASKTRACK_KEY)"),
+            403 => format!("the key's role does not suffice: {error}"),
+            409 => format!("conflict, nothing was changed: {error}"),
+            429 | 503 => format!("nothing was changed: {error}; try again later"),
+            status => format!("{error} (status {status})"),
+        };
+        match self.body["current_version"].as_u64() {
+            Some(0) => message.push_str("; the resource does not exist"),
+            Some(version) => message = format!("{message}; the current version is {version}"),
+            None => {}
+        }
+        let findings = self.body["findings"].as_array().into_iter().flatten();
+        let findings: Vec<String> = findings
+            .map(|finding| {
+                let text = |name: &str| match &finding[name] {
+                    serde_json::Value::String(text) => text.clone(),
+                    other => other.to_string(),
+                };
+                format!(
+                    "{}: expected {}, found {}",
+                    place(&text("place")),
+                    text("expected"),
+                    text("found")
+                )
+            })
+            .collect();
+        if findings.is_empty() {
+            return cli_error::CliError::Failed(message);
+        }
+        cli_error::CliError::Findings(message, findings)
+    }
+}
--- /dev/null
+++ b/crates/cli/src/change_commands.rs
@@ -0,0 +1,192 @@
+//! Commands that change resources.
+
+use std::fs;
+use std::hash;
+use std::hash::{BuildHasher, Hasher};
+use std::io;
+use std::io::Read;
+
+use serde_json::json;
+
+use crate::api_client;
+use crate::cli_error;
+use crate::kind_names;
+
+/// Resources of all files, with where each came from.
+#[derive(Debug, Default)]
+struct ResourceFiles {
+    resources: Vec<serde_json::Value>,
+    /// `FILE: resources[INDEX]` by position in `resources`.
+    places: Vec<String>,
+}
+
+/// `apply FILE...`.
+pub fn apply(matches: &clap::ArgMatches) -> Result<(), cli_error::CliError> {
+    let client = api_client::ApiClient::from_options(matches)?;
+    let mut files = ResourceFiles::default();
+    let mut findings = Vec::new();
+    for path in matches.get_many::<String>("files").unwrap_or_default() {
+        files.read(path, &mut findings);
+    }
+    if !findings.is_empty() {
+        let message = "the files can't be read; nothing was sent".to_owned();
+        return Err(cli_error::CliError::Findings(message, findings));
+    }
+    let dry_run = matches.get_flag("dry-run");
+    let path = if dry_run { "/v1/apply?dry_run=true" } else { "/v1/apply" };
+    let body = json!({ "resources": files.resources }).to_string();
+    let change_id = change_id(matches);
+    let answer = match client.send("POST", path, Some(&change_id), &body) {
+        Err(failure) if dry_run => return Err(failure.of_query()),
+        result => settle(&client, result, &change_id)?,
+    };
+    if answer.status != 200 {
+        return Err(answer.failure_with_places(|place| files.place(place)));
+    }
+    print_results(&answer.body, &change_id, dry_run);
+    Ok(())
+}
+
+/// `delete KIND NAME`.
+pub fn delete(matches: &clap::ArgMatches) -> Result<(), cli_error::CliError> {
+    let client = api_client::ApiClient::from_options(matches)?;
+    let (Some(kind), Some(name)) = (
+        matches.get_one::<kind_names::KindName>("kind"),
+        matches.get_one::<String>("name"),
+    ) else {
+        return Ok(());
+    };
+    let mut path = format!("/v1/{}/{name}", kind.path);
+    if let Some(version) = matches.get_one::<u64>("version") {
+        path = format!("{path}?version={version}");
+    }
+    let change_id = change_id(matches);
+    let result = client.send("DELETE", &path, Some(&change_id), "");
+    let answer = settle(&client, result, &change_id)?;
+    match answer.status {
+        200 => print_results(&answer.body, &change_id, false),
+        404 => return Err(cli_error::CliError::Failed(format!("no {} '{name}'", kind.kind))),
+        _ => return Err(answer.failure()),
+    }
+    Ok(())
+}
+
+/// Returns the answer to a change. If it was lost or the daemon does not know, asks once what became of the change.
+fn settle(
+    client: &api_client::ApiClient,
+    result: Result<api_client::ApiAnswer, api_client::ApiFailure>,
+    change_id: &str,
+) -> Result<api_client::ApiAnswer, cli_error::CliError> {
+    let reason = match result {
+        Ok(answer) if answer.status == 504 => answer.body["error"].as_str().unwrap_or("no reason given").to_owned(),
+        Ok(answer) => return Ok(answer),
+        Err(api_client::ApiFailure::NotSent(reason)) => {
+            return Err(cli_error::CliError::Failed(format!("{reason}; nothing was changed")));
+        }
+        Err(api_client::ApiFailure::NoAnswer(reason)) => reason,
+    };
+    match client.send("GET", &format!("/v1/changes/{change_id}"), None, "") {
+        Ok(answer) if answer.status == 200 => Ok(accepted(&answer.body)),
+        // Not found settles nothing: the change may still be on its way to the store.
+        _ => Err(cli_error::CliError::Unsettled {
+            change_id: change_id.to_owned(),
+            reason,
+        }),
+    }
+}
+
+/// Returns the answer that an accepted change had, as far as the change log tells.
+fn accepted(change: &serde_json::Value) -> api_client::ApiAnswer {
+    let parts = change["changes"].as_array().into_iter().flatten();
+    let results: Vec<serde_json::Value> = parts
+        .map(|part| {
+            let result = if part["action"] == "delete" {
+                "deleted"
+            } else {
+                "accepted"
+            };
+            json!({ "kind": part["kind"], "name": part["name"], "result": result, "version": part["version"] })
+        })
+        .collect();
+    api_client::ApiAnswer {
+        status: 200,
+        body: json!({ "id": change["id"], "revision": change["revision"], "results": results }),
+    }
+}
+
+fn print_results(body: &serde_json::Value, change_id: &str, dry_run: bool) {
+    let text = |value: &serde_json::Value| value.as_str().unwrap_or("?").to_owned();
+    for result in body["results"].as_array().into_iter().flatten() {
+        let version = match result["version"].as_u64() {
+            Some(version) if !dry_run => format!(" (version {version})"),
+            _ => String::new(),
+        };
+        let (kind, name, result) = (text(&result["kind"]), text(&result["name"]), text(&result["result"]));
+        println!("{kind} {name}: {result}{version}");
+    }
+    let revision = &body["revision"];
+    if dry_run {
+        println!("dry run at revision {revision}: nothing was changed");
+    } else {
+        println!(
+            "revision {revision}, change {}",
+            body["id"].as_str().unwrap_or(change_id)
+        );
+    }
+}
+
+/// Returns the given change id or a random one.
+fn change_id(matches: &clap::ArgMatches) -> String {
+    let given = matches.get_one::<String>("change-id").cloned();
+    // Each RandomState has random keys, so its hash of nothing is a random number.
+    given.unwrap_or_else(|| format!("cli-{:016x}", hash::RandomState::new().build_hasher().finish()))
+}
+
+impl ResourceFiles {
+    fn read(&mut self, path: &str, findings: &mut Vec<String>) {
+        let text = if path == "-" {
+            let mut text = String::new();
+            io::stdin().read_to_string(&mut text).map(|_| text)
+        } else {
+            fs::read_to_string(path)
+        };
+        let document: serde_json::Value = match text {
+            Ok(text) => match serde_json::from_str(&text) {
+                Ok(document) => document,
+                Err(error) => return findings.push(format!("{path}: {error}")),
+            },
+            Err(error) => return findings.push(format!("{path}: {error}")),
+        };
+        let resources = match document {
+            serde_json::Value::Array(resources) => resources,
+            serde_json::Value::Object(mut object) => match object.remove("resources") {
+                Some(serde_json::Value::Array(resources)) => resources,
+                Some(_) => return findings.push(format!("{path}: resources: expected an array")),
+                None => vec![serde_json::Value::Object(object)],
+            },
+            _ => return findings.push(format!("{path}: expected an object or an array")),
+        };
+        for (index, resource) in resources.into_iter().enumerate() {
+            let place = format!("{path}: resources[{index}]");
+            for field in ["kind", "name"] {
+                if !resource[field].is_string() {
+                    findings.push(format!("{place}.{field}: expected a text, found {}", resource[field]));
+                }
+            }
+            self.resources.push(resource);
+            self.places.push(place);
+        }
+    }
+
+    /// Returns the place in a file for a place in the request.
+    fn place(&self, place: &str) -> String {
+        let parts = place.strip_prefix("resources[").and_then(|rest| rest.split_once(']'));
+        let found = parts.and_then(|(index, rest)| {
+            let index: usize = index.parse().ok()?;
+            let (resource, file) = (self.resources.get(index)?, self.places.get(index)?);
+            let (kind, name) = (resource["kind"].as_str()?, resource["name"].as_str()?);
+            Some(format!("{file}{rest} ({kind} {name})"))
+        });
+        found.unwrap_or_else(|| place.to_owned())
+    }
+}
--- /dev/null
+++ b/crates/cli/src/cli_error.rs
@@ -0,0 +1,49 @@
+//! Failures of commands.
+
+use std::fmt;
+
+/// Why a command failed.
+#[derive(Debug)]
+pub enum CliError {
+    /// One message.
+    Failed(String),
+    /// A message, and findings with their place.
+    Findings(String, Vec<String>),
+    /// A change may or may not have been accepted.
+    Unsettled {
+        /// Id of the change.
+        change_id: String,
+        /// What happened.
+        reason: String,
+    },
+}
+
+impl CliError {
+    /// Returns the exit code; 2 is the one for wrong usage.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Failed(_) | Self::Findings(..) => 1,
+            Self::Unsettled { .. } => 3,
+        }
+    }
+}
+
+impl fmt::Display for CliError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Failed(message) => write!(f, "damasktrack: {message}"),
+            Self::Findings(message, findings) => {
+                for finding in findings {
+                    writeln!(f, "{finding}")?;
+                }
+                write!(f, "damasktrack: {message}")
+            }
+            Self::Unsettled { change_id, reason } => write!(
+                f,
+                "damasktrack: it is not known whether the change was accepted: {reason}\n\
+                 Ask with `damasktrack changes {change_id}`, or repeat the command with `--change-id {change_id}`: the \
+                 change takes effect at most once."
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/kind_names.rs
@@ -0,0 +1,68 @@
+//! Kinds of resources and their names in paths.
+
+/// A kind of resource.
+#[derive(Clone, Copy, Debug)]
+pub struct KindName {
+    /// `kind` in documents.
+    pub kind: &'static str,
+    /// Path segment below `/v1/`.
+    pub path: &'static str,
+}
+
+/// All kinds.
+pub const KINDS: [KindName; 5] = [
+    KindName {
+        kind: "Service",
+        path: "services",
+    },
+    KindName {
+        kind: "Class",
+        path: "classes",
+    },
+    KindName {
+        kind: "Chain",
+        path: "chains",
+    },
+    KindName {
+        kind: "Tenant",
+        path: "tenants",
+    },
+    KindName {
+        kind: "Daemon",
+        path: "daemons",
+    },
+];
+
+/// Returns the kind that a text names: `Service`, `service` and `services` are the same.
+pub fn find(text: &str) -> Result<KindName, String> {
+    let text = text.to_lowercase();
+    let kind = KINDS
+        .into_iter()
+        .find(|name| name.path == text || name.kind.to_lowercase() == text);
+    kind.ok_or_else(|| "expected one of services, classes, chains, tenants, daemons".to_owned())
+}
+
+/// Longest name and change id.
+const MAX_NAME_BYTES: usize = 100;
+
+/// Returns the text if it can be the name of a resource.
+pub fn check_name(text: &str) -> Result<String, String> {
+    let valid = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-_.".contains(&byte);
+    if text.is_empty() || text.len() > MAX_NAME_BYTES || !text.bytes().all(valid) {
+        return Err(format!(
+            "expected 1 to {MAX_NAME_BYTES} characters of a-z, 0-9, '-', '_' and '.'"
+        ));
+    }
+    Ok(text.to_owned())
+}
+
+/// Returns the text if it can be a change id.
+pub fn check_change_id(text: &str) -> Result<String, String> {
+    let valid = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    if text.is_empty() || text.len() > MAX_NAME_BYTES || !text.bytes().all(valid) {
+        return Err(format!(
+            "expected 1 to {MAX_NAME_BYTES} characters of A-Z, a-z, 0-9, '-', '_' and '.'"
+        ));
+    }
+    Ok(text.to_owned())
+}
--- /dev/null
+++ b/crates/cli/src/read_commands.rs
@@ -0,0 +1,181 @@
+//! Commands that read.
+
+use std::collections;
+use std::thread;
+use std::time;
+
+use serde_json::json;
+
+use crate::api_client;
+use crate::cli_error;
+use crate::kind_names;
+
+/// Wait of one long poll.
+const POLL: time::Duration = time::Duration::from_secs(25);
+/// Failed polls in a row after which `watch` ends.
+const MAX_FAILED_POLLS: u32 = 5;
+/// Wait after a failed poll.
+const POLL_PAUSE: time::Duration = time::Duration::from_secs(1);
+
+/// `get KIND [NAME]`.
+pub fn get(matches: &clap::ArgMatches) -> Result<(), cli_error::CliError> {
+    let client = api_client::ApiClient::from_options(matches)?;
+    let Some(kind) = matches.get_one::<kind_names::KindName>("kind") else {
+        return Ok(());
+    };
+    let name = matches.get_one::<String>("name");
+    let path = match name {
+        Some(name) => format!("/v1/{}/{name}", kind.path),
+        None => format!("/v1/{}", kind.path),
+    };
+    let answer = query(&client, &path)?;
+    match (answer.status, name) {
+        (200, _) => println!("{:#}", answer.body),
+        (404, Some(name)) => return Err(cli_error::CliError::Failed(format!("no {} '{name}'", kind.kind))),
+        _ => return Err(answer.failure()),
+    }
+    Ok(())
+}
+
+/// `changes ID`.
+pub fn change(matches: &clap::ArgMatches) -> Result<(), cli_error::CliError> {
+    let client = api_client::ApiClient::from_options(matches)?;
+    let id = matches.get_one::<String>("id").map_or("", String::as_str);
+    let answer = query(&client, &format!("/v1/changes/{id}"))?;
+    match answer.status {
+        200 => println!("{:#}", answer.body),
+        404 => {
+            let message = format!("no change '{id}' has been accepted so far");
+            return Err(cli_error::CliError::Failed(message));
+        }
+        _ => return Err(answer.failure()),
+    }
+    Ok(())
+}
+
+/// `status`.
+pub fn status(matches: &clap::ArgMatches) -> Result<(), cli_error::CliError> {
+    let client = api_client::ApiClient::from_options(matches)?;
+    let ready = query(&client, "/ready")?;
+    let is_ready = ready.status == 200;
+    println!("ready: {}", if is_ready { "yes" } else { "no" });
+    println!("revision in force: {}", ready.body["revision"]);
+    let reasons: Vec<&str> = ready.body["reasons"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .filter_map(serde_json::Value::as_str)
+        .collect();
+    for reason in &reasons {
+        println!("not ready: {reason}");
+    }
+    let daemons = query(&client, "/v1/daemons")?;
+    if daemons.status != 200 {
+        return Err(daemons.failure());
+    }
+    print_daemons(&daemons.body);
+    if is_ready {
+        return Ok(());
+    }
+    Err(cli_error::CliError::Failed("the daemon is not ready".to_owned()))
+}
+
+fn print_daemons(body: &serde_json::Value) {
+    let items: Vec<&serde_json::Value> = body["items"].as_array().into_iter().flatten().collect();
+    let mut states = collections::BTreeMap::new();
+    for item in &items {
+        *states.entry(cell(&item["status"]["state"])).or_insert(0) += 1;
+    }
+    let states: Vec<String> = states.iter().map(|(state, count)| format!("{count} {state}")).collect();
+    println!("daemons: {} ({})", items.len(), states.join(", "));
+    for item in items {
+        let spec = &item["spec"];
+        println!(
+            "  {:<24} {:<10} {:<20} {:<14} {}",
+            cell(&item["name"]),
+            cell(&item["status"]["state"]),
+            cell(&spec["service"]),
+            cell(&spec["region"]),
+            cell(&spec["data_centre"]),
+        );
+    }
+}
+
+fn cell(value: &serde_json::Value) -> String {
+    value.as_str().unwrap_or("-").to_owned()
+}
+
+/// `watch [KIND]`.
+pub fn watch(matches: &clap::ArgMatches) -> Result<(), cli_error::CliError> {
+    let client = api_client::ApiClient::from_options(matches)?;
+    let kind = matches.get_one::<kind_names::KindName>("kind");
+    let mut left = matches.get_one::<u64>("count").copied().unwrap_or(u64::MAX);
+    let mut after = matches.get_one::<u64>("after").copied();
+    let mut failed = 0;
+    while left > 0 {
+        let start = after.map_or_else(String::new, |after| format!("after={after}&"));
+        let path = format!("/v1/watch?{start}timeout_ms={}", POLL.as_millis());
+        let answer = match client.poll(&path, POLL) {
+            Ok(answer) if answer.status == 200 => answer,
+            Ok(answer) if answer.status == 410 => {
+                eprintln!("damasktrack: some changes are no longer at hand; going on from the present revision");
+                after = None;
+                continue;
+            }
+            Ok(answer) if (400..500).contains(&answer.status) && answer.status != 429 => return Err(answer.failure()),
+            result => {
+                failed += 1;
+                let error = result.map_or_else(api_client::ApiFailure::of_query, |answer| answer.failure());
+                if failed == MAX_FAILED_POLLS {
+                    return Err(error);
+                }
+                eprintln!("{error}");
+                thread::sleep(POLL_PAUSE);
+                continue;
+            }
+        };
+        failed = 0;
+        after = answer.body["revision"].as_u64().or(after);
+        for line in lines(&answer.body, kind) {
+            if left == 0 {
+                break;
+            }
+            println!("{line}");
+            left -= 1;
+        }
+    }
+    Ok(())
+}
+
+/// Returns one line for each changed resource.
+fn lines(body: &serde_json::Value, kind: Option<&kind_names::KindName>) -> Vec<serde_json::Value> {
+    let mut lines = Vec::new();
+    for event in body["events"].as_array().into_iter().flatten() {
+        for change in event["changes"].as_array().into_iter().flatten() {
+            if kind.is_some_and(|kind| change["kind"] != kind.kind) {
+                continue;
+            }
+            let mut line = json!({
+                "revision": event["revision"],
+                "id": event["id"],
+                "operator": event["operator"],
+                "action": change["action"],
+                "kind": change["kind"],
+                "name": change["name"],
+            });
+            for field in ["version", "spec"] {
+                if !change[field].is_null() {
+                    line[field] = change[field].clone();
+                }
+            }
+            lines.push(line);
+        }
+    }
+    lines
+}
+
+fn query(client: &api_client::ApiClient, path: &str) -> Result<api_client::ApiAnswer, cli_error::CliError> {
+    client
+        .send("GET", path, None, "")
+        .map_err(api_client::ApiFailure::of_query)
+}
--- /dev/null
+++ b/crates/cli/tests/commands.rs
@@ -0,0 +1,279 @@
+//! The commands against a scripted API that follows `docs/api.md`.
+
+use std::env;
+use std::fs;
+use std::net;
+use std::path;
+use std::process;
+use std::sync::atomic;
+use std::thread;
+
+use serde_json::{Value, json};
+
+/// A request as the scripted API saw it: method, URL, `Authorization`, `Idempotency-Key` and body.
+#[derive(Debug)]
+struct SeenRequest {
+    method: String,
+    url: String,
+    authorization: String,
+    change_id: String,
+    body: Value,
+}
+
+/// An API that gives these answers in turn and records the requests.
+#[derive(Debug)]
+struct ScriptedApi {
+    address: net::SocketAddr,
+    thread: thread::JoinHandle<Vec<SeenRequest>>,
+}
+
+impl ScriptedApi {
+    fn start(answers: Vec<(u16, Value)>) -> Self {
+        let server = tiny_http::Server::http("127.0.0.1:0").unwrap();
+        let address = server.server_addr().to_ip().unwrap();
+        let thread = thread::spawn(move || {
+            let mut seen = Vec::new();
+            for (status, body) in answers {
+                let mut request = server.recv().unwrap();
+                let mut text = String::new();
+                request.as_reader().read_to_string(&mut text).unwrap();
+                let header = |name: &'static str| {
+                    let header = request.headers().iter().find(|header| header.field.equiv(name));
+                    header.map(|header| header.value.to_string()).unwrap_or_default()
+                };
+                seen.push(SeenRequest {
+                    method: request.method().to_string(),
+                    url: request.url().to_owned(),
+                    authorization: header("Authorization"),
+                    change_id: header("Idempotency-Key"),
+                    body: serde_json::from_str(&text).unwrap_or_default(),
+                });
+                let response = tiny_http::Response::from_string(body.to_string()).with_status_code(status);
+                request.respond(response).unwrap();
+            }
+            seen
+        });
+        Self { address, thread }
+    }
+
+    fn run(&self, arguments: &[&str]) -> CommandResult {
+        let address = self.address.to_string();
+        let mut all = vec!["--api", &address];
+        all.extend(arguments);
+        run(&all)
+    }
+
+    fn seen(self) -> Vec<SeenRequest> {
+        self.thread.join().unwrap()
+    }
+}
+
+#[derive(Debug)]
+struct CommandResult {
+    code: Option<i32>,
+    stdout: String,
+    stderr: String,
+}
+
+fn run(arguments: &[&str]) -> CommandResult {
+    let output = process::Command::new(env!("CARGO_BIN_EXE_damasktrack"))
+        .args(arguments)
+        .env("DAMASKTRACK_KEY", "secret-key")
+        .env_remove("DAMASKTRACK_API")
+        .output()
+        .unwrap();
+    CommandResult {
+        code: output.status.code(),
+        stdout: String::from_utf8(output.stdout).unwrap(),
+        stderr: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+/// Writes a file that only this test uses.
+fn file(content: &Value) -> path::PathBuf {
+    static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, atomic::Ordering::SeqCst);
+    let path = env::temp_dir().join(format!("damasktrack-cli-{}-{number}.json", process::id()));
+    fs::write(&path, content.to_string()).unwrap();
+    path
+}
+
+fn tenants() -> Value {
+    json!({ "resources": [
+        { "kind": "Tenant", "name": "viborg", "spec": { "weight": 2 } },
+        { "kind": "Tenant", "name": "skive", "spec": { "weight": 0 } },
+    ]})
+}
+
+/// Guards against a request that the page of the API does not describe.
+#[test]
+fn apply_sends_all_resources_as_one_change() {
+    let accepted = json!({ "id": "c1", "revision": 42, "dry_run": false, "results": [
+        { "kind": "Tenant", "name": "viborg", "result": "created", "version": 42 },
+    ]});
+    let api = ScriptedApi::start(vec![(200, accepted)]);
+    let path = file(&tenants());
+    let result = api.run(&["apply", path.to_str().unwrap(), "--change-id", "c1"]);
+    assert_eq!(result.code, Some(0), "{result:?}");
+    assert_eq!(
+        result.stdout,
+        "Tenant viborg: created (version 42)\nrevision 42, change c1\n"
+    );
+    let seen = &api.seen()[0];
+    assert_eq!((seen.method.as_str(), seen.url.as_str()), ("POST", "/v1/apply"));
+    assert_eq!(
+        (seen.authorization.as_str(), seen.change_id.as_str()),
+        ("Bearer secret-key", "c1")
+    );
+    assert_eq!(seen.body, tenants());
+    fs::remove_file(path).unwrap();
+}
+
+/// Guards against findings that name a position in the request instead of the operator's file.
+#[test]
+fn findings_name_their_file() {
+    let refused = json!({ "error": "1 finding", "findings": [
+        { "place": "resources[1].spec.weight", "expected": "1 or more", "found": 0 },
+    ]});
+    let api = ScriptedApi::start(vec![(422, refused)]);
+    let path = file(&tenants());
+    let result = api.run(&["apply", "--dry-run", path.to_str().unwrap()]);
+    let finding = format!(
+        "{}: resources[1].spec.weight (Tenant skive): expected 1 or more, found 0\n",
+        path.display()
+    );
+    assert_eq!(result.code, Some(1));
+    assert!(result.stderr.starts_with(&finding), "{}", result.stderr);
+    assert_eq!(api.seen()[0].url, "/v1/apply?dry_run=true");
+    fs::remove_file(path).unwrap();
+}
+
+/// Guards against a lost response that is reported as accepted or as refused.
+#[test]
+fn unsettled_changes_are_asked_for() {
+    let unsettled = json!({ "error": "the store did not answer", "id": "c2" });
+    let change = json!({ "id": "c2", "revision": 7, "operator": "maja", "changes": [
+        { "action": "delete", "kind": "Tenant", "name": "skive" },
+    ]});
+    let api = ScriptedApi::start(vec![(504, unsettled.clone()), (200, change)]);
+    let result = api.run(&["delete", "tenant", "skive", "--version", "6", "--change-id", "c2"]);
+    assert_eq!(
+        (result.code, result.stdout.as_str()),
+        (Some(0), "Tenant skive: deleted\nrevision 7, change c2\n")
+    );
+    let seen = api.seen();
+    assert_eq!(
+        (seen[0].method.as_str(), seen[0].url.as_str()),
+        ("DELETE", "/v1/tenants/skive?version=6")
+    );
+    assert_eq!(seen[1].url, "/v1/changes/c2");
+
+    let api = ScriptedApi::start(vec![(504, unsettled), (404, json!({ "error": "no such change" }))]);
+    let result = api.run(&["delete", "tenant", "skive", "--change-id", "c2"]);
+    assert_eq!(result.code, Some(3));
+    assert!(result.stderr.contains("damasktrack changes c2"), "{}", result.stderr);
+    api.seen();
+}
+
+/// Guards against failures that exit with 0 or leave the operator without the reason.
+#[test]
+fn failures_are_told() {
+    let cases = [
+        (401, json!({ "error": "unknown key" }), "no valid key"),
+        (
+            409,
+            json!({ "error": "changed meanwhile", "current_version": 9 }),
+            "the current version is 9",
+        ),
+        (
+            503,
+            json!({ "error": "the store is unreachable" }),
+            "nothing was changed",
+        ),
+    ];
+    for (status, body, expected) in cases {
+        let api = ScriptedApi::start(vec![(status, body)]);
+        let result = api.run(&["delete", "tenant", "skive"]);
+        assert_eq!(result.code, Some(1), "{status}");
+        assert!(result.stderr.contains(expected), "{}", result.stderr);
+        assert!(!result.stderr.contains("secret-key"));
+        api.seen();
+    }
+    let result = run(&["status"]);
+    assert!(
+        result.code == Some(1) && result.stderr.contains("no API address"),
+        "{result:?}"
+    );
+    let result = run(&["--api", "127.0.0.1:1", "delete", "tenant", "../x"]);
+    assert_eq!(result.code, Some(2), "{result:?}");
+}
+
+/// Guards against a watch that repeats or skips revisions.
+#[test]
+fn watch_goes_on_after_the_last_revision() {
+    let event = |revision: u64| {
+        json!({ "id": format!("c{revision}"), "revision": revision, "operator": "maja", "changes": [
+            { "action": "put", "kind": "Tenant", "name": "viborg", "version": revision, "spec": { "weight": 2 } },
+            { "action": "delete", "kind": "Class", "name": "old" },
+        ]})
+    };
+    let api = ScriptedApi::start(vec![
+        (200, json!({ "revision": 5, "events": [] })),
+        (410, json!({ "error": "log was cut" })),
+        (200, json!({ "revision": 8, "events": [event(8)] })),
+        (200, json!({ "revision": 9, "events": [event(9)] })),
+    ]);
+    let result = api.run(&["watch", "tenants", "--after", "3", "--count", "2"]);
+    assert_eq!(result.code, Some(0), "{result:?}");
+    let lines: Vec<Value> = result
+        .stdout
+        .lines()
+        .map(|line| serde_json::from_str(line).unwrap())
+        .collect();
+    let revisions: Vec<&Value> = lines.iter().map(|line| &line["revision"]).collect();
+    assert_eq!(revisions, [&json!(8), &json!(9)]);
+    let urls: Vec<String> = api.seen().into_iter().map(|seen| seen.url).collect();
+    let after = |text: &str| format!("/v1/watch?{text}timeout_ms=25000");
+    assert_eq!(
+        urls,
+        [after("after=3&"), after("after=5&"), after(""), after("after=8&")]
+    );
+}
+
+/// Guards against a status that hides an unready daemon from scripts.
+#[test]
+fn status_fails_while_the_daemon_is_not_ready() {
+    let daemons = json!({ "revision": 3, "items": [
+        { "kind": "Daemon", "name": "d1", "spec": { "service": "permits", "region": "lahore", "data_centre": "l1" },
+          "status": { "state": "Up" } },
+    ]});
+    let unready = json!({ "ready": false, "revision": 3, "reasons": ["the configuration is not known yet"] });
+    let api = ScriptedApi::start(vec![(503, unready), (200, daemons)]);
+    let result = api.run(&["status"]);
+    assert_eq!(result.code, Some(1));
+    assert!(
+        result.stdout.contains("not ready: the configuration is not known yet"),
+        "{}",
+        result.stdout
+    );
+    assert!(result.stdout.contains("daemons: 1 (1 Up)"), "{}", result.stdout);
+    api.seen();
+}
+
+/// Guards against settings findings that are lost or unplaced.
+#[test]
+fn settings_findings_are_printed_one_a_line() {
+    let path = file(&json!({ "daemon_id": "d1", "region": "r", "entry_listen": "here" }));
+    let result = run(&["check-settings", path.to_str().unwrap()]);
+    assert_eq!(result.code, Some(1));
+    for place in ["data_centre", "entry_listen", "peer_listen", "api_listen"] {
+        let start = format!("{}: {place}: ", path.display());
+        assert!(
+            result.stderr.lines().any(|line| line.starts_with(&start)),
+            "{}",
+            result.stderr
+        );
+    }
+    fs::remove_file(path).unwrap();
+    assert!(run(&["explain-settings"]).stdout.contains("peer_listen"));
+}
--- a/crates/standins/src/backend_state.rs
+++ b/crates/standins/src/backend_state.rs
@@ -158,6 +158,7 @@
     #[must_use]
     pub fn new(options: BackendOptions) -> Self {
         let config = ureq::Agent::config_builder()
+            .proxy(None)
             .max_idle_connections(options.slots.max(1))
             .max_idle_connections_per_host(options.slots.max(1))
             .build();
--- a/crates/standins/src/load_run.rs
+++ b/crates/standins/src/load_run.rs
@@ -86,7 +86,10 @@
 }
 
 fn agent() -> ureq::Agent {
-    let config = ureq::Agent::config_builder().http_status_as_error(false).build();
+    let config = ureq::Agent::config_builder()
+        .proxy(None)
+        .http_status_as_error(false)
+        .build();
     ureq::Agent::new_with_config(config)
 }
 
