Place API findings by resource

Cause: the verifier checks the whole resulting configuration, so a finding may concern a resource that is not in the request; names and change ids had other bounds than the resource crate.

--- a/crates/cli/src/api_client.rs
+++ b/crates/cli/src/api_client.rs
@@ -194,23 +194,27 @@
             None => {}
         }
         let findings = self.body["findings"].as_array().into_iter().flatten();
-        let findings: Vec<String> = findings
-            .map(|finding| {
-                let text = |name: &str| match &finding[name] {
-                    serde_json::Value::String(text) => text.clone(),
-                    other => other.to_string(),
-                };
-                format!(
-                    "{}: expected {}, found {}",
-                    place(&text("place")),
-                    text("expected"),
-                    text("found")
-                )
-            })
-            .collect();
+        let findings: Vec<String> = findings.map(|finding| finding_line(finding, &place)).collect();
         if findings.is_empty() {
             return cli_error::CliError::Failed(message);
         }
         cli_error::CliError::Findings(message, findings)
     }
 }
+
+fn finding_line(finding: &serde_json::Value, place: impl Fn(&str) -> String) -> String {
+    let text = |name: &str| match &finding[name] {
+        serde_json::Value::Null => None,
+        serde_json::Value::String(text) => Some(text.clone()),
+        other => Some(other.to_string()),
+    };
+    let place = place(&text("place").unwrap_or_default());
+    if let Some(message) = text("message") {
+        return format!("{place}: {message}");
+    }
+    let found = text("found").unwrap_or_else(|| "nothing".to_owned());
+    format!(
+        "{place}: expected {}, found {found}",
+        text("expected").unwrap_or_default()
+    )
+}
--- a/crates/cli/src/change_commands.rs
+++ b/crates/cli/src/change_commands.rs
@@ -178,15 +178,24 @@
         }
     }
 
-    /// Returns the place in a file for a place in the request.
+    /// Returns the place in a file for a place of the API, which is `KIND/NAME.FIELD` or `resources[INDEX].FIELD`.
     fn place(&self, place: &str) -> String {
-        let parts = place.strip_prefix("resources[").and_then(|rest| rest.split_once(']'));
-        let found = parts.and_then(|(index, rest)| {
-            let index: usize = index.parse().ok()?;
-            let (resource, file) = (self.resources.get(index)?, self.places.get(index)?);
-            let (kind, name) = (resource["kind"].as_str()?, resource["name"].as_str()?);
-            Some(format!("{file}{rest} ({kind} {name})"))
-        });
-        found.unwrap_or_else(|| place.to_owned())
+        let (resource, field) = place.split_once('.').unwrap_or((place, ""));
+        let file = self
+            .resources
+            .iter()
+            .zip(&self.places)
+            .enumerate()
+            .find(|(index, (document, _))| {
+                let (kind, name) = (document["kind"].as_str(), document["name"].as_str());
+                let named = kind
+                    .is_some_and(|kind| resource.strip_prefix(kind).and_then(|rest| rest.strip_prefix('/')) == name);
+                named || resource == format!("resources[{index}]")
+            });
+        match file {
+            Some((_, (_, file))) if resource.contains('/') => format!("{file}.{field} ({resource})"),
+            Some((_, (_, file))) => format!("{file}.{field}"),
+            None => place.to_owned(),
+        }
     }
 }
--- a/crates/cli/src/kind_names.rs
+++ b/crates/cli/src/kind_names.rs
@@ -42,16 +42,16 @@
     kind.ok_or_else(|| "expected one of services, classes, chains, tenants, daemons".to_owned())
 }
 
-/// Longest name and change id.
-const MAX_NAME_BYTES: usize = 100;
+/// Longest name; names take part in the context header of 1,024 bytes.
+const MAX_NAME_BYTES: usize = 63;
+/// Longest change id.
+const MAX_CHANGE_ID_BYTES: usize = 128;
 
 /// Returns the text if it can be the name of a resource.
 pub fn check_name(text: &str) -> Result<String, String> {
-    let valid = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-_.".contains(&byte);
+    let valid = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
     if text.is_empty() || text.len() > MAX_NAME_BYTES || !text.bytes().all(valid) {
-        return Err(format!(
-            "expected 1 to {MAX_NAME_BYTES} characters of a-z, 0-9, '-', '_' and '.'"
-        ));
+        return Err(format!("expected 1 to {MAX_NAME_BYTES} characters of a-z, 0-9 and '-'"));
     }
     Ok(text.to_owned())
 }
@@ -59,9 +59,9 @@
 /// Returns the text if it can be a change id.
 pub fn check_change_id(text: &str) -> Result<String, String> {
     let valid = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
-    if text.is_empty() || text.len() > MAX_NAME_BYTES || !text.bytes().all(valid) {
+    if text.is_empty() || text.len() > MAX_CHANGE_ID_BYTES || !text.bytes().all(valid) {
         return Err(format!(
-            "expected 1 to {MAX_NAME_BYTES} characters of A-Z, a-z, 0-9, '-', '_' and '.'"
+            "expected 1 to {MAX_CHANGE_ID_BYTES} characters of A-Z, a-z, 0-9, '-', '_' and '.'"
         ));
     }
     Ok(text.to_owned())
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -133,17 +133,21 @@
 #[test]
 fn findings_name_their_file() {
     let refused = json!({ "error": "1 finding", "findings": [
-        { "place": "resources[1].spec.weight", "expected": "1 or more", "found": 0 },
+        { "place": "Tenant/skive.weight", "expected": "1 or more", "found": 0 },
+        { "place": "resources[0].spec", "message": "unknown field" },
+        { "place": "Class/browse.chain", "message": "not declared" },
     ]});
     let api = ScriptedApi::start(vec![(422, refused)]);
     let path = file(&tenants());
     let result = api.run(&["apply", "--dry-run", path.to_str().unwrap()]);
-    let finding = format!(
-        "{}: resources[1].spec.weight (Tenant skive): expected 1 or more, found 0\n",
-        path.display()
+    let file = path.display();
+    let findings = format!(
+        "{file}: resources[1].weight (Tenant/skive): expected 1 or more, found 0\n\
+         {file}: resources[0].spec: unknown field\n\
+         Class/browse.chain: not declared\n"
     );
     assert_eq!(result.code, Some(1));
-    assert!(result.stderr.starts_with(&finding), "{}", result.stderr);
+    assert!(result.stderr.starts_with(&findings), "{}", result.stderr);
     assert_eq!(api.seen()[0].url, "/v1/apply?dry_run=true");
     fs::remove_file(path).unwrap();
 }
