--- a/crates/standins/src/backend_server.rs
+++ b/crates/standins/src/backend_server.rs
@@ -171,6 +171,7 @@
             let request_id = http_query::value(query, "id");
             http_exchange::HttpAnswer::json(200, &state.execution_report(request_id.as_deref()))
         }
+        ("GET", "/control/execution-list") => http_exchange::HttpAnswer::json(200, &json!(state.execution_list())),
         _ => return None,
     };
     Some(answer)
--- a/crates/standins/src/backend_state.rs
+++ b/crates/standins/src/backend_state.rs
@@ -81,6 +81,15 @@
         self.total += 1;
     }
 
+    /// Returns the count of each request: id, path and count.
+    #[must_use]
+    pub fn list(&self) -> Vec<(String, String, u64)> {
+        let counts = self.counts.iter();
+        counts
+            .map(|((id, path), count)| (id.clone(), path.clone(), *count))
+            .collect()
+    }
+
     /// Returns totals, all by path, and the counts of one request id if given.
     #[must_use]
     pub fn report(&self, request_id: Option<&str>) -> serde_json::Value {
@@ -264,6 +273,12 @@
         report
     }
 
+    /// Returns the executions of each request: id, path and count.
+    #[must_use]
+    pub fn execution_list(&self) -> Vec<(String, String, u64)> {
+        self.lock().executions.list()
+    }
+
     /// Returns the rules in force.
     #[must_use]
     pub fn fault_rules(&self) -> Vec<backend_faults::BackendFault> {
--- /dev/null
+++ b/crates/standins/src/bin/damasktrack_demo.rs
@@ -0,0 +1,398 @@
+//! Demonstration: a store, daemons and backend servers as processes on loopback, with real calls.
+
+use std::collections;
+use std::env;
+use std::fs;
+use std::hash;
+use std::hash::{BuildHasher, Hasher};
+use std::net;
+use std::path;
+use std::process;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+use damasktrack_standins::{demo_check, demo_plan, demo_processes, load_mix, load_run, load_summary};
+use sha2::Digest;
+
+/// Time in which all daemons must be ready; joins are spread over 10 s when the store is slow.
+const READY_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+/// Time in which an accepted configuration must be in force everywhere.
+const CONFIG_TIMEOUT: time::Duration = time::Duration::from_secs(13);
+/// Time in which a process must end after SIGTERM.
+const STOP_TIMEOUT: time::Duration = time::Duration::from_secs(15);
+/// Findings that are printed.
+const MAX_FINDINGS: usize = 20;
+
+fn main() -> process::ExitCode {
+    let matches = clap::Command::new("damasktrack-demo")
+        .about("Starts a store, daemons and backend servers on loopback, sends calls and prints what became of them")
+        .arg(argument("programs", "DIRECTORY").help("Directory with the built programs"))
+        .arg(argument("resources", "FILE").help("Resources to apply"))
+        .arg(argument("plan", "FILE").help("Servers and load"))
+        .arg(
+            clap::Arg::new("keep")
+                .long("keep")
+                .action(clap::ArgAction::SetTrue)
+                .help("Keep the directory with settings and logs"),
+        )
+        .get_matches();
+    let directory = env::temp_dir().join(format!("damasktrack-demo-{}", process::id()));
+    let result = run(&matches, &directory);
+    if matches.get_flag("keep") {
+        println!("settings and logs: {}", directory.display());
+    } else if let Err(error) = fs::remove_dir_all(&directory) {
+        eprintln!("damasktrack-demo: {}: {error}", directory.display());
+    }
+    match result {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("damasktrack-demo: {error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+fn argument(name: &'static str, value: &'static str) -> clap::Arg {
+    clap::Arg::new(name).long(name).value_name(value).required(true)
+}
+
+/// A running demonstration.
+struct Demo {
+    plan: demo_plan::DemoPlan,
+    addresses: Vec<demo_plan::DemoAddresses>,
+    processes: demo_processes::DemoProcesses,
+    directory: path::PathBuf,
+    resources: String,
+    agent: ureq::Agent,
+    /// Set by SIGINT and SIGTERM.
+    interrupted: sync::Arc<atomic::AtomicBool>,
+}
+
+fn run(matches: &clap::ArgMatches, directory: &path::Path) -> Result<(), String> {
+    let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    let plan_file = text("plan");
+    let plan = fs::read_to_string(&plan_file).map_err(|error| format!("{plan_file}: {error}"))?;
+    let plan: demo_plan::DemoPlan = serde_json::from_str(&plan).map_err(|error| format!("{plan_file}: {error}"))?;
+    fs::create_dir_all(directory).map_err(|error| format!("{}: {error}", directory.display()))?;
+    let interrupted = sync::Arc::new(atomic::AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        let flag = sync::Arc::clone(&interrupted);
+        signal_hook::flag::register(signal, flag).map_err(|error| error.to_string())?;
+    }
+    let config = ureq::Agent::config_builder()
+        .proxy(None)
+        .http_status_as_error(false)
+        .timeout_global(Some(time::Duration::from_secs(2)))
+        .build();
+    let mut demo = Demo {
+        addresses: demo_plan::find_addresses(plan.servers.len()).map_err(|error| error.to_string())?,
+        processes: demo_processes::DemoProcesses::new(path::PathBuf::from(text("programs")), directory.to_owned()),
+        directory: directory.to_owned(),
+        resources: text("resources"),
+        agent: ureq::Agent::new_with_config(config),
+        interrupted,
+        plan,
+    };
+    let result = demo.run();
+    if result.is_err() {
+        for end in demo.processes.log_ends(15) {
+            eprintln!("{end}");
+        }
+    }
+    result
+}
+
+impl Demo {
+    fn run(&mut self) -> Result<(), String> {
+        self.start()?;
+        self.apply()?;
+        self.show_answers()?;
+        let records = self.load()?;
+        let executions = self.executions()?;
+        let mut findings = demo_check::check(&self.plan, &records, &executions);
+        println!(
+            "\nexecutions: {} of {} requests",
+            executions.values().sum::<u64>(),
+            executions.len()
+        );
+        findings.extend(
+            self.processes
+                .ended()
+                .iter()
+                .map(|name| format!("{name}: ended by itself")),
+        );
+        findings.extend(self.stop());
+        for finding in findings.iter().take(MAX_FINDINGS) {
+            println!("finding: {finding}");
+        }
+        if findings.is_empty() {
+            println!("nothing was lost, no action ran twice, all processes ended cleanly");
+            return Ok(());
+        }
+        Err(format!("{} findings", findings.len()))
+    }
+
+    fn start(&mut self) -> Result<(), String> {
+        self.processes.start("store", "standin-store", &[])?;
+        let store = self.listening("store")?;
+        let key = format!("{:016x}", hash::RandomState::new().build_hasher().finish());
+        self.write("key", &key)?;
+        let digest = format!(
+            "{:x}",
+            bytes::Bytes::copy_from_slice(&sha2::Sha256::digest(key.as_bytes()))
+        );
+        for index in 0..self.plan.servers.len() {
+            let name = demo_plan::name(&self.plan, index);
+            let arguments = demo_plan::backend_arguments(&self.plan, &self.addresses, index);
+            self.processes
+                .start(&format!("backend-{name}"), "standin-backend", &arguments)?;
+            let settings = demo_plan::settings(&self.plan, &self.addresses, index, store, &digest);
+            let path = self.write(&format!("{name}.json"), &format!("{settings:#}"))?;
+            self.processes.start(
+                &format!("daemon-{name}"),
+                "damasktrackd",
+                &["--settings".to_owned(), path],
+            )?;
+        }
+        let begin = time::Instant::now();
+        self.wait_for(
+            READY_TIMEOUT,
+            "the daemons to be ready and to know each other",
+            |demo| demo.all_ready(0) && demo.all_known(),
+        )?;
+        let count = self.plan.servers.len();
+        println!(
+            "{count} daemons and {count} backend servers ready after {:.1} s",
+            begin.elapsed().as_secs_f64()
+        );
+        Ok(())
+    }
+
+    fn apply(&mut self) -> Result<(), String> {
+        let begin = time::Instant::now();
+        let resources = self.resources.clone();
+        let output = self.operate(&["apply", &resources])?;
+        print!("{output}");
+        let revision = output.lines().last().and_then(|line| line.strip_prefix("revision "));
+        let revision = revision
+            .and_then(|rest| rest.split(',').next())
+            .and_then(|number| number.parse().ok());
+        let revision: u64 = revision.ok_or("the command line printed no revision")?;
+        self.wait_for(CONFIG_TIMEOUT, "the configuration to be in force everywhere", |demo| {
+            demo.all_ready(revision)
+        })?;
+        println!(
+            "revision {revision} in force at all daemons after {:.2} s",
+            begin.elapsed().as_secs_f64()
+        );
+        print!("{}", self.operate(&["status"])?);
+        Ok(())
+    }
+
+    /// Sends one request of each kind and prints what came back.
+    fn show_answers(&self) -> Result<(), String> {
+        println!("\none request of each kind:");
+        for (index, entry) in self.plan.mix.entries.iter().enumerate() {
+            let options = load_run::LoadOptions {
+                addresses: vec![self.addresses[index % self.addresses.len()].entry],
+                mix: load_mix::LoadMix {
+                    entries: vec![entry.clone()],
+                },
+                arrivals: vec![load_mix::Arrival {
+                    at: time::Duration::ZERO,
+                    entry: 0,
+                }],
+                concurrency: 1,
+                run_id: format!("demo-{}-{index}", process::id()),
+                window: time::Duration::from_secs(1),
+            };
+            let summary = load_run::run(&options, |record| {
+                println!(
+                    "  {} {}\n    status {}, outcome {}, {} bytes, {:.1} ms, id {} {}",
+                    entry.method,
+                    entry.path,
+                    record.status,
+                    record.outcome,
+                    record.bytes,
+                    record.latency_us as f64 / 1_000.0,
+                    record.request_id,
+                    record.error,
+                );
+            });
+            if summary.count(None, load_summary::RequestEnd::Whole) != 1 {
+                return Err(format!("the request '{}' was not completed", entry.name));
+            }
+        }
+        Ok(())
+    }
+
+    fn load(&mut self) -> Result<Vec<load_summary::RequestRecord>, String> {
+        let mix = serde_json::json!(self.plan.mix);
+        let mix = self.write("mix.json", &mix.to_string())?;
+        let lines = self.directory.join("requests.jsonl");
+        let mut arguments = vec![
+            format!("--mix={mix}"),
+            format!("--rate={}", self.plan.load.rate),
+            format!("--duration-s={}", self.plan.load.seconds),
+            format!("--json-lines={}", lines.display()),
+        ];
+        arguments.extend(
+            self.addresses
+                .iter()
+                .map(|addresses| format!("--address={}", addresses.entry)),
+        );
+        let output = self.processes.run("standin-load", &arguments)?;
+        if self.interrupted.load(atomic::Ordering::SeqCst) {
+            return Err("interrupted".to_owned());
+        }
+        let text = String::from_utf8_lossy(&output.stdout);
+        let summary: serde_json::Value = serde_json::from_str(&text)
+            .map_err(|error| format!("load: {error}: {}", String::from_utf8_lossy(&output.stderr)))?;
+        print_table(&summary);
+        let lines = fs::read_to_string(&lines).map_err(|error| format!("{}: {error}", lines.display()))?;
+        let records: Result<Vec<load_summary::RequestRecord>, _> = lines.lines().map(serde_json::from_str).collect();
+        records.map_err(|error| format!("load: {error}"))
+    }
+
+    fn executions(&self) -> Result<demo_check::ExecutionTable, String> {
+        let mut table = demo_check::ExecutionTable::new();
+        for addresses in &self.addresses {
+            let url = format!("http://{}/control/execution-list", addresses.backend);
+            let (_, text) = self.get(&url).ok_or_else(|| format!("{url}: no answer"))?;
+            demo_check::add_executions(
+                &mut table,
+                serde_json::from_str(&text).map_err(|error| format!("{url}: {error}"))?,
+            );
+        }
+        Ok(table)
+    }
+
+    /// Ends daemons before their backend servers, so that running calls can complete.
+    fn stop(&mut self) -> Vec<String> {
+        let mut findings = Vec::new();
+        for prefix in ["daemon-", "backend-", ""] {
+            findings.extend(self.processes.stop(STOP_TIMEOUT, |name| name.starts_with(prefix)));
+        }
+        findings
+    }
+
+    /// Runs the operators' command line against the first daemon.
+    fn operate(&self, arguments: &[&str]) -> Result<String, String> {
+        let mut all = vec![
+            format!("--api={}", self.addresses[0].api),
+            format!("--key-file={}", self.directory.join("key").display()),
+        ];
+        all.extend(arguments.iter().map(|argument| (*argument).to_owned()));
+        let output = self.processes.run("damasktrack", &all)?;
+        if output.status.success() {
+            return Ok(String::from_utf8_lossy(&output.stdout).into_owned());
+        }
+        let (out, error) = (
+            String::from_utf8_lossy(&output.stdout),
+            String::from_utf8_lossy(&output.stderr),
+        );
+        Err(format!("damasktrack {} failed:\n{out}{error}", arguments.join(" ")))
+    }
+
+    fn all_ready(&self, revision: u64) -> bool {
+        self.addresses.iter().all(|addresses| {
+            let answer = self.get(&format!("http://{}/ready", addresses.api));
+            let Some((200, text)) = answer else {
+                return false;
+            };
+            let body: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+            body["revision"].as_u64().unwrap_or(0) >= revision
+        })
+    }
+
+    fn all_known(&self) -> bool {
+        let expected: collections::HashSet<String> = (0..self.addresses.len())
+            .map(|index| demo_plan::name(&self.plan, index))
+            .collect();
+        self.addresses.iter().all(|addresses| {
+            let key = fs::read_to_string(self.directory.join("key")).unwrap_or_default();
+            let url = format!("http://{}/v1/daemons", addresses.api);
+            let request = self.agent.get(url).header("Authorization", format!("Bearer {key}"));
+            let text = request
+                .call()
+                .ok()
+                .and_then(|mut response| response.body_mut().read_to_string().ok());
+            let body: serde_json::Value = serde_json::from_str(&text.unwrap_or_default()).unwrap_or_default();
+            let items = body["items"].as_array().into_iter().flatten();
+            let up = items.filter(|item| item["status"]["state"] == "Up");
+            let names: collections::HashSet<&str> = up.filter_map(|item| item["name"].as_str()).collect();
+            expected.iter().all(|name| names.contains(name.as_str()))
+        })
+    }
+
+    fn get(&self, url: &str) -> Option<(u16, String)> {
+        let mut response = self.agent.get(url).call().ok()?;
+        let status = response.status().as_u16();
+        let text = response
+            .body_mut()
+            .with_config()
+            .limit(256 << 20)
+            .read_to_string()
+            .ok()?;
+        Some((status, text))
+    }
+
+    fn wait_for(&mut self, timeout: time::Duration, what: &str, holds: impl Fn(&Self) -> bool) -> Result<(), String> {
+        let end = time::Instant::now() + timeout;
+        loop {
+            if let Some(name) = self.processes.ended().first() {
+                return Err(format!("{name} ended by itself"));
+            }
+            if self.interrupted.load(atomic::Ordering::SeqCst) {
+                return Err("interrupted".to_owned());
+            }
+            if holds(self) {
+                return Ok(());
+            }
+            if time::Instant::now() >= end {
+                return Err(format!("waited {timeout:?} in vain for {what}"));
+            }
+            thread::sleep(time::Duration::from_millis(20));
+        }
+    }
+
+    /// Returns the address that a program printed.
+    fn listening(&mut self, name: &str) -> Result<net::SocketAddr, String> {
+        let path = self.directory.join(format!("{name}.out"));
+        let read = move || {
+            let text = fs::read_to_string(&path).ok()?;
+            text.lines().next()?.strip_prefix("listening ")?.parse().ok()
+        };
+        self.wait_for(READY_TIMEOUT, name, |_| read().is_some())?;
+        read().ok_or_else(|| format!("{name} printed no address"))
+    }
+
+    fn write(&self, name: &str, content: &str) -> Result<String, String> {
+        let path = self.directory.join(name);
+        fs::write(&path, content).map_err(|error| format!("{}: {error}", path.display()))?;
+        Ok(path.display().to_string())
+    }
+}
+
+fn print_table(summary: &serde_json::Value) {
+    println!(
+        "\n{} requests, {} whole, {} attempts per request",
+        summary["requests"], summary["whole"], summary["attempts_per_request"]
+    );
+    println!(
+        "  {:<26} {:>8} {:>8} {:>9} {:>9}  answers",
+        "kind", "requests", "whole", "p50 ms", "p99 ms"
+    );
+    for (name, entry) in summary["entries"].as_object().into_iter().flatten() {
+        println!(
+            "  {name:<26} {:>8} {:>8} {:>9.2} {:>9.2}  {}",
+            entry["requests"],
+            entry["ends"]["whole"].as_u64().unwrap_or(0),
+            entry["p50_ms"].as_f64().unwrap_or(0.0),
+            entry["p99_ms"].as_f64().unwrap_or(0.0),
+            entry["answers"],
+        );
+    }
+}
