--- a/crates/cli/src/cli_command.rs
+++ b/crates/cli/src/cli_command.rs
@@ -46,8 +46,16 @@
         .subcommands(read_commands())
 }
 
-fn settings_commands() -> [clap::Command; 3] {
+fn settings_commands() -> [clap::Command; 4] {
     [
+        clap::Command::new("run")
+            .about("Run a daemon until SIGTERM or SIGINT, which start a graceful shutdown; same as damasktrackd")
+            .arg(
+                clap::Arg::new("file")
+                    .value_name("FILE")
+                    .required(true)
+                    .help("Settings file"),
+            ),
         clap::Command::new("version").about("Print the version"),
         clap::Command::new("explain-settings")
             .about("Print all settings of a daemon: name, type, unit, default and meaning"),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -30,6 +30,7 @@
             println!("damasktrack {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
+        "run" => settings_commands::run(matches),
         "check-settings" => settings_commands::check(matches),
         "explain-settings" => settings_commands::explain(),
         "get" => read_commands::get(matches),
--- a/crates/cli/src/settings_commands.rs
+++ b/crates/cli/src/settings_commands.rs
@@ -2,7 +2,8 @@
 
 use std::fs;
 
-use damasktrack_settings::{settings_reader, settings_table};
+use damasktrack_node::{graceful_shutdown, node_run};
+use damasktrack_settings::{daemon_settings, settings_reader, settings_table};
 
 use crate::cli_error;
 
@@ -10,22 +11,43 @@
 pub fn check(matches: &clap::ArgMatches) -> Result<(), cli_error::CliError> {
     let mut findings = Vec::new();
     for path in matches.get_many::<String>("files").unwrap_or_default() {
-        match fs::read_to_string(path) {
-            Ok(text) => match settings_reader::read(&text, path) {
-                Ok(_) => println!("{path}: valid"),
-                Err(found) => findings.extend(found.iter().map(ToString::to_string)),
-            },
-            Err(error) => findings.push(format!("{path}: {error}")),
+        match read(path) {
+            Ok(_) => println!("{path}: valid"),
+            Err(found) => findings.extend(found),
         }
     }
     if findings.is_empty() {
         return Ok(());
     }
+    Err(refused(findings))
+}
+
+/// `run FILE`.
+pub fn run(matches: &clap::ArgMatches) -> Result<(), cli_error::CliError> {
+    let path = matches.get_one::<String>("file").map_or("", String::as_str);
+    let settings = read(path).map_err(refused)?;
+    match node_run::run(settings) {
+        Ok(graceful_shutdown::ShutdownResult::Complete) => Ok(()),
+        Ok(graceful_shutdown::ShutdownResult::TimedOut) => {
+            let message = "requests were still running after `drain_timeout_ms` and were interrupted";
+            Err(cli_error::CliError::Failed(message.to_owned()))
+        }
+        Err(error) => Err(cli_error::CliError::Failed(error.to_string())),
+    }
+}
+
+fn read(path: &str) -> Result<daemon_settings::DaemonSettings, Vec<String>> {
+    let text = fs::read_to_string(path).map_err(|error| vec![format!("{path}: {error}")])?;
+    let settings = settings_reader::read(&text, path);
+    settings.map_err(|findings| findings.iter().map(ToString::to_string).collect())
+}
+
+fn refused(findings: Vec<String>) -> cli_error::CliError {
     let message = match findings.len() {
         1 => "1 finding".to_owned(),
         count => format!("{count} findings"),
     };
-    Err(cli_error::CliError::Findings(message, findings))
+    cli_error::CliError::Findings(message, findings)
 }
 
 /// `explain-settings`.
