--- a/crates/ownership/src/action_ledger.rs
+++ b/crates/ownership/src/action_ledger.rs
@@ -70,8 +70,8 @@
 #[derive(Debug)]
 pub struct ActionLedger {
     limits: LedgerLimits,
-    issuer: request_issuer::RequestIssuer,
-    table: request_table::RequestTable,
+    pub(crate) issuer: request_issuer::RequestIssuer,
+    pub(crate) table: request_table::RequestTable,
     answers: answer_cache::AnswerCache,
     /// Higher than the sequence of each forgotten bound id. It only rises.
     floor: u64,
@@ -139,52 +139,6 @@
         step
     }
 
-    /// Takes the result of an insert or a read of a claim.
-    pub fn claim_settled(
-        &mut self,
-        request_id: &Bytes,
-        token: claim_plan::ClaimToken,
-        result: &claim_plan::ClaimResult,
-        now: time::Instant,
-    ) -> action_step::ClaimStep {
-        use action_step::UnknownReason;
-        use claim_plan::ClaimHolder;
-        use claim_plan::ClaimResult;
-        let Some(key) = self.table.find(request_id) else {
-            return action_step::ClaimStep::default();
-        };
-        let Some(claim) = self.claim_of(key).filter(|claim| claim.token == token) else {
-            // The answer belongs to an entry that was forgotten, or the claim is held already.
-            return action_step::ClaimStep::default();
-        };
-        let holder = match result {
-            ClaimResult::Inserted => ClaimHolder::ThisClaim,
-            ClaimResult::Found(row) => row.holder(self.issuer.owner(), token),
-            ClaimResult::Unreadable => ClaimHolder::Unreadable,
-            ClaimResult::Conflict | ClaimResult::Absent | ClaimResult::Unavailable | ClaimResult::Unsettled => {
-                return self.continue_claim(key, claim, result, now);
-            }
-        };
-        let replies = match holder {
-            ClaimHolder::ThisClaim => self.hold(key, now),
-            ClaimHolder::EarlierClaim => self.give_up(key, UnknownReason::Forgotten),
-            ClaimHolder::EarlierIncarnation => self.give_up(key, UnknownReason::OwnerGone),
-            ClaimHolder::Unreadable => self.give_up(key, UnknownReason::ClaimUnreadable),
-            ClaimHolder::Peer(owner) => {
-                let waiters = self.drop_claim(key);
-                let reply = |waiter: action_entry::ActionWaiter| action_step::WaiterReply {
-                    waiter: waiter.waiter,
-                    step: self.pass_to(owner.clone(), waiter.forwarded),
-                };
-                waiters.into_iter().map(reply).collect()
-            }
-        };
-        action_step::ClaimStep {
-            next: action_step::NextClaim::Idle,
-            replies,
-        }
-    }
-
     /// Takes the result of a dispatch.
     pub fn finish(
         &mut self,
@@ -354,14 +308,6 @@
     }
 }
 
-/// Claim that is not held yet.
-#[derive(Clone, Copy, Debug)]
-struct OpenClaim {
-    token: claim_plan::ClaimToken,
-    phase: action_entry::ClaimPhase,
-    unsettled: bool,
-}
-
 impl ActionLedger {
     fn begin_remembered(
         &mut self,
@@ -482,24 +428,16 @@
     ) -> action_step::ActionStep {
         use action_step::ActionStep;
         let call = request.key.call_digest();
-        let mut waiter = action_entry::ActionWaiter {
+        let waiter = action_entry::ActionWaiter {
             waiter: request.waiter,
             digest: request.digest,
             deadline: request.deadline,
             forwarded: request.forwarded,
             wake: request.deadline,
         };
-        let Some(action) = self.table.get_mut(key).and_then(|entry| entry.action_mut(&call)) else {
-            return ActionStep::Unknown(action_step::UnknownReason::Forgotten);
-        };
-        if matches!(action.state, action_entry::ActionState::Ready { driver: None }) {
-            waiter.wake = waiter.deadline + DRIVER_GRACE;
-            let attempt = action.dispatch(waiter.clone());
-            self.table.watch(key, call, &waiter);
-            return ActionStep::Dispatch(attempt);
+        if let Some(step) = self.start(key, call, waiter) {
+            return step;
         }
-        action.waiters.push(waiter.clone());
-        self.table.watch(key, call, &waiter);
         match self.claim_of(key) {
             Some(claim) if claim.phase == action_entry::ClaimPhase::Parked => {
                 let plan = self.plan(&request.key.request_id, claim.token, &request.digest);
@@ -516,7 +454,7 @@
     }
 
     /// Returns the step for a call whose owner is known to be another one.
-    fn pass_to(&self, owner: request_identity::RequestOwner, forwarded: bool) -> action_step::ActionStep {
+    pub(crate) fn pass_to(&self, owner: request_identity::RequestOwner, forwarded: bool) -> action_step::ActionStep {
         use action_step::ActionStep;
         if owner.daemon_id == self.issuer.owner().daemon_id {
             return ActionStep::Unknown(action_step::UnknownReason::OwnerGone);
@@ -527,7 +465,7 @@
         ActionStep::Forward(owner)
     }
 
-    fn plan(
+    pub(crate) fn plan(
         &self,
         request_id: &Bytes,
         token: claim_plan::ClaimToken,
@@ -536,176 +474,6 @@
         claim_plan::ClaimPlan::new(self.issuer.owner(), request_id, token, digest)
     }
 
-    fn claim_of(&self, key: request_table::RequestKey) -> Option<OpenClaim> {
-        match self.table.get(key)?.origin {
-            action_entry::RequestOrigin::Opaque {
-                token,
-                phase,
-                unsettled,
-            } if phase != action_entry::ClaimPhase::Held => Some(OpenClaim {
-                token,
-                phase,
-                unsettled,
-            }),
-            _ => None,
-        }
-    }
-
-    fn set_claim(&mut self, key: request_table::RequestKey, next: action_entry::ClaimPhase, doubt: bool) {
-        if let Some(request) = self.table.get_mut(key)
-            && let action_entry::RequestOrigin::Opaque { phase, unsettled, .. } = &mut request.origin
-        {
-            *phase = next;
-            *unsettled = doubt;
-        }
-        self.table.reindex(key);
-    }
-
-    /// Goes on with a claim whose holder is not known yet.
-    fn continue_claim(
-        &mut self,
-        key: request_table::RequestKey,
-        claim: OpenClaim,
-        result: &claim_plan::ClaimResult,
-        now: time::Instant,
-    ) -> action_step::ClaimStep {
-        use action_entry::ClaimPhase;
-        use claim_plan::ClaimResult;
-        let doubt = claim.unsettled || (*result == ClaimResult::Unsettled && claim.phase != ClaimPhase::Reading);
-        let next_phase = match result {
-            ClaimResult::Conflict => Some(ClaimPhase::Reading),
-            ClaimResult::Unsettled if claim.phase == ClaimPhase::Inserting => Some(ClaimPhase::Reading),
-            ClaimResult::Absent => Some(ClaimPhase::Inserting),
-            _ => None,
-        };
-        let live = self.first_live_digest(key, now);
-        if let (Some(phase), Some(digest)) = (next_phase, live) {
-            let Some(request_id) = self.table.get(key).map(|request| request.request_id.clone()) else {
-                return action_step::ClaimStep::default();
-            };
-            let plan = self.plan(&request_id, claim.token, &digest);
-            self.set_claim(key, phase, doubt);
-            return action_step::ClaimStep {
-                next: if phase == ClaimPhase::Reading {
-                    action_step::NextClaim::Read(plan)
-                } else {
-                    action_step::NextClaim::Insert(plan)
-                },
-                replies: Vec::new(),
-            };
-        }
-        let replies = if doubt {
-            self.set_claim(key, ClaimPhase::Parked, true);
-            unknown_replies(self.take_waiters(key), action_step::UnknownReason::StoreUnavailable)
-        } else {
-            self.give_up(key, action_step::UnknownReason::StoreUnavailable)
-        };
-        self.table.reindex(key);
-        action_step::ClaimStep {
-            next: action_step::NextClaim::Idle,
-            replies,
-        }
-    }
-
-    /// Returns the body digest of a call that still waits for the claim.
-    fn first_live_digest(
-        &self,
-        key: request_table::RequestKey,
-        now: time::Instant,
-    ) -> Option<action_key::Sha256Digest> {
-        let actions = &self.table.get(key)?.actions;
-        let mut waiters = actions.iter().flat_map(|action| &action.waiters);
-        waiters.find(|waiter| waiter.deadline > now).map(|waiter| waiter.digest)
-    }
-
-    /// Takes all calls that wait for the claim of a request.
-    fn take_waiters(&mut self, key: request_table::RequestKey) -> Vec<action_entry::ActionWaiter> {
-        let mut taken = Vec::new();
-        if let Some(request) = self.table.get_mut(key) {
-            for action in &mut request.actions {
-                let call = action.call;
-                taken.extend(mem::take(&mut action.waiters).into_iter().map(|waiter| (call, waiter)));
-            }
-        }
-        for (call, waiter) in &taken {
-            self.table.unwatch(key, *call, waiter);
-        }
-        taken.into_iter().map(|entry| entry.1).collect()
-    }
-
-    /// Removes a request that this daemon does not own.
-    fn drop_claim(&mut self, key: request_table::RequestKey) -> Vec<action_entry::ActionWaiter> {
-        let waiters = self.take_waiters(key);
-        self.table.remove(key);
-        waiters
-    }
-
-    fn give_up(
-        &mut self,
-        key: request_table::RequestKey,
-        reason: action_step::UnknownReason,
-    ) -> Vec<action_step::WaiterReply> {
-        unknown_replies(self.drop_claim(key), reason)
-    }
-
-    /// Records that this daemon owns the request, and starts its actions that calls still wait for.
-    fn hold(&mut self, key: request_table::RequestKey, now: time::Instant) -> Vec<action_step::WaiterReply> {
-        self.set_claim(key, action_entry::ClaimPhase::Held, false);
-        let mut replies = Vec::new();
-        let mut left = Vec::new();
-        let mut driving = Vec::new();
-        if let Some(request) = self.table.get_mut(key) {
-            for action in &mut request.actions {
-                action.state = action_entry::ActionState::Ready { driver: None };
-                let waiters = mem::take(&mut action.waiters);
-                let first = waiters.iter().position(|waiter| waiter.deadline > now);
-                for (index, waiter) in waiters.into_iter().enumerate() {
-                    left.push((action.call, waiter.clone()));
-                    let step = if Some(index) == first {
-                        let mut driver = waiter.clone();
-                        driver.wake = driver.deadline + DRIVER_GRACE;
-                        driving.push((action.call, driver.clone()));
-                        action_step::ActionStep::Dispatch(action.dispatch(driver))
-                    } else {
-                        let Some(step) = step_beside_driver(&waiter, first.is_some(), now) else {
-                            action.waiters.push(waiter);
-                            continue;
-                        };
-                        step
-                    };
-                    replies.push(action_step::WaiterReply {
-                        waiter: waiter.waiter,
-                        step,
-                    });
-                }
-                settle_bodies(action, &mut replies);
-            }
-        }
-        for (call, waiter) in &left {
-            self.table.unwatch(key, *call, waiter);
-        }
-        for (call, waiter) in &driving {
-            self.table.watch(key, *call, waiter);
-        }
-        self.watch_waiters(key);
-        self.table.reindex(key);
-        replies
-    }
-
-    fn watch_waiters(&mut self, key: request_table::RequestKey) {
-        let waiting: Vec<_> = self.table.get(key).map_or_else(Vec::new, |request| {
-            let of_action = |action: &action_entry::ActionEntry| {
-                let call = action.call;
-                let waiters = action.waiters.clone();
-                waiters.into_iter().map(move |waiter| (call, waiter))
-            };
-            request.actions.iter().flat_map(of_action).collect()
-        });
-        for (call, waiter) in &waiting {
-            self.table.watch(key, *call, waiter);
-        }
-    }
-
     /// Gives one step to all repeats of an action.
     fn reply_all(
         &mut self,
@@ -756,44 +524,6 @@
     }
 }
 
-/// Returns the step of a call that waited for a claim and does not drive; none if it waits on.
-fn step_beside_driver(
-    waiter: &action_entry::ActionWaiter,
-    driven: bool,
-    now: time::Instant,
-) -> Option<action_step::ActionStep> {
-    if waiter.deadline > now {
-        return None;
-    }
-    Some(if driven {
-        action_step::ActionStep::Unknown(action_step::UnknownReason::DeadlinePassed)
-    } else {
-        action_step::ActionStep::Refuse(call_outcome::RefusalReason::DeadlineTooShort)
-    })
-}
-
-/// Refuses the repeats of a just dispatched action that have another body.
-fn settle_bodies(action: &mut action_entry::ActionEntry, replies: &mut Vec<action_step::WaiterReply>) {
-    let digest = action.digest;
-    for waiter in action.waiters.extract_if(.., |waiter| Some(waiter.digest) != digest) {
-        replies.push(action_step::WaiterReply {
-            waiter: waiter.waiter,
-            step: action_step::ActionStep::Refuse(call_outcome::RefusalReason::BodyMismatch),
-        });
-    }
-}
-
-fn unknown_replies(
-    waiters: Vec<action_entry::ActionWaiter>,
-    reason: action_step::UnknownReason,
-) -> Vec<action_step::WaiterReply> {
-    let reply = |waiter: action_entry::ActionWaiter| action_step::WaiterReply {
-        waiter: waiter.waiter,
-        step: action_step::ActionStep::Unknown(reason),
-    };
-    waiters.into_iter().map(reply).collect()
-}
-
 fn find_action<'a>(
     table: &'a mut request_table::RequestTable,
     request_id: &Bytes,
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod answer_archive;
 pub mod answer_cache;
 pub mod claim_plan;
+mod claim_progress;
 pub mod owner_choice;
 pub mod request_issuer;
 mod request_table;
--- a/crates/ownership/tests/action_fuzz.rs
+++ b/crates/ownership/tests/action_fuzz.rs
@@ -6,20 +6,29 @@
 #[path = "support/case_runner.rs"]
 mod case_runner;
 
-use action_world::{Fault, check};
+use action_world::{Coverage, Fault, check};
 
-fn run(fault: Fault, cases: u64) -> Result<(), String> {
-    case_runner::run(&format!("actions, {fault:?} off"), cases, 120, |operations| {
-        check(fault, operations)
-    })
+fn run(fault: Fault, cases: u64, coverage: &mut Coverage) -> Result<(), String> {
+    let name = format!("actions, {fault:?} off");
+    case_runner::run(&name, cases, 120, |operations| check(fault, operations, coverage))
 }
 
 /// Guards against a second execution, a refusal of an action that ran, a wrong answer, a lost waiter and growing memory.
 #[test]
 fn actions_run_at_most_once_and_refusals_are_true() {
-    if let Err(objection) = run(Fault::None, 6_000) {
+    let mut coverage = Coverage::default();
+    if let Err(objection) = run(Fault::None, 6_000, &mut coverage) {
         panic!("{objection}");
     }
+    println!("{coverage:?}");
+    let reached = [
+        coverage.refusals,
+        coverage.answers,
+        coverage.forwards,
+        coverage.forgotten,
+        coverage.claims_held,
+    ];
+    assert!(reached.iter().all(|count| *count > 1_000), "{coverage:?}");
 }
 
 macro_rules! mechanism_off {
@@ -27,7 +36,7 @@
         /// Guards against an oracle that does not notice the missing mechanism.
         #[test]
         fn $name() {
-            case_runner::expect_objection(run(Fault::$fault, 20_000), $part);
+            case_runner::expect_objection(run(Fault::$fault, 20_000, &mut Coverage::default()), $part);
         }
     )*};
 }
--- a/crates/ownership/tests/support/action_world.rs
+++ b/crates/ownership/tests/support/action_world.rs
@@ -189,6 +189,7 @@
     idle: Vec<Dispatch>,
     echoes: Vec<(Dispatch, ActionResult)>,
     oracle: Oracle,
+    coverage: Coverage,
 }
 
 impl Oracle {
@@ -244,9 +245,21 @@
     Some(list.remove(index))
 }
 
+/// What the cases of a run reached; a run that reaches little proves little.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Coverage {
+    pub executions: usize,
+    pub refusals: usize,
+    pub answers: usize,
+    pub forwards: usize,
+    pub forgotten: usize,
+    pub claims_held: usize,
+}
+
 /// Runs the operations and returns the oracle's first objection.
-pub fn check(fault: Fault, operations: &[Operation]) -> Result<(), String> {
+pub fn check(fault: Fault, operations: &[Operation], coverage: &mut Coverage) -> Result<(), String> {
     let mut world = World::new(fault);
+    world.coverage = *coverage;
     for operation in operations {
         world.step(*operation);
         world.check_bounds();
@@ -255,6 +268,7 @@
         }
     }
     world.drain();
+    *coverage = world.coverage;
     world.oracle.objection.map_or(Ok(()), Err)
 }
 
@@ -280,6 +294,7 @@
             idle: Vec::new(),
             echoes: Vec::new(),
             oracle: Oracle::default(),
+            coverage: Coverage::default(),
         }
     }
 
@@ -445,6 +460,13 @@
     /// Does what the ledger asks for one call.
     fn follow(&mut self, daemon: usize, index: usize, step: ActionStep) {
         let call = self.calls[index].clone();
+        match &step {
+            ActionStep::Refuse(_) => self.coverage.refusals += 1,
+            ActionStep::Answer(_) => self.coverage.answers += 1,
+            ActionStep::Forward(_) => self.coverage.forwards += 1,
+            ActionStep::Unknown(UnknownReason::Forgotten) => self.coverage.forgotten += 1,
+            _ => {}
+        }
         match step {
             ActionStep::Claim(plan) => self.ask_store(daemon, plan, false),
             ActionStep::ReadBack(plan) => self.ask_store(daemon, plan, true),
@@ -570,6 +592,7 @@
         }
         let ledger = &mut self.daemons[call.daemon].ledger;
         let step = ledger.claim_settled(&call.plan.request_id, call.plan.token, &result, self.now);
+        self.coverage.claims_held += usize::from(result == ClaimResult::Inserted);
         match step.next {
             NextClaim::Idle => {}
             NextClaim::Insert(plan) => self.ask_store(call.daemon, plan, false),
@@ -582,6 +605,7 @@
         let call = self.calls[dispatch.call].clone();
         let result = match result {
             BackendResult::Done | BackendResult::LargeAnswer => {
+                self.coverage.executions += 1;
                 let body = self.oracle.execute(&call);
                 let large = matches!(result, BackendResult::LargeAnswer);
                 let headers = vec![(Bytes::from_static(b"a"), Bytes::from(vec![0; 600]))];
--- a/crates/resource/tests/config_fuzz.rs
+++ b/crates/resource/tests/config_fuzz.rs
@@ -6,20 +6,22 @@
 #[path = "support/config_world.rs"]
 mod config_world;
 
-use config_world::{Fault, check};
+use config_world::{Coverage, Fault, check};
 
-fn run(fault: Fault) -> Result<(), String> {
-    case_runner::run(&format!("configuration, {fault:?} off"), 1_500, 120, |operations| {
-        check(fault, operations)
-    })
+fn run(fault: Fault, coverage: &mut Coverage) -> Result<(), String> {
+    let name = format!("configuration, {fault:?} off");
+    case_runner::run(&name, 1_500, 240, |operations| check(fault, operations, coverage))
 }
 
 /// Guards against a configuration that reverts or differs between daemons, and against lost or doubled changes.
 #[test]
 fn configuration_never_reverts_and_one_operator_wins() {
-    if let Err(objection) = run(Fault::None) {
+    let mut coverage = Coverage::default();
+    if let Err(objection) = run(Fault::None, &mut coverage) {
         panic!("{objection}");
     }
+    println!("{coverage:?}");
+    assert!(coverage.commits > 5_000 && coverage.rejected > 1_000, "{coverage:?}");
 }
 
 macro_rules! mechanism_off {
@@ -27,7 +29,7 @@
         /// Guards against an oracle that does not notice the missing mechanism.
         #[test]
         fn $name() {
-            case_runner::expect_objection(run(Fault::$fault), $part);
+            case_runner::expect_objection(run(Fault::$fault, &mut Coverage::default()), $part);
         }
     )*};
 }
@@ -35,7 +37,7 @@
 mechanism_off! {
     oracle_notices_any_snapshot: AnySnapshot => "fell from";
     oracle_notices_any_change: AnyChange => "another content";
-    oracle_notices_commits_without_head_condition: NoHeadCondition => "";
+    oracle_notices_commits_without_head_condition: NoHeadCondition => "revision";
     oracle_notices_commits_without_change_id: NoChangeId => "in the log";
     oracle_notices_a_change_id_read_too_early: ChangeIdReadFirst => "Rejected";
     oracle_notices_forgotten_doubt: ForgetDoubt => "Rejected";
--- a/crates/resource/tests/support/config_world.rs
+++ b/crates/resource/tests/support/config_world.rs
@@ -63,6 +63,12 @@
         pick: u8,
         fault: CommitFault,
     },
+    /// Read, plan and commit without another operation in between.
+    Complete {
+        pick: u8,
+        steady: u8,
+        fault: CommitFault,
+    },
     GiveUp {
         pick: u8,
     },
@@ -95,7 +101,7 @@
 /// Operator's change at a daemon.
 struct Attempt {
     daemon: usize,
-    attempt: ChangeAttempt,
+    change: ChangeAttempt,
     reads: Option<PlanReads>,
     planned: Option<PlannedChange>,
     outcome: Option<Outcome>,
@@ -174,8 +180,17 @@
     }
 }
 
+/// What the cases of a run reached; a run that reaches little proves little.
+#[derive(Debug, Default)]
+pub struct Coverage {
+    pub commits: usize,
+    pub accepted: usize,
+    pub rejected: usize,
+    pub unsettled: usize,
+}
+
 /// Runs the operations and returns the oracle's first objection.
-pub fn check(fault: Fault, operations: &[Operation]) -> Result<(), String> {
+pub fn check(fault: Fault, operations: &[Operation], coverage: &mut Coverage) -> Result<(), String> {
     let mut world = World {
         fault,
         store: Store::default(),
@@ -192,6 +207,14 @@
     for planned in std::mem::take(&mut world.late) {
         world.store.commit(&planned.commit, &planned.change);
     }
+    let count = |wanted: fn(&Outcome) -> bool| {
+        let outcomes = world.attempts.iter().filter_map(|attempt| attempt.outcome);
+        outcomes.filter(wanted).count()
+    };
+    coverage.commits += world.store.log.len();
+    coverage.accepted += count(|outcome| matches!(outcome, Outcome::Accepted(_)));
+    coverage.rejected += count(|outcome| *outcome == Outcome::Rejected);
+    coverage.unsettled += count(|outcome| *outcome == Outcome::Unsettled);
     world.check_store()
 }
 
@@ -219,10 +242,21 @@
                     self.commit(index, fault);
                 }
             }
+            Operation::Complete { pick, steady, fault } => {
+                let fault = if steady < 192 { CommitFault::Fine } else { fault };
+                if let Some(index) = self.open_attempt(pick, |attempt| attempt.planned.is_none()) {
+                    self.catch_up(self.attempts[index].daemon);
+                    self.read(index);
+                    self.plan(index);
+                    if self.attempts[index].planned.is_some() {
+                        self.commit(index, fault);
+                    }
+                }
+            }
             Operation::GiveUp { pick } => {
                 if let Some(index) = self.open_attempt(pick, |attempt| attempt.planned.is_none()) {
-                    let step = self.attempts[index].attempt.give_up();
-                    self.settle(index, step);
+                    let step = self.attempts[index].change.give_up();
+                    self.settle(index, &step);
                 }
             }
             Operation::LateWrite { pick } => {
@@ -235,7 +269,7 @@
             Operation::Push { daemon, pick } => {
                 if !self.store.log.is_empty() {
                     let change = self.store.log[usize::from(pick) % self.store.log.len()].clone();
-                    self.apply(usize::from(daemon) % DAEMONS, Arc::new(change));
+                    self.apply(usize::from(daemon) % DAEMONS, &Arc::new(change));
                 }
             }
             Operation::Feed { from, to } => {
@@ -243,7 +277,7 @@
                 let feed = self.daemons[usize::from(from) % DAEMONS].changes_after(self.daemons[to].revision());
                 match feed {
                     ChangeFeed::UpToDate => {}
-                    ChangeFeed::Changes(changes) => changes.into_iter().for_each(|change| self.apply(to, change)),
+                    ChangeFeed::Changes(changes) => changes.into_iter().for_each(|change| self.apply(to, &change)),
                     ChangeFeed::Snapshot(snapshot) => self.install(to, &snapshot),
                 }
             }
@@ -298,7 +332,7 @@
         };
         self.attempts.push(Attempt {
             daemon,
-            attempt: ChangeAttempt::new(ChangeRequest {
+            change: ChangeAttempt::new(ChangeRequest {
                 change_id: format!("change-{}", self.attempts.len()),
                 operator: "op".to_owned(),
                 edits: vec![requested],
@@ -312,7 +346,7 @@
 
     /// Reads the rows one by one; a late commit of the attempt itself may take effect in between.
     fn read(&mut self, index: usize) {
-        let request = self.attempts[index].attempt.request().clone();
+        let request = self.attempts[index].change.request().clone();
         let early = self.store.read(store_rows::CHANGE_ID_TABLE, &request.change_id);
         let mut reads = PlanReads::default();
         let land = self
@@ -327,7 +361,7 @@
             let landed = self.store.commit(&planned.commit, &planned.change);
             if landed && first {
                 // The push of the landed change arrives at once.
-                self.apply(self.attempts[index].daemon, Arc::new(planned.change));
+                self.apply(self.attempts[index].daemon, &Arc::new(planned.change));
             }
         }
         reads.head = self.store.read(store_rows::HEAD_TABLE, store_rows::HEAD_KEY);
@@ -348,7 +382,7 @@
     fn plan(&mut self, index: usize) {
         let reads = self.attempts[index].reads.take().unwrap();
         let daemon = self.attempts[index].daemon;
-        match self.attempts[index].attempt.plan(self.daemons[daemon].set(), &reads) {
+        match self.attempts[index].change.plan(self.daemons[daemon].set(), &reads) {
             PlanStep::Commit(mut planned) => {
                 let unchecked: &[&str] = match self.fault {
                     Fault::NoHeadCondition => &[store_rows::HEAD_TABLE, store_rows::CHANGE_TABLE],
@@ -398,16 +432,16 @@
         let step = if self.fault == Fault::ForgetDoubt && reply == CommitReply::Unsettled {
             SettleStep::Reread
         } else {
-            self.attempts[index].attempt.settle(planned, reply)
+            self.attempts[index].change.settle(planned, reply)
         };
-        self.settle(index, step);
+        self.settle(index, &step);
     }
 
-    fn settle(&mut self, index: usize, step: SettleStep) {
+    fn settle(&mut self, index: usize, step: &SettleStep) {
         self.attempts[index].outcome = match step {
             SettleStep::Accepted(change) => {
                 let revision = change.revision;
-                self.apply(self.attempts[index].daemon, Arc::new(change));
+                self.apply(self.attempts[index].daemon, &Arc::new(change.clone()));
                 Some(Outcome::Accepted(revision))
             }
             SettleStep::Reread => None,
@@ -420,14 +454,14 @@
         for revision in self.daemons[daemon].revision() + 1..=self.store.head() {
             let key = store_rows::change_key(revision);
             if let Some(row) = self.store.read(store_rows::CHANGE_TABLE, &key) {
-                self.apply(daemon, Arc::new(row.value));
+                self.apply(daemon, &Arc::new(row.value));
             }
         }
     }
 
-    fn apply(&mut self, daemon: usize, change: Arc<ConfigChange>) {
+    fn apply(&mut self, daemon: usize, change: &Arc<ConfigChange>) {
         let log = &mut self.daemons[daemon];
-        if let ApplyStep::Behind { .. } = log.apply(Arc::clone(&change))
+        if let ApplyStep::Behind { .. } = log.apply(Arc::clone(change))
             && self.fault == Fault::AnyChange
         {
             let mut set = ResourceSet::clone(log.set());
@@ -474,8 +508,8 @@
             let attempt = self
                 .attempts
                 .iter()
-                .find(|attempt| attempt.attempt.request().change_id == change.change_id);
-            for requested in &attempt.unwrap().attempt.request().edits {
+                .find(|attempt| attempt.change.request().change_id == change.change_id);
+            for requested in &attempt.unwrap().change.request().edits {
                 let current = versions
                     .insert(requested.edit.key.clone(), change.revision)
                     .unwrap_or(0);
@@ -489,7 +523,7 @@
             }
         }
         for attempt in &self.attempts {
-            let id = &attempt.attempt.request().change_id;
+            let id = &attempt.change.request().change_id;
             let committed: Vec<_> = self.store.log.iter().filter(|change| change.change_id == *id).collect();
             let valid = match attempt.outcome {
                 Some(Outcome::Accepted(revision)) => committed.len() == 1 && committed[0].revision == revision,
