--- a/crates/ownership/src/retry_ledger.rs
+++ b/crates/ownership/src/retry_ledger.rs
@@ -33,7 +33,8 @@
     pub request_id: Bytes,
     /// Allowance that the chain of the request declares.
     pub allowance: u32,
-    /// Latest possible deadline of the request, as far as the owner knows.
+    /// Latest possible deadline of the request: now and the deadline that the chain declares. A shorter one would let
+    /// the record of a request expire that began while the ledger was full, and grant its allowance anew.
     pub deadline: time::Instant,
 }
 
