--- a/crates/node/src/backend_client.rs
+++ b/crates/node/src/backend_client.rs
@@ -1,6 +1,7 @@
 //! Calls to the backend server beside the daemon.
 
-use std::io::Read;
+use std::cell;
+use std::io;
 use std::time;
 
 use bytes::Bytes;
@@ -16,6 +17,12 @@
 /// Time for cancellations, drain announcements and health checks.
 const MESSAGE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
+thread_local! {
+    /// Buffer of the call that the thread serves; the allocator returns a buffer of this size to the system at each
+    /// release, which costs page faults.
+    static BODY_BUFFER: cell::RefCell<Vec<u8>> = const { cell::RefCell::new(Vec::new()) };
+}
+
 /// Call to the backend server.
 #[derive(Debug)]
 pub struct BackendRequest<'a> {
@@ -155,18 +162,10 @@
         if on_frame(head) == frame_sink::SinkStep::Gone {
             return Ok(BackendEnd::Cancelled);
         }
-        let mut reader = body.into_reader();
-        let mut buffer = vec![0; call_frame::MAX_DATA_BYTES];
-        loop {
-            let length = reader.read(&mut buffer)?;
-            if length == 0 {
-                return Ok(BackendEnd::Complete);
-            }
-            let data = call_frame::CallFrame::Data(Bytes::copy_from_slice(&buffer[..length]));
-            if on_frame(data) == frame_sink::SinkStep::Gone {
-                return Ok(BackendEnd::Cancelled);
-            }
-        }
+        BODY_BUFFER.with_borrow_mut(|buffer| {
+            buffer.resize(call_frame::MAX_DATA_BYTES, 0);
+            pass_body(body.into_reader(), buffer, on_frame)
+        })
     }
 
     fn send(&self, request: &BackendRequest<'_>) -> Result<ureq::http::Response<ureq::Body>, ureq::Error> {
@@ -187,6 +186,23 @@
     }
 }
 
+fn pass_body(
+    mut reader: impl io::Read,
+    buffer: &mut [u8],
+    on_frame: &mut dyn FnMut(call_frame::CallFrame) -> frame_sink::SinkStep,
+) -> Result<BackendEnd, ureq::Error> {
+    loop {
+        let length = reader.read(buffer)?;
+        if length == 0 {
+            return Ok(BackendEnd::Complete);
+        }
+        let data = call_frame::CallFrame::Data(Bytes::copy_from_slice(&buffer[..length]));
+        if on_frame(data) == frame_sink::SinkStep::Gone {
+            return Ok(BackendEnd::Cancelled);
+        }
+    }
+}
+
 fn is_close_delimited(method: &[u8], parts: &ureq::http::response::Parts) -> bool {
     let status = parts.status.as_u16();
     let bodiless = method == b"HEAD" || matches!(status, 100..=199 | 204 | 304);
--- a/crates/node/src/call_table.rs
+++ b/crates/node/src/call_table.rs
@@ -42,6 +42,14 @@
     pub sender: Option<SenderCall>,
 }
 
+impl OutgoingCall {
+    /// Returns whether the owner of the request, and not this daemon, routes the call.
+    #[must_use]
+    pub fn route_is_owner(&self) -> bool {
+        self.tried.is_empty()
+    }
+}
+
 /// Work of the local backend server, queued or running.
 #[derive(Debug)]
 pub struct WorkEntry {
--- a/crates/node/src/entry_body.rs
+++ b/crates/node/src/entry_body.rs
@@ -1,5 +1,6 @@
 //! Body of a response to a caller.
 
+use std::collections;
 use std::pin;
 use std::sync;
 use std::sync::atomic;
@@ -73,25 +74,25 @@
 /// Body that is whole or streamed.
 #[derive(Debug)]
 pub struct EntryBody {
-    first: Option<Bytes>,
+    first: collections::VecDeque<Bytes>,
     rest: Option<(mpsc::Receiver<BodyPiece>, CallerGuard)>,
 }
 
 impl EntryBody {
     /// Body that is known whole.
     #[must_use]
-    pub fn whole(bytes: Bytes) -> Self {
+    pub fn whole(pieces: Vec<Bytes>) -> Self {
         Self {
-            first: Some(bytes).filter(|bytes| !bytes.is_empty()),
+            first: pieces.into(),
             rest: None,
         }
     }
 
     /// Body that streams.
     #[must_use]
-    pub fn stream(first: Option<Bytes>, pieces: mpsc::Receiver<BodyPiece>, guard: CallerGuard) -> Self {
+    pub fn stream(first: Vec<Bytes>, pieces: mpsc::Receiver<BodyPiece>, guard: CallerGuard) -> Self {
         Self {
-            first,
+            first: first.into(),
             rest: Some((pieces, guard)),
         }
     }
@@ -105,7 +106,7 @@
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<hyper::body::Frame<Bytes>, BodyTruncated>>> {
-        if let Some(bytes) = self.first.take() {
+        if let Some(bytes) = self.first.pop_front() {
             return task::Poll::Ready(Some(Ok(hyper::body::Frame::data(bytes))));
         }
         let Some((pieces, guard)) = &mut self.rest else {
@@ -127,13 +128,13 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.first.is_none() && self.rest.is_none()
+        self.first.is_empty() && self.rest.is_none()
     }
 
     fn size_hint(&self) -> hyper::body::SizeHint {
-        match (&self.first, &self.rest) {
-            (first, None) => hyper::body::SizeHint::with_exact(first.as_ref().map_or(0, Bytes::len) as u64),
-            (_, Some(_)) => hyper::body::SizeHint::default(),
+        if self.rest.is_some() {
+            return hyper::body::SizeHint::default();
         }
+        hyper::body::SizeHint::with_exact(self.first.iter().map(|piece| piece.len() as u64).sum())
     }
 }
--- a/crates/node/src/entry_response.rs
+++ b/crates/node/src/entry_response.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::call_watch;
 use crate::entry_body;
 use crate::frame_sink;
 use crate::header_filter;
@@ -20,14 +21,14 @@
         /// Status and headers.
         head: ResponseHead,
         /// Body.
-        body: Bytes,
+        body: Vec<Bytes>,
     },
     /// A response whose body streams.
     Stream {
         /// Status and headers.
         head: ResponseHead,
-        /// First piece of the body.
-        first: Option<Bytes>,
+        /// First pieces of the body.
+        first: Vec<Bytes>,
         /// Further pieces.
         pieces: mpsc::Receiver<entry_body::BodyPiece>,
     },
@@ -60,15 +61,20 @@
     pub headers: Vec<call_frame::HeaderPair>,
 }
 
-/// Builder of a response from frames. A response that fits one piece is handed over whole, in one wake-up of the
-/// listener; the head of any other is handed over with its first piece.
+/// Longest body that is gathered. It equals what a stream may hold, so gathering takes no more memory, and it saves a
+/// wake-up of the listener for each piece.
+const MAX_GATHERED_BYTES: u64 = (call_frame::MAX_DATA_BYTES * entry_body::PIECES_IN_FLIGHT) as u64;
+
+/// Builder of a response from frames. A short response is handed over whole; the head of any other is handed over with
+/// its first piece. A head never waits longer than the interval of `Working` frames.
 #[derive(Debug)]
 pub struct EntryResponder {
     request_id: Bytes,
     deadline: time::Instant,
     answer: Option<oneshot::Sender<EntryAnswer>>,
     held: Option<ResponseHead>,
-    body: Option<Bytes>,
+    held_since: time::Instant,
+    body: Vec<Bytes>,
     pieces: Option<mpsc::Sender<entry_body::BodyPiece>>,
 }
 
@@ -81,7 +87,8 @@
             deadline,
             answer: Some(answer),
             held: None,
-            body: None,
+            held_since: time::Instant::now(),
+            body: Vec::new(),
             pieces: None,
         }
     }
@@ -90,6 +97,7 @@
     pub fn push(&mut self, frame: call_frame::CallFrame) -> frame_sink::SinkStep {
         match frame {
             call_frame::CallFrame::Head { status, headers } => {
+                self.held_since = time::Instant::now();
                 self.held = Some(ResponseHead {
                     request_id: self.request_id.clone(),
                     status,
@@ -119,16 +127,13 @@
 
     fn push_data(&mut self, data: Bytes) -> frame_sink::SinkStep {
         if let Some(head) = &self.held {
-            let expected = header_filter::content_length(&head.headers);
-            if self.body.is_none() && expected == Some(data.len() as u64) {
-                self.body = Some(data);
+            self.body.push(data);
+            let length = header_filter::content_length(&head.headers);
+            let short = length.is_some_and(|length| length <= MAX_GATHERED_BYTES);
+            if short && self.held_since.elapsed() < call_watch::WAIT_SLICE {
                 return frame_sink::SinkStep::Continue;
             }
-            if self.body.is_none() {
-                self.body = Some(data);
-                return self.start_stream();
-            }
-            self.start_stream();
+            return self.start_stream();
         }
         self.send_piece(entry_body::BodyPiece::Data(data))
     }
@@ -139,13 +144,13 @@
         };
         let (sender, pieces) = mpsc::channel(entry_body::PIECES_IN_FLIGHT);
         self.pieces = Some(sender);
-        let first = self.body.take();
+        let first = std::mem::take(&mut self.body);
         self.answer(EntryAnswer::Stream { head, first, pieces })
     }
 
     fn end(&mut self) {
         if let Some(head) = self.held.take() {
-            let body = self.body.take().unwrap_or_default();
+            let body = std::mem::take(&mut self.body);
             self.answer(EntryAnswer::Whole { head, body });
         } else {
             self.send_piece(entry_body::BodyPiece::End);
--- a/crates/node/src/entry_server.rs
+++ b/crates/node/src/entry_server.rs
@@ -372,7 +372,7 @@
         });
     };
     let text = format!("{{\"request_id\":\"{}\"}}\n", damasktrack_entity::ids::text(&id));
-    let mut response = hyper::Response::new(entry_body::EntryBody::whole(Bytes::from(text)));
+    let mut response = hyper::Response::new(entry_body::EntryBody::whole(vec![Bytes::from(text)]));
     let json = hyper::header::HeaderValue::from_static("application/json");
     response.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
     Ok(response)
@@ -400,7 +400,7 @@
     reason: damasktrack_entity::call_outcome::RefusalReason,
 ) -> hyper::Response<entry_body::EntryBody> {
     let text = format!("refused: {reason}\n");
-    let mut response = hyper::Response::new(entry_body::EntryBody::whole(Bytes::from(text)));
+    let mut response = hyper::Response::new(entry_body::EntryBody::whole(vec![Bytes::from(text)]));
     let status = entry_response::refusal_status(reason);
     *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or(hyper::StatusCode::SERVICE_UNAVAILABLE);
     if matches!(status, 429 | 503) {
@@ -417,7 +417,7 @@
     timed_out: bool,
 ) -> hyper::Response<entry_body::EntryBody> {
     let text = format!("{outcome}: the call may have run and has no complete response\n");
-    let mut response = hyper::Response::new(entry_body::EntryBody::whole(Bytes::from(text)));
+    let mut response = hyper::Response::new(entry_body::EntryBody::whole(vec![Bytes::from(text)]));
     *response.status_mut() = if timed_out {
         hyper::StatusCode::GATEWAY_TIMEOUT
     } else {
@@ -429,7 +429,9 @@
 
 /// A request that can't be read did not run.
 fn fault_response(fault: entry_request::RequestFault) -> hyper::Response<entry_body::EntryBody> {
-    let mut response = hyper::Response::new(entry_body::EntryBody::whole(Bytes::from_static(fault.text.as_bytes())));
+    let mut response = hyper::Response::new(entry_body::EntryBody::whole(vec![Bytes::from_static(
+        fault.text.as_bytes(),
+    )]));
     *response.status_mut() = hyper::StatusCode::from_u16(fault.status).unwrap_or(hyper::StatusCode::BAD_REQUEST);
     if matches!(fault.status, 408 | 413) {
         let close = hyper::header::HeaderValue::from_static("close");
