Test routing against an oracle and on virtual time

Cause: a slow server that got few calls was neither ejected within a second nor tried again, since its peak estimate only decayed with calls. Change: recent totals also decay by call, and the peak falls back to the long-term mean without calls.

--- a/crates/routing/src/latency_estimate.rs
+++ b/crates/routing/src/latency_estimate.rs
@@ -6,6 +6,9 @@
 const PEAK_DECAY: time::Duration = time::Duration::from_secs(2);
 /// Decay of the recent totals. A longer one lets past fast calls hide a slowdown for more than a second.
 const RECENT_DECAY: time::Duration = time::Duration::from_millis(500);
+/// Decay of the recent totals per ended call, about seven calls. The choice of two turns calls away from a slow server
+/// after a handful of them; a longer memory of fast calls would outweigh these.
+const RECENT_CALL_WEIGHT: f64 = 0.85;
 /// Decay of the typical latency that stands in where there are no recent calls.
 const TYPICAL_DECAY: time::Duration = time::Duration::from_secs(30);
 
@@ -72,8 +75,8 @@
     pub fn complete(&mut self, started: time::Instant, now: time::Instant) {
         let elapsed = self.end(started, now);
         let latency = now.saturating_duration_since(started).as_secs_f64();
-        self.spent += latency;
-        self.finished += 1.0;
+        self.spent = self.spent * RECENT_CALL_WEIGHT + latency;
+        self.finished = self.finished * RECENT_CALL_WEIGHT + 1.0;
         self.raise_or_decay(latency, elapsed);
         if self.completed == 0 {
             self.typical = latency;
@@ -88,15 +91,17 @@
 
     /// Counts a call that ended without a complete response; its latency is at least its age.
     pub fn give_up(&mut self, started: time::Instant, now: time::Instant) {
-        self.end(started, now);
+        let elapsed = self.end(started, now);
         let age = now.saturating_duration_since(started).as_secs_f64();
-        self.spent += age;
-        self.peak = self.peak.max(age);
+        self.spent = self.spent * RECENT_CALL_WEIGHT + age;
+        self.finished *= RECENT_CALL_WEIGHT;
+        self.peak = self.decayed_peak(elapsed).max(age);
     }
 
     /// Forgets a call that did not run; it says nothing about latency.
     pub fn withdraw(&mut self, started: time::Instant, now: time::Instant) {
-        self.end(started, now);
+        let elapsed = self.end(started, now);
+        self.peak = self.decayed_peak(elapsed);
     }
 
     /// Drops the recent observations of a server that returns from ejection. The peak becomes `latency`, or the
@@ -134,10 +139,13 @@
 
 impl LatencyEstimate {
     /// Returns the peak EWMA in seconds, raised to the mean age of the calls in progress; `None` without observations.
+    ///
+    /// Without calls the peak falls back to the long-term mean, so that a server that was slow once is tried again.
     #[must_use]
     pub fn peak(&self, now: time::Instant) -> Option<f64> {
         let age = self.age_sum(now) / f64::from(self.in_flight.max(1));
-        (self.completed > 0 || self.peak > 0.0).then(|| self.peak.max(age))
+        let peak = self.decayed_peak(now.saturating_duration_since(self.updated));
+        (self.completed > 0 || self.peak > 0.0).then(|| peak.max(age))
     }
 
     /// Returns the recent totals.
@@ -163,6 +171,13 @@
         self.in_flight
     }
 
+    fn decayed_peak(&self, elapsed: time::Duration) -> f64 {
+        if self.completed == 0 || self.peak <= self.typical {
+            return self.peak;
+        }
+        self.typical + (self.peak - self.typical) * decay(elapsed, PEAK_DECAY)
+    }
+
     fn age_sum(&self, now: time::Instant) -> f64 {
         (f64::from(self.in_flight) * self.offset(now) - self.start_sum).max(0.0)
     }
--- /dev/null
+++ b/crates/routing/tests/route_fuzz.rs
@@ -0,0 +1,360 @@
+//! Stateful fuzzing of the route table against a simple oracle.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use bolero::TypeGenerator;
+use bolero::generator::bolero_generator::driver::{ByteSliceDriver, Options};
+use bytes::Bytes;
+use damasktrack_entity::call_outcome::RefusalReason;
+use damasktrack_entity::server_location::{ServerDistance, ServerLocation};
+use damasktrack_routing::route_candidate::{
+    CallKey, CandidateState, RouteCandidate, RouteChoice, RouteLane, RouteRequest, RouteResult, ServerKey,
+};
+use damasktrack_routing::route_table::RouteTable;
+use damasktrack_routing::straggler_ejection::EjectionCause;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const SEED: u64 = 20_261_204;
+const CASES: u64 = 300;
+const STEPS: usize = 400;
+const SERVERS: u8 = 9;
+
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum Step {
+    Announce {
+        #[generator(0..SERVERS)]
+        server: u8,
+        #[generator(0..8_u8)]
+        state: u8,
+        #[generator(0..12_u8)]
+        restart: u8,
+    },
+    Remove {
+        #[generator(0..SERVERS)]
+        server: u8,
+    },
+    Call {
+        cross_region: bool,
+        may_probe: bool,
+        long: bool,
+    },
+    CallAgain {
+        cross_region: bool,
+    },
+    Finish {
+        call: u8,
+        #[generator(0..16_u8)]
+        result: u8,
+    },
+    Advance {
+        millis: u8,
+    },
+}
+
+/// Fault of the router under test, put between it and the check.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// The choice is replaced by any server.
+    AnyServer,
+    /// The announcement that a server leaves is not passed to the router.
+    LeavingUnheard,
+}
+
+struct Oracle {
+    table: RouteTable,
+    now: Instant,
+    rng: StdRng,
+    fault: Fault,
+    states: HashMap<u8, (CandidateState, u64, ServerKey)>,
+    /// Servers that refused a call for leaving.
+    refused_leaving: Vec<ServerKey>,
+    paused: HashMap<ServerKey, Instant>,
+    /// When an ejected server was first seen as such, or was last called.
+    touched: HashMap<ServerKey, Instant>,
+    calls: Vec<(CallKey, ServerKey)>,
+    /// Calls begun at a server since it was ejected.
+    probes: Vec<(CallKey, ServerKey)>,
+    tried: Vec<ServerKey>,
+}
+
+fn location(server: u8) -> ServerLocation {
+    let regions: [&[u8]; 3] = [b"dk-east", b"dk-east", b"dk-west"];
+    ServerLocation {
+        region: Bytes::from_static(regions[usize::from(server % 3)]),
+        data_centre: Bytes::from(format!("dc-{}", server % 3)),
+    }
+}
+
+impl Oracle {
+    fn new(case: u64, fault: Fault) -> Self {
+        Self {
+            table: RouteTable::new(location(0)),
+            now: Instant::now(),
+            rng: StdRng::seed_from_u64(case),
+            fault,
+            states: HashMap::new(),
+            refused_leaving: Vec::new(),
+            paused: HashMap::new(),
+            touched: HashMap::new(),
+            calls: Vec::new(),
+            probes: Vec::new(),
+            tried: Vec::new(),
+        }
+    }
+
+    fn run(&mut self, step: Step) -> Result<(), String> {
+        match step {
+            Step::Announce { server, state, restart } => self.announce(server, state, restart == 0),
+            Step::Remove { server } => {
+                if let Some((_state, _incarnation, key)) = self.states.remove(&server) {
+                    self.table.remove(key);
+                }
+            }
+            Step::Call {
+                cross_region,
+                may_probe,
+                long,
+            } => {
+                self.tried.clear();
+                self.call(cross_region, may_probe, long)?;
+            }
+            Step::CallAgain { cross_region } => self.call(cross_region, true, false)?,
+            Step::Finish { call, result } => self.finish(call, result),
+            Step::Advance { millis } => {
+                self.now += Duration::from_millis(u64::from(millis));
+                self.table.tick(self.now);
+            }
+        }
+        self.check_counts()
+    }
+
+    fn announce(&mut self, server: u8, state: u8, restart: bool) {
+        let before = self
+            .states
+            .get(&server)
+            .map_or((CandidateState::Ready, 0), |known| (known.0, known.1));
+        let incarnation = before.1 + u64::from(restart);
+        let mut state = match state {
+            0 => CandidateState::Leaving,
+            1 => CandidateState::Starting,
+            2 => CandidateState::Suspect,
+            _ => CandidateState::Ready,
+        };
+        if !restart && before.0 == CandidateState::Leaving {
+            state = CandidateState::Leaving;
+        }
+        let announced = match (self.fault, state) {
+            (Fault::LeavingUnheard, CandidateState::Leaving) => CandidateState::Ready,
+            _ => state,
+        };
+        let key = self.table.upsert(RouteCandidate {
+            daemon_id: Bytes::from(format!("vm-{server}")),
+            incarnation,
+            service: Bytes::from_static(b"permits"),
+            address: ([10, 0, 0, server], 7000).into(),
+            location: location(server),
+            slots: 4,
+            state: announced,
+            ready_since: (state == CandidateState::Ready && server.is_multiple_of(2)).then_some(self.now),
+        });
+        self.states.insert(server, (state, incarnation, key));
+    }
+
+    fn call(&mut self, cross_region: bool, may_probe: bool, long: bool) -> Result<(), String> {
+        let (class, lane) = if long {
+            ("ledger", RouteLane::Long)
+        } else {
+            ("permit", RouteLane::Short)
+        };
+        let class = Bytes::from_static(class.as_bytes());
+        let tried = self.tried.clone();
+        let request = RouteRequest {
+            service: &Bytes::from_static(b"permits"),
+            class: &class,
+            lane,
+            cross_region,
+            may_probe,
+            exclude: &tried,
+        };
+        let mut choice = self.table.choose(&request, self.now, &mut self.rng);
+        if self.fault == Fault::AnyServer
+            && let Some((_state, _incarnation, key)) = self.states.values().next()
+        {
+            let distance = ServerDistance::SameRegion;
+            choice = RouteChoice::Use {
+                key: *key,
+                probe: false,
+                distance,
+            };
+        }
+        let fit: Vec<u8> = self
+            .states
+            .keys()
+            .copied()
+            .filter(|server| self.is_fit(*server, cross_region))
+            .collect();
+        let RouteChoice::Use { key, probe, distance } = choice else {
+            return if fit.is_empty() {
+                Ok(())
+            } else {
+                Err(format!("no candidate although {fit:?} are fit"))
+            };
+        };
+        let server = self
+            .states
+            .iter()
+            .find(|(_server, known)| known.2 == key)
+            .map(|(server, _known)| *server);
+        let server = server.ok_or("a removed server was chosen")?;
+        if !fit.contains(&server) {
+            return Err(format!(
+                "vm-{server} was chosen and is not fit: {:?}",
+                self.states[&server].0
+            ));
+        }
+        if distance == ServerDistance::CrossRegion && !cross_region {
+            return Err("the call left the region".to_owned());
+        }
+        let ejected = |server: &u8| self.table.ejection(self.states[server].2).is_some();
+        if ejected(&server) && !probe {
+            return Err("an ejected server was chosen, not as a probe".to_owned());
+        }
+        // Without leave to probe, an ejected server is the last resort, but for the rare probe of any kind.
+        let waited = self
+            .touched
+            .get(&key)
+            .is_some_and(|touched| self.now - *touched >= Duration::from_secs(8));
+        let other = fit.iter().any(|other| !ejected(other));
+        if ejected(&server) && other && !may_probe && !waited {
+            return Err(format!("ejected vm-{server} was chosen although another is fit"));
+        }
+        let call = self
+            .table
+            .begin(key, &class, lane, self.now)
+            .ok_or("the chosen server is missing")?;
+        if probe {
+            let running = self
+                .probes
+                .iter()
+                .any(|(other, at)| *at == key && self.calls.contains(&(*other, *at)));
+            if running && other {
+                return Err(format!("a second probe of vm-{server} while one is running"));
+            }
+            self.probes.push((call, key));
+        }
+        self.calls.push((call, key));
+        self.touched.insert(key, self.now);
+        self.tried.push(key);
+        Ok(())
+    }
+
+    fn is_fit(&self, server: u8, cross_region: bool) -> bool {
+        let (state, _incarnation, key) = self.states[&server];
+        let takes = matches!(state, CandidateState::Ready | CandidateState::Suspect);
+        let reachable = cross_region || location(server).region == location(0).region;
+        let paused = self.paused.get(&key).is_some_and(|until| self.now < *until);
+        let refused = self.refused_leaving.contains(&key);
+        takes && reachable && !paused && !refused && !self.tried.contains(&key)
+    }
+
+    fn finish(&mut self, call: u8, result: u8) {
+        if self.calls.is_empty() {
+            return;
+        }
+        let (call, key) = self.calls.swap_remove(usize::from(call) % self.calls.len());
+        let result = match result {
+            0 => RouteResult::Silent,
+            1 => RouteResult::Failed,
+            2 => RouteResult::Cancelled,
+            3 => RouteResult::Refused(RefusalReason::QueueFull),
+            4 => RouteResult::Refused(RefusalReason::BackendServerDown),
+            5 => RouteResult::Refused(RefusalReason::Leaving),
+            6 => RouteResult::Refused(RefusalReason::Starting),
+            _ => RouteResult::Completed,
+        };
+        match result {
+            RouteResult::Refused(RefusalReason::Leaving) => self.refused_leaving.push(key),
+            RouteResult::Refused(RefusalReason::Starting) => {
+                self.paused.insert(key, self.now + Duration::from_millis(500));
+            }
+            _ => {}
+        }
+        self.table.finish(call, result, self.now);
+    }
+
+    fn check_counts(&mut self) -> Result<(), String> {
+        self.now += Duration::from_millis(50);
+        self.table.tick(self.now);
+        for (server, (_state, _incarnation, key)) in &self.states {
+            if self.table.ejection(*key).is_none() {
+                self.touched.remove(key);
+                self.probes.retain(|(_call, other)| other != key);
+            } else {
+                self.touched.entry(*key).or_insert(self.now);
+            }
+            let running = self.calls.iter().filter(|(_call, other)| other == key).count();
+            if self.table.in_flight(*key) as usize != running {
+                return Err(format!(
+                    "vm-{server} has {running} calls, counted {}",
+                    self.table.in_flight(*key)
+                ));
+            }
+        }
+        let takers = self.states.iter().filter(|(_server, known)| {
+            let takes = matches!(known.0, CandidateState::Ready | CandidateState::Suspect);
+            takes && !self.refused_leaving.contains(&known.2)
+        });
+        let keys: Vec<ServerKey> = takers.map(|(_server, known)| known.2).collect();
+        let straggler = |key: &&ServerKey| self.table.ejection(**key) == Some(EjectionCause::Straggler);
+        let ejected = keys.iter().filter(straggler).count();
+        if ejected * 3 > keys.len() {
+            return Err(format!("{ejected} of {} are ejected as stragglers", keys.len()));
+        }
+        Ok(())
+    }
+}
+
+fn fuzz(fault: Fault) -> Result<u64, String> {
+    println!("seed {SEED}");
+    let mut ejections = 0;
+    for case in 0..CASES {
+        let mut bytes = vec![0; STEPS * 8];
+        StdRng::seed_from_u64(SEED ^ case).fill_bytes(&mut bytes);
+        let options = Options::default();
+        let mut driver = ByteSliceDriver::new(&bytes, &options);
+        let mut oracle = Oracle::new(case, fault);
+        for step in 0..STEPS {
+            let Some(next) = Step::generate(&mut driver) else {
+                break;
+            };
+            oracle
+                .run(next)
+                .map_err(|error| format!("case {case}, step {step}, {next:?}: {error}"))?;
+            let keys = oracle.states.values().map(|known| known.2);
+            ejections += keys.filter(|key| oracle.table.ejection(*key).is_some()).count() as u64;
+        }
+    }
+    println!("{ejections} steps with an ejected server");
+    Ok(ejections)
+}
+
+/// Guards against calls to leaving, starting or ejected servers while another can take them, against calls that leave
+/// the region without leave, against lost counts, and against more than a third of the servers being ejected.
+#[test]
+fn choices_follow_the_oracle() {
+    let ejections = fuzz(Fault::None).unwrap();
+    assert!(ejections > 1000, "the cases hardly reach ejection: {ejections}");
+}
+
+#[test]
+fn any_choice_is_objected_to() {
+    fuzz(Fault::AnyServer).unwrap_err();
+}
+
+#[test]
+fn unheard_leaving_is_objected_to() {
+    fuzz(Fault::LeavingUnheard).unwrap_err();
+}
