Key hedging by service, bound relayed probes, measure a herd

Cause: calls of one class to different services were mixed in one percentile; a flood of indirect probe requests could grow memory; versions of a forged record could overflow; a joining daemon whose exchange was refused waited. Change: hedging keyed by service and class, at most 64 probes in progress when relaying, saturating versions, next exchange at the next answer.

--- a/crates/membership/examples/control_cost.rs
+++ b/crates/membership/examples/control_cost.rs
@@ -9,6 +9,7 @@
 use std::env;
 use std::time::{Duration, Instant};
 
+use damasktrack_membership::gossip_context::GossipContext;
 use damasktrack_membership::gossip_message;
 use damasktrack_membership::member_record::MemberState;
 use damasktrack_membership::traffic_count::TrafficCount;
@@ -108,9 +109,16 @@
     let dead = network.periods_until(60, |network| network.all_see(5, MemberState::Dead));
     report.print("death_known_everywhere", f64::from(dead.unwrap_or(u32::MAX)), "periods");
 
+    measure_herd(report);
+
     let mut network = Network::steady(members, report.seed + 1);
     network.cut = true;
-    network.run(Duration::from_mins(3));
+    let before = totals(&network);
+    network.run(Duration::from_mins(1));
+    let after = totals(&network);
+    let bytes = (after.total_bytes() - before.total_bytes()) as f64;
+    report.print("first_minute_of_partition_bytes", bytes / count / 60.0, "bytes/s");
+    network.run(Duration::from_mins(2));
     network.cut = false;
     let before = totals(&network);
     let start = network.now;
@@ -124,6 +132,31 @@
     report.print("healing_exchanges_per_member", exchanges / count, "1");
 }
 
+/// Lets all members start at once and find each other through three seeds, as with the store down.
+fn measure_herd(report: &Report) {
+    let count = report.members as f64;
+    let mut network = Network::empty(report.seed);
+    for index in 0..report.members {
+        network.add(virtual_network::record(index, 1000));
+    }
+    for index in 0..report.members {
+        let seeds = [0, 1, 2].map(virtual_network::address);
+        network.command(index, |context, now| context.join(&seeds, now));
+        network.command(index, GossipContext::set_up);
+    }
+    let start = network.now;
+    let known = network.periods_until(300, Network::all_up);
+    report.print("herd_known_everywhere", f64::from(known.unwrap_or(u32::MAX)), "periods");
+    let seconds = count * (network.now - start).as_secs_f64().max(1.0);
+    let traffic = totals(&network);
+    report.print("herd_bytes", traffic.total_bytes() as f64 / seconds, "bytes/s");
+    report.print(
+        "herd_exchanges_per_member",
+        traffic.exchanges_started as f64 / count,
+        "1",
+    );
+}
+
 /// Runs for a span of virtual time; returns its traffic and the processor time.
 fn span(network: &mut Network, duration: Duration) -> (TrafficCount, Duration) {
     let before = totals(network);
--- a/crates/membership/src/gossip_context.rs
+++ b/crates/membership/src/gossip_context.rs
@@ -25,6 +25,8 @@
 pub const GOSSIP_PERIOD: time::Duration = time::Duration::from_secs(1);
 /// Daemons that are told at once that this one drains or has left.
 const LEAVE_FANOUT: usize = 4;
+/// Time after the start in which a daemon asks another member when its exchange was refused.
+const JOIN_TIME: time::Duration = time::Duration::from_secs(30);
 /// Bytes that the array header of the updates may need beyond that of an empty array.
 const ARRAY_HEADER_BYTES: usize = 2;
 
@@ -233,6 +235,8 @@
         now: time::Instant,
     ) -> (anti_entropy::ExchangeReturn, GossipOutput) {
         let anti_entropy::ExchangeReply::Members { differing, records } = reply else {
+            // A joining daemon asks the next member that answers a probe; others wait for their next exchange.
+            self.joining = now.saturating_duration_since(self.started) < JOIN_TIME;
             return (anti_entropy::ExchangeReturn::default(), GossipOutput::default());
         };
         let newer = anti_entropy::newer_than(differing, records, &self.table);
@@ -254,7 +258,7 @@
 
     pub(crate) fn change_own(&mut self, now: time::Instant, change: impl FnOnce(&mut member_record::MemberRecord)) {
         let mut record = self.own_record().clone();
-        record.version += 1;
+        record.version = record.version.saturating_add(1);
         change(&mut record);
         self.table.replace(self.own, record, now);
         self.queue.push(self.own);
--- a/crates/membership/src/gossip_detector.rs
+++ b/crates/membership/src/gossip_detector.rs
@@ -36,6 +36,8 @@
 const FORGET_INTERVAL: time::Duration = time::Duration::from_mins(10);
 /// Most members kept for verification; more claims are taken up again by exchanges.
 const MAX_VERIFICATIONS: usize = 1024;
+/// Probes in progress up to which those for others are made; it bounds memory and traffic under a flood of requests.
+const MAX_OUTSTANDING: usize = 64;
 /// Share by which a measured network delay may rise per measurement, so that it follows a changed path.
 const DELAY_RISE: f64 = 0.05;
 
@@ -434,6 +436,9 @@
         address: net::SocketAddr,
         now: time::Instant,
     ) {
+        if self.detector.outstanding.len() >= MAX_OUTSTANDING {
+            return;
+        }
         let key = self.table.key_of(&target);
         let own = self.start_probe(key, ProbePurpose::Contact, Some((from, sequence)), now);
         let kind = gossip_message::GossipKind::Probe { sequence: own, target };
--- a/crates/membership/src/gossip_merge.rs
+++ b/crates/membership/src/gossip_merge.rs
@@ -80,7 +80,7 @@
                 let newer = own.clone().merge(record) == member_record::MergeResult::Changed;
                 if newer {
                     let version = own.version.max(record.version);
-                    self.change_own(now, |own| own.version = version + 1);
+                    self.change_own(now, |own| own.version = version.saturating_add(1));
                     self.output.events.push(gossip_context::GossipEvent::Refuted);
                 }
             }
@@ -89,7 +89,7 @@
 
     fn meet_later_start(&mut self, record: &member_record::MemberRecord, now: time::Instant) {
         if now.saturating_duration_since(self.started) < START_WINDOW {
-            let started_ms = record.started_ms + 1;
+            let started_ms = record.started_ms.saturating_add(1);
             self.change_own(now, |own| own.started_ms = started_ms);
             self.output.events.push(gossip_context::GossipEvent::Refuted);
         } else if !self.superseded {
--- a/crates/membership/tests/gossip.rs
+++ b/crates/membership/tests/gossip.rs
@@ -345,6 +345,11 @@
         network.command(0, |context, now| context.receive(address(1), &bytes[..length], now));
     }
     assert_eq!(network.nodes[0].context.traffic().malformed, bytes.len() as u64);
+    let mut extreme = network.nodes[0].context.own_record().clone();
+    extreme.version = u64::MAX;
+    network.command(0, |context, now| context.learn(std::slice::from_ref(&extreme), now));
+    extreme.started_ms = u64::MAX;
+    network.command(0, |context, now| context.learn(&[extreme], now));
 }
 
 /// Guards against the network delay being taken from late or indirect answers.
--- a/crates/routing/src/hedge_policy.rs
+++ b/crates/routing/src/hedge_policy.rs
@@ -17,6 +17,8 @@
 /// A running call that may be hedged.
 #[derive(Clone, Copy, Debug)]
 pub struct HedgeRequest<'a> {
+    /// Service that is called; calls of one class to different services differ in latency.
+    pub service: &'a ids::ServiceName,
     /// Class of the call.
     pub class: &'a ids::ClassName,
     /// Whether the class is declared idempotent; others are never hedged.
@@ -40,12 +42,12 @@
     Send,
 }
 
-/// Latencies by class, for the 95th percentile.
+/// Latencies by service and class, for the 95th percentile.
 ///
 /// Only completed first attempts are to be recorded: cancelled, refused and failed calls would look like fast ones.
 #[derive(Debug, Default)]
 pub struct HedgePolicy {
-    classes: collections::HashMap<ids::ClassName, ClassSamples>,
+    classes: collections::HashMap<(ids::ServiceName, ids::ClassName), ClassSamples>,
 }
 
 #[derive(Debug)]
@@ -66,8 +68,15 @@
     }
 
     /// Records the latency of a completed call.
-    pub fn record(&mut self, class: &ids::ClassName, latency: time::Duration, now: time::Instant) {
-        let samples = self.classes.entry(class.clone()).or_insert_with(|| ClassSamples {
+    pub fn record(
+        &mut self,
+        service: &ids::ServiceName,
+        class: &ids::ClassName,
+        latency: time::Duration,
+        now: time::Instant,
+    ) {
+        let key = (service.clone(), class.clone());
+        let samples = self.classes.entry(key).or_insert_with(|| ClassSamples {
             started: now,
             current: Vec::new(),
             recorded: 0,
@@ -94,7 +103,7 @@
         if !request.idempotent || request.hedges > 0 {
             return HedgeDecision::Never;
         }
-        let Some(delay) = self.delay(request.class) else {
+        let Some(delay) = self.delay(request.service, request.class) else {
             return HedgeDecision::Never;
         };
         if request.elapsed < delay {
@@ -109,8 +118,9 @@
 
     /// Returns the time after which calls of a class are hedged; `None` while too few calls were recorded.
     #[must_use]
-    pub fn delay(&self, class: &ids::ClassName) -> Option<time::Duration> {
-        self.classes.get(class).and_then(|samples| samples.delay)
+    pub fn delay(&self, service: &ids::ServiceName, class: &ids::ClassName) -> Option<time::Duration> {
+        let key = (service.clone(), class.clone());
+        self.classes.get(&key).and_then(|samples| samples.delay)
     }
 }
 
--- a/crates/routing/tests/budgets.rs
+++ b/crates/routing/tests/budgets.rs
@@ -81,9 +81,10 @@
 #[test]
 fn only_slow_idempotent_calls_are_hedged() {
     let start = Instant::now();
-    let class = Bytes::from_static(b"profile");
+    let (service, class) = (Bytes::from_static(b"profiles"), Bytes::from_static(b"profile"));
     let mut policy = HedgePolicy::new();
     let request = HedgeRequest {
+        service: &service,
         class: &class,
         idempotent: true,
         elapsed: Duration::from_millis(500),
@@ -93,9 +94,9 @@
     assert_eq!(policy.decide(request), HedgeDecision::Never, "no samples");
     for index in 0..200 {
         let latency = Duration::from_millis(1 + index % 100);
-        policy.record(&class, latency, start + Duration::from_millis(100 * index));
+        policy.record(&service, &class, latency, start + Duration::from_millis(100 * index));
     }
-    let delay = policy.delay(&class).unwrap();
+    let delay = policy.delay(&service, &class).unwrap();
     assert!(
         (Duration::from_millis(85)..=Duration::from_millis(100)).contains(&delay),
         "{delay:?}"
