--- a/crates/routing/tests/stragglers.rs
+++ b/crates/routing/tests/stragglers.rs
@@ -430,6 +430,39 @@
     distant_server_is_no_straggler(Fault::NoDelay).unwrap_err();
 }
 
+fn lone_near_straggler(fault: Fault) -> Result<(), String> {
+    let places = [0, 1, 2, 3, 4, 5].map(|place| ("east", place, if place == 0 { 0.0 } else { 1.0 }));
+    let mut bench = Bench::at(&places, fault);
+    bench.run(100, Duration::from_secs(10), 0.0);
+    bench.behaviours[0] = Behaviour::Mean(50.0);
+    let taken = bench.until_ejected(0, 100, Duration::from_secs(1));
+    println!("lone server of its data centre: ejected after {taken:?}");
+    taken.ok_or("not ejected")?;
+    let before = bench.calls[0];
+    bench.run(100, Duration::from_secs(10), 0.0);
+    if bench.calls[0] - before > 20 {
+        return Err(format!("{} of 1000 calls", bench.calls[0] - before));
+    }
+    bench.behaviours[0] = Behaviour::Mean(5.0);
+    bench.run(100, Duration::from_secs(20), 0.0);
+    if bench.ejected().contains(&0) {
+        Err("did not return".to_owned())
+    } else {
+        Ok(())
+    }
+}
+
+/// Guards against a straggler without peers in its data centre, which only its own past can show.
+#[test]
+fn lone_server_is_measured_against_its_past() {
+    lone_near_straggler(Fault::None).unwrap();
+}
+
+#[test]
+fn ignored_ejection_of_a_lone_server_is_objected_to() {
+    lone_near_straggler(Fault::IgnoreEjection).unwrap_err();
+}
+
 /// Guards against a server with refused connections getting calls, and against its staying away after its return.
 #[test]
 fn unreachable_server_is_ejected_at_once() {
