--- a/crates/standins/src/bin/damasktrack_demo.rs
+++ b/crates/standins/src/bin/damasktrack_demo.rs
@@ -385,11 +385,12 @@
         "  {:<26} {:>8} {:>8} {:>9} {:>9}  answers",
         "kind", "requests", "whole", "p50 ms", "p99 ms"
     );
+    let count = |value: &serde_json::Value| value.as_u64().unwrap_or(0);
     for (name, entry) in summary["entries"].as_object().into_iter().flatten() {
         println!(
             "  {name:<26} {:>8} {:>8} {:>9.2} {:>9.2}  {}",
-            entry["requests"],
-            entry["ends"]["whole"].as_u64().unwrap_or(0),
+            count(&entry["requests"]),
+            count(&entry["ends"]["whole"]),
             entry["p50_ms"].as_f64().unwrap_or(0.0),
             entry["p99_ms"].as_f64().unwrap_or(0.0),
             entry["answers"],
--- a/crates/standins/src/load_mix.rs
+++ b/crates/standins/src/load_mix.rs
@@ -145,8 +145,9 @@
     for step in steps {
         let mut index = 0_u32;
         loop {
-            let offset = f64::from(index) / step.rate.max(f64::MIN_POSITIVE);
-            if offset >= step.length.as_secs_f64() {
+            let offset = f64::from(index) / step.rate;
+            // A rate of 0 is a pause; its offset is not a number.
+            if step.rate <= 0.0 || offset >= step.length.as_secs_f64() {
                 break;
             }
             if arrivals.len() == MAX_REQUESTS {
