End quietly on a closed pipe and apply what get prints

Cause: a closed pipe made the command line panic, and the output of get had to be reshaped before apply. Change: output errors are reported, apply also takes the array items; tests of service times, lagging reports and freezes of the backend stand-in.

--- a/crates/cli/src/change_commands.rs
+++ b/crates/cli/src/change_commands.rs
@@ -10,6 +10,7 @@
 
 use crate::api_client;
 use crate::cli_error;
+use crate::command_output;
 use crate::kind_names;
 
 /// Resources of all files, with where each came from.
@@ -43,8 +44,7 @@
     if answer.status != 200 {
         return Err(answer.failure_with_places(|place| files.place(place)));
     }
-    print_results(&answer.body, &change_id, dry_run);
-    Ok(())
+    print_results(&answer.body, &change_id, dry_run)
 }
 
 /// `delete KIND NAME`.
@@ -65,10 +65,9 @@
     let answer = settle(&client, result, &change_id)?;
     match answer.status {
         200 => print_results(&answer.body, &change_id, false),
-        404 => return Err(cli_error::CliError::Failed(format!("no {} '{name}'", kind.kind))),
-        _ => return Err(answer.failure()),
+        404 => Err(cli_error::CliError::Failed(format!("no {} '{name}'", kind.kind))),
+        _ => Err(answer.failure()),
     }
-    Ok(())
 }
 
 /// Returns the answer to a change. If it was lost or the daemon does not know, asks once what became of the change.
@@ -114,7 +113,7 @@
     }
 }
 
-fn print_results(body: &serde_json::Value, change_id: &str, dry_run: bool) {
+fn print_results(body: &serde_json::Value, change_id: &str, dry_run: bool) -> Result<(), cli_error::CliError> {
     let text = |value: &serde_json::Value| value.as_str().unwrap_or("?").to_owned();
     for result in body["results"].as_array().into_iter().flatten() {
         let version = match result["version"].as_u64() {
@@ -122,17 +121,14 @@
             _ => String::new(),
         };
         let (kind, name, result) = (text(&result["kind"]), text(&result["name"]), text(&result["result"]));
-        println!("{kind} {name}: {result}{version}");
+        command_output::line(format!("{kind} {name}: {result}{version}"))?;
     }
     let revision = &body["revision"];
     if dry_run {
-        println!("dry run at revision {revision}: nothing was changed");
-    } else {
-        println!(
-            "revision {revision}, change {}",
-            body["id"].as_str().unwrap_or(change_id)
-        );
+        return command_output::line(format!("dry run at revision {revision}: nothing was changed"));
     }
+    let id = body["id"].as_str().unwrap_or(change_id);
+    command_output::line(format!("revision {revision}, change {id}"))
 }
 
 /// Returns the given change id or a random one.
@@ -159,11 +155,13 @@
         };
         let resources = match document {
             serde_json::Value::Array(resources) => resources,
-            serde_json::Value::Object(mut object) => match object.remove("resources") {
-                Some(serde_json::Value::Array(resources)) => resources,
-                Some(_) => return findings.push(format!("{path}: resources: expected an array")),
-                None => vec![serde_json::Value::Object(object)],
-            },
+            serde_json::Value::Object(mut object) => {
+                match object.remove("resources").or_else(|| object.remove("items")) {
+                    Some(serde_json::Value::Array(resources)) => resources,
+                    Some(_) => return findings.push(format!("{path}: resources: expected an array")),
+                    None => vec![serde_json::Value::Object(object)],
+                }
+            }
             _ => return findings.push(format!("{path}: expected an object or an array")),
         };
         for (index, resource) in resources.into_iter().enumerate() {
--- a/crates/cli/src/cli_command.rs
+++ b/crates/cli/src/cli_command.rs
@@ -16,7 +16,8 @@
   damasktrack --api 10.0.0.1:7003 apply --dry-run resources.json
   damasktrack --api 10.0.0.1:7003 apply resources.json
 
-Exit codes: 0 done; 1 failed, nothing was changed; 2 wrong usage; 3 it is not known whether a change was accepted.";
+Exit codes: 0 done; 1 failed, nothing was changed; 2 wrong usage; 3 it is not known whether a change was accepted;
+4 done, but the output could not be written.";
 
 /// Returns the declaration.
 pub fn command() -> clap::Command {
@@ -71,7 +72,7 @@
             .about("Create or change resources; all changes take effect together or none does")
             .long_about(
                 "Create or change resources; all changes take effect together or none does.\n\nA file holds one \
-                     resource, an array of resources, or an object with the array `resources`. A resource is an object \
+                     resource, an array of resources, or an object with the array `resources` (or `items`, as `get` prints it). A resource is an object \
                      with `kind`, `name`, `spec` and, if the change must not overwrite that of another operator, \
                      `version` as `get` prints it.",
             )
--- a/crates/cli/src/cli_error.rs
+++ b/crates/cli/src/cli_error.rs
@@ -1,6 +1,7 @@
 //! Failures of commands.
 
 use std::fmt;
+use std::io;
 
 /// Why a command failed.
 #[derive(Debug)]
@@ -16,6 +17,8 @@
         /// What happened.
         reason: String,
     },
+    /// The command did its work, but standard output can't be written.
+    Output(io::Error),
 }
 
 impl CliError {
@@ -24,6 +27,9 @@
         match self {
             Self::Failed(_) | Self::Findings(..) => 1,
             Self::Unsettled { .. } => 3,
+            // Whoever closed the pipe has read enough.
+            Self::Output(error) if error.kind() == io::ErrorKind::BrokenPipe => 0,
+            Self::Output(_) => 4,
         }
     }
 }
@@ -38,6 +44,7 @@
                 }
                 write!(f, "damasktrack: {message}")
             }
+            Self::Output(error) => write!(f, "damasktrack: the output can't be written: {error}"),
             Self::Unsettled { change_id, reason } => write!(
                 f,
                 "damasktrack: it is not known whether the change was accepted: {reason}\n\
--- /dev/null
+++ b/crates/cli/src/command_output.rs
@@ -0,0 +1,14 @@
+//! Standard output of commands.
+
+use std::fmt;
+use std::io;
+use std::io::Write;
+
+use crate::cli_error;
+
+/// Prints a line. A reader that closed the pipe, such as `head`, is reported so that the command can end quietly.
+pub fn line(text: impl fmt::Display) -> Result<(), cli_error::CliError> {
+    let mut output = io::stdout().lock();
+    let written = writeln!(output, "{text}").and_then(|()| output.flush());
+    written.map_err(cli_error::CliError::Output)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod change_commands;
 mod cli_command;
 mod cli_error;
+mod command_output;
 mod kind_names;
 mod read_commands;
 mod settings_commands;
@@ -15,8 +16,11 @@
     match run(&matches) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("{error}");
-            process::ExitCode::from(error.exit_code())
+            let code = error.exit_code();
+            if code != 0 {
+                eprintln!("{error}");
+            }
+            process::ExitCode::from(code)
         }
     }
 }
@@ -26,10 +30,7 @@
         return Ok(());
     };
     match name {
-        "version" => {
-            println!("damasktrack {}", env!("CARGO_PKG_VERSION"));
-            Ok(())
-        }
+        "version" => command_output::line(format!("damasktrack {}", env!("CARGO_PKG_VERSION"))),
         "run" => settings_commands::run(matches),
         "check-settings" => settings_commands::check(matches),
         "explain-settings" => settings_commands::explain(),
--- a/crates/cli/src/read_commands.rs
+++ b/crates/cli/src/read_commands.rs
@@ -8,6 +8,7 @@
 
 use crate::api_client;
 use crate::cli_error;
+use crate::command_output;
 use crate::kind_names;
 
 /// Wait of one long poll.
@@ -30,7 +31,7 @@
     };
     let answer = query(&client, &path)?;
     match (answer.status, name) {
-        (200, _) => println!("{:#}", answer.body),
+        (200, _) => command_output::line(format!("{:#}", answer.body))?,
         (404, Some(name)) => return Err(cli_error::CliError::Failed(format!("no {} '{name}'", kind.kind))),
         _ => return Err(answer.failure()),
     }
@@ -43,7 +44,7 @@
     let id = matches.get_one::<String>("id").map_or("", String::as_str);
     let answer = query(&client, &format!("/v1/changes/{id}"))?;
     match answer.status {
-        200 => println!("{:#}", answer.body),
+        200 => command_output::line(format!("{:#}", answer.body))?,
         404 => {
             let message = format!("no change '{id}' has been accepted so far");
             return Err(cli_error::CliError::Failed(message));
@@ -58,8 +59,8 @@
     let client = api_client::ApiClient::from_options(matches)?;
     let ready = query(&client, "/ready")?;
     let is_ready = ready.status == 200;
-    println!("ready: {}", if is_ready { "yes" } else { "no" });
-    println!("revision in force: {}", ready.body["revision"]);
+    command_output::line(format!("ready: {}", if is_ready { "yes" } else { "no" }))?;
+    command_output::line(format!("revision in force: {}", ready.body["revision"]))?;
     let reasons: Vec<&str> = ready.body["reasons"]
         .as_array()
         .into_iter()
@@ -67,38 +68,39 @@
         .filter_map(serde_json::Value::as_str)
         .collect();
     for reason in &reasons {
-        println!("not ready: {reason}");
+        command_output::line(format!("not ready: {reason}"))?;
     }
     let daemons = query(&client, "/v1/daemons")?;
     if daemons.status != 200 {
         return Err(daemons.failure());
     }
-    print_daemons(&daemons.body);
+    print_daemons(&daemons.body)?;
     if is_ready {
         return Ok(());
     }
     Err(cli_error::CliError::Failed("the daemon is not ready".to_owned()))
 }
 
-fn print_daemons(body: &serde_json::Value) {
+fn print_daemons(body: &serde_json::Value) -> Result<(), cli_error::CliError> {
     let items: Vec<&serde_json::Value> = body["items"].as_array().into_iter().flatten().collect();
     let mut states = collections::BTreeMap::new();
     for item in &items {
         *states.entry(cell(&item["status"]["state"])).or_insert(0) += 1;
     }
     let states: Vec<String> = states.iter().map(|(state, count)| format!("{count} {state}")).collect();
-    println!("daemons: {} ({})", items.len(), states.join(", "));
+    command_output::line(format!("daemons: {} ({})", items.len(), states.join(", ")))?;
     for item in items {
         let spec = &item["spec"];
-        println!(
+        command_output::line(format!(
             "  {:<24} {:<10} {:<20} {:<14} {}",
             cell(&item["name"]),
             cell(&item["status"]["state"]),
             cell(&spec["service"]),
             cell(&spec["region"]),
             cell(&spec["data_centre"]),
-        );
+        ))?;
     }
+    Ok(())
 }
 
 fn cell(value: &serde_json::Value) -> String {
@@ -140,7 +142,7 @@
             if left == 0 {
                 break;
             }
-            println!("{line}");
+            command_output::line(line)?;
             left -= 1;
         }
     }
--- a/crates/cli/src/settings_commands.rs
+++ b/crates/cli/src/settings_commands.rs
@@ -6,13 +6,14 @@
 use damasktrack_settings::{daemon_settings, settings_reader, settings_table};
 
 use crate::cli_error;
+use crate::command_output;
 
 /// `check-settings FILE...`.
 pub fn check(matches: &clap::ArgMatches) -> Result<(), cli_error::CliError> {
     let mut findings = Vec::new();
     for path in matches.get_many::<String>("files").unwrap_or_default() {
         match read(path) {
-            Ok(_) => println!("{path}: valid"),
+            Ok(_) => command_output::line(format!("{path}: valid"))?,
             Err(found) => findings.extend(found),
         }
     }
@@ -51,8 +52,6 @@
 }
 
 /// `explain-settings`.
-#[expect(clippy::unnecessary_wraps, reason = "all commands have one form")]
 pub fn explain() -> Result<(), cli_error::CliError> {
-    print!("{}", settings_table::render());
-    Ok(())
+    command_output::line(settings_table::render().trim_end())
 }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -129,6 +129,20 @@
     fs::remove_file(path).unwrap();
 }
 
+/// Guards against an edited output of `get` that `apply` refuses.
+#[test]
+fn the_output_of_get_can_be_applied() {
+    let listed = json!({ "revision": 3, "items": tenants()["resources"] });
+    let accepted = json!({ "id": "c1", "revision": 4, "results": [] });
+    let api = ScriptedApi::start(vec![(200, listed), (200, accepted)]);
+    let result = api.run(&["get", "tenants"]);
+    let path = file(&serde_json::from_str(&result.stdout).unwrap());
+    assert_eq!(api.run(&["apply", path.to_str().unwrap()]).code, Some(0));
+    let seen = api.seen();
+    assert_eq!((seen[0].url.as_str(), &seen[1].body), ("/v1/tenants", &tenants()));
+    fs::remove_file(path).unwrap();
+}
+
 /// Guards against findings that name a position in the request instead of the operator's file.
 #[test]
 fn findings_name_their_file() {
--- a/crates/standins/tests/backend.rs
+++ b/crates/standins/tests/backend.rs
@@ -165,3 +165,37 @@
     fixture.post("/control/fault", &json!({ "kind": "clear" }));
     assert_eq!(fixture.server.state().health_status(), 200);
 }
+
+/// Guards against cold, slow and long work that takes no longer than other work.
+#[test]
+fn service_times_follow_the_options() {
+    let second = time::Duration::from_secs(1);
+    let state = backend_state::BackendState::new(backend_state::BackendOptions {
+        service_time: second,
+        class_times: [("ledger".to_owned(), second * 60)].into(),
+        // So long that the time since the start does not matter.
+        cold_ramp: second * 1_000_000,
+        cold_factor: 4.0,
+        ..backend_state::BackendOptions::default()
+    });
+    let near = |time: time::Duration, expected: f64| (time.as_secs_f64() / expected - 1.0).abs() < 0.001;
+    assert!(near(state.draw_service_time("query", 1.0), 4.0));
+    assert!(near(state.draw_service_time("query", 10.0), 40.0));
+    assert!(near(state.draw_service_time("ledger", 1.0), 240.0));
+}
+
+/// Guards against reports without the lag that was asked for, and a frozen server that answers.
+#[test]
+fn lagging_reports_and_freezes() {
+    let fixture = Fixture::new(backend_state::BackendOptions {
+        report_lag: time::Duration::from_hours(1),
+        ..backend_state::BackendOptions::default()
+    });
+    fixture.post("/drain", &json!({}));
+    fixture.server.state().sample();
+    assert_eq!(fixture.server.state().health_status(), 200, "the state of an hour ago");
+    let until = time::Instant::now() + time::Duration::from_millis(200);
+    fixture.post("/control/fault", &json!({ "kind": "freeze", "value": 200 }));
+    fixture.post("/cancel?call=1", &json!({}));
+    assert!(time::Instant::now() >= until);
+}
