End the demonstration's processes by SIGTERM after a failure, too

Cause: a failed or interrupted run killed its processes, which hides faults of their planned stop. Change: SIGTERM first, then kill after 3 s.

--- a/crates/standins/src/bin/damasktrack_demo.rs
+++ b/crates/standins/src/bin/damasktrack_demo.rs
@@ -22,6 +22,8 @@
 const CONFIG_TIMEOUT: time::Duration = time::Duration::from_secs(13);
 /// Time in which a process must end after SIGTERM.
 const STOP_TIMEOUT: time::Duration = time::Duration::from_secs(15);
+/// The same after a failure; what still runs then is killed.
+const FAILED_STOP_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 /// Findings that are printed.
 const MAX_FINDINGS: usize = 20;
 
@@ -100,6 +102,8 @@
         for end in demo.processes.log_ends(15) {
             eprintln!("{end}");
         }
+        // The failure itself is reported; how the processes end after it adds nothing.
+        demo.processes.stop(FAILED_STOP_TIMEOUT, |_| true);
     }
     result
 }
