Let the core hand calls to workers, and drop idle connections of silent peers

A call passed from the listener to a worker, to the core and back to the worker. The core now submits the decided call itself, which saves one thread switch.

--- a/crates/daemon/tests/processes/failures.rs
+++ b/crates/daemon/tests/processes/failures.rs
@@ -5,6 +5,7 @@
 use std::sync;
 use std::sync::mpsc;
 use std::thread;
+use std::time;
 
 use crate::support;
 
@@ -266,3 +267,70 @@
         assert_eq!(support::header_value(&response.header, "retry-after"), Some("1"));
     }
 }
+
+/// Backend server whose `/slow` responses wait until the test lets go.
+fn waiting() -> (support::BackendServer, mpsc::Sender<()>) {
+    let (release, wait) = mpsc::channel::<()>();
+    let wait = sync::Mutex::new(wait);
+    let backend = support::BackendServer::start(move |request, stream| {
+        if request.path == "/slow" {
+            let _released = wait.lock().unwrap().recv();
+        }
+        support::respond(stream, &request.body)
+    });
+    (backend, release)
+}
+
+/// Guards against a paused daemon that holds its peers until their deadline, against an action that it may have run and
+/// that is reported as refused, and against one that it can't have run and that is reported as unknown.
+#[test]
+fn paused_daemon_is_noticed_by_its_silence() {
+    let (backend, release) = waiting();
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    let mut sent = support::Caller::open(entry.entry);
+    sent.send("POST", "/s/slow", "", b"x");
+    backend.wait_request("/slow");
+    beside.signal("STOP");
+    let response = sent.receive().unwrap();
+    assert_eq!(response.status, 502);
+    assert_eq!(
+        support::header_value(&response.header, "damasktrack-outcome"),
+        Some("unknown")
+    );
+    // The ejection of the silent server ends after a second; then the call meets the paused daemon itself.
+    for _ in 0..30 {
+        let refused = support::Caller::open(entry.entry).exchange("POST", "/s/echo", "", b"x");
+        let refused = refused.unwrap();
+        assert_eq!(
+            support::header_value(&refused.header, "damasktrack-outcome"),
+            Some("refused")
+        );
+        thread::sleep(time::Duration::from_millis(50));
+    }
+    beside.signal("CONT");
+    drop(release);
+    support::wait_for("the daemon to be used again", || {
+        let response = support::Caller::open(entry.entry).exchange("POST", "/s/echo", "", b"back");
+        response.ok().filter(|response| response.status == 200)
+    });
+}
+
+/// Guards against a deadline that is not kept, and against work that goes on after it.
+#[test]
+fn deadline_ends_a_call_and_cancels_its_work() {
+    let (backend, _release) = waiting();
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    for (method, outcome) in [("POST", "unknown"), ("GET", "failed")] {
+        let header = "Damasktrack-Timeout-Ms: 300\r\n";
+        let response = support::Caller::open(entry.entry).exchange(method, "/s/slow", header, b"");
+        let response = response.unwrap();
+        assert_eq!(response.status, 504);
+        assert_eq!(
+            support::header_value(&response.header, "damasktrack-outcome"),
+            Some(outcome)
+        );
+        backend.wait_request("/cancel?call=");
+    }
+}
--- a/crates/daemon/tests/processes/support.rs
+++ b/crates/daemon/tests/processes/support.rs
@@ -74,8 +74,12 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    pub fn signal(&self, name: &str) {
         let sent = process::Command::new("kill")
-            .arg("-TERM")
+            .arg(format!("-{name}"))
             .arg(self.child.id().to_string())
             .status();
         assert!(sent.unwrap().success());
--- a/crates/node/src/callee_runner.rs
+++ b/crates/node/src/callee_runner.rs
@@ -96,7 +96,7 @@
     cancelled: &call_watch::CancelFlag,
     sink: &frame_sink::FrameSink,
 ) -> core_command::WorkDecision {
-    let (reply, decision) = mpsc::sync_channel(1);
+    let (reply, decision) = core_command::ReplySender::channel();
     let arrival = core_command::WorkArrival {
         call,
         sender: request.sender.clone(),
--- a/crates/node/src/core_command.rs
+++ b/crates/node/src/core_command.rs
@@ -18,8 +18,47 @@
 use crate::peer_directory;
 use crate::route_choice;
 
-/// Sender of one reply; it has room for the reply, so the core never waits.
-pub type ReplySender<T> = mpsc::SyncSender<T>;
+/// Receiver of one reply. It runs on the core's thread, so it hands the reply over and never waits.
+pub struct ReplySender<T>(Box<dyn FnOnce(T) -> ReplyStep + Send>);
+
+/// Whether anybody waits for a reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplyStep {
+    /// The reply was taken.
+    Taken,
+    /// Nobody waits.
+    Gone,
+}
+
+impl<T> std::fmt::Debug for ReplySender<T> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_tuple("ReplySender").finish()
+    }
+}
+
+impl<T: Send + 'static> ReplySender<T> {
+    /// Wraps a function that hands the reply over.
+    #[must_use]
+    pub fn new(receive: impl FnOnce(T) -> ReplyStep + Send + 'static) -> Self {
+        Self(Box::new(receive))
+    }
+
+    /// Returns a sender for a thread that waits.
+    #[must_use]
+    pub fn channel() -> (Self, mpsc::Receiver<T>) {
+        let (sender, receiver) = mpsc::sync_channel(1);
+        let sender = Self::new(move |reply| match sender.send(reply) {
+            Ok(()) => ReplyStep::Taken,
+            Err(_) => ReplyStep::Gone,
+        });
+        (sender, receiver)
+    }
+
+    /// Hands the reply over.
+    pub fn send(self, reply: T) -> ReplyStep {
+        (self.0)(reply)
+    }
+}
 
 /// Command to the core.
 #[derive(Debug)]
--- a/crates/node/src/core_thread.rs
+++ b/crates/node/src/core_thread.rs
@@ -32,8 +32,11 @@
     }
 
     /// Sends a command and waits for its reply; `None` if the core has stopped.
-    pub fn ask<T>(&self, command: impl FnOnce(core_command::ReplySender<T>) -> core_command::CoreCommand) -> Option<T> {
-        let (reply, answer) = mpsc::sync_channel(1);
+    pub fn ask<T: Send + 'static>(
+        &self,
+        command: impl FnOnce(core_command::ReplySender<T>) -> core_command::CoreCommand,
+    ) -> Option<T> {
+        let (reply, answer) = core_command::ReplySender::channel();
         self.channel.send(command(reply));
         answer.recv().ok()
     }
--- a/crates/node/src/core_work.rs
+++ b/crates/node/src/core_work.rs
@@ -76,14 +76,16 @@
             let _gone = reply.send(core_command::WorkDecision::Refuse { reason, report });
             return;
         }
-        let queued = matches!(decision, admission_control::ArrivalDecision::Queued);
-        if !queued {
+        let waiting = if matches!(decision, admission_control::ArrivalDecision::Queued) {
+            Some(reply)
+        } else {
             let _gone = reply.send(core_command::WorkDecision::Start {
                 report: self.admission.report(&class.name, now),
                 idempotent: class.idempotent,
                 close_delimited: class.close_delimited,
             });
-        }
+            None
+        };
         self.calls.add_work(
             arrival.call,
             call_table::WorkEntry {
@@ -91,7 +93,7 @@
                 class,
                 deadline: arrival.deadline,
                 sender: arrival.sender,
-                waiting: queued.then_some(reply),
+                waiting,
                 cancelled: arrival.cancelled,
             },
         );
@@ -118,8 +120,8 @@
             idempotent: work.class.idempotent,
             close_delimited: work.class.close_delimited,
         };
-        let sent = work.waiting.take().is_some_and(|reply| reply.send(decision).is_ok());
-        if !sent {
+        let sent = work.waiting.take().map(|reply| reply.send(decision));
+        if sent != Some(core_command::ReplyStep::Taken) {
             self.calls.remove_work(call);
             self.admission
                 .finish(call, admission_control::FinishResult::Cancelled, now);
--- a/crates/node/src/entry_request.rs
+++ b/crates/node/src/entry_request.rs
@@ -1,4 +1,4 @@
-//! Reading of a caller's request, and the job that runs it.
+//! Reading of a caller's request, and its way through the core to a worker.
 
 use std::cell;
 use std::rc;
@@ -19,6 +19,7 @@
 use crate::frame_sink;
 use crate::header_filter;
 use crate::node_shared;
+use crate::worker_pool;
 
 /// Longest request id that a caller may choose.
 const MAX_REQUEST_ID_BYTES: usize = 256;
@@ -102,8 +103,9 @@
     })
 }
 
-/// Runs a request on a worker thread and answers it.
-pub fn run(
+/// Asks the core about a request; the answer follows without further action of the caller. The core itself hands a
+/// call that may run to a worker, which saves a thread switch.
+pub fn begin(
     shared: &sync::Arc<node_shared::NodeShared>,
     request: EntryRequest,
     answer: oneshot::Sender<entry_response::EntryAnswer>,
@@ -117,59 +119,91 @@
         body_digest: xxhash_rust::xxh3::xxh3_64(&request.outgoing.body),
         cancelled: sync::Arc::clone(&request.cancelled),
     };
-    let decision = shared
+    let decided = DecidedRequest {
+        arrived: request.arrived,
+        outgoing: request.outgoing,
+        cancelled: request.cancelled,
+        answer,
+    };
+    let job_shared = sync::Arc::clone(shared);
+    let reply = core_command::ReplySender::new(move |decision| {
+        take_decision(&job_shared, decision, decided);
+        core_command::ReplyStep::Taken
+    });
+    shared
         .core
-        .ask(|reply| core_command::CoreCommand::Begin(Box::new(start), reply));
+        .send(core_command::CoreCommand::Begin(Box::new(start), reply));
+}
+
+/// What remains of a request when the core has decided.
+struct DecidedRequest {
+    arrived: time::Instant,
+    outgoing: call_runner::OutgoingRequest,
+    cancelled: call_watch::CancelFlag,
+    answer: oneshot::Sender<entry_response::EntryAnswer>,
+}
+
+/// Runs on the core's thread and must not wait.
+fn take_decision(
+    shared: &sync::Arc<node_shared::NodeShared>,
+    decision: core_command::CallDecision,
+    request: DecidedRequest,
+) {
     let (request_id, frame) = match decision {
-        Some(core_command::CallDecision::Run(plan)) => {
-            run_plan(
-                shared,
-                *plan,
-                &request.outgoing,
-                &request.cancelled,
-                request.arrived,
-                answer,
-            );
+        core_command::CallDecision::Run(plan) if shared.pool.is_full() => {
+            let reason = call_outcome::RefusalReason::QueueFull;
+            abandon(shared, plan.call, reason);
+            (
+                plan.attempt.context.request_id,
+                call_frame::CallFrame::Refused { reason, report: None },
+            )
+        }
+        core_command::CallDecision::Run(plan) => {
+            let call = plan.call;
+            let job_shared = sync::Arc::clone(shared);
+            let submitted = shared.pool.submit(move || run_plan(&job_shared, *plan, request));
+            if submitted == worker_pool::SubmitResult::Full {
+                // No thread could be started; the dropped answer tells the listener.
+                abandon(shared, call, call_outcome::RefusalReason::QueueFull);
+            }
             return;
         }
-        Some(core_command::CallDecision::Refuse { request_id, reason }) => {
+        core_command::CallDecision::Refuse { request_id, reason } => {
             (request_id, call_frame::CallFrame::Refused { reason, report: None })
         }
-        Some(core_command::CallDecision::Unknown { request_id }) => (
+        core_command::CallDecision::Unknown { request_id } => (
             request_id,
             call_frame::CallFrame::Abort {
                 outcome: call_outcome::CallOutcome::Unknown,
             },
         ),
-        None => (
-            Bytes::new(),
-            call_frame::CallFrame::Refused {
-                reason: call_outcome::RefusalReason::Leaving,
-                report: None,
-            },
-        ),
     };
     let outcome = match &frame {
         call_frame::CallFrame::Refused { .. } => call_outcome::CallOutcome::Refused,
         _ => call_outcome::CallOutcome::Unknown,
     };
     shared.metrics.count_undispatched(outcome);
-    entry_response::EntryResponder::new(request_id, request.arrived, answer).push(frame);
+    entry_response::EntryResponder::new(request_id, request.arrived, request.answer).push(frame);
 }
 
-fn run_plan(
-    shared: &sync::Arc<node_shared::NodeShared>,
-    plan: core_command::CallPlan,
-    outgoing: &call_runner::OutgoingRequest,
-    cancelled: &call_watch::CancelFlag,
-    arrived: time::Instant,
-    answer: oneshot::Sender<entry_response::EntryAnswer>,
-) {
+/// Ends a call that no worker runs.
+fn abandon(shared: &node_shared::NodeShared, call: ids::CallId, reason: call_outcome::RefusalReason) {
+    let result = core_command::AttemptResult::Refused { reason, report: None };
+    let summary = core_command::CallSummary {
+        end: core_command::CallEnd::Refused(reason),
+        attempts: 0,
+    };
+    shared
+        .core
+        .send(core_command::CoreCommand::Finish(call, result, summary));
+}
+
+fn run_plan(shared: &sync::Arc<node_shared::NodeShared>, plan: core_command::CallPlan, request: DecidedRequest) {
     let class = plan.class.clone();
     let request_id = plan.attempt.context.request_id.clone();
-    let mut responder = entry_response::EntryResponder::new(request_id.clone(), plan.deadline, answer);
+    let mut responder = entry_response::EntryResponder::new(request_id.clone(), plan.deadline, request.answer);
     let sink: frame_sink::FrameSink = rc::Rc::new(cell::RefCell::new(move |frame| responder.push(frame)));
-    let summary = call_runner::run(shared, plan, outgoing, cancelled, &sink);
+    let summary = call_runner::run(shared, plan, &request.outgoing, &request.cancelled, &sink);
     let outcome = match summary.end {
         core_command::CallEnd::Done => "done",
         core_command::CallEnd::Refused(_) => "refused",
@@ -177,7 +211,7 @@
         core_command::CallEnd::Lost(_) => "unknown",
         core_command::CallEnd::Cancelled => "cancelled",
     };
-    shared.metrics.record_call(&class, outcome, arrived.elapsed());
+    shared.metrics.record_call(&class, outcome, request.arrived.elapsed());
     log::debug!(
         request_id:% = ids::text(&request_id),
         class:% = ids::text(&class.name),
--- a/crates/node/src/entry_server.rs
+++ b/crates/node/src/entry_server.rs
@@ -27,7 +27,6 @@
 use crate::header_filter;
 use crate::http_listener;
 use crate::node_shared;
-use crate::worker_pool;
 
 /// Path under which callers get request ids.
 const ISSUE_PATH: &str = "/damasktrack/v1/request-ids";
@@ -274,15 +273,7 @@
     };
     let mut guard = entry_body::CallerGuard::new(sync::Arc::clone(shared), call, cancelled);
     let (sender, answer) = oneshot::channel();
-    let job_shared = sync::Arc::clone(shared);
-    let submitted = shared
-        .pool
-        .submit(move || entry_request::run(&job_shared, entry, sender));
-    if submitted == worker_pool::SubmitResult::Full {
-        guard.disarm();
-        let reason = damasktrack_entity::call_outcome::RefusalReason::QueueFull;
-        return Ok(refused_response(&Bytes::new(), reason));
-    }
+    entry_request::begin(shared, entry, sender);
     let answer = answer.await;
     if !matches!(answer, Ok(entry_response::EntryAnswer::Stream { .. })) {
         guard.disarm();
@@ -300,7 +291,7 @@
             outcome,
             timed_out,
         }) => lost_response(&request_id, outcome, timed_out),
-        // The worker ended without an answer, which is a bug; the call may have run.
+        // The worker ended without an answer; the call may have run.
         Err(_closed) => lost_response(
             &Bytes::new(),
             damasktrack_entity::call_outcome::CallOutcome::Unknown,
@@ -360,12 +351,12 @@
     shared: &sync::Arc<node_shared::NodeShared>,
 ) -> Result<hyper::Response<entry_body::EntryBody>, entry_request::RequestFault> {
     let (sender, issued) = oneshot::channel();
-    let job_shared = sync::Arc::clone(shared);
-    shared.pool.submit(move || {
-        let id = job_shared.core.ask(core_command::CoreCommand::IssueId);
-        let _gone = sender.send(id);
+    let reply = core_command::ReplySender::new(move |id| match sender.send(id) {
+        Ok(()) => core_command::ReplyStep::Taken,
+        Err(_) => core_command::ReplyStep::Gone,
     });
-    let Ok(Some(id)) = issued.await else {
+    shared.core.send(core_command::CoreCommand::IssueId(reply));
+    let Ok(id) = issued.await else {
         return Err(entry_request::RequestFault {
             status: 503,
             text: "no request id can be issued now\n",
--- a/crates/node/src/peer_client.rs
+++ b/crates/node/src/peer_client.rs
@@ -74,7 +74,10 @@
         match (result, report.stop) {
             (Ok(end), _) => end,
             (Err(_), Some(call_watch::WatchStop::Deadline)) => PeerEnd::Deadline,
-            (Err(_), Some(call_watch::WatchStop::Silent)) => PeerEnd::Silent,
+            (Err(_), Some(call_watch::WatchStop::Silent)) => {
+                self.forget(address);
+                PeerEnd::Silent
+            }
             (Err(_), Some(call_watch::WatchStop::Cancelled)) => PeerEnd::Cancelled,
             (Err(_), None) if !report.sent => PeerEnd::NotSent,
             (Err(error), None) => {
@@ -110,6 +113,12 @@
         Ok(codec::decode(&result?)?)
     }
 
+    /// Drops the idle connections of a peer that fell silent, so that the next call greets it on a new one.
+    fn forget(&self, address: net::SocketAddr) {
+        let mut agents = self.agents.write().unwrap_or_else(sync::PoisonError::into_inner);
+        agents.remove(&address);
+    }
+
     fn agent(&self, address: net::SocketAddr) -> ureq::Agent {
         let agents = self.agents.read().unwrap_or_else(sync::PoisonError::into_inner);
         if let Some(agent) = agents.get(&address) {
--- a/crates/node/src/worker_pool.rs
+++ b/crates/node/src/worker_pool.rs
@@ -50,6 +50,7 @@
     }
 }
 
+/// Commands.
 impl WorkerPool {
     /// Creates a pool without workers.
     #[must_use]
@@ -90,6 +91,16 @@
     }
 }
 
+/// Queries.
+impl WorkerPool {
+    /// Returns whether a job would be turned away. Other threads may change that at any time.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        let state = lock(&self.shared.state);
+        state.idle <= state.jobs.len() && state.workers >= self.shared.max
+    }
+}
+
 fn work(shared: &PoolShared, first: PoolJob) {
     let mut job = first;
     loop {
