Load, spread and serve the configuration; serve the resource API

Cause: the daemon ran all calls in one built-in class and had no client of the store. Change: a store client with a circuit breaker, the configuration log in the core, a thread that reads the head and asks peers, pushes between peers, and the resource API with conditional changes, dry run, watch and status. A daemon without a store keeps the built-in class until a peer delivers resources.

--- /dev/null
+++ b/crates/node/src/api_queries.rs
@@ -0,0 +1,228 @@
+//! Reading of resources, changes and daemons through the API.
+
+use std::sync;
+use std::thread;
+use std::time;
+
+use bytes::Bytes;
+use damasktrack_entity::ids;
+use damasktrack_resource::change_status;
+use damasktrack_resource::config_log;
+use damasktrack_resource::resource_document;
+use damasktrack_wire::peer_message;
+use serde_json::json;
+
+use crate::api_documents;
+use crate::api_response;
+use crate::config_sync;
+use crate::core_command;
+use crate::core_config;
+use crate::node_shared;
+use crate::peer_directory;
+
+/// Longest long poll.
+pub const MAX_WATCH: time::Duration = time::Duration::from_secs(30);
+/// Daemons that are asked for their revision at the same time.
+const MAX_PARALLEL: usize = 16;
+
+/// Lists the resources of a kind.
+pub fn list(shared: &node_shared::NodeShared, kind: resource_document::ResourceKind) -> api_response::ApiResponse {
+    let Some(view) = config_sync::view(shared) else {
+        return stopping();
+    };
+    let items: Vec<_> = view
+        .set
+        .resources()
+        .filter(|versioned| versioned.resource.key().kind == kind)
+        .map(|versioned| api_documents::document(versioned, &status(&view, &versioned.resource.key())))
+        .collect();
+    api_response::ApiResponse::ok(json!({"revision": view.set.revision(), "items": items}))
+}
+
+/// Returns one resource.
+pub fn get(shared: &node_shared::NodeShared, key: &resource_document::ResourceKey) -> api_response::ApiResponse {
+    let Some(view) = config_sync::view(shared) else {
+        return stopping();
+    };
+    match view.set.get(key) {
+        Some(versioned) => api_response::ApiResponse::ok(api_documents::document(versioned, &status(&view, key))),
+        None => api_response::ApiResponse::error(404, "no such resource"),
+    }
+}
+
+fn status(view: &core_config::ConfigView, key: &resource_document::ResourceKey) -> serde_json::Value {
+    let mut status = json!({ "revision": view.set.revision() });
+    if key.kind == resource_document::ResourceKind::Class {
+        let effect = view.effects.get(&key.name).copied().unwrap_or_default();
+        status["admitted"] = json!(effect.admitted);
+        status["refused"] = json!(effect.refused);
+        status["retried"] = json!(effect.retried);
+    }
+    status
+}
+
+/// Returns the changes after a revision that this daemon still holds.
+pub fn changes(shared: &node_shared::NodeShared, after: ids::Revision, limit: usize) -> api_response::ApiResponse {
+    match changes_after(shared, after) {
+        Ok((revision, mut items)) => {
+            items.truncate(limit);
+            api_response::ApiResponse::ok(json!({"revision": revision, "items": items}))
+        }
+        Err(response) => response,
+    }
+}
+
+/// Waits until the revision is above `after`, or until the timeout.
+pub fn watch(
+    shared: &node_shared::NodeShared,
+    after: Option<ids::Revision>,
+    timeout: time::Duration,
+) -> api_response::ApiResponse {
+    let Some(view) = config_sync::view(shared) else {
+        return stopping();
+    };
+    let after = after.unwrap_or_else(|| view.set.revision());
+    let end = time::Instant::now() + timeout;
+    let _revision = shared.effects.config_signal().wait_revision(after, end);
+    match changes_after(shared, after) {
+        // A client that is ahead of this daemon goes on from its own revision.
+        Ok((revision, events)) => {
+            api_response::ApiResponse::ok(json!({"revision": revision.max(after), "events": events}))
+        }
+        Err(response) => response,
+    }
+}
+
+type ChangeDocuments = (ids::Revision, Vec<serde_json::Value>);
+
+fn changes_after(
+    shared: &node_shared::NodeShared,
+    after: ids::Revision,
+) -> Result<ChangeDocuments, api_response::ApiResponse> {
+    let feed = shared
+        .core
+        .ask(|reply| core_command::CoreCommand::Config(core_config::ConfigCommand::Feed(after, reply)));
+    match feed {
+        Some(config_log::ChangeFeed::Changes(changes)) => {
+            let revision = changes.last().map_or(after, |change| change.revision);
+            let changes = changes.iter().map(|change| api_documents::change(change)).collect();
+            Ok((revision, changes))
+        }
+        Some(config_log::ChangeFeed::UpToDate) => {
+            let revision = config_sync::view(shared).map_or(after, |view| view.set.revision());
+            Ok((revision, Vec::new()))
+        }
+        Some(config_log::ChangeFeed::Snapshot(_)) => {
+            let text = "the change log no longer reaches back to this revision";
+            Err(api_response::ApiResponse::error(410, text))
+        }
+        None => Err(stopping()),
+    }
+}
+
+/// Lists this daemon and those that it knows, with the revision that each has in force.
+pub fn daemons(shared: &node_shared::NodeShared, name: Option<&str>) -> api_response::ApiResponse {
+    let Some(view) = config_sync::view(shared) else {
+        return stopping();
+    };
+    let mut peers = view.peers;
+    peers.push(shared.describe());
+    peers.retain(|peer| name.is_none_or(|name| name.as_bytes() == peer.owner.daemon_id));
+    peers.sort_by(|left, right| left.owner.daemon_id.cmp(&right.owner.daemon_id));
+    let revisions = revisions(shared, &peers, view.set.revision());
+    let mut items: Vec<_> = peers
+        .iter()
+        .zip(revisions)
+        .map(|(peer, revision)| daemon(peer, revision))
+        .collect();
+    match (name, items.pop()) {
+        (None, last) => {
+            items.extend(last);
+            api_response::ApiResponse::ok(json!({"revision": view.set.revision(), "items": items}))
+        }
+        (Some(_), Some(item)) => api_response::ApiResponse::ok(item),
+        (Some(_), None) => api_response::ApiResponse::error(404, "no such daemon"),
+    }
+}
+
+fn daemon(peer: &peer_directory::PeerIdentity, revision: Option<ids::Revision>) -> serde_json::Value {
+    let text = |name: &Bytes| ids::text(name).into_owned();
+    let state = if peer.draining { "draining" } else { "up" };
+    json!({
+        "kind": "Daemon",
+        "name": text(&peer.owner.daemon_id),
+        "spec": {
+            "service": peer.service.as_ref().map(text),
+            "region": text(&peer.location.region),
+            "data_centre": text(&peer.location.data_centre),
+            "peer_address": peer.address.to_string(),
+        },
+        "status": {"state": state, "revision": revision, "reachable": revision.is_some()},
+    })
+}
+
+/// Tells where a revision is in force.
+pub fn spread(shared: &node_shared::NodeShared, revision: Option<ids::Revision>) -> api_response::ApiResponse {
+    let Some(view) = config_sync::view(shared) else {
+        return stopping();
+    };
+    let current = view.set.revision();
+    let mut peers = view.peers;
+    peers.push(shared.describe());
+    let members: Vec<_> = peers
+        .iter()
+        .zip(revisions(shared, &peers, current))
+        .map(|(peer, revision)| change_status::MemberRevision {
+            daemon_id: peer.owner.daemon_id.clone(),
+            location: peer.location.clone(),
+            revision: revision.unwrap_or(0),
+            reachable: revision.is_some(),
+        })
+        .collect();
+    let status = change_status::status(revision.unwrap_or(current), &members);
+    api_response::ApiResponse::ok(json!(status))
+}
+
+/// Asks daemons for the revisions that they have in force; none for one that does not answer.
+fn revisions(
+    shared: &node_shared::NodeShared,
+    peers: &[peer_directory::PeerIdentity],
+    own: ids::Revision,
+) -> Vec<Option<ids::Revision>> {
+    let next = sync::atomic::AtomicUsize::new(0);
+    let found = sync::Mutex::new(vec![None; peers.len()]);
+    let work = || {
+        while let Some((index, peer)) = {
+            let index = next.fetch_add(1, sync::atomic::Ordering::Relaxed);
+            peers.get(index).map(|peer| (index, peer))
+        } {
+            let revision = if peer.owner == shared.identity {
+                Some(own)
+            } else {
+                ask_revision(shared, peer)
+            };
+            found.lock().unwrap_or_else(sync::PoisonError::into_inner)[index] = revision;
+        }
+    };
+    thread::scope(|scope| {
+        for _ in 0..peers.len().min(MAX_PARALLEL) {
+            scope.spawn(work);
+        }
+    });
+    found.into_inner().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+fn ask_revision(shared: &node_shared::NodeShared, peer: &peer_directory::PeerIdentity) -> Option<ids::Revision> {
+    // No revision is greater, so the reply holds no changes.
+    let request = peer_message::ConfigRequest {
+        after: ids::Revision::MAX,
+    };
+    let reply = shared
+        .peers
+        .message::<_, config_sync::ConfigReply>(peer.address, "/peer/config", &request);
+    reply.ok().map(|reply| reply.revision)
+}
+
+fn stopping() -> api_response::ApiResponse {
+    api_response::ApiResponse::error(503, "the daemon is stopping")
+}
--- a/crates/node/src/call_class.rs
+++ b/crates/node/src/call_class.rs
@@ -1,9 +1,12 @@
-//! Decision point: class and tenant of a call. To be replaced by `resource::resource_set::ResourceSet`.
+//! Class and tenant of a call, from the resources in force.
 
+use std::sync;
 use std::time;
 
 use bytes::Bytes;
 use damasktrack_entity::ids;
+use damasktrack_resource::resource_document;
+use damasktrack_resource::resource_set;
 
 /// Lane in which the callee admits a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,33 +45,104 @@
 /// Lookup of declared routes.
 #[derive(Clone, Debug)]
 pub struct ClassTable {
-    default_deadline: time::Duration,
+    set: sync::Arc<resource_set::ResourceSet>,
+    /// Class of all calls at a daemon that has no store and was given no resources, if any.
+    fallback: Option<CallClass>,
 }
 
+/// Limits that all calls of one request share.
+#[derive(Clone, Copy, Debug)]
+pub struct ChainLimits {
+    /// Deadline of the whole request.
+    pub deadline: time::Duration,
+    /// Retries that the whole request may spend.
+    pub retry_allowance: u32,
+}
+
+/// Commands.
 impl ClassTable {
-    /// Creates a table without declarations; every call falls into one class.
+    /// Creates a table without declarations. Without a store nothing can be declared at this daemon, and until a peer
+    /// delivers resources every call falls into one class.
     #[must_use]
-    pub fn new(default_deadline: time::Duration) -> Self {
-        Self { default_deadline }
+    pub fn new(default_deadline: time::Duration, has_store: bool) -> Self {
+        Self {
+            set: sync::Arc::default(),
+            fallback: (!has_store).then(|| undeclared_class(default_deadline)),
+        }
     }
 
+    /// Takes the resources in force.
+    pub fn set_resources(&mut self, set: sync::Arc<resource_set::ResourceSet>) {
+        self.set = set;
+        self.fallback = None;
+    }
+}
+
+/// Queries.
+impl ClassTable {
     /// Returns the class of a call, or `None` if no route is declared for it.
     #[must_use]
-    pub fn find(&self, service: &Bytes, method: &Bytes, _path: &Bytes, _tenant: Option<&Bytes>) -> Option<CallClass> {
+    pub fn find(&self, service: &Bytes, method: &Bytes, path: &Bytes, tenant: Option<&Bytes>) -> Option<CallClass> {
         if service.is_empty() {
             return None;
         }
+        if let Some(fallback) = &self.fallback {
+            return Some(CallClass {
+                idempotent: matches!(method.as_ref(), b"GET" | b"HEAD" | b"OPTIONS"),
+                ..fallback.clone()
+            });
+        }
+        let class = self.set.class_of(service, method, path)?;
+        let chain = self.set.chain(&class.chain)?;
+        let declared = self.set.service(service)?;
+        let tenant = tenant.and_then(|name| self.set.tenant(name));
         Some(CallClass {
-            name: Bytes::from_static(b"default"),
-            tenant: Bytes::from_static(ids::DEFAULT_TENANT.as_bytes()),
-            importance: 8,
-            critical: false,
-            idempotent: matches!(method.as_ref(), b"GET" | b"HEAD" | b"OPTIONS"),
-            lane: CallLane::Short,
-            deadline: self.default_deadline,
-            retry_allowance: 2,
-            max_depth: 32,
-            close_delimited: false,
+            name: class.name.clone(),
+            tenant: tenant.map_or(Bytes::from_static(ids::DEFAULT_TENANT.as_bytes()), |tenant| {
+                tenant.name.clone()
+            }),
+            importance: class.importance,
+            critical: class.critical,
+            idempotent: class.idempotent,
+            lane: match class.lane {
+                resource_document::ClassLane::Short => CallLane::Short,
+                resource_document::ClassLane::Long => CallLane::Long,
+            },
+            deadline: chain.deadline(),
+            retry_allowance: chain.retry_allowance,
+            max_depth: chain.max_depth,
+            close_delimited: declared.close_delimited,
         })
     }
+
+    /// Returns the limits of the requests of a class.
+    #[must_use]
+    pub fn chain_limits(&self, class: &ids::ClassName) -> Option<ChainLimits> {
+        if let Some(fallback) = &self.fallback {
+            return Some(ChainLimits {
+                deadline: fallback.deadline,
+                retry_allowance: fallback.retry_allowance,
+            });
+        }
+        let chain = self.set.chain(&self.set.class(class)?.chain)?;
+        Some(ChainLimits {
+            deadline: chain.deadline(),
+            retry_allowance: chain.retry_allowance,
+        })
+    }
+}
+
+fn undeclared_class(deadline: time::Duration) -> CallClass {
+    CallClass {
+        name: Bytes::from_static(b"default"),
+        tenant: Bytes::from_static(ids::DEFAULT_TENANT.as_bytes()),
+        importance: 8,
+        critical: false,
+        idempotent: false,
+        lane: CallLane::Short,
+        deadline,
+        retry_allowance: 2,
+        max_depth: 32,
+        close_delimited: false,
+    }
 }
--- a/crates/node/src/core_command.rs
+++ b/crates/node/src/core_command.rs
@@ -15,6 +15,7 @@
 use crate::admission_control;
 use crate::call_class;
 use crate::call_watch;
+use crate::core_config;
 use crate::peer_directory;
 use crate::route_choice;
 
@@ -48,6 +49,8 @@
     PeersLearned(Vec<peer_directory::PeerIdentity>),
     /// A health check of the backend server ended.
     BackendServerChecked(bool),
+    /// About the configuration.
+    Config(core_config::ConfigCommand),
     /// New work is refused from now on.
     Drain,
     /// Asks for the state that shutdown and readiness depend on.
--- /dev/null
+++ b/crates/node/src/core_config.rs
@@ -0,0 +1,209 @@
+//! Configuration in force, as the core keeps it.
+
+use std::collections;
+use std::net;
+use std::sync;
+
+use damasktrack_entity::ids;
+use damasktrack_resource::change_log;
+use damasktrack_resource::config_log;
+use damasktrack_resource::resource_set;
+
+use crate::core_command;
+use crate::node_core;
+use crate::peer_directory;
+
+/// Command about the configuration.
+#[derive(Debug)]
+pub enum ConfigCommand {
+    /// Put accepted changes in force, as far as they follow without a gap.
+    Apply(
+        Vec<sync::Arc<change_log::ConfigChange>>,
+        core_command::ReplySender<ApplyReport>,
+    ),
+    /// Put a snapshot in force if it is newer.
+    Install(Box<change_log::ConfigSnapshot>, core_command::ReplySender<ApplyReport>),
+    /// The configuration at the start was found; the daemon may take calls.
+    Settled,
+    /// Asks what a peer at a revision needs.
+    Feed(ids::Revision, core_command::ReplySender<config_log::ChangeFeed>),
+    /// Asks for the configuration in force and the known daemons.
+    View(core_command::ReplySender<ConfigView>),
+    /// Asks whether the daemon is ready.
+    Ready(core_command::ReplySender<ReadyReport>),
+}
+
+/// What became of changes.
+#[derive(Debug)]
+pub struct ApplyReport {
+    /// Changes that came into force.
+    pub applied: Vec<sync::Arc<change_log::ConfigChange>>,
+    /// Whether changes between are missing.
+    pub behind: bool,
+    /// Revision in force.
+    pub revision: ids::Revision,
+    /// Peers to which the applied changes may be pushed.
+    pub peers: Vec<net::SocketAddr>,
+}
+
+/// Configuration in force and the known daemons.
+#[derive(Debug)]
+pub struct ConfigView {
+    /// Resources in force.
+    pub set: sync::Arc<resource_set::ResourceSet>,
+    /// Whether the configuration at the start was found.
+    pub settled: bool,
+    /// Known daemons, without this one.
+    pub peers: Vec<peer_directory::PeerIdentity>,
+    /// Effect by class.
+    pub effects: collections::BTreeMap<ids::ClassName, ClassEffect>,
+}
+
+/// Calls of a class at this daemon as entry or owner, since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct ClassEffect {
+    /// Calls that were sent to a backend server and not refused by it.
+    pub admitted: u64,
+    /// Calls that were refused.
+    pub refused: u64,
+    /// Attempts beyond the first.
+    pub retried: u64,
+}
+
+/// Whether the daemon is ready.
+#[derive(Debug, serde::Serialize)]
+pub struct ReadyReport {
+    /// The daemon may take calls.
+    pub ready: bool,
+    /// Revision in force.
+    pub revision: ids::Revision,
+    /// Why it is not ready.
+    pub reasons: Vec<&'static str>,
+}
+
+/// Configuration of a daemon.
+#[derive(Debug)]
+pub(crate) struct ConfigState {
+    pub(crate) log: config_log::ConfigLog,
+    pub(crate) settled: bool,
+    pub(crate) effects: collections::BTreeMap<ids::ClassName, ClassEffect>,
+}
+
+impl Default for ConfigState {
+    fn default() -> Self {
+        Self {
+            log: config_log::ConfigLog::new(config_log::DEFAULT_MAX_CHANGES),
+            settled: false,
+            effects: collections::BTreeMap::new(),
+        }
+    }
+}
+
+/// Commands.
+impl node_core::NodeCore {
+    pub(crate) fn handle_config(&mut self, command: ConfigCommand) {
+        match command {
+            ConfigCommand::Apply(changes, reply) => {
+                let _gone = reply.send(self.apply_changes(changes));
+            }
+            ConfigCommand::Install(snapshot, reply) => {
+                let step = self.config.log.install(&snapshot);
+                if step == config_log::ApplyStep::Applied {
+                    self.configuration_changed();
+                }
+                let _gone = reply.send(self.apply_report(Vec::new(), false));
+            }
+            ConfigCommand::Settled => self.config.settled = true,
+            ConfigCommand::Feed(after, reply) => {
+                let _gone = reply.send(self.config.log.changes_after(after));
+            }
+            ConfigCommand::View(reply) => {
+                let _gone = reply.send(self.config_view());
+            }
+            ConfigCommand::Ready(reply) => {
+                let _gone = reply.send(self.ready_report());
+            }
+        }
+    }
+
+    fn apply_changes(&mut self, changes: Vec<sync::Arc<change_log::ConfigChange>>) -> ApplyReport {
+        let mut applied = Vec::new();
+        let mut behind = false;
+        for change in changes {
+            match self.config.log.apply(sync::Arc::clone(&change)) {
+                config_log::ApplyStep::Applied => applied.push(change),
+                config_log::ApplyStep::Known => {}
+                config_log::ApplyStep::Behind { .. } => behind = true,
+            }
+        }
+        if !applied.is_empty() {
+            self.configuration_changed();
+        }
+        self.apply_report(applied, behind)
+    }
+
+    fn configuration_changed(&mut self) {
+        let revision = self.config.log.revision();
+        log::info!(revision = revision; "configuration in force changed");
+        self.classes.set_resources(sync::Arc::clone(self.config.log.set()));
+        self.effects.config_signal().set_revision(revision);
+    }
+
+    /// Counts an ended call, or one that was refused before it was sent.
+    #[expect(dead_code, reason = "the request owner counts with it once it is connected")]
+    pub(crate) fn count_effect(&mut self, class: &ids::ClassName, refused: bool, attempts: u32) {
+        if !self.config.effects.contains_key(class) {
+            self.config.effects.insert(class.clone(), ClassEffect::default());
+        }
+        if let Some(effect) = self.config.effects.get_mut(class) {
+            if refused {
+                effect.refused += 1;
+            } else {
+                effect.admitted += 1;
+            }
+            effect.retried += u64::from(attempts.saturating_sub(1));
+        }
+    }
+}
+
+/// Queries.
+impl node_core::NodeCore {
+    fn apply_report(&self, applied: Vec<sync::Arc<change_log::ConfigChange>>, behind: bool) -> ApplyReport {
+        ApplyReport {
+            applied,
+            behind,
+            revision: self.config.log.revision(),
+            peers: self.directory.peers().map(|peer| peer.address).collect(),
+        }
+    }
+
+    fn config_view(&self) -> ConfigView {
+        ConfigView {
+            set: sync::Arc::clone(self.config.log.set()),
+            settled: self.config.settled,
+            peers: self.directory.peers().cloned().collect(),
+            effects: self.config.effects.clone(),
+        }
+    }
+
+    fn ready_report(&self) -> ReadyReport {
+        let mut reasons = Vec::new();
+        if !self.config.settled {
+            reasons.push("no configuration was found yet");
+        }
+        if self.draining {
+            reasons.push("the daemon is stopping");
+        }
+        if self.has_backend_server && !self.admission.backend_server_up() {
+            reasons.push("the backend server is down");
+        }
+        if !self.has_joined() {
+            reasons.push("no other daemon is known yet");
+        }
+        ReadyReport {
+            ready: reasons.is_empty(),
+            revision: self.config.log.revision(),
+            reasons,
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,10 @@
 //! other modules move bytes.
 
 pub mod admission_control;
+pub mod api_changes;
+pub mod api_documents;
+pub mod api_queries;
+pub mod api_response;
 pub mod api_server;
 pub mod backend_client;
 pub mod background_checks;
@@ -13,8 +17,11 @@
 pub mod call_table;
 pub mod call_watch;
 pub mod callee_runner;
+pub mod config_signal;
+pub mod config_sync;
 mod core_calls;
 pub mod core_command;
+pub mod core_config;
 pub mod core_thread;
 mod core_work;
 pub mod entry_body;
@@ -39,4 +46,6 @@
 pub mod peer_server;
 pub mod request_owner;
 pub mod route_choice;
+pub mod store_circuit;
+pub mod store_client;
 pub mod worker_pool;
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -12,6 +12,7 @@
 use crate::call_class;
 use crate::call_table;
 use crate::core_command;
+use crate::core_config;
 use crate::node_effects;
 use crate::node_metrics;
 use crate::peer_directory;
@@ -35,6 +36,7 @@
     pub(crate) routes: route_choice::RouteTable,
     pub(crate) owner: request_owner::OwnerState,
     pub(crate) calls: call_table::CallTable,
+    pub(crate) config: core_config::ConfigState,
     pub(crate) draining: bool,
 }
 
@@ -65,11 +67,12 @@
             metrics,
             has_backend_server: settings.backend_server.is_some(),
             seeds: settings.seeds.len(),
-            classes: call_class::ClassTable::new(settings.default_deadline),
+            classes: call_class::ClassTable::new(settings.default_deadline, settings.store_address.is_some()),
             admission: admission_control::AdmissionControl::new(slots),
             directory: peer_directory::PeerDirectory::default(),
             routes,
             calls: call_table::CallTable::default(),
+            config: core_config::ConfigState::default(),
             draining: false,
         }
     }
@@ -103,6 +106,7 @@
             }
             core_command::CoreCommand::PeersLearned(peers) => self.learn_peers(peers),
             core_command::CoreCommand::BackendServerChecked(up) => self.take_health(up),
+            core_command::CoreCommand::Config(command) => self.handle_config(command),
             core_command::CoreCommand::Drain => self.drain(now),
             core_command::CoreCommand::Counts(reply) => {
                 let _gone = reply.send(self.counts());
@@ -155,13 +159,17 @@
 
 /// Queries.
 impl NodeCore {
+    pub(crate) fn has_joined(&self) -> bool {
+        self.seeds == 0 || self.directory.peers().next().is_some()
+    }
+
     fn counts(&self) -> core_command::NodeCounts {
-        let joined = self.seeds == 0 || self.directory.peers().next().is_some();
+        let joined = self.has_joined();
         let backend = !self.has_backend_server || self.admission.backend_server_up();
         core_command::NodeCounts {
             calls: self.calls.outgoing_count(),
             work: self.calls.work_count(),
-            ready: joined && backend && !self.draining,
+            ready: joined && backend && self.config.settled && !self.draining,
         }
     }
 }
--- a/crates/node/src/node_effects.rs
+++ b/crates/node/src/node_effects.rs
@@ -8,6 +8,8 @@
 use damasktrack_wire::peer_message;
 
 use crate::backend_client;
+use crate::config_signal;
+use crate::config_sync;
 use crate::peer_client;
 use crate::worker_pool;
 
@@ -20,6 +22,7 @@
     identity: request_identity::RequestOwner,
     peers: sync::Arc<peer_client::PeerClient>,
     backend: Option<sync::Arc<backend_client::BackendClient>>,
+    config: config_signal::ConfigSignal,
     pool: worker_pool::WorkerPool,
 }
 
@@ -35,6 +38,7 @@
             identity,
             peers,
             backend,
+            config: config_signal::ConfigSignal::default(),
             pool: worker_pool::WorkerPool::new("message", MAX_MESSAGE_WORKERS),
         }
     }
@@ -67,6 +71,22 @@
         }
     }
 
+    /// Pushes changes of the configuration to a peer.
+    pub fn push_config(&self, address: net::SocketAddr, request: config_sync::PushRequest) {
+        let peers = sync::Arc::clone(&self.peers);
+        self.submit(move || {
+            if let Err(error) = peers.message::<_, ids::Revision>(address, "/peer/push", &request) {
+                log::debug!(peer:% = address, error:% = error; "peer took no configuration change");
+            }
+        });
+    }
+
+    /// Returns the wake-ups around the configuration.
+    #[must_use]
+    pub fn config_signal(&self) -> &config_signal::ConfigSignal {
+        &self.config
+    }
+
     fn submit(&self, job: impl FnOnce() + Send + 'static) {
         if self.pool.submit(job) == worker_pool::SubmitResult::Full {
             // The receiver still notices a cancellation when the connection of the call closes.
--- a/crates/node/src/node_run.rs
+++ b/crates/node/src/node_run.rs
@@ -11,6 +11,7 @@
 use crate::api_server;
 use crate::backend_client;
 use crate::background_checks;
+use crate::config_sync;
 use crate::core_thread;
 use crate::entry_server;
 use crate::graceful_shutdown;
@@ -22,6 +23,7 @@
 use crate::peer_client;
 use crate::peer_server;
 use crate::request_owner;
+use crate::store_client;
 use crate::worker_pool;
 
 /// Addresses in use; they differ from the settings where those name port 0.
@@ -73,6 +75,7 @@
     api_server.start(&shared)?;
     let entry = entry_server::EntryServer::start(entry_listener, sync::Arc::clone(&shared))?;
     background_checks::start(&shared)?;
+    config_sync::start(&shared)?;
     let addresses = ListenAddresses {
         entry: entry.address(),
         peer: peer_server.address(),
@@ -92,6 +95,9 @@
         daemon_id: settings.daemon_id.clone(),
         incarnation: request_owner::random_incarnation(),
     };
+    let store = settings
+        .store_address
+        .map(|address| sync::Arc::new(store_client::StoreClient::new(address)));
     let metrics = node_metrics::NodeMetrics::new()?;
     let peers = sync::Arc::new(peer_client::PeerClient::default());
     let backend = settings
@@ -109,6 +115,7 @@
         effects,
         peers,
         backend,
+        store,
         metrics,
         peer_requests: atomic::AtomicUsize::new(0),
         draining: atomic::AtomicBool::new(false),
--- a/crates/node/src/node_shared.rs
+++ b/crates/node/src/node_shared.rs
@@ -14,6 +14,7 @@
 use crate::node_metrics;
 use crate::peer_client;
 use crate::peer_directory;
+use crate::store_client;
 use crate::worker_pool;
 
 /// Shared parts of a daemon; none of them decides anything.
@@ -33,6 +34,8 @@
     pub peers: sync::Arc<peer_client::PeerClient>,
     /// Client of the local backend server.
     pub backend: Option<sync::Arc<backend_client::BackendClient>>,
+    /// Client of the platform's store.
+    pub store: Option<sync::Arc<store_client::StoreClient>>,
     /// Workers of the entry side.
     pub pool: worker_pool::WorkerPool,
     /// Instruments.
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -20,6 +20,7 @@
 use crate::call_runner;
 use crate::call_watch;
 use crate::callee_runner;
+use crate::config_sync;
 use crate::core_command;
 use crate::frame_sink;
 use crate::frame_writer;
@@ -149,6 +150,12 @@
                 .core
                 .ask(|reply| core_command::CoreCommand::Grant(message, reply))
         }),
+        "/peer/config" => answer_message(request, |message: peer_message::ConfigRequest| {
+            config_sync::answer_request(shared, &message)
+        }),
+        "/peer/push" => answer_message(request, |message: config_sync::PushRequest| {
+            config_sync::take_push(shared, message)
+        }),
         "/peer/members" => answer_message(request, |(): ()| Some(vec![shared.describe()])),
         _ => http_listener::respond_text(request, 404, "no such path\n"),
     }
