Let exchanges start while some peers agree; repeat refutations

Cause: fuzzing of whole networks found a member that stayed dead in the tables of two others: an equal digest from one of the two restarted the settle time, and a member that heard an old claim about itself did not answer it. Change: a series of differences ends only after 10 s without one, with jitter before the first exchange; old claims are answered with the own record. The check for missing exchanges had left exchanges on; it now has neither updates nor exchanges, and the positive check relies on exchanges alone.

--- a/crates/membership/src/anti_entropy.rs
+++ b/crates/membership/src/anti_entropy.rs
@@ -12,6 +12,8 @@
 /// Time for which digests must differ before an exchange. Gossip brings most changes to all members sooner, so a change
 /// under way starts no exchanges.
 pub const SETTLE_TIME: time::Duration = time::Duration::from_secs(12);
+/// Time without a difference that ends a series of differences.
+const SERIES_GAP: time::Duration = time::Duration::from_secs(10);
 /// Mean time between two exchanges of one daemon; doubled while digests keep differing.
 const FIRST_INTERVAL: time::Duration = time::Duration::from_secs(10);
 /// Longest mean time between two exchanges while digests keep differing.
@@ -61,8 +63,9 @@
 /// Limits the exchanges that a daemon asks for and answers.
 #[derive(Debug)]
 pub struct ExchangeLimiter {
-    /// First difference since digests were last equal.
-    differs_since: Option<time::Instant>,
+    /// First and last difference of the present series. A series ends when no difference is met for a while; a single
+    /// equal digest doesn't end it, since two members may lack the same record.
+    series: Option<(time::Instant, time::Instant)>,
     /// No exchange is asked for before this time.
     not_before: time::Instant,
     interval: time::Duration,
@@ -75,7 +78,7 @@
     #[must_use]
     pub fn new(now: time::Instant) -> Self {
         Self {
-            differs_since: None,
+            series: None,
             not_before: now,
             interval: FIRST_INTERVAL,
             answered_since: now,
@@ -86,12 +89,20 @@
     /// Decides about a digest received from a peer.
     pub fn observe<R: rand::Rng + ?Sized>(&mut self, equal: bool, now: time::Instant, rng: &mut R) -> ExchangeDecision {
         if equal {
-            self.differs_since = None;
-            self.interval = FIRST_INTERVAL;
             return ExchangeDecision::Skip;
         }
-        let since = *self.differs_since.get_or_insert(now);
-        if now.saturating_duration_since(since) < SETTLE_TIME || now < self.not_before {
+        let series = self.series;
+        let series = series.filter(|(_first, last)| now.saturating_duration_since(*last) < SERIES_GAP);
+        let Some((first, _last)) = series else {
+            self.series = Some((now, now));
+            self.interval = FIRST_INTERVAL;
+            // Members that meet the same difference at once don't exchange at once.
+            let jitter = FIRST_INTERVAL.mul_f64(rng.random_range(0.0..1.0));
+            self.not_before = self.not_before.max(now + SETTLE_TIME + jitter);
+            return ExchangeDecision::Skip;
+        };
+        self.series = Some((first, now));
+        if now < self.not_before {
             return ExchangeDecision::Skip;
         }
         self.not_before = now + self.interval.mul_f64(rng.random_range(0.5..1.5));
--- a/crates/membership/src/gossip_merge.rs
+++ b/crates/membership/src/gossip_merge.rs
@@ -82,6 +82,12 @@
                     let version = own.version.max(record.version);
                     self.change_own(now, |own| own.version = version.saturating_add(1));
                     self.output.events.push(gossip_context::GossipEvent::Refuted);
+                } else if matches!(
+                    record.state,
+                    member_record::MemberState::Suspect | member_record::MemberState::Dead
+                ) {
+                    // Refuted before, but the sender has not heard of it.
+                    self.queue.push(self.own);
                 }
             }
         }
--- a/crates/membership/tests/gossip.rs
+++ b/crates/membership/tests/gossip.rs
@@ -263,11 +263,6 @@
     let row = network.nodes[index].context.own_record().clone();
     network.command(0, |context, now| context.learn_rows(&[row], now));
     network.nodes[index].paused = false;
-    network.fault = if fault == Fault::None {
-        Fault::None
-    } else {
-        Fault::NoUpdates
-    };
     network.run(Duration::from_mins(1));
     println!("{} exchanges", network.exchanges);
     if network.equal_digests() {
@@ -277,15 +272,15 @@
     }
 }
 
-/// Guards against members that miss a record for good.
+/// Guards against members that miss a record for good; exchanges alone must level the tables.
 #[test]
 fn exchanges_level_tables() {
-    differing_tables_meet(Fault::None).unwrap();
+    differing_tables_meet(Fault::NoUpdates).unwrap();
 }
 
 #[test]
 fn missing_exchanges_are_objected_to() {
-    differing_tables_meet(Fault::NoExchanges).unwrap_err();
+    differing_tables_meet(Fault::NoUpdatesOrExchanges).unwrap_err();
 }
 
 /// Guards against a change under way starting an exchange at each member, and against datagrams that fragment.
--- a/crates/membership/tests/virtual_network/mod.rs
+++ b/crates/membership/tests/virtual_network/mod.rs
@@ -33,8 +33,8 @@
     NoDeadProbes,
     /// Timers of the failure detector don't run.
     NoTicks,
-    /// Exchanges are not carried out.
-    NoExchanges,
+    /// Neither piggybacked records nor exchanges arrive.
+    NoUpdatesOrExchanges,
 }
 
 pub struct Node {
@@ -309,7 +309,7 @@
     }
 
     fn apply_fault(&self, from: usize, to: usize, datagram: Bytes) -> Option<Bytes> {
-        if matches!(self.fault, Fault::None | Fault::NoTicks | Fault::NoExchanges) {
+        if matches!(self.fault, Fault::None | Fault::NoTicks) {
             return Some(datagram);
         }
         let mut message: GossipMessage = gossip_message::decode(&datagram).unwrap();
@@ -320,7 +320,7 @@
             .find(&target)
             .map(|entry| entry.record.state);
         match self.fault {
-            Fault::NoUpdates => message.updates.clear(),
+            Fault::NoUpdates | Fault::NoUpdatesOrExchanges => message.updates.clear(),
             Fault::NoLeaving => message.updates.retain(|record| !record.leaving),
             Fault::NoRefutation => message.updates.retain(|record| record.daemon_id != target),
             Fault::NoDeadProbes
@@ -337,7 +337,7 @@
         let Some(peer) = self.by_address.get(&address).copied() else {
             return;
         };
-        let stopped = matches!(self.fault, Fault::NoExchanges | Fault::NoRefutation);
+        let stopped = matches!(self.fault, Fault::NoUpdatesOrExchanges | Fault::NoRefutation);
         if stopped || !self.connected(index, peer) || !self.active(peer) {
             return;
         }
