--- a/crates/routing/src/server_state.rs
+++ b/crates/routing/src/server_state.rs
@@ -185,6 +185,6 @@
             route_candidate::RouteLane::Long => LONG_SHARE,
         };
         let limit = (f64::from(self.candidate.slots) * share).max(1.0);
-        f64::from(self.lane_in_flight(lane)) < limit
+        f64::from(self.lane_in_flight(lane)) + 1.0 <= limit
     }
 }
