--- a/crates/routing/src/route_table.rs
+++ b/crates/routing/src/route_table.rs
@@ -28,7 +28,8 @@
     local: server_location::ServerLocation,
     pub(crate) servers: slotmap::SlotMap<route_candidate::ServerKey, server_state::ServerState>,
     calls: slotmap::SlotMap<route_candidate::CallKey, server_state::RunningCall>,
-    pub(crate) services: collections::HashMap<ids::ServiceName, ServiceState>,
+    /// Ordered, so that one sequence of events always leads to one sequence of choices.
+    pub(crate) services: collections::BTreeMap<ids::ServiceName, ServiceState>,
     pub(crate) by_daemon: collections::HashMap<ids::DaemonId, route_candidate::ServerKey>,
     pub(crate) delays: collections::HashMap<server_location::ServerLocation, time::Duration>,
     events: Vec<route_candidate::RouteEvent>,
@@ -42,7 +43,7 @@
     pub(crate) calls: u64,
     reviewed: Option<time::Instant>,
     /// By class: slow mean of the median, the measure while fewer than three servers were observed.
-    pub(crate) baselines: collections::HashMap<ids::ClassName, f64>,
+    pub(crate) baselines: collections::BTreeMap<ids::ClassName, f64>,
 }
 
 /// Commands.
@@ -54,7 +55,7 @@
             local,
             servers: slotmap::SlotMap::with_key(),
             calls: slotmap::SlotMap::with_key(),
-            services: collections::HashMap::new(),
+            services: collections::BTreeMap::new(),
             by_daemon: collections::HashMap::new(),
             delays: collections::HashMap::new(),
             events: Vec::new(),
@@ -215,7 +216,7 @@
     /// Ejects the worst stragglers of a service, as far as the limit allows.
     fn review(&mut self, service: &ids::ServiceName, now: time::Instant) {
         let keys = self.server_keys(service).to_vec();
-        let classes: collections::HashSet<ids::ClassName> = keys
+        let classes: collections::BTreeSet<ids::ClassName> = keys
             .iter()
             .flat_map(|key| self.servers[*key].classes.keys().cloned())
             .collect();
@@ -370,7 +371,7 @@
             servers: Vec::new(),
             calls: 0,
             reviewed: None,
-            baselines: collections::HashMap::new(),
+            baselines: collections::BTreeMap::new(),
         }
     }
 }
--- a/crates/routing/src/server_state.rs
+++ b/crates/routing/src/server_state.rs
@@ -25,7 +25,7 @@
 pub(crate) struct ServerState {
     pub(crate) candidate: route_candidate::RouteCandidate,
     pub(crate) distance: server_location::ServerDistance,
-    pub(crate) classes: collections::HashMap<ids::ClassName, latency_estimate::LatencyEstimate>,
+    pub(crate) classes: collections::BTreeMap<ids::ClassName, latency_estimate::LatencyEstimate>,
     pub(crate) short_in_flight: u32,
     pub(crate) long_in_flight: u32,
     pub(crate) ejection: Option<straggler_ejection::EjectionState>,
@@ -61,7 +61,7 @@
         Self {
             candidate,
             distance,
-            classes: collections::HashMap::new(),
+            classes: collections::BTreeMap::new(),
             short_in_flight: 0,
             long_in_flight: 0,
             ejection: None,
