Bound the time for which a reader of a response may stall

A caller or peer that stopped reading held a worker and a slot of the backend server without end. The new setting stall_timeout_ms (30 s) cancels its call.

--- a/crates/daemon/tests/processes/failures.rs
+++ b/crates/daemon/tests/processes/failures.rs
@@ -334,3 +334,51 @@
         backend.wait_request("/cancel?call=");
     }
 }
+
+/// Guards against a caller that stops reading and so holds a slot of the backend server without end.
+#[test]
+fn caller_that_stops_reading_loses_its_call() {
+    let backend = support::BackendServer::start(|_request, stream| support::respond(stream, &vec![b'x'; 50_000_000]));
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, r#","stall_timeout_ms":300"#);
+    let mut caller = support::Caller::open(entry.entry);
+    caller.send("GET", "/s/large", "", b"");
+    backend.wait_request("/cancel?call=");
+    let mut rest = Vec::new();
+    let read = std::io::Read::read_to_end(&mut caller.reader, &mut rest);
+    assert!(read.is_err() || rest.len() < 50_000_000);
+}
+
+/// Guards against a lost daemon that costs requests which never reached it, actions included, while another daemon of the
+/// service works, and against a retry that runs a request twice.
+#[test]
+fn lost_daemon_costs_no_further_request_while_another_works() {
+    const CALLS: usize = 40;
+    let (backend, _release) = waiting();
+    let mut lost = support::Daemon::beside(&backend, "");
+    let works = support::Daemon::beside(&backend, "");
+    let seeds = format!(r#","seeds":["{}","{}"]"#, lost.peer, works.peer);
+    let entry = support::Daemon::start("entry", &seeds);
+    // Both are known when both have been used.
+    let mut connection = support::Caller::open(entry.entry);
+    let mut served = std::collections::HashSet::new();
+    support::wait_for("both daemons to be used", || {
+        let response = connection.exchange("POST", "/s/echo", "", b"").unwrap();
+        if response.status == 200 {
+            let seen = backend.wait_request("/echo");
+            let context = support::header_value(&seen.header, "damasktrack-context").unwrap();
+            // Call ids of a process follow each other from a random start, so the upper half names the process.
+            let call = context.split(";call=").nth(1).unwrap().split(';').next().unwrap();
+            served.insert(u64::from_str_radix(call, 16).unwrap() >> 32);
+        }
+        (served.len() == 2).then_some(())
+    });
+    lost.kill();
+    for number in 0..CALLS {
+        let body = format!("{number}");
+        let response = connection.exchange("POST", "/s/echo", "", body.as_bytes()).unwrap();
+        assert_eq!((response.status, response.body), (200, body.into_bytes()));
+    }
+    let reached = backend.requests.try_iter().filter(|request| request.path == "/echo");
+    assert_eq!(reached.count(), CALLS);
+}
--- a/crates/daemon/tests/processes/support.rs
+++ b/crates/daemon/tests/processes/support.rs
@@ -58,9 +58,11 @@
 
     /// Starts the daemon beside a backend server of the service `s`.
     pub fn beside(backend: &BackendServer, extra: &str) -> Self {
+        static DAEMONS: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
+        let number = DAEMONS.fetch_add(1, atomic::Ordering::Relaxed);
         let address = backend.address;
         let backend = format!(r#","service":"s","backend_server":{{"address":"{address}","slots":16}}{extra}"#);
-        Self::start("callee", &backend)
+        Self::start(&format!("callee{number}"), &backend)
     }
 
     /// Starts a daemon without a backend server that knows another daemon, and waits until it is ready.
--- a/crates/node/src/api_server.rs
+++ b/crates/node/src/api_server.rs
@@ -26,8 +26,8 @@
     ///
     /// # Errors
     /// Returns an error if the address can't be listened on.
-    pub fn bind(address: net::SocketAddr) -> io::Result<Self> {
-        let (server, address) = http_listener::bind(address)?;
+    pub fn bind(address: net::SocketAddr, stall_timeout: time::Duration) -> io::Result<Self> {
+        let (server, address) = http_listener::bind(address, stall_timeout)?;
         Ok(Self {
             address,
             server: sync::Arc::new(server),
--- a/crates/node/src/entry_request.rs
+++ b/crates/node/src/entry_request.rs
@@ -109,6 +109,7 @@
     shared: &sync::Arc<node_shared::NodeShared>,
     request: EntryRequest,
     answer: oneshot::Sender<entry_response::EntryAnswer>,
+    runtime: &tokio::runtime::Handle,
 ) {
     let start = core_command::CallStart {
         call: request.call,
@@ -121,6 +122,7 @@
     };
     let decided = DecidedRequest {
         arrived: request.arrived,
+        runtime: runtime.clone(),
         outgoing: request.outgoing,
         cancelled: request.cancelled,
         answer,
@@ -138,6 +140,7 @@
 /// What remains of a request when the core has decided.
 struct DecidedRequest {
     arrived: time::Instant,
+    runtime: tokio::runtime::Handle,
     outgoing: call_runner::OutgoingRequest,
     cancelled: call_watch::CancelFlag,
     answer: oneshot::Sender<entry_response::EntryAnswer>,
@@ -202,6 +205,7 @@
     let class = plan.class.clone();
     let request_id = plan.attempt.context.request_id.clone();
     let mut responder = entry_response::EntryResponder::new(request_id.clone(), plan.deadline, request.answer);
+    responder.limit_stalls(request.runtime, shared.settings.stall_timeout);
     let sink: frame_sink::FrameSink = rc::Rc::new(cell::RefCell::new(move |frame| responder.push(frame)));
     let summary = call_runner::run(shared, plan, &request.outgoing, &request.cancelled, &sink);
     let outcome = match summary.end {
--- a/crates/node/src/entry_response.rs
+++ b/crates/node/src/entry_response.rs
@@ -76,6 +76,7 @@
     held_since: time::Instant,
     body: Vec<Bytes>,
     pieces: Option<mpsc::Sender<entry_body::BodyPiece>>,
+    stall_limit: Option<(tokio::runtime::Handle, time::Duration)>,
 }
 
 impl EntryResponder {
@@ -90,9 +91,15 @@
             held_since: time::Instant::now(),
             body: Vec::new(),
             pieces: None,
+            stall_limit: None,
         }
     }
 
+    /// Bounds the time for which a caller may take no piece of a streamed body; the runtime keeps that time.
+    pub fn limit_stalls(&mut self, runtime: tokio::runtime::Handle, timeout: time::Duration) {
+        self.stall_limit = Some((runtime, timeout));
+    }
+
     /// Takes a frame.
     pub fn push(&mut self, frame: call_frame::CallFrame) -> frame_sink::SinkStep {
         match frame {
@@ -182,9 +189,23 @@
     }
 
     fn send_piece(&mut self, piece: entry_body::BodyPiece) -> frame_sink::SinkStep {
-        match self.pieces.as_ref().map(|pieces| pieces.blocking_send(piece)) {
-            Some(Ok(())) => frame_sink::SinkStep::Continue,
-            Some(Err(_)) | None => frame_sink::SinkStep::Gone,
+        let Some(pieces) = &self.pieces else {
+            return frame_sink::SinkStep::Gone;
+        };
+        let piece = match pieces.try_send(piece) {
+            Ok(()) => return frame_sink::SinkStep::Continue,
+            Err(mpsc::error::TrySendError::Closed(_)) => return frame_sink::SinkStep::Gone,
+            Err(mpsc::error::TrySendError::Full(piece)) => piece,
+        };
+        let sent = match &self.stall_limit {
+            Some((runtime, timeout)) => runtime.block_on(pieces.send_timeout(piece, *timeout)).is_ok(),
+            None => pieces.blocking_send(piece).is_ok(),
+        };
+        if sent {
+            frame_sink::SinkStep::Continue
+        } else {
+            self.pieces = None;
+            frame_sink::SinkStep::Gone
         }
     }
 
--- a/crates/node/src/entry_server.rs
+++ b/crates/node/src/entry_server.rs
@@ -273,7 +273,7 @@
     };
     let mut guard = entry_body::CallerGuard::new(sync::Arc::clone(shared), call, cancelled);
     let (sender, answer) = oneshot::channel();
-    entry_request::begin(shared, entry, sender);
+    entry_request::begin(shared, entry, sender, &tokio::runtime::Handle::current());
     let answer = answer.await;
     if !matches!(answer, Ok(entry_response::EntryAnswer::Stream { .. })) {
         guard.disarm();
@@ -447,6 +447,6 @@
 ///
 /// # Errors
 /// Returns an error if the address can't be listened on.
-pub fn bind(address: net::SocketAddr) -> io::Result<net::TcpListener> {
-    http_listener::listen(address)
+pub fn bind(address: net::SocketAddr, stall_timeout: time::Duration) -> io::Result<net::TcpListener> {
+    http_listener::listen(address, stall_timeout)
 }
--- a/crates/node/src/http_listener.rs
+++ b/crates/node/src/http_listener.rs
@@ -49,7 +49,7 @@
 ///
 /// # Errors
 /// Returns an error if the address can't be listened on.
-pub fn listen(address: net::SocketAddr) -> io::Result<net::TcpListener> {
+pub fn listen(address: net::SocketAddr, stall_timeout: time::Duration) -> io::Result<net::TcpListener> {
     let socket = socket2::Socket::new(
         socket2::Domain::for_address(address),
         socket2::Type::STREAM,
@@ -57,6 +57,8 @@
     )?;
     socket.set_reuse_address(true)?;
     socket.set_tcp_nodelay(true)?;
+    // Connections inherit it as well; without it, a client that stops reading holds its thread for as long as it likes.
+    socket.set_write_timeout(Some(stall_timeout))?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     Ok(socket.into())
@@ -66,8 +68,8 @@
 ///
 /// # Errors
 /// Returns an error if the address can't be listened on.
-pub fn bind(address: net::SocketAddr) -> io::Result<(HttpServer, net::SocketAddr)> {
-    let listener = listen(address)?;
+pub fn bind(address: net::SocketAddr, stall_timeout: time::Duration) -> io::Result<(HttpServer, net::SocketAddr)> {
+    let listener = listen(address, stall_timeout)?;
     let address = listener.local_addr()?;
     let server = tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)?;
     Ok((HttpServer { server }, address))
--- a/crates/node/src/node_run.rs
+++ b/crates/node/src/node_run.rs
@@ -79,9 +79,9 @@
     node_logs::start(&settings.log_level);
     // The handler is set before anything listens, so that an early signal is not lost.
     let mut signals = signal_hook::iterator::Signals::new([signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT])?;
-    let peer_server = peer_server::PeerServer::bind(settings.peer_listen)?;
-    let api_server = api_server::ApiServer::bind(settings.api_listen)?;
-    let entry_listener = entry_server::bind(settings.entry_listen)?;
+    let peer_server = peer_server::PeerServer::bind(settings.peer_listen, settings.stall_timeout)?;
+    let api_server = api_server::ApiServer::bind(settings.api_listen, settings.stall_timeout)?;
+    let entry_listener = entry_server::bind(settings.entry_listen, settings.stall_timeout)?;
     let shared = build(settings, peer_server.address())?;
     peer_server.start(&shared);
     api_server.start(&shared)?;
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -59,8 +59,8 @@
     ///
     /// # Errors
     /// Returns an error if the address can't be listened on.
-    pub fn bind(address: net::SocketAddr) -> io::Result<Self> {
-        let (server, address) = http_listener::bind(address)?;
+    pub fn bind(address: net::SocketAddr, stall_timeout: time::Duration) -> io::Result<Self> {
+        let (server, address) = http_listener::bind(address, stall_timeout)?;
         let occupied: io::Result<Vec<_>> = (0..TINY_HTTP_IDLE_THREADS)
             .map(|_| net::TcpStream::connect(address))
             .collect();
@@ -135,7 +135,7 @@
 }
 
 fn answer(shared: &sync::Arc<node_shared::NodeShared>, request: tiny_http::Request) {
-    let in_progress = shared.peer_requests.fetch_add(1, atomic::Ordering::Relaxed);
+    let (_count, in_progress) = RequestCount::begin(&shared.peer_requests);
     let overfull = in_progress >= shared.settings.max_calls;
     match request.url() {
         peer_connector::GREETING_PATH => http_listener::respond_empty(request),
@@ -152,7 +152,23 @@
         "/peer/members" => answer_message(request, |(): ()| Some(vec![shared.describe()])),
         _ => http_listener::respond_text(request, 404, "no such path\n"),
     }
-    shared.peer_requests.fetch_sub(1, atomic::Ordering::Relaxed);
+}
+
+/// Counts a request until its response is written, also if its thread panics.
+struct RequestCount<'a>(&'a atomic::AtomicUsize);
+
+impl<'a> RequestCount<'a> {
+    /// Returns the count of this request and the number of others.
+    fn begin(counter: &'a atomic::AtomicUsize) -> (Self, usize) {
+        let others = counter.fetch_add(1, atomic::Ordering::Relaxed);
+        (Self(counter), others)
+    }
+}
+
+impl Drop for RequestCount<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
 }
 
 fn answer_message<Q: serde::de::DeserializeOwned, A: serde::Serialize>(
--- a/crates/settings/src/daemon_settings.rs
+++ b/crates/settings/src/daemon_settings.rs
@@ -37,6 +37,8 @@
     pub header_timeout: time::Duration,
     #[serde(rename = "body_timeout_ms", deserialize_with = "milliseconds")]
     pub body_timeout: time::Duration,
+    #[serde(rename = "stall_timeout_ms", deserialize_with = "milliseconds")]
+    pub stall_timeout: time::Duration,
     pub max_connections: usize,
     pub max_calls: usize,
     #[serde(rename = "default_deadline_ms", deserialize_with = "milliseconds")]
--- a/crates/settings/src/settings_table.rs
+++ b/crates/settings/src/settings_table.rs
@@ -284,6 +284,13 @@
         SettingDefault::Number(30_000),
         "time for a request body to arrive",
     ),
+    row(
+        "stall_timeout_ms",
+        number(10, 600_000),
+        "ms",
+        SettingDefault::Number(30_000),
+        "time for which a caller or peer may take no byte of a response before its call is cancelled",
+    ),
     row(
         "max_connections",
         number(1, 100_000),
