--- a/crates/daemon/tests/processes/failures.rs
+++ b/crates/daemon/tests/processes/failures.rs
@@ -382,3 +382,50 @@
     let reached = backend.requests.try_iter().filter(|request| request.path == "/echo");
     assert_eq!(reached.count(), CALLS);
 }
+
+/// Guards against calls that a planned stop of one daemon cuts or refuses while another daemon of the service works, and
+/// against a stop that ends before its last response is written.
+#[test]
+fn planned_stop_under_load_costs_no_request() {
+    const CALLERS: usize = 6;
+    let (backend, _release) = waiting();
+    let mut stops = support::Daemon::beside(&backend, r#","drain_notice_ms":100"#);
+    let works = support::Daemon::beside(&backend, "");
+    let seeds = format!(r#","seeds":["{}","{}"]"#, stops.peer, works.peer);
+    let entry = support::Daemon::start("entry", &seeds);
+    for daemon in [&stops, &works] {
+        support::wait_for("the daemon to be ready", || {
+            let response = support::Caller::open(daemon.api).exchange("GET", "/ready", "", b"");
+            response.ok().filter(|response| response.status == 200)
+        });
+    }
+    support::wait_for("the service to be known", || {
+        let response = support::Caller::open(entry.entry).exchange("POST", "/s/echo", "", b"");
+        response.ok().filter(|response| response.status == 200)
+    });
+    let stopped = sync::Arc::new(sync::atomic::AtomicBool::new(false));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            let stopped = sync::Arc::clone(&stopped);
+            let mut connection = support::Caller::open(entry.entry);
+            thread::spawn(move || {
+                let mut calls = 0;
+                while !stopped.load(sync::atomic::Ordering::Relaxed) {
+                    let body = format!("{caller} {calls}");
+                    let response = connection.exchange("POST", "/s/echo", "", body.as_bytes()).unwrap();
+                    assert_eq!((response.status, response.body), (200, body.into_bytes()));
+                    calls += 1;
+                }
+                calls
+            })
+        })
+        .collect();
+    for _ in 0..200 {
+        backend.wait_request("/echo");
+    }
+    stops.terminate();
+    assert_eq!(stops.exit_code(), Some(0));
+    stopped.store(true, sync::atomic::Ordering::Relaxed);
+    let calls: usize = callers.into_iter().map(|caller| caller.join().unwrap()).sum();
+    assert!(calls >= 200 - CALLERS);
+}
