--- a/crates/filetests/src/call_world.rs
+++ b/crates/filetests/src/call_world.rs
@@ -446,7 +446,7 @@
                 Self::later(cx, wait / control_arm::HOP_TIMEOUT_PART, WorldEvent::HopTimeout(call));
             }
             ControlArm::Damasktrack => {
-                let delay = self.nodes[node].hedges[service].delay(&self.classes[class_index]);
+                let delay = self.nodes[node].hedges[service].delay(&self.services[service], &self.classes[class_index]);
                 if let Some(delay) = delay.filter(|_| self.sends[key].hedges == 0) {
                     Self::later(cx, delay, WorldEvent::Hedge(key));
                 }
@@ -516,6 +516,7 @@
             return;
         }
         let decision = self.nodes[node].hedges[service].decide(hedge_policy::HedgeRequest {
+            service: &self.services[service],
             class: &self.classes[class],
             idempotent: !self.scenario.classes[class].long,
             elapsed: now.saturating_duration_since(copy.begun),
@@ -596,7 +597,7 @@
         match reply {
             CallReply::Done => {
                 if tries == 1 {
-                    self.nodes[node].hedges[service].record(class, now - begun, now);
+                    self.nodes[node].hedges[service].record(&self.services[service], class, now - begun, now);
                 }
                 self.settle(cx, send_key, reply);
             }
