Serve every connection of tiny_http's listeners within a second

A connection to the API listener stayed unread (51 bytes in its receive queue): tiny_http had queued it behind a thread that it still counted as idle, while the four connections that occupy these threads never end. Ruled out: configuration at the start and the greeting of peers, whose threads were idle in the stack traces. Change: the occupying connections complete one exchange before the address is in use, and a connection at intervals of a second makes a thread look at the queue.

--- a/crates/node/src/api_server.rs
+++ b/crates/node/src/api_server.rs
@@ -35,15 +35,12 @@
 const MAX_WATCHES: usize = 32;
 /// Changes that one response holds.
 const MAX_CHANGES: usize = 1000;
-/// See [`crate::peer_connector`] for the fault of `tiny_http` that occupying its idle threads avoids.
-const TINY_HTTP_IDLE_THREADS: usize = 4;
 
 /// Running server.
 #[derive(Debug)]
 pub struct ApiServer {
     address: net::SocketAddr,
     server: sync::Arc<http_listener::HttpServer>,
-    _occupied: Vec<net::TcpStream>,
 }
 
 /// What the workers share.
@@ -71,13 +68,9 @@
     /// Returns an error if the address can't be listened on.
     pub fn bind(address: net::SocketAddr, stall_timeout: time::Duration) -> io::Result<Self> {
         let (server, address) = http_listener::bind(address, stall_timeout)?;
-        let occupied: io::Result<Vec<_>> = (0..TINY_HTTP_IDLE_THREADS)
-            .map(|_| net::TcpStream::connect(address))
-            .collect();
         Ok(Self {
             address,
             server: sync::Arc::new(server),
-            _occupied: occupied?,
         })
     }
 
--- a/crates/node/src/http_listener.rs
+++ b/crates/node/src/http_listener.rs
@@ -1,15 +1,34 @@
 //! `tiny_http` servers on listeners with `TCP_NODELAY`.
 
 use std::io;
+use std::io::Read as _;
+use std::io::Write as _;
 use std::net;
+use std::thread;
 use std::time;
 
 /// Connections that the system holds until they are accepted.
 const BACKLOG: i32 = 1024;
+/// Idle connection threads that `tiny_http` starts with and keeps.
+const TINY_HTTP_IDLE_THREADS: usize = 4;
+/// Path of the opening exchange of the connections that occupy these threads.
+const OCCUPY_PATH: &str = "/occupy-idle-thread";
+/// Bound on the opening exchange of the connections that occupy these threads.
+const OCCUPY_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// Longest time for which a connection can stay unserved behind a busy thread.
+const RELEASE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
 /// A `tiny_http` server.
+///
+/// `tiny_http` 0.12 queues a new connection whenever its count of idle threads is above zero, and lowers that count only
+/// when a thread wakes up. Connections that arrive in a burst can thus be queued behind one thread, which takes the first
+/// of them; the others wait until some connection ends. Two measures bound that: connections of the process to itself
+/// occupy the idle threads that the library keeps, so that nearly every connection gets a thread of its own, and a
+/// connection that is opened and closed at intervals makes a thread look at the queue.
 pub struct HttpServer {
     server: tiny_http::Server,
+    /// Each was served once, so none of the library's threads counts as idle any more.
+    _occupied: Vec<net::TcpStream>,
 }
 
 impl std::fmt::Debug for HttpServer {
@@ -72,7 +91,51 @@
     let listener = listen(address, stall_timeout)?;
     let address = listener.local_addr()?;
     let server = tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)?;
-    Ok((HttpServer { server }, address))
+    let occupied = occupy_idle_threads(&server, address)?;
+    thread::Builder::new()
+        .name("release".to_owned())
+        .spawn(move || release_queued(address))?;
+    let server = HttpServer {
+        server,
+        _occupied: occupied,
+    };
+    Ok((server, address))
+}
+
+/// Opens a connection for each idle thread and completes one exchange on it.
+fn occupy_idle_threads(server: &tiny_http::Server, address: net::SocketAddr) -> io::Result<Vec<net::TcpStream>> {
+    let connections: io::Result<Vec<_>> = (0..TINY_HTTP_IDLE_THREADS)
+        .map(|_| {
+            let mut connection = net::TcpStream::connect(address)?;
+            connection.set_read_timeout(Some(OCCUPY_TIMEOUT))?;
+            let head = format!("GET {OCCUPY_PATH} HTTP/1.1\r\nHost: self\r\n\r\n");
+            connection.write_all(head.as_bytes())?;
+            Ok(connection)
+        })
+        .collect();
+    let mut connections = connections?;
+    let mut served = 0;
+    while served < connections.len() {
+        match server.recv_timeout(OCCUPY_TIMEOUT)? {
+            Some(request) if request.url() == OCCUPY_PATH => {
+                served += 1;
+                respond_empty(request);
+            }
+            Some(request) => respond_text(request, 503, "starting"),
+            None => return Err(io::ErrorKind::TimedOut.into()),
+        }
+    }
+    for connection in &mut connections {
+        connection.read_exact(&mut [0])?;
+    }
+    Ok(connections)
+}
+
+/// Runs until the process ends, or the listener is closed.
+fn release_queued(address: net::SocketAddr) {
+    while net::TcpStream::connect(address).is_ok() {
+        thread::sleep(RELEASE_INTERVAL);
+    }
 }
 
 /// Answers with status 204.
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -36,17 +36,11 @@
 /// Threads beyond `max_calls`, so that refusals and messages are answered while all call threads are busy.
 const SPARE_THREADS: usize = 32;
 
-/// Idle connection threads that `tiny_http` starts with.
-const TINY_HTTP_IDLE_THREADS: usize = 4;
-
 /// Running server.
 #[derive(Debug)]
 pub struct PeerServer {
     address: net::SocketAddr,
     server: sync::Arc<http_listener::HttpServer>,
-    /// Connections of the daemon to itself that occupy the idle threads of `tiny_http`. A connection that arrives
-    /// while none is idle gets a thread of its own at once; see [`peer_connector`] for the fault that this avoids.
-    _occupied: Vec<net::TcpStream>,
 }
 
 #[derive(Debug, Default)]
@@ -62,13 +56,9 @@
     /// Returns an error if the address can't be listened on.
     pub fn bind(address: net::SocketAddr, stall_timeout: time::Duration) -> io::Result<Self> {
         let (server, address) = http_listener::bind(address, stall_timeout)?;
-        let occupied: io::Result<Vec<_>> = (0..TINY_HTTP_IDLE_THREADS)
-            .map(|_| net::TcpStream::connect(address))
-            .collect();
         Ok(Self {
             address,
             server: sync::Arc::new(server),
-            _occupied: occupied?,
         })
     }
 
