--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -263,7 +263,7 @@
 fn status_fails_while_the_daemon_is_not_ready() {
     let daemons = json!({ "revision": 3, "items": [
         { "kind": "Daemon", "name": "d1", "spec": { "service": "permits", "region": "lahore", "data_centre": "l1" },
-          "status": { "state": "Up" } },
+          "status": { "state": "up" } },
     ]});
     let unready = json!({ "ready": false, "revision": 3, "reasons": ["the configuration is not known yet"] });
     let api = ScriptedApi::start(vec![(503, unready), (200, daemons)]);
@@ -274,7 +274,7 @@
         "{}",
         result.stdout
     );
-    assert!(result.stdout.contains("daemons: 1 (1 Up)"), "{}", result.stdout);
+    assert!(result.stdout.contains("daemons: 1 (1 up)"), "{}", result.stdout);
     api.seen();
 }
 
--- a/crates/standins/src/bin/damasktrack_demo.rs
+++ b/crates/standins/src/bin/damasktrack_demo.rs
@@ -325,7 +325,7 @@
                 .and_then(|mut response| response.body_mut().read_to_string().ok());
             let body: serde_json::Value = serde_json::from_str(&text.unwrap_or_default()).unwrap_or_default();
             let items = body["items"].as_array().into_iter().flatten();
-            let up = items.filter(|item| item["status"]["state"] == "Up");
+            let up = items.filter(|item| item["status"]["state"] == "up");
             let names: collections::HashSet<&str> = up.filter_map(|item| item["name"].as_str()).collect();
             expected.iter().all(|name| names.contains(name.as_str()))
         })
--- a/crates/standins/src/demo_plan.rs
+++ b/crates/standins/src/demo_plan.rs
@@ -108,11 +108,11 @@
     key_sha256: &str,
 ) -> serde_json::Value {
     let (server, own) = (&plan.servers[index], addresses[index]);
+    // Every daemon is a seed of the others, so that the demonstration does not wait for gossip.
     let seeds: Vec<net::SocketAddr> = addresses
         .iter()
         .map(|addresses| addresses.peer)
         .filter(|peer| *peer != own.peer)
-        .take(3)
         .collect();
     json!({
         "daemon_id": name(plan, index),
--- a/crates/standins/src/demo_processes.rs
+++ b/crates/standins/src/demo_processes.rs
@@ -103,7 +103,7 @@
         findings
     }
 
-    /// Returns the end of each log of standard error that is not empty.
+    /// Returns the end of each log of standard error, without lines of level info.
     #[must_use]
     pub fn log_ends(&self, lines: usize) -> Vec<String> {
         let Ok(entries) = fs::read_dir(&self.logs) else {
@@ -113,8 +113,11 @@
         for entry in entries.flatten() {
             let path = entry.path();
             let text = fs::read_to_string(&path).unwrap_or_default();
-            if path.extension().is_some_and(|extension| extension == "err") && !text.is_empty() {
-                let all: Vec<&str> = text.lines().collect();
+            let all: Vec<&str> = text
+                .lines()
+                .filter(|line| !line.contains(r#""level":"INFO""#))
+                .collect();
+            if path.extension().is_some_and(|extension| extension == "err") && !all.is_empty() {
                 let last = &all[all.len().saturating_sub(lines)..];
                 ends.push(format!("--- {}\n{}", path.display(), last.join("\n")));
             }
