--- a/crates/node/src/http_listener.rs
+++ b/crates/node/src/http_listener.rs
@@ -114,11 +114,11 @@
         })
         .collect();
     let mut connections = connections?;
-    let mut served = 0;
-    while served < connections.len() {
+    let mut completed = 0;
+    while completed < connections.len() {
         match server.recv_timeout(OCCUPY_TIMEOUT)? {
             Some(request) if request.url() == OCCUPY_PATH => {
-                served += 1;
+                completed += 1;
                 respond_empty(request);
             }
             Some(request) => respond_text(request, 503, "starting"),
