--- /dev/null
+++ b/crates/daemon/tests/processes/failures.rs
@@ -0,0 +1,431 @@
+//! Failures on the request path: truncation, disconnects and faulty requests.
+
+use std::io::Write;
+use std::net;
+use std::sync;
+use std::sync::mpsc;
+use std::thread;
+use std::time;
+
+use crate::support;
+
+/// Backend server whose `/half` responses stop in mid-body until the test lets go.
+fn halting() -> (support::BackendServer, mpsc::Sender<()>) {
+    let (release, wait) = mpsc::channel::<()>();
+    let wait = sync::Mutex::new(wait);
+    let backend = support::BackendServer::start(move |request, stream| {
+        if request.path != "/half" {
+            return support::respond(stream, &request.body);
+        }
+        let _written = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n");
+        let _written = stream.write_all(&vec![b'x'; 50_000]);
+        let _released = wait.lock().unwrap().recv();
+        stream.write_all(&vec![b'x'; 50_000]).is_ok()
+    });
+    (backend, release)
+}
+
+/// Sends a request for `/half` and reads until its body has begun.
+fn begin_half(entry: net::SocketAddr) -> support::Caller {
+    let mut caller = support::Caller::open(entry);
+    caller.send("GET", "/s/half", "", b"");
+    let mut begun = 0;
+    while begun < 10_000 {
+        let length = std::io::BufRead::fill_buf(&mut caller.reader).unwrap().len();
+        assert!(length > 0, "the response ended before its body began");
+        begun += length;
+        if begun < 10_000 {
+            std::io::BufRead::consume(&mut caller.reader, length);
+        }
+    }
+    caller
+}
+
+/// Reads the rest of the connection and returns whether it ended short of the announced body.
+fn is_cut_short(caller: &mut support::Caller) -> bool {
+    let mut rest = Vec::new();
+    let read = std::io::Read::read_to_end(&mut caller.reader, &mut rest);
+    read.is_err() || rest.len() < 100_000
+}
+
+fn assert_echo(entry: net::SocketAddr, body: &[u8]) {
+    let response = support::Caller::open(entry)
+        .exchange("POST", "/s/echo", "", body)
+        .unwrap();
+    assert_eq!((response.status, response.body.as_slice()), (200, body));
+}
+
+/// Guards against a truncated body that the caller takes for complete, and against a pooled connection that carries the
+/// rest of it into another response.
+#[test]
+fn backend_server_lost_in_mid_body_aborts_the_response() {
+    let (backend, _release) = halting();
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    let mut caller = begin_half(entry.entry);
+    backend.break_connections();
+    assert!(is_cut_short(&mut caller));
+    for number in 0..20 {
+        assert_echo(entry.entry, format!("after {number}").as_bytes());
+    }
+}
+
+/// As above, for the daemon between.
+#[test]
+fn callee_daemon_lost_in_mid_body_aborts_the_response() {
+    let (backend, _release) = halting();
+    let mut beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    let mut caller = begin_half(entry.entry);
+    beside.kill();
+    assert!(is_cut_short(&mut caller));
+    let refused = support::Caller::open(entry.entry)
+        .exchange("POST", "/s/echo", "", b"x")
+        .unwrap();
+    assert_eq!(refused.status, 503);
+    assert_eq!(
+        support::header_value(&refused.header, "damasktrack-outcome"),
+        Some("refused")
+    );
+}
+
+/// Guards against work that goes on for a caller that is gone: before the head, and in mid-body.
+#[test]
+fn caller_that_disconnects_cancels_at_the_backend_server() {
+    let (release, wait) = mpsc::channel::<()>();
+    let wait = sync::Mutex::new(wait);
+    let backend = support::BackendServer::start(move |request, stream| {
+        if request.path == "/slow" {
+            let _released = wait.lock().unwrap().recv();
+            return false;
+        }
+        support::respond(stream, b"")
+    });
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    let mut caller = support::Caller::open(entry.entry);
+    caller.send("GET", "/s/slow", "", b"");
+    let running = backend.wait_request("/slow");
+    drop(caller);
+    let cancel = backend.wait_request("/cancel?call=");
+    let context = support::header_value(&running.header, "damasktrack-context").unwrap();
+    let call = cancel.path.strip_prefix("/cancel?call=").unwrap();
+    assert_eq!(cancel.method, "POST");
+    assert!(context.contains(&format!(";call={call};")), "{context} {call}");
+    drop(release);
+
+    let (backend, _release) = halting();
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    drop(begin_half(entry.entry));
+    backend.wait_request("/cancel?call=");
+}
+
+/// Guards against work that goes on when the entry daemon ends.
+#[test]
+fn lost_entry_daemon_cancels_at_the_backend_server() {
+    let (backend, _release) = halting();
+    let beside = support::Daemon::beside(&backend, "");
+    let mut entry = support::Daemon::in_front_of(&beside, "");
+    let _caller = begin_half(entry.entry);
+    entry.kill();
+    backend.wait_request("/cancel?call=");
+}
+
+/// Guards against faulty requests that get no clear response, or that harm the daemon.
+#[test]
+fn faulty_requests_get_a_clear_error() {
+    let (backend, _release) = halting();
+    let beside = support::Daemon::beside(&backend, "");
+    let limits = r#","max_header_bytes":8192,"max_body_bytes":10000,"header_timeout_ms":300,"body_timeout_ms":300"#;
+    let entry = support::Daemon::in_front_of(&beside, limits);
+
+    let mut half_header = support::Caller::open(entry.entry);
+    half_header.send_raw(b"GET /s/echo HTTP/1.1\r\nHos");
+    assert_eq!(half_header.receive().unwrap().status, 408);
+
+    let mut half_body = support::Caller::open(entry.entry);
+    half_body.send_raw(b"POST /s/echo HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf");
+    assert_eq!(half_body.receive().unwrap().status, 408);
+
+    let mut large_header = support::Caller::open(entry.entry);
+    let header = format!("X-Large: {}\r\n", "x".repeat(100_000));
+    assert_eq!(
+        large_header.exchange("GET", "/s/echo", &header, b"").unwrap().status,
+        431
+    );
+
+    let mut large_body = support::Caller::open(entry.entry);
+    let response = large_body
+        .exchange("POST", "/s/echo", "", &vec![b'x'; 2_000_000])
+        .unwrap();
+    assert_eq!(response.status, 413);
+    assert_eq!(
+        support::header_value(&response.header, "damasktrack-outcome"),
+        Some("refused")
+    );
+
+    let mut chunked = support::Caller::open(entry.entry);
+    chunked.send_raw(b"POST /s/echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4e20\r\n");
+    chunked.send_raw(&vec![b'x'; 20_000]);
+    assert_eq!(chunked.receive().unwrap().status, 413);
+
+    let mut garbage = support::Caller::open(entry.entry);
+    garbage.send_raw(b"\x16\x03\x01 not http\r\n\r\n");
+    assert_eq!(garbage.receive().unwrap().status, 400);
+
+    let mut header = support::Caller::open(entry.entry);
+    let response = header.exchange("GET", "/s/echo", "Damasktrack-Timeout-Ms: soon\r\n", b"");
+    assert_eq!(response.unwrap().status, 400);
+
+    assert_echo(entry.entry, b"still here");
+    let reached = backend.requests.try_iter().filter(|request| request.path == "/echo");
+    assert_eq!(reached.count(), 1, "only the last request reaches the backend server");
+}
+
+/// Guards against a planned stop that cuts requests, on the entry side and on the callee side.
+#[test]
+fn planned_stop_cuts_no_request() {
+    const CALLS: usize = 8;
+    for stops_entry in [true, false] {
+        let (backend, release) = halting();
+        let mut beside = support::Daemon::beside(&backend, r#","drain_notice_ms":100"#);
+        let mut entry = support::Daemon::in_front_of(&beside, r#","drain_notice_ms":100"#);
+        let callers: Vec<_> = (0..CALLS)
+            .map(|_| {
+                let mut caller = support::Caller::open(entry.entry);
+                caller.send("GET", "/s/half", "", b"");
+                thread::spawn(move || caller.receive())
+            })
+            .collect();
+        for _ in 0..CALLS {
+            backend.wait_request("/half");
+        }
+        let stopping = if stops_entry { &mut entry } else { &mut beside };
+        stopping.terminate();
+        if stops_entry {
+            support::wait_for("the listener to close", || {
+                net::TcpStream::connect(stopping.entry).err()
+            });
+        } else {
+            // The announcement shows that the stop has begun.
+            backend.wait_request("/drain");
+        }
+        for _ in 0..CALLS {
+            release.send(()).unwrap();
+        }
+        for caller in callers {
+            let response = caller.join().unwrap().unwrap();
+            assert_eq!((response.status, response.body.len()), (200, 100_000));
+        }
+        assert_eq!(stopping.exit_code(), Some(0));
+    }
+}
+
+/// Guards against a leaving server that takes new work, and against a refusal that is not final or not true.
+#[test]
+fn leaving_daemon_refuses_new_work() {
+    let (backend, release) = halting();
+    let mut beside = support::Daemon::beside(&backend, r#","drain_notice_ms":100"#);
+    let entry = support::Daemon::in_front_of(&beside, "");
+    let running = begin_half(entry.entry);
+    beside.terminate();
+    backend.wait_request("/drain");
+    let refused = support::Caller::open(entry.entry)
+        .exchange("POST", "/s/echo", "", b"x")
+        .unwrap();
+    assert_eq!(refused.status, 503);
+    assert_eq!(
+        support::header_value(&refused.header, "damasktrack-outcome"),
+        Some("refused")
+    );
+    release.send(()).unwrap();
+    drop(running);
+    assert_eq!(beside.exit_code(), Some(0));
+    let reached = backend.requests.try_iter().filter(|request| request.path == "/echo");
+    assert_eq!(reached.count(), 0);
+}
+
+/// Guards against a backend server's own refusal that is reported as run, and against one that can't be reached.
+#[test]
+fn refusals_of_the_backend_server_are_reported_as_not_run() {
+    let backend = support::BackendServer::start(|_request, stream| {
+        stream
+            .write_all(b"HTTP/1.1 503 Busy\r\nDamasktrack-Not-Run: true\r\nContent-Length: 4\r\n\r\nbusy")
+            .is_ok()
+    });
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    let mut caller = support::Caller::open(entry.entry);
+    for _ in 0..3 {
+        let response = caller.exchange("POST", "/s/x", "", b"x").unwrap();
+        assert_eq!(response.status, 503);
+        assert_eq!(
+            support::header_value(&response.header, "damasktrack-outcome"),
+            Some("refused")
+        );
+        assert_eq!(support::header_value(&response.header, "retry-after"), Some("1"));
+    }
+}
+
+/// Backend server whose `/slow` responses wait until the test lets go.
+fn waiting() -> (support::BackendServer, mpsc::Sender<()>) {
+    let (release, wait) = mpsc::channel::<()>();
+    let wait = sync::Mutex::new(wait);
+    let backend = support::BackendServer::start(move |request, stream| {
+        if request.path == "/slow" {
+            let _released = wait.lock().unwrap().recv();
+        }
+        support::respond(stream, &request.body)
+    });
+    (backend, release)
+}
+
+/// Guards against a paused daemon that holds its peers until their deadline, against an action that it may have run and
+/// that is reported as refused, and against one that it can't have run and that is reported as unknown.
+#[test]
+fn paused_daemon_is_noticed_by_its_silence() {
+    let (backend, release) = waiting();
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    let mut sent = support::Caller::open(entry.entry);
+    sent.send("POST", "/s/slow", "", b"x");
+    backend.wait_request("/slow");
+    beside.signal("STOP");
+    let response = sent.receive().unwrap();
+    assert_eq!(response.status, 502);
+    assert_eq!(
+        support::header_value(&response.header, "damasktrack-outcome"),
+        Some("unknown")
+    );
+    // The ejection of the silent server ends after a second; then the call meets the paused daemon itself.
+    for _ in 0..30 {
+        let refused = support::Caller::open(entry.entry).exchange("POST", "/s/echo", "", b"x");
+        let refused = refused.unwrap();
+        assert_eq!(
+            support::header_value(&refused.header, "damasktrack-outcome"),
+            Some("refused")
+        );
+        thread::sleep(time::Duration::from_millis(50));
+    }
+    beside.signal("CONT");
+    drop(release);
+    support::wait_for("the daemon to be used again", || {
+        let response = support::Caller::open(entry.entry).exchange("POST", "/s/echo", "", b"back");
+        response.ok().filter(|response| response.status == 200)
+    });
+}
+
+/// Guards against a deadline that is not kept, and against work that goes on after it.
+#[test]
+fn deadline_ends_a_call_and_cancels_its_work() {
+    let (backend, _release) = waiting();
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    for (method, outcome) in [("POST", "unknown"), ("GET", "failed")] {
+        let header = "Damasktrack-Timeout-Ms: 300\r\n";
+        let response = support::Caller::open(entry.entry).exchange(method, "/s/slow", header, b"");
+        let response = response.unwrap();
+        assert_eq!(response.status, 504);
+        assert_eq!(
+            support::header_value(&response.header, "damasktrack-outcome"),
+            Some(outcome)
+        );
+        backend.wait_request("/cancel?call=");
+    }
+}
+
+/// Guards against a caller that stops reading and so holds a slot of the backend server without end.
+#[test]
+fn caller_that_stops_reading_loses_its_call() {
+    let backend = support::BackendServer::start(|_request, stream| support::respond(stream, &vec![b'x'; 50_000_000]));
+    let beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, r#","stall_timeout_ms":300"#);
+    let mut caller = support::Caller::open(entry.entry);
+    caller.send("GET", "/s/large", "", b"");
+    backend.wait_request("/cancel?call=");
+    let mut rest = Vec::new();
+    let read = std::io::Read::read_to_end(&mut caller.reader, &mut rest);
+    assert!(read.is_err() || rest.len() < 50_000_000);
+}
+
+/// Guards against a lost daemon that costs requests which never reached it, actions included, while another daemon of the
+/// service works, and against a retry that runs a request twice.
+#[test]
+fn lost_daemon_costs_no_further_request_while_another_works() {
+    const CALLS: usize = 40;
+    let (backend, _release) = waiting();
+    let mut lost = support::Daemon::beside(&backend, "");
+    let works = support::Daemon::beside(&backend, "");
+    let seeds = format!(r#","seeds":["{}","{}"]"#, lost.peer, works.peer);
+    let entry = support::Daemon::start("entry", &seeds);
+    // Both are known when both have been used.
+    let mut connection = support::Caller::open(entry.entry);
+    let mut served = std::collections::HashSet::new();
+    support::wait_for("both daemons to be used", || {
+        let response = connection.exchange("POST", "/s/echo", "", b"").unwrap();
+        if response.status == 200 {
+            let seen = backend.wait_request("/echo");
+            let context = support::header_value(&seen.header, "damasktrack-context").unwrap();
+            // Call ids of a process follow each other from a random start, so the upper half names the process.
+            let call = context.split(";call=").nth(1).unwrap().split(';').next().unwrap();
+            served.insert(u64::from_str_radix(call, 16).unwrap() >> 32);
+        }
+        (served.len() == 2).then_some(())
+    });
+    lost.kill();
+    for number in 0..CALLS {
+        let body = format!("{number}");
+        let response = connection.exchange("POST", "/s/echo", "", body.as_bytes()).unwrap();
+        assert_eq!((response.status, response.body), (200, body.into_bytes()));
+    }
+    let reached = backend.requests.try_iter().filter(|request| request.path == "/echo");
+    assert_eq!(reached.count(), CALLS);
+}
+
+/// Guards against calls that a planned stop of one daemon cuts or refuses while another daemon of the service works, and
+/// against a stop that ends before its last response is written.
+#[test]
+fn planned_stop_under_load_costs_no_request() {
+    const CALLERS: usize = 6;
+    let (backend, _release) = waiting();
+    let mut stops = support::Daemon::beside(&backend, r#","drain_notice_ms":100"#);
+    let works = support::Daemon::beside(&backend, "");
+    let seeds = format!(r#","seeds":["{}","{}"]"#, stops.peer, works.peer);
+    let entry = support::Daemon::start("entry", &seeds);
+    for daemon in [&stops, &works] {
+        support::wait_for("the daemon to be ready", || {
+            let response = support::Caller::open(daemon.api).exchange("GET", "/ready", "", b"");
+            response.ok().filter(|response| response.status == 200)
+        });
+    }
+    support::wait_for("the service to be known", || {
+        let response = support::Caller::open(entry.entry).exchange("POST", "/s/echo", "", b"");
+        response.ok().filter(|response| response.status == 200)
+    });
+    let stopped = sync::Arc::new(sync::atomic::AtomicBool::new(false));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            let stopped = sync::Arc::clone(&stopped);
+            let mut connection = support::Caller::open(entry.entry);
+            thread::spawn(move || {
+                let mut calls = 0;
+                while !stopped.load(sync::atomic::Ordering::Relaxed) {
+                    let body = format!("{caller} {calls}");
+                    let response = connection.exchange("POST", "/s/echo", "", body.as_bytes()).unwrap();
+                    assert_eq!((response.status, response.body), (200, body.into_bytes()));
+                    calls += 1;
+                }
+                calls
+            })
+        })
+        .collect();
+    for _ in 0..200 {
+        backend.wait_request("/echo");
+    }
+    stops.terminate();
+    assert_eq!(stops.exit_code(), Some(0));
+    stopped.store(true, sync::atomic::Ordering::Relaxed);
+    let calls: usize = callers.into_iter().map(|caller| caller.join().unwrap()).sum();
+    assert!(calls >= 200 - CALLERS);
+}
--- /dev/null
+++ b/crates/node/src/entry_request.rs
@@ -0,0 +1,226 @@
+//! Reading of a caller's request, and its way through the core to a worker.
+
+use std::cell;
+use std::rc;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use damasktrack_entity::call_context;
+use damasktrack_entity::call_outcome;
+use damasktrack_entity::ids;
+use damasktrack_wire::call_frame;
+use tokio::sync::oneshot;
+
+use crate::call_runner;
+use crate::call_watch;
+use crate::core_command;
+use crate::entry_response;
+use crate::frame_sink;
+use crate::header_filter;
+use crate::node_shared;
+use crate::worker_pool;
+
+/// Longest request id that a caller may choose.
+const MAX_REQUEST_ID_BYTES: usize = 256;
+
+/// Request of a caller, ready to run.
+#[derive(Debug)]
+pub struct EntryRequest {
+    /// Id of the call at this daemon.
+    pub call: ids::CallId,
+    /// Start of the call's time.
+    pub arrived: time::Instant,
+    /// Where the call came from.
+    pub origin: core_command::CallOrigin,
+    /// Call to send on.
+    pub outgoing: call_runner::OutgoingRequest,
+    /// Cancellation of the call.
+    pub cancelled: call_watch::CancelFlag,
+}
+
+/// Why a request can't be read, with its HTTP status.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestFault {
+    /// HTTP status.
+    pub status: u16,
+    /// What is wrong.
+    pub text: &'static str,
+}
+
+/// Splits the path of a caller's URL into service and the path that the backend server gets.
+#[must_use]
+pub fn split_path(uri: &hyper::Uri) -> (Bytes, Bytes) {
+    let path = uri.path().strip_prefix('/').unwrap_or_default();
+    let (service, rest) = path.split_once('/').unwrap_or((path, ""));
+    let mut target = format!("/{rest}");
+    if let Some(query) = uri.query() {
+        target.push('?');
+        target.push_str(query);
+    }
+    (Bytes::copy_from_slice(service.as_bytes()), Bytes::from(target))
+}
+
+/// Reads the headers that concern damasktrack.
+///
+/// # Errors
+/// Returns the first fault.
+pub fn read_origin(headers: &hyper::HeaderMap, loopback: bool) -> Result<core_command::CallOrigin, RequestFault> {
+    let context = match headers.get(call_context::CONTEXT_HEADER) {
+        Some(value) if loopback => {
+            let context = call_context::CallContext::from_header(value.as_bytes());
+            Some(context.map_err(|_error| RequestFault {
+                status: 400,
+                text: "the Damasktrack-Context header is not valid; copy it unchanged\n",
+            })?)
+        }
+        _ => None,
+    };
+    let timeout = headers.get(header_filter::TIMEOUT_HEADER).map(|value| {
+        let text = value.to_str().ok();
+        text.and_then(|text| text.parse::<u64>().ok())
+    });
+    if timeout == Some(None) {
+        return Err(RequestFault {
+            status: 400,
+            text: "the Damasktrack-Timeout-Ms header is not a number\n",
+        });
+    }
+    let request_id = headers.get(header_filter::REQUEST_KEY_HEADER);
+    if request_id.is_some_and(|value| value.is_empty() || value.len() > MAX_REQUEST_ID_BYTES) {
+        return Err(RequestFault {
+            status: 400,
+            text: "the Idempotency-Key header is empty or longer than 256 bytes\n",
+        });
+    }
+    let tenant = headers.get(header_filter::TENANT_HEADER);
+    Ok(core_command::CallOrigin::Caller {
+        context,
+        loopback,
+        request_id: request_id.map(|value| Bytes::copy_from_slice(value.as_bytes())),
+        tenant: tenant.map(|value| Bytes::copy_from_slice(value.as_bytes())),
+        timeout: timeout.flatten().map(time::Duration::from_millis),
+    })
+}
+
+/// Asks the core about a request; the answer follows without further action of the caller. The core itself hands a
+/// call that may run to a worker, which saves a thread switch.
+pub fn begin(
+    shared: &sync::Arc<node_shared::NodeShared>,
+    request: EntryRequest,
+    answer: oneshot::Sender<entry_response::EntryAnswer>,
+    runtime: &tokio::runtime::Handle,
+) {
+    let start = core_command::CallStart {
+        call: request.call,
+        origin: request.origin,
+        service: request.outgoing.service.clone(),
+        method: request.outgoing.method.clone(),
+        path: request.outgoing.path.clone(),
+        body_digest: xxhash_rust::xxh3::xxh3_64(&request.outgoing.body),
+        cancelled: sync::Arc::clone(&request.cancelled),
+    };
+    let decided = DecidedRequest {
+        arrived: request.arrived,
+        runtime: runtime.clone(),
+        outgoing: request.outgoing,
+        cancelled: request.cancelled,
+        answer,
+    };
+    let job_shared = sync::Arc::clone(shared);
+    let reply = core_command::ReplySender::new(move |decision| {
+        take_decision(&job_shared, decision, decided);
+        core_command::ReplyStep::Taken
+    });
+    shared
+        .core
+        .send(core_command::CoreCommand::Begin(Box::new(start), reply));
+}
+
+/// What remains of a request when the core has decided.
+struct DecidedRequest {
+    arrived: time::Instant,
+    runtime: tokio::runtime::Handle,
+    outgoing: call_runner::OutgoingRequest,
+    cancelled: call_watch::CancelFlag,
+    answer: oneshot::Sender<entry_response::EntryAnswer>,
+}
+
+/// Runs on the core's thread and must not wait.
+fn take_decision(
+    shared: &sync::Arc<node_shared::NodeShared>,
+    decision: core_command::CallDecision,
+    request: DecidedRequest,
+) {
+    let (request_id, frame) = match decision {
+        core_command::CallDecision::Run(plan) if shared.pool.is_full() => {
+            let reason = call_outcome::RefusalReason::QueueFull;
+            abandon(shared, plan.call, reason);
+            (
+                plan.attempt.context.request_id,
+                call_frame::CallFrame::Refused { reason, report: None },
+            )
+        }
+        core_command::CallDecision::Run(plan) => {
+            let call = plan.call;
+            let job_shared = sync::Arc::clone(shared);
+            let submitted = shared.pool.submit(move || run_plan(&job_shared, *plan, request));
+            if submitted == worker_pool::SubmitResult::Full {
+                // No thread could be started; the dropped answer tells the listener.
+                abandon(shared, call, call_outcome::RefusalReason::QueueFull);
+            }
+            return;
+        }
+        core_command::CallDecision::Refuse { request_id, reason } => {
+            (request_id, call_frame::CallFrame::Refused { reason, report: None })
+        }
+        core_command::CallDecision::Unknown { request_id } => (
+            request_id,
+            call_frame::CallFrame::Abort {
+                outcome: call_outcome::CallOutcome::Unknown,
+            },
+        ),
+    };
+    let outcome = match &frame {
+        call_frame::CallFrame::Refused { .. } => call_outcome::CallOutcome::Refused,
+        _ => call_outcome::CallOutcome::Unknown,
+    };
+    shared.metrics.count_undispatched(outcome);
+    entry_response::EntryResponder::new(request_id, request.arrived, request.answer).push(frame);
+}
+
+/// Ends a call that no worker runs.
+fn abandon(shared: &node_shared::NodeShared, call: ids::CallId, reason: call_outcome::RefusalReason) {
+    let result = core_command::AttemptResult::Refused { reason, report: None };
+    let summary = core_command::CallSummary {
+        end: core_command::CallEnd::Refused(reason),
+        attempts: 0,
+    };
+    shared
+        .core
+        .send(core_command::CoreCommand::Finish(call, result, summary));
+}
+
+fn run_plan(shared: &sync::Arc<node_shared::NodeShared>, plan: core_command::CallPlan, request: DecidedRequest) {
+    let class = plan.class.clone();
+    let request_id = plan.attempt.context.request_id.clone();
+    let mut responder = entry_response::EntryResponder::new(request_id.clone(), plan.deadline, request.answer);
+    responder.limit_stalls(request.runtime, shared.settings.stall_timeout);
+    let sink: frame_sink::FrameSink = rc::Rc::new(cell::RefCell::new(move |frame| responder.push(frame)));
+    let summary = call_runner::run(shared, plan, &request.outgoing, &request.cancelled, &sink);
+    let outcome = match summary.end {
+        core_command::CallEnd::Done => "done",
+        core_command::CallEnd::Refused(_) => "refused",
+        core_command::CallEnd::Lost(call_outcome::CallOutcome::Failed) => "failed",
+        core_command::CallEnd::Lost(_) => "unknown",
+        core_command::CallEnd::Cancelled => "cancelled",
+    };
+    shared.metrics.record_call(&class, outcome, request.arrived.elapsed());
+    log::debug!(
+        request_id:% = ids::text(&request_id),
+        class:% = ids::text(&class.name),
+        outcome = outcome,
+        attempts = summary.attempts;
+        "call ended"
+    );
+}
--- a/crates/ownership/tests/support/action_world.rs
+++ b/crates/ownership/tests/support/action_world.rs
@@ -44,7 +44,6 @@
 
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 pub enum StoreFault {
-    None,
     Fine,
     Down,
     LoseRequest,
@@ -63,71 +62,35 @@
 
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 pub enum Operation {
-    Issue {
-        daemon: u8,
-    },
+    Issue(Daemon),
     /// Enough new actions run at once for the ledger to forget older ones.
-    Flood {
-        daemon: u8,
-    },
-    Call {
-        daemon: u8,
-        id: u8,
-        path: bool,
-        other_body: u8,
-        patience: u8,
-    },
-    Repeat {
-        daemon: u8,
-        back: u8,
-        patience: u8,
-    },
-    Store {
-        pick: u8,
-        fault: StoreFault,
-    },
-    LateWrite {
-        pick: u8,
-    },
-    Send {
-        pick: u8,
-    },
-    Backend {
-        pick: u8,
-        result: BackendResult,
-        twice: bool,
-    },
-    Decide {
-        pick: u8,
-        retry: bool,
-    },
+    Flood(Daemon),
+    /// Everything that is pending at a daemon ends well.
+    Calm(Daemon),
+    /// Daemon, id, path, body and patience.
+    Call(Daemon, u8, bool, u8, u8),
+    /// Daemon, number of calls back, and patience.
+    Repeat(Daemon, u8, u8),
+    Store(u8, StoreFault),
+    LateWrite(u8),
+    Send(u8),
+    Backend(u8, BackendResult, bool),
+    /// Retries after a dispatch that did not run, or gives up.
+    Decide(u8, bool),
     /// A result arrives once more, late.
-    Echo {
-        pick: u8,
-    },
-    Cancel {
-        pick: u8,
-    },
-    Advance {
-        steps: u8,
-    },
-    Expire {
-        daemon: u8,
-    },
-    Pause {
-        daemon: u8,
-        really: u8,
-    },
-    Resume {
-        daemon: u8,
-    },
-    Restart {
-        daemon: u8,
-        really: u8,
-    },
+    Echo(u8),
+    Cancel(u8),
+    Advance(u8),
+    Expire(Daemon),
+    Pause(Daemon, u8),
+    Resume(Daemon),
+    Restart(Daemon, u8),
 }
 
-struct Daemon {
+/// Daemon of an operation, modulo their number.
+type Daemon = u8;
+
+struct Owner {
     incarnation: u64,
     ledger: ActionLedger,
     paused: bool,
@@ -164,6 +127,18 @@
     attempt: u32,
 }
 
+impl Call {
+    fn dispatch(&self, call: usize, attempt: u32) -> Dispatch {
+        let (daemon, incarnation) = (self.daemon, self.incarnation);
+        Dispatch {
+            daemon,
+            incarnation,
+            call,
+            attempt,
+        }
+    }
+}
+
 #[derive(Default)]
 struct Oracle {
     event: usize,
@@ -175,7 +150,7 @@
 pub struct World {
     fault: Fault,
     now: Instant,
-    daemons: Vec<Daemon>,
+    daemons: Vec<Owner>,
     incarnations: u64,
     ids: Vec<Bytes>,
     calls: Vec<Call>,
@@ -211,11 +186,8 @@
     }
 
     fn refuse(&mut self, call: &Call) {
-        if self
-            .executions
-            .get(&call.key)
-            .is_some_and(|executed| executed.0 == call.digest)
-        {
+        let executed = self.executions.get(&call.key);
+        if executed.is_some_and(|executed| executed.0 == call.digest) {
             self.object(format!("refusal after an execution of {:?}", call.key));
         }
         self.refusals.insert(call.key.clone(), (self.event, call.digest));
@@ -229,12 +201,27 @@
     }
 }
 
-fn new_ledger(daemon: usize, incarnation: u64) -> ActionLedger {
-    let owner = request_identity::RequestOwner {
-        daemon_id: Bytes::from(format!("d{daemon}")),
+fn owner(daemon: usize, incarnation: u64) -> Owner {
+    let daemon_id = Bytes::from(format!("d{daemon}"));
+    let owner = request_identity::RequestOwner { daemon_id, incarnation };
+    Owner {
         incarnation,
-    };
-    ActionLedger::new(owner, LIMITS)
+        ledger: ActionLedger::new(owner, LIMITS),
+        paused: false,
+    }
+}
+
+fn slot(daemon: Daemon) -> usize {
+    usize::from(daemon) % DAEMONS
+}
+
+fn action_key(request_id: Bytes, path: &'static str) -> action_key::ActionKey {
+    action_key::ActionKey {
+        request_id,
+        service: Bytes::from_static(b"pairing"),
+        method: Bytes::from_static(b"POST"),
+        path: Bytes::from_static(path.as_bytes()),
+    }
 }
 
 fn pick<T>(list: &mut Vec<T>, pick: u8) -> Option<T> {
@@ -245,21 +232,28 @@
     Some(list.remove(index))
 }
 
-/// What the cases of a run reached; a run that reaches little proves little.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Coverage {
-    pub executions: usize,
-    pub refusals: usize,
-    pub answers: usize,
-    pub forwards: usize,
-    pub forgotten: usize,
-    pub claims_held: usize,
-}
+/// How often the cases of a run reached something; a run that reaches little proves little.
+pub type Coverage = collections::BTreeMap<&'static str, usize>;
 
 /// Runs the operations and returns the oracle's first objection.
 pub fn check(fault: Fault, operations: &[Operation], coverage: &mut Coverage) -> Result<(), String> {
-    let mut world = World::new(fault);
-    world.coverage = *coverage;
+    let mut world = World {
+        fault,
+        now: Instant::now(),
+        daemons: (0..DAEMONS).map(|daemon| owner(daemon, daemon as u64 + 1)).collect(),
+        incarnations: DAEMONS as u64,
+        ids: (0..4).map(|index| Bytes::from(format!("opaque-{index}"))).collect(),
+        calls: Vec::new(),
+        rows: collections::HashMap::new(),
+        late: Vec::new(),
+        store_calls: Vec::new(),
+        unsent: Vec::new(),
+        sent: Vec::new(),
+        idle: Vec::new(),
+        echoes: Vec::new(),
+        oracle: Oracle::default(),
+        coverage: std::mem::take(coverage),
+    };
     for operation in operations {
         world.step(*operation);
         world.check_bounds();
@@ -273,150 +267,110 @@
 }
 
 impl World {
-    fn new(fault: Fault) -> Self {
-        let daemon = |index| Daemon {
-            incarnation: index as u64 + 1,
-            ledger: new_ledger(index, index as u64 + 1),
-            paused: false,
-        };
-        Self {
-            fault,
-            now: Instant::now(),
-            daemons: (0..DAEMONS).map(daemon).collect(),
-            incarnations: DAEMONS as u64,
-            ids: (0..4).map(|index| Bytes::from(format!("opaque-{index}"))).collect(),
-            calls: Vec::new(),
-            rows: collections::HashMap::new(),
-            late: Vec::new(),
-            store_calls: Vec::new(),
-            unsent: Vec::new(),
-            sent: Vec::new(),
-            idle: Vec::new(),
-            echoes: Vec::new(),
-            oracle: Oracle::default(),
-            coverage: Coverage::default(),
-        }
-    }
-
     fn step(&mut self, operation: Operation) {
         self.oracle.event += 1;
         match operation {
-            Operation::Issue { daemon } => {
-                let daemon = usize::from(daemon) % DAEMONS;
-                let id = self.daemons[daemon].ledger.issue_id();
+            Operation::Issue(daemon) => {
+                let id = self.daemons[slot(daemon)].ledger.issue_id();
                 self.ids.push(id);
             }
-            Operation::Flood { daemon } => self.flood(usize::from(daemon) % DAEMONS),
-            Operation::Call {
-                daemon,
-                id,
-                path,
-                other_body,
-                patience,
-            } => {
-                let key = action_key::ActionKey {
-                    request_id: self.ids[usize::from(id) % self.ids.len()].clone(),
-                    service: Bytes::from_static(b"pairing"),
-                    method: Bytes::from_static(b"POST"),
-                    path: Bytes::from_static(if path { b"/a" } else { b"/b" }),
-                };
-                self.call(
-                    usize::from(daemon) % DAEMONS,
-                    key,
-                    [u8::from(other_body < 24); 32],
-                    patience,
-                );
+            Operation::Flood(daemon) => self.flood(slot(daemon)),
+            Operation::Calm(daemon) => self.calm(slot(daemon)),
+            Operation::Call(daemon, id, path, body, patience) => {
+                let id = self.ids[usize::from(id) % self.ids.len()].clone();
+                let path = if path { "/a" } else { "/b" };
+                self.call(slot(daemon), action_key(id, path), [u8::from(body < 24); 32], patience);
             }
-            Operation::Repeat { daemon, back, patience } => {
+            Operation::Repeat(daemon, back, patience) => {
                 let index = self.calls.len().checked_sub(1 + usize::from(back % 12));
                 if let Some(earlier) = index.map(|index| self.calls[index].clone()) {
-                    self.call(usize::from(daemon) % DAEMONS, earlier.key, earlier.digest, patience);
+                    self.call(slot(daemon), earlier.key, earlier.digest, patience);
                 }
             }
-            Operation::Store { pick: index, fault } => {
+            Operation::Store(index, fault) => {
                 if let Some(call) = pick(&mut self.store_calls, index) {
                     self.serve_store(call, fault);
                 }
             }
-            Operation::LateWrite { pick: index } => {
+            Operation::LateWrite(index) => {
                 if let Some((key, row)) = pick(&mut self.late, index) {
                     self.rows.entry(key).or_insert(row);
                 }
             }
-            Operation::Send { pick: index } => {
+            Operation::Send(index) => {
                 if let Some(dispatch) = pick(&mut self.unsent, index) {
-                    if self.is_running(dispatch.daemon, dispatch.incarnation) {
-                        self.sent.push(dispatch);
-                    } else if self.daemons[dispatch.daemon].paused {
-                        self.unsent.push(dispatch);
-                    }
+                    self.send(dispatch);
                 }
             }
-            Operation::Backend {
-                pick: index,
-                result,
-                twice,
-            } => {
+            Operation::Backend(index, result, twice) => {
                 if let Some(dispatch) = pick(&mut self.sent, index) {
                     self.run_backend(&dispatch, result, twice);
                 }
             }
-            Operation::Decide { pick: index, retry } => {
+            Operation::Decide(index, retry) => {
                 if let Some(dispatch) = pick(&mut self.idle, index) {
                     self.decide(dispatch, retry);
                 }
             }
-            Operation::Echo { pick: index } => {
+            Operation::Echo(index) => {
                 if let Some((dispatch, result)) = pick(&mut self.echoes, index) {
                     self.echo(&dispatch, &result);
                 }
             }
-            Operation::Cancel { pick: index } => {
+            Operation::Cancel(index) => {
                 let index = usize::from(index) % self.calls.len().max(1);
                 if let Some(call) = self.calls.get_mut(index).filter(|call| call.outcomes == 0) {
                     call.cancelled = true;
                     self.daemons[call.daemon].ledger.cancel(&call.key, index as u64);
                 }
             }
-            Operation::Advance { steps } => self.now += Duration::from_millis(u64::from(steps) * 3),
-            Operation::Expire { daemon } => self.expire(usize::from(daemon) % DAEMONS),
-            Operation::Pause { daemon, really } => self.daemons[usize::from(daemon) % DAEMONS].paused |= really < 96,
-            Operation::Resume { daemon } => self.daemons[usize::from(daemon) % DAEMONS].paused = false,
-            Operation::Restart { daemon, really } if really < 64 => {
-                let daemon = usize::from(daemon) % DAEMONS;
-                self.incarnations += u64::from(self.fault != Fault::KeepIncarnation);
-                let kept = self.fault == Fault::KeepIncarnation;
-                let incarnation = if kept {
-                    self.daemons[daemon].incarnation
-                } else {
-                    self.incarnations
-                };
-                self.daemons[daemon] = Daemon {
-                    incarnation,
-                    ledger: new_ledger(daemon, incarnation),
-                    paused: false,
-                };
-            }
-            Operation::Restart { .. } => {}
+            Operation::Advance(steps) => self.now += Duration::from_millis(u64::from(steps) * 3),
+            Operation::Expire(daemon) => self.expire(slot(daemon)),
+            Operation::Pause(daemon, really) => self.daemons[slot(daemon)].paused |= really < 96,
+            Operation::Resume(daemon) => self.daemons[slot(daemon)].paused = false,
+            Operation::Restart(daemon, really) if really < 64 => {
+                self.incarnations += 1;
+                let kept = self.daemons[slot(daemon)].incarnation;
+                let fault = self.fault == Fault::KeepIncarnation;
+                self.daemons[slot(daemon)] = owner(slot(daemon), if fault { kept } else { self.incarnations });
+            }
+            Operation::Restart(..) => {}
+        }
+    }
+
+    fn send(&mut self, dispatch: Dispatch) {
+        if self.is_running(dispatch.daemon, dispatch.incarnation) {
+            self.sent.push(dispatch);
+        } else if self.daemons[dispatch.daemon].paused {
+            self.unsent.push(dispatch);
+        }
+    }
+
+    fn calm(&mut self, daemon: usize) {
+        if self.daemons[daemon].paused {
+            return;
+        }
+        while let Some(index) = self.store_calls.iter().position(|call| call.daemon == daemon) {
+            let call = self.store_calls.remove(index);
+            self.serve_store(call, StoreFault::Fine);
+        }
+        let here = |dispatch: &mut Dispatch| dispatch.daemon == daemon;
+        let unsent: Vec<_> = self.unsent.extract_if(.., here).collect();
+        for dispatch in unsent {
+            self.send(dispatch);
+        }
+        let sent: Vec<_> = self.sent.extract_if(.., here).collect();
+        for dispatch in sent {
+            self.run_backend(&dispatch, BackendResult::Done, false);
         }
     }
 
     fn flood(&mut self, daemon: usize) {
         for _ in 0..LIMITS.max_actions {
-            let key = action_key::ActionKey {
-                request_id: self.daemons[daemon].ledger.issue_id(),
-                service: Bytes::from_static(b"pairing"),
-                method: Bytes::from_static(b"POST"),
-                path: Bytes::from_static(b"/a"),
-            };
-            let before = self.unsent.len();
+            let key = action_key(self.daemons[daemon].ledger.issue_id(), "/a");
             self.call(daemon, key, [0; 32], 100);
-            if self.unsent.len() > before
-                && let Some(dispatch) = self.unsent.pop()
-            {
-                self.run_backend(&dispatch, BackendResult::Done, false);
-            }
         }
+        self.calm(daemon);
     }
 
     fn is_running(&self, daemon: usize, incarnation: u64) -> bool {
@@ -460,24 +414,20 @@
     /// Does what the ledger asks for one call.
     fn follow(&mut self, daemon: usize, index: usize, step: ActionStep) {
         let call = self.calls[index].clone();
-        match &step {
-            ActionStep::Refuse(_) => self.coverage.refusals += 1,
-            ActionStep::Answer(_) => self.coverage.answers += 1,
-            ActionStep::Forward(_) => self.coverage.forwards += 1,
-            ActionStep::Unknown(UnknownReason::Forgotten) => self.coverage.forgotten += 1,
-            _ => {}
-        }
+        let reached = match &step {
+            ActionStep::Refuse(_) => "refusals",
+            ActionStep::Answer(_) => "answers",
+            ActionStep::Forward(_) => "forwards",
+            ActionStep::Unknown(UnknownReason::Forgotten) => "forgotten",
+            _ => "others",
+        };
+        *self.coverage.entry(reached).or_default() += 1;
         match step {
             ActionStep::Claim(plan) => self.ask_store(daemon, plan, false),
             ActionStep::ReadBack(plan) => self.ask_store(daemon, plan, true),
             ActionStep::Dispatch(attempt) => {
                 self.calls[index].driving = true;
-                self.unsent.push(Dispatch {
-                    daemon,
-                    incarnation: call.incarnation,
-                    call: index,
-                    attempt,
-                });
+                self.unsent.push(call.dispatch(index, attempt));
             }
             ActionStep::Wait => {}
             ActionStep::Forward(owner) => {
@@ -495,12 +445,7 @@
                 self.end(index);
             }
             ActionStep::Unknown(UnknownReason::Forgotten) if self.fault == Fault::IgnoreFloor => {
-                self.unsent.push(Dispatch {
-                    daemon,
-                    incarnation: call.incarnation,
-                    call: index,
-                    attempt: 1,
-                });
+                self.unsent.push(call.dispatch(index, 1));
             }
             ActionStep::Unknown(UnknownReason::StoreUnavailable) if self.fault == Fault::RefuseUnsettledClaim => {
                 self.oracle.refuse(&call);
@@ -544,7 +489,7 @@
     fn serve_store(&mut self, call: StoreCall, fault: StoreFault) {
         if !self.is_running(call.daemon, call.incarnation) {
             // The request of a paused or ended daemon may still reach the store.
-            if !call.read && matches!(fault, StoreFault::None | StoreFault::WriteLate) {
+            if !call.read && matches!(fault, StoreFault::Fine | StoreFault::WriteLate) {
                 self.late.push((call.plan.key.clone(), call.plan.row.clone()));
             }
             if self.daemons[call.daemon].incarnation == call.incarnation {
@@ -567,9 +512,8 @@
             }
             _ => {
                 let inserted = found.is_none();
-                self.rows
-                    .entry(call.plan.key.clone())
-                    .or_insert_with(|| call.plan.row.clone());
+                let (key, row) = (call.plan.key.clone(), call.plan.row.clone());
+                self.rows.entry(key).or_insert(row);
                 match fault {
                     StoreFault::LoseAnswer => ClaimResult::Unsettled,
                     _ if inserted => ClaimResult::Inserted,
@@ -592,7 +536,7 @@
         }
         let ledger = &mut self.daemons[call.daemon].ledger;
         let step = ledger.claim_settled(&call.plan.request_id, call.plan.token, &result, self.now);
-        self.coverage.claims_held += usize::from(result == ClaimResult::Inserted);
+        *self.coverage.entry("claims").or_default() += usize::from(result == ClaimResult::Inserted);
         match step.next {
             NextClaim::Idle => {}
             NextClaim::Insert(plan) => self.ask_store(call.daemon, plan, false),
@@ -603,9 +547,16 @@
 
     fn run_backend(&mut self, dispatch: &Dispatch, result: BackendResult, twice: bool) {
         let call = self.calls[dispatch.call].clone();
+        let not_run = ActionResult::NotRun(call_outcome::RefusalReason::ShedByBackendServer);
+        let trusting = self.fault == Fault::AmbiguousAsNotRun;
+        let ambiguous = if trusting {
+            not_run.clone()
+        } else {
+            ActionResult::Ambiguous
+        };
         let result = match result {
             BackendResult::Done | BackendResult::LargeAnswer => {
-                self.coverage.executions += 1;
+                *self.coverage.entry("executions").or_default() += 1;
                 let body = self.oracle.execute(&call);
                 let large = matches!(result, BackendResult::LargeAnswer);
                 let headers = vec![(Bytes::from_static(b"a"), Bytes::from(vec![0; 600]))];
@@ -617,16 +568,10 @@
             }
             BackendResult::RanWithoutAnswer => {
                 self.oracle.execute(&call);
-                ActionResult::Ambiguous
+                ambiguous
             }
-            BackendResult::LostBeforeRun => ActionResult::Ambiguous,
-            BackendResult::NotRun => ActionResult::NotRun(call_outcome::RefusalReason::ShedByBackendServer),
-        };
-        let result = match result {
-            ActionResult::Ambiguous if self.fault == Fault::AmbiguousAsNotRun => {
-                ActionResult::NotRun(call_outcome::RefusalReason::BackendServerDown)
-            }
-            result => result,
+            BackendResult::LostBeforeRun => ambiguous,
+            BackendResult::NotRun => not_run,
         };
         if !self.is_running(dispatch.daemon, dispatch.incarnation) {
             // The owner is gone, or its connection was closed as silent.
@@ -645,21 +590,16 @@
         self.finish(dispatch, result.clone());
         if self.fault == Fault::IgnoreAttempt {
             for attempt in 1..6 {
-                let latest = Dispatch {
-                    attempt,
-                    ..dispatch.clone()
-                };
-                self.finish(&latest, result.clone());
+                let call = &self.calls[dispatch.call];
+                self.finish(&call.dispatch(dispatch.call, attempt), result.clone());
             }
         }
     }
 
     fn finish(&mut self, dispatch: &Dispatch, result: ActionResult) {
         let key = self.calls[dispatch.call].key.clone();
-        match self.daemons[dispatch.daemon]
-            .ledger
-            .finish(&key, dispatch.attempt, result)
-        {
+        let ledger = &mut self.daemons[dispatch.daemon].ledger;
+        match ledger.finish(&key, dispatch.attempt, result) {
             FinishStep::Ended(replies) => {
                 self.end(dispatch.call);
                 self.follow_all(dispatch.daemon, replies);
--- a/crates/resource/tests/support/config_world.rs
+++ b/crates/resource/tests/support/config_world.rs
@@ -47,61 +47,30 @@
 
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 pub enum Operation {
-    Request {
-        daemon: u8,
-        tenant: u8,
-        edit: u8,
-        expected: u8,
-    },
-    Read {
-        pick: u8,
-    },
-    Plan {
-        pick: u8,
-    },
-    Commit {
-        pick: u8,
-        fault: CommitFault,
-    },
-    /// Read, plan and commit without another operation in between.
-    Complete {
-        pick: u8,
-        steady: u8,
-        fault: CommitFault,
-    },
-    GiveUp {
-        pick: u8,
-    },
-    LateWrite {
-        pick: u8,
-    },
-    CatchUp {
-        daemon: u8,
-    },
-    Push {
-        daemon: u8,
-        pick: u8,
-    },
-    Feed {
-        from: u8,
-        to: u8,
-    },
-    SaveSnapshot {
-        daemon: u8,
-    },
-    Snapshot {
-        daemon: u8,
-        pick: u8,
-    },
-    Restart {
-        daemon: u8,
-    },
+    /// Daemon, tenant, edit and expected version.
+    Request(u8, u8, u8, u8),
+    Read(u8),
+    Plan(u8),
+    Commit(u8, CommitFault),
+    /// Read, plan and commit without another operation in between; the number decides whether the fault occurs.
+    Complete(u8, u8, CommitFault),
+    GiveUp(u8),
+    LateWrite(u8),
+    CatchUp(u8),
+    /// Daemon and change.
+    Push(u8, u8),
+    /// From one daemon to another.
+    Feed(u8, u8),
+    SaveSnapshot(u8),
+    /// Daemon and saved snapshot.
+    Snapshot(u8, u8),
+    Restart(u8),
 }
 
 /// Operator's change at a daemon.
 struct Attempt {
     daemon: usize,
-    attempt: ChangeAttempt,
+    change: ChangeAttempt,
     reads: Option<PlanReads>,
     planned: Option<PlannedChange>,
     outcome: Option<Outcome>,
@@ -173,6 +142,10 @@
     }
 }
 
+fn slot(daemon: u8) -> usize {
+    usize::from(daemon) % DAEMONS
+}
+
 fn tenant(name: u8) -> ResourceKey {
     ResourceKey {
         kind: ResourceKind::Tenant,
@@ -180,14 +153,8 @@
     }
 }
 
-/// What the cases of a run reached; a run that reaches little proves little.
-#[derive(Debug, Default)]
-pub struct Coverage {
-    pub commits: usize,
-    pub accepted: usize,
-    pub rejected: usize,
-    pub unsettled: usize,
-}
+/// How often the cases of a run reached an outcome; a run that reaches little proves little.
+pub type Coverage = collections::BTreeMap<&'static str, usize>;
 
 /// Runs the operations and returns the oracle's first objection.
 pub fn check(fault: Fault, operations: &[Operation], coverage: &mut Coverage) -> Result<(), String> {
@@ -207,42 +174,39 @@
     for planned in std::mem::take(&mut world.late) {
         world.store.commit(&planned.commit, &planned.change);
     }
-    let count = |wanted: fn(&Outcome) -> bool| {
-        let outcomes = world.attempts.iter().filter_map(|attempt| attempt.outcome);
-        outcomes.filter(wanted).count()
-    };
-    coverage.commits += world.store.log.len();
-    coverage.accepted += count(|outcome| matches!(outcome, Outcome::Accepted(_)));
-    coverage.rejected += count(|outcome| *outcome == Outcome::Rejected);
-    coverage.unsettled += count(|outcome| *outcome == Outcome::Unsettled);
+    for attempt in &world.attempts {
+        let reached = match attempt.outcome {
+            Some(Outcome::Accepted(_)) => "accepted",
+            Some(Outcome::Rejected) => "rejected",
+            Some(Outcome::Unsettled) => "unsettled",
+            None => "open",
+        };
+        *coverage.entry(reached).or_default() += 1;
+    }
+    *coverage.entry("committed").or_default() += world.store.log.len();
     world.check_store()
 }
 
 impl World {
     fn step(&mut self, operation: Operation) {
         match operation {
-            Operation::Request {
-                daemon,
-                tenant,
-                edit,
-                expected,
-            } => self.request(usize::from(daemon) % DAEMONS, tenant, edit, expected),
-            Operation::Read { pick } => {
+            Operation::Request(daemon, tenant, edit, expected) => self.request(slot(daemon), tenant, edit, expected),
+            Operation::Read(pick) => {
                 if let Some(index) = self.open_attempt(pick, |attempt| attempt.planned.is_none()) {
                     self.read(index);
                 }
             }
-            Operation::Plan { pick } => {
+            Operation::Plan(pick) => {
                 if let Some(index) = self.open_attempt(pick, |attempt| attempt.reads.is_some()) {
                     self.plan(index);
                 }
             }
-            Operation::Commit { pick, fault } => {
+            Operation::Commit(pick, fault) => {
                 if let Some(index) = self.open_attempt(pick, |attempt| attempt.planned.is_some()) {
                     self.commit(index, fault);
                 }
             }
-            Operation::Complete { pick, steady, fault } => {
+            Operation::Complete(pick, steady, fault) => {
                 let fault = if steady < 192 { CommitFault::Fine } else { fault };
                 if let Some(index) = self.open_attempt(pick, |attempt| attempt.planned.is_none()) {
                     self.catch_up(self.attempts[index].daemon);
@@ -253,47 +217,47 @@
                     }
                 }
             }
-            Operation::GiveUp { pick } => {
+            Operation::GiveUp(pick) => {
                 if let Some(index) = self.open_attempt(pick, |attempt| attempt.planned.is_none()) {
-                    let step = self.attempts[index].attempt.give_up();
-                    self.settle(index, step);
+                    let step = self.attempts[index].change.give_up();
+                    self.settle(index, &step);
                 }
             }
-            Operation::LateWrite { pick } => {
+            Operation::LateWrite(pick) => {
                 if !self.late.is_empty() {
                     let planned = self.late.remove(usize::from(pick) % self.late.len());
                     self.store.commit(&planned.commit, &planned.change);
                 }
             }
-            Operation::CatchUp { daemon } => self.catch_up(usize::from(daemon) % DAEMONS),
-            Operation::Push { daemon, pick } => {
+            Operation::CatchUp(daemon) => self.catch_up(slot(daemon)),
+            Operation::Push(daemon, pick) => {
                 if !self.store.log.is_empty() {
                     let change = self.store.log[usize::from(pick) % self.store.log.len()].clone();
-                    self.apply(usize::from(daemon) % DAEMONS, Arc::new(change));
+                    self.apply(slot(daemon), &Arc::new(change));
                 }
             }
-            Operation::Feed { from, to } => {
-                let to = usize::from(to) % DAEMONS;
-                let feed = self.daemons[usize::from(from) % DAEMONS].changes_after(self.daemons[to].revision());
+            Operation::Feed(from, to) => {
+                let to = slot(to);
+                let feed = self.daemons[slot(from)].changes_after(self.daemons[to].revision());
                 match feed {
                     ChangeFeed::UpToDate => {}
-                    ChangeFeed::Changes(changes) => changes.into_iter().for_each(|change| self.apply(to, change)),
+                    ChangeFeed::Changes(changes) => changes.into_iter().for_each(|change| self.apply(to, &change)),
                     ChangeFeed::Snapshot(snapshot) => self.install(to, &snapshot),
                 }
             }
-            Operation::SaveSnapshot { daemon } => {
-                let snapshot = self.daemons[usize::from(daemon) % DAEMONS].set().snapshot();
+            Operation::SaveSnapshot(daemon) => {
+                let snapshot = self.daemons[slot(daemon)].set().snapshot();
                 self.snapshots.push(snapshot);
             }
-            Operation::Snapshot { daemon, pick } => {
+            Operation::Snapshot(daemon, pick) => {
                 if !self.snapshots.is_empty() {
                     let snapshot = self.snapshots[usize::from(pick) % self.snapshots.len()].clone();
-                    self.install(usize::from(daemon) % DAEMONS, &snapshot);
+                    self.install(slot(daemon), &snapshot);
                 }
             }
-            Operation::Restart { daemon } => {
+            Operation::Restart(daemon) => {
                 // A starting daemon is not ready, and puts nothing in force, before it has the store's head.
-                let daemon = usize::from(daemon) % DAEMONS;
+                let daemon = slot(daemon);
                 self.daemons[daemon] = ConfigLog::new(MAX_CHANGES);
                 self.catch_up(daemon);
             }
@@ -302,13 +266,8 @@
 
     fn open_attempt(&self, pick: u8, ready: impl Fn(&Attempt) -> bool) -> Option<usize> {
         let open = |entry: &(usize, &Attempt)| entry.1.outcome.is_none() && ready(entry.1);
-        let indices: Vec<_> = self
-            .attempts
-            .iter()
-            .enumerate()
-            .filter(open)
-            .map(|entry| entry.0)
-            .collect();
+        let indices = self.attempts.iter().enumerate().filter(open);
+        let indices: Vec<_> = indices.map(|entry| entry.0).collect();
         (!indices.is_empty()).then(|| indices[usize::from(pick) % indices.len()])
     }
 
@@ -332,7 +291,7 @@
         };
         self.attempts.push(Attempt {
             daemon,
-            attempt: ChangeAttempt::new(ChangeRequest {
+            change: ChangeAttempt::new(ChangeRequest {
                 change_id: format!("change-{}", self.attempts.len()),
                 operator: "op".to_owned(),
                 edits: vec![requested],
@@ -346,7 +305,7 @@
 
     /// Reads the rows one by one; a late commit of the attempt itself may take effect in between.
     fn read(&mut self, index: usize) {
-        let request = self.attempts[index].attempt.request().clone();
+        let request = self.attempts[index].change.request().clone();
         let early = self.store.read(store_rows::CHANGE_ID_TABLE, &request.change_id);
         let mut reads = PlanReads::default();
         let land = self
@@ -361,7 +320,7 @@
             let landed = self.store.commit(&planned.commit, &planned.change);
             if landed && first {
                 // The push of the landed change arrives at once.
-                self.apply(self.attempts[index].daemon, Arc::new(planned.change));
+                self.apply(self.attempts[index].daemon, &Arc::new(planned.change));
             }
         }
         reads.head = self.store.read(store_rows::HEAD_TABLE, store_rows::HEAD_KEY);
@@ -382,7 +341,7 @@
     fn plan(&mut self, index: usize) {
         let reads = self.attempts[index].reads.take().unwrap();
         let daemon = self.attempts[index].daemon;
-        match self.attempts[index].attempt.plan(self.daemons[daemon].set(), &reads) {
+        match self.attempts[index].change.plan(self.daemons[daemon].set(), &reads) {
             PlanStep::Commit(mut planned) => {
                 let unchecked: &[&str] = match self.fault {
                     Fault::NoHeadCondition => &[store_rows::HEAD_TABLE, store_rows::CHANGE_TABLE],
@@ -432,16 +391,16 @@
         let step = if self.fault == Fault::ForgetDoubt && reply == CommitReply::Unsettled {
             SettleStep::Reread
         } else {
-            self.attempts[index].attempt.settle(planned, reply)
+            self.attempts[index].change.settle(planned, reply)
         };
-        self.settle(index, step);
+        self.settle(index, &step);
     }
 
-    fn settle(&mut self, index: usize, step: SettleStep) {
+    fn settle(&mut self, index: usize, step: &SettleStep) {
         self.attempts[index].outcome = match step {
             SettleStep::Accepted(change) => {
                 let revision = change.revision;
-                self.apply(self.attempts[index].daemon, Arc::new(change));
+                self.apply(self.attempts[index].daemon, &Arc::new(change.clone()));
                 Some(Outcome::Accepted(revision))
             }
             SettleStep::Reread => None,
@@ -454,14 +413,14 @@
         for revision in self.daemons[daemon].revision() + 1..=self.store.head() {
             let key = store_rows::change_key(revision);
             if let Some(row) = self.store.read(store_rows::CHANGE_TABLE, &key) {
-                self.apply(daemon, Arc::new(row.value));
+                self.apply(daemon, &Arc::new(row.value));
             }
         }
     }
 
-    fn apply(&mut self, daemon: usize, change: Arc<ConfigChange>) {
+    fn apply(&mut self, daemon: usize, change: &Arc<ConfigChange>) {
         let log = &mut self.daemons[daemon];
-        if let ApplyStep::Behind { .. } = log.apply(Arc::clone(&change))
+        if let ApplyStep::Behind { .. } = log.apply(Arc::clone(change))
             && self.fault == Fault::AnyChange
         {
             let mut set = ResourceSet::clone(log.set());
@@ -508,8 +467,8 @@
             let attempt = self
                 .attempts
                 .iter()
-                .find(|attempt| attempt.attempt.request().change_id == change.change_id);
-            for requested in &attempt.unwrap().attempt.request().edits {
+                .find(|attempt| attempt.change.request().change_id == change.change_id);
+            for requested in &attempt.unwrap().change.request().edits {
                 let current = versions
                     .insert(requested.edit.key.clone(), change.revision)
                     .unwrap_or(0);
@@ -523,7 +482,7 @@
             }
         }
         for attempt in &self.attempts {
-            let id = &attempt.attempt.request().change_id;
+            let id = &attempt.change.request().change_id;
             let committed: Vec<_> = self.store.log.iter().filter(|change| change.change_id == *id).collect();
             let valid = match attempt.outcome {
                 Some(Outcome::Accepted(revision)) => committed.len() == 1 && committed[0].revision == revision,
--- a/crates/routing/src/server_state.rs
+++ b/crates/routing/src/server_state.rs
@@ -25,7 +25,7 @@
 pub(crate) struct ServerState {
     pub(crate) candidate: route_candidate::RouteCandidate,
     pub(crate) distance: server_location::ServerDistance,
-    pub(crate) classes: collections::HashMap<ids::ClassName, latency_estimate::LatencyEstimate>,
+    pub(crate) classes: collections::BTreeMap<ids::ClassName, latency_estimate::LatencyEstimate>,
     pub(crate) short_in_flight: u32,
     pub(crate) long_in_flight: u32,
     pub(crate) ejection: Option<straggler_ejection::EjectionState>,
@@ -61,7 +61,7 @@
         Self {
             candidate,
             distance,
-            classes: collections::HashMap::new(),
+            classes: collections::BTreeMap::new(),
             short_in_flight: 0,
             long_in_flight: 0,
             ejection: None,
@@ -185,6 +185,6 @@
             route_candidate::RouteLane::Long => LONG_SHARE,
         };
         let limit = (f64::from(self.candidate.slots) * share).max(1.0);
-        f64::from(self.lane_in_flight(lane)) < limit
+        f64::from(self.lane_in_flight(lane)) + 1.0 <= limit
     }
 }
