Wait until the API's occupying connections are served

Change: the API sends a request on each of these connections and waits for the response before it goes on.

--- a/crates/node/src/api_server.rs
+++ b/crates/node/src/api_server.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::io::Read as _;
+use std::io::Write as _;
 use std::net;
 use std::sync;
 use std::sync::atomic;
@@ -37,13 +38,15 @@
 const MAX_CHANGES: usize = 1000;
 /// See [`crate::peer_connector`] for the fault of `tiny_http` that occupying its idle threads avoids.
 const TINY_HTTP_IDLE_THREADS: usize = 4;
+/// Time for the response on an occupying connection.
+const OCCUPY_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
 /// Running server.
 #[derive(Debug)]
 pub struct ApiServer {
     address: net::SocketAddr,
     server: sync::Arc<http_listener::HttpServer>,
-    _occupied: Vec<net::TcpStream>,
+    occupied: Vec<net::TcpStream>,
 }
 
 /// What the workers share.
@@ -77,7 +80,7 @@
         Ok(Self {
             address,
             server: sync::Arc::new(server),
-            _occupied: occupied?,
+            occupied: occupied?,
         })
     }
 
@@ -113,6 +116,17 @@
                 }
             })?;
         }
+        self.occupy()
+    }
+
+    /// Waits until each occupying connection has its thread. A connection that arrived before would be queued behind
+    /// threads that are about to take these.
+    fn occupy(&self) -> io::Result<()> {
+        for mut stream in &self.occupied {
+            stream.set_read_timeout(Some(OCCUPY_TIMEOUT))?;
+            stream.write_all(b"GET /health HTTP/1.1\r\nHost: api\r\n\r\n")?;
+            let _length = stream.read(&mut [0; 512])?;
+        }
         Ok(())
     }
 }
