--- a/crates/entity/src/call_outcome.rs
+++ b/crates/entity/src/call_outcome.rs
@@ -57,6 +57,9 @@
     /// The platform's store is needed to run this action safely, and it can't be reached.
     #[display("store unavailable")]
     StoreUnavailable,
+    /// The request has spent its retries, or their keeper can't be asked.
+    #[display("retry allowance spent")]
+    AllowanceSpent,
     /// The chain is deeper than its declared limit.
     #[display("chain too deep")]
     TooDeep,
@@ -92,6 +95,7 @@
             | Self::TenantOverShare
             | Self::NoCandidate
             | Self::StoreUnavailable
+            | Self::AllowanceSpent
             | Self::TooDeep
             | Self::NotDeclared
             | Self::BodyMismatch => RefusalAdvice::GiveUp,
--- /dev/null
+++ b/crates/node/src/call_begin.rs
@@ -0,0 +1,111 @@
+//! Decision about a call, as a worker waits for it, and answers that need no backend server.
+
+use std::net;
+use std::sync::mpsc;
+
+use bytes::Bytes;
+use damasktrack_entity::ids;
+use damasktrack_entity::request_identity;
+use damasktrack_ownership::action_key;
+use damasktrack_ownership::answer_archive;
+use damasktrack_ownership::answer_cache;
+use damasktrack_wire::call_frame;
+use damasktrack_wire::peer_message;
+
+use crate::call_runner;
+use crate::call_watch;
+use crate::core_command;
+use crate::frame_sink;
+use crate::node_shared;
+use crate::request_owner;
+use crate::store_client;
+
+/// Waits for the decision about a call; `on_wait` runs at the interval of `Working` frames. `None` if the core stopped.
+pub fn begin(
+    shared: &node_shared::NodeShared,
+    start: core_command::CallStart,
+    on_wait: &mut dyn FnMut() -> frame_sink::SinkStep,
+) -> Option<core_command::CallDecision> {
+    let call = start.call;
+    let (reply, answer) = core_command::ReplySender::channel();
+    shared
+        .core
+        .send(core_command::CoreCommand::Begin(Box::new(start), reply));
+    let decision = loop {
+        match answer.recv_timeout(call_watch::WAIT_SLICE) {
+            Ok(decision) => break decision,
+            Err(mpsc::RecvTimeoutError::Disconnected) => return None,
+            Err(mpsc::RecvTimeoutError::Timeout) => {
+                if on_wait() == frame_sink::SinkStep::Gone {
+                    // The core answers the waiting call, which ends this loop.
+                    shared.core.send(core_command::CoreCommand::CallerGone(call));
+                }
+            }
+        }
+    };
+    let core_command::CallDecision::AskKeeper(call, address, request) = decision else {
+        return Some(decision);
+    };
+    ask_keeper(shared, call, address, &request)
+}
+
+/// Asks the keeper of a request's retries whether a call may run; returns what follows.
+pub fn ask_keeper(
+    shared: &node_shared::NodeShared,
+    call: ids::CallId,
+    address: net::SocketAddr,
+    question: &peer_message::GrantRequest,
+) -> Option<core_command::CallDecision> {
+    let grant = shared.peers.message(address, "/peer/grant", question);
+    let grant = grant.unwrap_or(peer_message::GrantReply::Denied);
+    shared
+        .core
+        .ask(|reply| core_command::CoreCommand::Owner(request_owner::OwnerCommand::Arrived(call, grant, reply)))
+}
+
+/// Writes a kept answer.
+pub fn send_answer(answer: answer_cache::StoredAnswer, sink: &frame_sink::FrameSink) {
+    let head = call_frame::CallFrame::Head {
+        status: answer.status,
+        headers: answer.headers,
+    };
+    if frame_sink::send(sink, head) == frame_sink::SinkStep::Gone {
+        return;
+    }
+    let mut rest = answer.body;
+    while !rest.is_empty() {
+        let piece = rest.split_to(rest.len().min(call_frame::MAX_DATA_BYTES));
+        if frame_sink::send(sink, call_frame::CallFrame::Data(piece)) == frame_sink::SinkStep::Gone {
+            return;
+        }
+    }
+    frame_sink::send(sink, call_frame::CallFrame::End { report: None });
+}
+
+/// Reads the answer of an opaque action whose owner can't give it. `None` if there is no usable object.
+pub fn read_archive(
+    shared: &node_shared::NodeShared,
+    request_id: &Bytes,
+    request: &call_runner::OutgoingRequest,
+) -> Option<answer_archive::RestoreStep> {
+    let store = shared.store.as_ref()?;
+    if request_identity::parse(request_id) != request_identity::RequestIdentity::Opaque {
+        return None;
+    }
+    let key = action_key::ActionKey {
+        request_id: request_id.clone(),
+        service: request.service.clone(),
+        method: request.method.clone(),
+        path: request.path.clone(),
+    };
+    let store_client::StoreReply::Ok(Some(content)) = store.get_object(&answer_archive::object_key(&key)) else {
+        return None;
+    };
+    match answer_archive::restore(&key, &request_owner::body_digest(&request.body), &content) {
+        answer_archive::RestoreStep::Unreadable => {
+            log::error!(request_id:% = ids::text(request_id); "an archived answer can't be read");
+            None
+        }
+        step => Some(step),
+    }
+}
--- a/crates/node/src/call_runner.rs
+++ b/crates/node/src/call_runner.rs
@@ -6,12 +6,16 @@
 use std::time;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
+use damasktrack_ownership::answer_archive;
+use damasktrack_ownership::answer_cache;
 use damasktrack_wire::call_frame;
 use damasktrack_wire::codec;
 use damasktrack_wire::peer_message;
 
+use crate::call_begin;
 use crate::call_watch;
 use crate::callee_runner;
 use crate::core_command;
@@ -19,6 +23,7 @@
 use crate::node_core;
 use crate::node_shared;
 use crate::peer_client;
+use crate::request_owner;
 use crate::route_choice;
 
 /// Time past the deadline in which the callee's own report of it is awaited.
@@ -42,11 +47,21 @@
 /// What the frames of an attempt have shown so far.
 #[derive(Debug, Default)]
 struct AttemptState {
+    keeps_answer: bool,
     head_passed: bool,
+    /// Answer for the owner's ledger, as far as it arrived; absent if it is not kept or too large.
+    answer: Option<AnswerBuffer>,
     bytes: u64,
     last: Option<call_frame::CallFrame>,
 }
 
+#[derive(Debug)]
+struct AnswerBuffer {
+    status: u16,
+    headers: Vec<call_frame::HeaderPair>,
+    body: BytesMut,
+}
+
 /// Runs a call and writes the frames of its response; the last one is `End`, `Refused` or `Abort`.
 pub fn run(
     shared: &sync::Arc<node_shared::NodeShared>,
@@ -60,7 +75,10 @@
     loop {
         attempts += 1;
         let started = time::Instant::now();
-        let state = rc::Rc::new(cell::RefCell::new(AttemptState::default()));
+        let state = rc::Rc::new(cell::RefCell::new(AttemptState {
+            keeps_answer: plan.keeps_answer,
+            ..AttemptState::default()
+        }));
         let end = match attempt.target {
             route_choice::RouteTarget::Peer(address) => {
                 let watch = new_watch(plan.deadline + DEADLINE_GRACE, cancelled, sink);
@@ -80,14 +98,25 @@
                 peer_client::PeerEnd::Ended
             }
         };
-        let state = state.borrow();
+        let mut state = state.borrow_mut();
         let result = attempt_result(end, &state, started, plan.deadline);
+        if matches!(result, core_command::AttemptResult::Completed { .. })
+            && let Some(answer) = state.answer.take()
+        {
+            let command = request_owner::OwnerCommand::Answered(plan.call, Box::new(answer.into_stored()));
+            shared.core.send(core_command::CoreCommand::Owner(command));
+        }
         let next = next_step(shared, plan.call, result, &state, plan.class.idempotent);
         match next {
             core_command::RetryDecision::Again(next) => attempt = next,
             core_command::RetryDecision::GiveUp(end) => {
+                let restored = is_lost_forward(end, &attempt, &state)
+                    && send_archived(shared, &attempt.context.request_id, request, sink);
+                let end = if restored { core_command::CallEnd::Done } else { end };
                 let summary = core_command::CallSummary { end, attempts };
-                frame_sink::send(sink, last_frame(end, result));
+                if !restored {
+                    frame_sink::send(sink, last_frame(end, result));
+                }
                 shared
                     .core
                     .send(core_command::CoreCommand::Finish(plan.call, result, summary));
@@ -98,6 +127,60 @@
     }
 }
 
+fn is_lost_forward(end: core_command::CallEnd, attempt: &core_command::AttemptPlan, state: &AttemptState) -> bool {
+    let lost = matches!(end, core_command::CallEnd::Lost(_));
+    lost && attempt.stage == call_frame::CallStage::Owner && !state.head_passed
+}
+
+/// Gives the answer of an action whose owner can't be reached, if the object store has it.
+fn send_archived(
+    shared: &node_shared::NodeShared,
+    request_id: &Bytes,
+    request: &OutgoingRequest,
+    sink: &frame_sink::FrameSink,
+) -> bool {
+    match call_begin::read_archive(shared, request_id, request) {
+        Some(answer_archive::RestoreStep::Answer(answer)) => {
+            call_begin::send_answer(answer, sink);
+            true
+        }
+        _ => false,
+    }
+}
+
+impl AnswerBuffer {
+    fn into_stored(self) -> answer_cache::StoredAnswer {
+        answer_cache::StoredAnswer {
+            status: self.status,
+            headers: self.headers,
+            body: self.body.freeze(),
+        }
+    }
+}
+
+impl AttemptState {
+    /// Keeps what an owner's ledger needs of a frame that is passed on.
+    fn keep(&mut self, frame: &call_frame::CallFrame) {
+        match frame {
+            call_frame::CallFrame::Head { status, headers } if self.keeps_answer => {
+                self.answer = Some(AnswerBuffer {
+                    status: *status,
+                    headers: headers.clone(),
+                    body: BytesMut::new(),
+                });
+            }
+            call_frame::CallFrame::Data(data) => {
+                let fits = |answer: &mut AnswerBuffer| answer.body.len() + data.len() <= answer_cache::MAX_ANSWER_BYTES;
+                self.answer = self.answer.take_if(fits);
+                if let Some(answer) = &mut self.answer {
+                    answer.body.extend_from_slice(data);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
 /// Decides what follows an attempt; a response whose head was passed on can't be replaced by another attempt.
 fn next_step(
     shared: &node_shared::NodeShared,
@@ -185,10 +268,12 @@
         call_frame::CallFrame::Working => return frame_sink::send(sink, frame),
         call_frame::CallFrame::Head { .. } if !state.borrow().head_passed => {
             state.borrow_mut().head_passed = true;
+            state.borrow_mut().keep(&frame);
             return frame_sink::send(sink, frame);
         }
         call_frame::CallFrame::Data(data) if state.borrow().head_passed => {
             state.borrow_mut().bytes += data.len() as u64;
+            state.borrow_mut().keep(&frame);
             return frame_sink::send(sink, frame);
         }
         // Frames out of order end the attempt as an abort.
--- a/crates/node/src/call_table.rs
+++ b/crates/node/src/call_table.rs
@@ -10,6 +10,7 @@
 use crate::call_class;
 use crate::call_watch;
 use crate::core_command;
+use crate::request_owner;
 use crate::route_choice;
 
 /// Daemon and call that wait for a call of this daemon.
@@ -38,6 +39,8 @@
     pub last_result: Option<core_command::AttemptResult>,
     /// Cancellation of the call.
     pub cancelled: call_watch::CancelFlag,
+    /// Action that the call drives.
+    pub action: Option<request_owner::ActionDrive>,
     /// Peer that forwarded the call to this daemon as its owner.
     pub sender: Option<SenderCall>,
 }
--- a/crates/node/src/core_calls.rs
+++ b/crates/node/src/core_calls.rs
@@ -9,19 +9,40 @@
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
 use damasktrack_entity::request_identity;
+use damasktrack_ownership::action_step;
 use damasktrack_wire::call_frame;
 use damasktrack_wire::peer_message;
 
 use crate::call_class;
 use crate::call_table;
 use crate::core_command;
+use crate::core_owner;
 use crate::node_core;
 use crate::request_owner;
 use crate::route_choice;
 
 /// Commands.
 impl node_core::NodeCore {
-    pub(crate) fn begin(&mut self, start: core_command::CallStart, now: time::Instant) -> core_command::CallDecision {
+    pub(crate) fn begin(
+        &mut self,
+        start: core_command::CallStart,
+        reply: core_command::ReplySender<core_command::CallDecision>,
+        now: time::Instant,
+    ) {
+        let decision = match self.check_start(&start, now) {
+            Ok(root) if root.class.idempotent => self.begin_idempotent(start, root, now),
+            Ok(root) => return self.begin_action(start, root, reply, now),
+            Err(decision) => decision,
+        };
+        let _gone = reply.send(decision);
+    }
+
+    /// Makes the checks that need no ledger.
+    fn check_start(
+        &mut self,
+        start: &core_command::CallStart,
+        now: time::Instant,
+    ) -> Result<CallRoot, core_command::CallDecision> {
         if let core_command::CallOrigin::Caller {
             context: None,
             loopback: true,
@@ -30,33 +51,31 @@
         {
             self.metrics.count_context_missing();
         }
-        let root = match self.root_of(&start, now) {
-            Ok(root) => root,
-            Err(refusal) => return refusal,
-        };
-        if start.cancelled.load(atomic::Ordering::Relaxed) {
-            return refuse(root.context.request_id, call_outcome::RefusalReason::Cancelled);
-        }
-        if root.context.depth >= root.class.max_depth {
-            return refuse(root.context.request_id, call_outcome::RefusalReason::TooDeep);
-        }
-        if root.deadline <= now {
-            return refuse(root.context.request_id, call_outcome::RefusalReason::DeadlineTooShort);
-        }
-        let step = self.owner.begin(&request_owner::ActionRequest {
-            request_id: &root.context.request_id,
-            idempotent: root.class.idempotent,
-            forwarded: root.sender.is_some(),
-        });
-        match step {
-            request_owner::OwnerStep::Dispatch => {}
-            request_owner::OwnerStep::Forward(owner) => return self.forward_to_owner(&owner, start, root, now),
-            request_owner::OwnerStep::Unknown => {
-                return core_command::CallDecision::Unknown {
-                    request_id: root.context.request_id,
-                };
-            }
+        if !self.config.settled {
+            let request_id = self.id_of(start);
+            return Err(self.refuse_checked(start, &request_id, call_outcome::RefusalReason::Starting));
         }
+        let root = self.root_of(start, now)?;
+        let reason = if Self::is_cancelled(start) {
+            call_outcome::RefusalReason::Cancelled
+        } else if root.context.depth >= root.class.max_depth {
+            call_outcome::RefusalReason::TooDeep
+        } else if root.deadline <= now {
+            call_outcome::RefusalReason::DeadlineTooShort
+        } else {
+            return Ok(root);
+        };
+        Err(self.refuse_root(start, &root, reason))
+    }
+
+    /// Sends a call to a backend server for the first time.
+    pub(crate) fn run_first(
+        &mut self,
+        start: core_command::CallStart,
+        root: CallRoot,
+        action: Option<request_owner::ActionDrive>,
+        now: time::Instant,
+    ) -> core_command::CallDecision {
         let choice = self.routes.choose(
             &route_choice::RouteRequest {
                 service: &start.service,
@@ -65,13 +84,20 @@
             now,
         );
         let route_choice::RouteChoice::Use(route, target) = choice else {
-            return refuse(root.context.request_id, call_outcome::RefusalReason::NoCandidate);
+            let reason = call_outcome::RefusalReason::NoCandidate;
+            return match action {
+                Some(drive) => {
+                    self.count_effect(&root.class.name, true, 1);
+                    self.release_unsent(&drive, reason, now)
+                }
+                None => self.refuse_root(&start, &root, reason),
+            };
         };
         self.routes.begin(route, now);
-        self.start_call(start, root, Some(route), target, now)
+        self.start_call(start, root, action, Some(route), target, now)
     }
 
-    fn forward_to_owner(
+    pub(crate) fn forward_to_owner(
         &mut self,
         owner: &request_identity::RequestOwner,
         start: core_command::CallStart,
@@ -79,18 +105,18 @@
         now: time::Instant,
     ) -> core_command::CallDecision {
         let Some(peer) = self.directory.find_owner(owner) else {
-            return core_command::CallDecision::Unknown {
-                request_id: root.context.request_id,
-            };
+            let reason = action_step::UnknownReason::OwnerGone;
+            return core_owner::unknown(root.context.request_id, Some(reason));
         };
         let target = route_choice::RouteTarget::Peer(peer.address);
-        self.start_call(start, root, None, target, now)
+        self.start_call(start, root, None, None, target, now)
     }
 
     fn start_call(
         &mut self,
         start: core_command::CallStart,
         root: CallRoot,
+        action: Option<request_owner::ActionDrive>,
         route: Option<route_choice::RouteKey>,
         target: route_choice::RouteTarget,
         now: time::Instant,
@@ -102,6 +128,7 @@
             stage: stage_of(route),
             context: context.clone(),
         };
+        let keeps_answer = action.is_some();
         self.calls.add_outgoing(
             start.call,
             call_table::OutgoingCall {
@@ -114,6 +141,7 @@
                 route,
                 target,
                 last_result: None,
+                action,
                 cancelled: start.cancelled,
                 sender: root.sender,
             },
@@ -123,6 +151,7 @@
             class: root.class,
             deadline: root.deadline,
             attempt,
+            keeps_answer,
         }))
     }
 
@@ -156,7 +185,10 @@
                 timeout,
                 ..
             } => {
-                let issued = request_id.clone().unwrap_or_else(|| self.owner.issue_id());
+                let issued = match request_id {
+                    Some(request_id) => request_id.clone(),
+                    None => self.owner.issue_id(),
+                };
                 let found = self.class_of(start, tenant.as_ref());
                 let class = found.ok_or_else(|| not_declared(&issued))?;
                 let remaining = timeout.unwrap_or(class.deadline).min(class.deadline);
@@ -227,28 +259,37 @@
             return core_command::RetryDecision::GiveUp(core_command::CallEnd::Cancelled);
         };
         entry.last_result = Some(result);
-        let end = end_of(result, entry.class.idempotent);
-        if entry.cancelled.load(atomic::Ordering::Relaxed) {
-            return core_command::RetryDecision::GiveUp(core_command::CallEnd::Cancelled);
-        }
-        // An owner that was reached for a forwarded call has made its own attempts.
-        if !may_retry(result, entry.class.idempotent) || entry.route_is_owner() || entry.deadline <= now {
+        let mut end = end_of(result, entry.class.idempotent);
+        if entry.route_is_owner() {
+            // An owner that was reached has made its own attempts. One that was not reached may have run the action for
+            // an earlier call.
+            if result == core_command::AttemptResult::NotSent {
+                end = core_command::CallEnd::Lost(call_outcome::CallOutcome::Unknown);
+            }
             return core_command::RetryDecision::GiveUp(end);
         }
-        let request_id = entry.context.request_id.clone();
-        let allowance = entry.class.retry_allowance;
+        let cancelled = entry.cancelled.load(atomic::Ordering::Relaxed);
+        let useful = may_retry(result, entry.class.idempotent) && entry.deadline > now;
         let request = peer_message::GrantRequest {
-            request_id: request_id.clone(),
+            request_id: entry.context.request_id.clone(),
             class: entry.context.class.clone(),
             depth: entry.context.depth,
+            arrival: false,
         };
-        let Some(owner) = self.owner.grant_owner(&request_id) else {
-            let grant = self.owner.grant(&request_id, allowance);
-            return self.continue_retry(call, grant, now);
-        };
-        match self.directory.find_owner(&owner) {
-            Some(peer) => core_command::RetryDecision::AskOwner(peer.address, request),
-            None => core_command::RetryDecision::GiveUp(end),
+        self.note_not_run(call, result);
+        if cancelled {
+            return self.give_up(call, core_command::CallEnd::Cancelled, now);
+        }
+        if !useful {
+            return self.give_up(call, end, now);
+        }
+        match self.retry_keeper(&request.request_id) {
+            core_owner::RetryKeeper::Local => {
+                let grant = self.grant(&request, now);
+                self.continue_retry(call, grant, now)
+            }
+            core_owner::RetryKeeper::Peer(address) => core_command::RetryDecision::AskOwner(address, request),
+            core_owner::RetryKeeper::Gone => self.give_up(call, end, now),
         }
     }
 
@@ -264,14 +305,20 @@
         let result = entry.last_result.unwrap_or(core_command::AttemptResult::Failed);
         let end = end_of(result, entry.class.idempotent);
         let peer_message::GrantReply::Granted { left } = grant else {
-            return core_command::RetryDecision::GiveUp(end);
+            return self.give_up(call, end, now);
         };
         let request = route_choice::RouteRequest {
             service: &entry.service,
             tried: &entry.tried,
         };
         let route_choice::RouteChoice::Use(route, target) = self.routes.choose(&request, now) else {
-            return core_command::RetryDecision::GiveUp(end);
+            return self.give_up(call, end, now);
+        };
+        if !self.note_retry(call, now) {
+            return self.give_up(call, end, now);
+        }
+        let Some(entry) = self.calls.outgoing_mut(call) else {
+            return core_command::RetryDecision::GiveUp(core_command::CallEnd::Cancelled);
         };
         self.routes.begin(route, now);
         entry.tried.push(route);
@@ -295,9 +342,19 @@
         now: time::Instant,
     ) {
         self.end_attempt(call, result, now);
-        let Some(entry) = self.calls.remove_outgoing(call) else {
+        if matches!(summary.end, core_command::CallEnd::Refused(_)) {
+            // A call that no worker ran has not been released yet.
+            self.note_not_run(call, result);
+            self.give_up(call, summary.end, now);
+        }
+        let Some(mut entry) = self.calls.remove_outgoing(call) else {
             return;
         };
+        if let Some(drive) = entry.action.take() {
+            self.finish_action(drive, result, now);
+        }
+        let refused = matches!(summary.end, core_command::CallEnd::Refused(_));
+        self.count_effect(&entry.class.name, refused, summary.attempts);
         if let core_command::CallEnd::Lost(outcome) = summary.end {
             log::warn!(
                 request_id:% = ids::text(&entry.context.request_id),
@@ -338,25 +395,27 @@
             }
         }
     }
-
-    pub(crate) fn grant(&mut self, request: &peer_message::GrantRequest) -> peer_message::GrantReply {
-        if self.owner.grant_owner(&request.request_id).is_some() {
-            return peer_message::GrantReply::Denied;
-        }
-        // The allowance belongs to the root class; one class exists until resources are connected.
-        let found = self.classes.find(
-            &Bytes::from_static(b"-"),
-            &Bytes::from_static(b"GET"),
-            &Bytes::from_static(b"/"),
-            None,
-        );
-        let allowance = found.map_or(0, |class| class.retry_allowance);
-        self.owner.grant(&request.request_id, allowance)
-    }
 }
 
 /// Queries.
 impl node_core::NodeCore {
+    /// Returns the id of a request whose class is not known yet; a fresh one if the caller chose none.
+    fn id_of(&mut self, start: &core_command::CallStart) -> Bytes {
+        match &start.origin {
+            core_command::CallOrigin::Peer { context, .. }
+            | core_command::CallOrigin::Caller {
+                context: Some(context),
+                loopback: true,
+                ..
+            } => context.request_id.clone(),
+            core_command::CallOrigin::Caller {
+                request_id: Some(request_id),
+                ..
+            } => request_id.clone(),
+            core_command::CallOrigin::Caller { .. } => self.owner.issue_id(),
+        }
+    }
+
     fn class_of(&self, start: &core_command::CallStart, tenant: Option<&Bytes>) -> Option<call_class::CallClass> {
         self.classes.find(&start.service, &start.method, &start.path, tenant)
     }
@@ -364,12 +423,12 @@
 
 /// What a call inherits or starts with.
 #[derive(Debug)]
-struct CallRoot {
-    context: call_context::CallContext,
-    class: call_class::CallClass,
-    deadline: time::Instant,
-    parent: Option<ids::CallId>,
-    sender: Option<call_table::SenderCall>,
+pub(crate) struct CallRoot {
+    pub(crate) context: call_context::CallContext,
+    pub(crate) class: call_class::CallClass,
+    pub(crate) deadline: time::Instant,
+    pub(crate) parent: Option<ids::CallId>,
+    pub(crate) sender: Option<call_table::SenderCall>,
 }
 
 fn stage_of(route: Option<route_choice::RouteKey>) -> call_frame::CallStage {
--- a/crates/node/src/core_command.rs
+++ b/crates/node/src/core_command.rs
@@ -9,6 +9,9 @@
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
 use damasktrack_entity::request_identity;
+use damasktrack_ownership::action_key;
+use damasktrack_ownership::action_step;
+use damasktrack_ownership::answer_cache;
 use damasktrack_wire::call_frame;
 use damasktrack_wire::peer_message;
 
@@ -17,6 +20,7 @@
 use crate::call_watch;
 use crate::core_config;
 use crate::peer_directory;
+use crate::request_owner;
 use crate::route_choice;
 
 /// Receiver of one reply. It runs on the core's thread, so it hands the reply over and never waits.
@@ -88,6 +92,8 @@
     PeersLearned(Vec<peer_directory::PeerIdentity>),
     /// A health check of the backend server ended.
     BackendServerChecked(bool),
+    /// About a request that this daemon owns.
+    Owner(request_owner::OwnerCommand),
     /// About the configuration.
     Config(core_config::ConfigCommand),
     /// New work is refused from now on.
@@ -111,8 +117,8 @@
     pub method: Bytes,
     /// Path and query as the backend server receives them.
     pub path: Bytes,
-    /// Hash of the body; tells another body under the same request id.
-    pub body_digest: u64,
+    /// Digest of the body; tells another body under the same request id.
+    pub body_digest: action_key::Sha256Digest,
     /// Cancellation of the call.
     pub cancelled: call_watch::CancelFlag,
 }
@@ -158,7 +164,19 @@
     Unknown {
         /// Id of the request.
         request_id: Bytes,
+        /// Why, if the ledger decided.
+        reason: Option<action_step::UnknownReason>,
     },
+    /// Give the kept answer of the same action.
+    Answer {
+        /// Id of the request.
+        request_id: Bytes,
+        /// Complete answer.
+        answer: Box<answer_cache::StoredAnswer>,
+    },
+    /// Ask the keeper of the request's retries whether the call may run, and send
+    /// [`request_owner::OwnerCommand::Arrived`].
+    AskKeeper(ids::CallId, net::SocketAddr, peer_message::GrantRequest),
 }
 
 /// First attempt of a call and what holds for all attempts.
@@ -172,6 +190,8 @@
     pub deadline: time::Instant,
     /// First attempt.
     pub attempt: AttemptPlan,
+    /// Whether the owner keeps the answer; send [`request_owner::OwnerCommand::Answered`] with it.
+    pub keeps_answer: bool,
 }
 
 /// One attempt of a call.
--- a/crates/node/src/core_config.rs
+++ b/crates/node/src/core_config.rs
@@ -150,7 +150,6 @@
     }
 
     /// Counts an ended call, or one that was refused before it was sent.
-    #[expect(dead_code, reason = "the request owner counts with it once it is connected")]
     pub(crate) fn count_effect(&mut self, class: &ids::ClassName, refused: bool, attempts: u32) {
         if !self.config.effects.contains_key(class) {
             self.config.effects.insert(class.clone(), ClassEffect::default());
--- a/crates/node/src/core_work.rs
+++ b/crates/node/src/core_work.rs
@@ -17,6 +17,9 @@
     pub(crate) fn cancel_from_peer(&mut self, request: peer_message::CancelRequest, now: time::Instant) {
         let sender = (request.sender, request.sender_call);
         let Some(call) = self.calls.find_sender(&sender) else {
+            if let Some(call) = self.find_pending(&sender) {
+                self.cancel_pending(call);
+            }
             return;
         };
         if self.calls.outgoing(call).is_some() {
--- a/crates/node/src/entry_request.rs
+++ b/crates/node/src/entry_request.rs
@@ -1,6 +1,7 @@
 //! Reading of a caller's request, and its way through the core to a worker.
 
 use std::cell;
+use std::net;
 use std::rc;
 use std::sync;
 use std::time;
@@ -9,9 +10,14 @@
 use damasktrack_entity::call_context;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
+use damasktrack_ownership::action_step;
+use damasktrack_ownership::answer_archive;
+use damasktrack_ownership::answer_cache;
 use damasktrack_wire::call_frame;
+use damasktrack_wire::peer_message;
 use tokio::sync::oneshot;
 
+use crate::call_begin;
 use crate::call_runner;
 use crate::call_watch;
 use crate::core_command;
@@ -19,6 +25,7 @@
 use crate::frame_sink;
 use crate::header_filter;
 use crate::node_shared;
+use crate::request_owner;
 use crate::worker_pool;
 
 /// Longest request id that a caller may choose.
@@ -116,7 +123,7 @@
         service: request.outgoing.service.clone(),
         method: request.outgoing.method.clone(),
         path: request.outgoing.path.clone(),
-        body_digest: xxhash_rust::xxh3::xxh3_64(&request.outgoing.body),
+        body_digest: request_owner::body_digest(&request.outgoing.body),
         cancelled: sync::Arc::clone(&request.cancelled),
     };
     let decided = DecidedRequest {
@@ -171,19 +178,110 @@
         core_command::CallDecision::Refuse { request_id, reason } => {
             (request_id, call_frame::CallFrame::Refused { reason, report: None })
         }
-        core_command::CallDecision::Unknown { request_id } => (
-            request_id,
-            call_frame::CallFrame::Abort {
-                outcome: call_outcome::CallOutcome::Unknown,
-            },
-        ),
+        core_command::CallDecision::AskKeeper(call, address, question) => {
+            ask_keeper(shared, call, address, question, request);
+            return;
+        }
+        core_command::CallDecision::Answer { request_id, answer } => {
+            shared.metrics.count_undispatched(call_outcome::CallOutcome::Done);
+            send_whole(request_id, *answer, request);
+            return;
+        }
+        core_command::CallDecision::Unknown { request_id, reason } => {
+            answer_unknown(shared, request_id, reason, request);
+            return;
+        }
+    };
+    shared.metrics.count_undispatched(call_outcome::CallOutcome::Refused);
+    entry_response::EntryResponder::new(request_id, request.arrived, request.answer).push(frame);
+}
+
+fn ask_keeper(
+    shared: &sync::Arc<node_shared::NodeShared>,
+    call: ids::CallId,
+    address: net::SocketAddr,
+    question: peer_message::GrantRequest,
+    request: DecidedRequest,
+) {
+    let job_shared = sync::Arc::clone(shared);
+    let job = move || {
+        let decision = call_begin::ask_keeper(&job_shared, call, address, &question);
+        match decision {
+            Some(core_command::CallDecision::Run(plan)) => run_plan(&job_shared, *plan, request),
+            Some(decision) => take_decision(&job_shared, decision, request),
+            None => {}
+        }
+    };
+    if shared.pool.submit(job) == worker_pool::SubmitResult::Full {
+        // The dropped answer tells the listener; the core forgets the call.
+        let nobody = core_command::ReplySender::new(|_decision| core_command::ReplyStep::Gone);
+        let denied = peer_message::GrantReply::Denied;
+        let command = request_owner::OwnerCommand::Arrived(call, denied, nobody);
+        shared.core.send(core_command::CoreCommand::Owner(command));
+    }
+}
+
+fn send_whole(request_id: Bytes, answer: answer_cache::StoredAnswer, request: DecidedRequest) {
+    let head = entry_response::ResponseHead {
+        request_id,
+        status: answer.status,
+        headers: answer.headers,
     };
-    let outcome = match &frame {
-        call_frame::CallFrame::Refused { .. } => call_outcome::CallOutcome::Refused,
-        _ => call_outcome::CallOutcome::Unknown,
+    let body = vec![answer.body];
+    let _gone = request.answer.send(entry_response::EntryAnswer::Whole { head, body });
+}
+
+/// Answers a call whose outcome the ledger can't tell; the answer of an opaque action may be in the object store.
+fn answer_unknown(
+    shared: &sync::Arc<node_shared::NodeShared>,
+    request_id: Bytes,
+    reason: Option<action_step::UnknownReason>,
+    request: DecidedRequest,
+) {
+    let ran_before = matches!(
+        reason,
+        Some(
+            action_step::UnknownReason::OwnerGone
+                | action_step::UnknownReason::Forgotten
+                | action_step::UnknownReason::AnswerNotKept
+        )
+    );
+    if ran_before && shared.store.is_some() && !shared.pool.is_full() {
+        let job_shared = sync::Arc::clone(shared);
+        let job = move || restore(&job_shared, request_id, reason, request);
+        // A dropped answer tells the listener that the outcome is unknown.
+        let _submitted = shared.pool.submit(job);
+        return;
+    }
+    shared.metrics.count_undispatched(call_outcome::CallOutcome::Unknown);
+    let answer = entry_response::EntryAnswer::Unknown { request_id, reason };
+    let _gone = request.answer.send(answer);
+}
+
+fn restore(
+    shared: &node_shared::NodeShared,
+    request_id: Bytes,
+    reason: Option<action_step::UnknownReason>,
+    request: DecidedRequest,
+) {
+    let outcome = match call_begin::read_archive(shared, &request_id, &request.outgoing) {
+        Some(answer_archive::RestoreStep::Answer(answer)) => {
+            send_whole(request_id, answer, request);
+            call_outcome::CallOutcome::Done
+        }
+        Some(answer_archive::RestoreStep::OtherBody) => {
+            let reason = call_outcome::RefusalReason::BodyMismatch;
+            let answer = entry_response::EntryAnswer::Refused { request_id, reason };
+            let _gone = request.answer.send(answer);
+            call_outcome::CallOutcome::Refused
+        }
+        Some(answer_archive::RestoreStep::Unreadable) | None => {
+            let answer = entry_response::EntryAnswer::Unknown { request_id, reason };
+            let _gone = request.answer.send(answer);
+            call_outcome::CallOutcome::Unknown
+        }
     };
     shared.metrics.count_undispatched(outcome);
-    entry_response::EntryResponder::new(request_id, request.arrived, request.answer).push(frame);
 }
 
 /// Ends a call that no worker runs.
--- a/crates/node/src/entry_response.rs
+++ b/crates/node/src/entry_response.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use damasktrack_entity::call_outcome;
+use damasktrack_ownership::action_step;
 use damasktrack_wire::call_frame;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -39,6 +40,13 @@
         /// Why.
         reason: call_outcome::RefusalReason,
     },
+    /// The owner of the request can't tell what became of it.
+    Unknown {
+        /// Id of the request.
+        request_id: Bytes,
+        /// Why, if the ledger decided.
+        reason: Option<action_step::UnknownReason>,
+    },
     /// The call may have run and has no response.
     Lost {
         /// Id of the request.
@@ -216,6 +224,7 @@
         | call_outcome::RefusalReason::ShedByBackendServer
         | call_outcome::RefusalReason::NoCandidate
         | call_outcome::RefusalReason::StoreUnavailable
+        | call_outcome::RefusalReason::AllowanceSpent
         | call_outcome::RefusalReason::TooDeep => 503,
     }
 }
--- a/crates/node/src/entry_server.rs
+++ b/crates/node/src/entry_server.rs
@@ -10,6 +10,7 @@
 use std::time;
 
 use bytes::Bytes;
+use damasktrack_ownership::action_step;
 use http_body_util::BodyExt;
 use hyper::server::conn::http1;
 use hyper_util::rt;
@@ -286,6 +287,7 @@
             passed_response(&head, entry_body::EntryBody::stream(first, pieces, guard))
         }
         Ok(entry_response::EntryAnswer::Refused { request_id, reason }) => refused_response(&request_id, reason),
+        Ok(entry_response::EntryAnswer::Unknown { request_id, reason }) => unknown_response(&request_id, reason),
         Ok(entry_response::EntryAnswer::Lost {
             request_id,
             outcome,
@@ -418,6 +420,26 @@
     response
 }
 
+fn unknown_response(
+    request_id: &Bytes,
+    reason: Option<action_step::UnknownReason>,
+) -> hyper::Response<entry_body::EntryBody> {
+    let outcome = damasktrack_entity::call_outcome::CallOutcome::Unknown;
+    let timed_out = reason == Some(action_step::UnknownReason::DeadlinePassed);
+    let mut response = lost_response(request_id, outcome, timed_out);
+    if let Some(reason) = reason {
+        let text = format!("{outcome}: {reason}\n");
+        *response.body_mut() = entry_body::EntryBody::whole(vec![Bytes::from(text)]);
+    }
+    if reason == Some(action_step::UnknownReason::StoreUnavailable) {
+        // A repeat is always safe, and useful once the store is back.
+        *response.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
+        let seconds = hyper::header::HeaderValue::from_static("1");
+        response.headers_mut().insert(hyper::header::RETRY_AFTER, seconds);
+    }
+    response
+}
+
 /// A request that can't be read did not run.
 fn fault_response(fault: entry_request::RequestFault) -> hyper::Response<entry_body::EntryBody> {
     let mut response = hyper::Response::new(entry_body::EntryBody::whole(vec![Bytes::from_static(
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -49,6 +49,7 @@
         identity: request_identity::RequestOwner,
         effects: node_effects::NodeEffects,
         metrics: node_metrics::NodeMetrics,
+        store: request_owner::StoreQueue,
     ) -> Self {
         let slots = settings.backend_server.as_ref().map_or(0, |backend| backend.slots);
         let mut routes = route_choice::RouteTable::default();
@@ -61,7 +62,7 @@
             });
         }
         Self {
-            owner: request_owner::OwnerState::new(identity.clone()),
+            owner: request_owner::OwnerState::new(identity.clone(), store, time::Instant::now()),
             identity,
             effects,
             metrics,
@@ -80,9 +81,7 @@
     /// Takes one command. A reply whose receiver is gone is dropped, since nobody waits for it.
     pub fn handle(&mut self, command: core_command::CoreCommand, now: time::Instant) {
         match command {
-            core_command::CoreCommand::Begin(start, reply) => {
-                let _gone = reply.send(self.begin(*start, now));
-            }
+            core_command::CoreCommand::Begin(start, reply) => self.begin(*start, reply, now),
             core_command::CoreCommand::Retry(call, result, reply) => {
                 let _gone = reply.send(self.retry(call, result, now));
             }
@@ -90,7 +89,10 @@
                 let _gone = reply.send(self.continue_retry(call, grant, now));
             }
             core_command::CoreCommand::Finish(call, result, summary) => self.finish(call, result, summary, now),
-            core_command::CoreCommand::CallerGone(call) => self.cancel_outgoing(call),
+            core_command::CoreCommand::CallerGone(call) => {
+                self.cancel_pending(call);
+                self.cancel_outgoing(call);
+            }
             core_command::CoreCommand::Arrive(arrival, reply) => self.arrive(*arrival, reply, now),
             core_command::CoreCommand::FinishWork(call, result) => {
                 self.admission.finish(call, result, now);
@@ -99,13 +101,14 @@
             }
             core_command::CoreCommand::CancelFromPeer(request) => self.cancel_from_peer(request, now),
             core_command::CoreCommand::Grant(request, reply) => {
-                let _gone = reply.send(self.grant(&request));
+                let _gone = reply.send(self.grant(&request, now));
             }
             core_command::CoreCommand::IssueId(reply) => {
                 let _gone = reply.send(self.owner.issue_id());
             }
             core_command::CoreCommand::PeersLearned(peers) => self.learn_peers(peers),
             core_command::CoreCommand::BackendServerChecked(up) => self.take_health(up),
+            core_command::CoreCommand::Owner(command) => self.handle_owner(command, now),
             core_command::CoreCommand::Config(command) => self.handle_config(command),
             core_command::CoreCommand::Drain => self.drain(now),
             core_command::CoreCommand::Counts(reply) => {
@@ -119,6 +122,7 @@
     pub fn tick(&mut self, now: time::Instant) {
         self.admission.tick(now);
         self.start_queued(now);
+        self.expire_actions(now);
     }
 
     fn learn_peers(&mut self, peers: Vec<peer_directory::PeerIdentity>) {
@@ -167,7 +171,7 @@
         let joined = self.has_joined();
         let backend = !self.has_backend_server || self.admission.backend_server_up();
         core_command::NodeCounts {
-            calls: self.calls.outgoing_count(),
+            calls: self.calls.outgoing_count() + self.owner.pending.len(),
             work: self.calls.work_count(),
             ready: joined && backend && self.config.settled && !self.draining,
         }
--- a/crates/node/src/node_run.rs
+++ b/crates/node/src/node_run.rs
@@ -25,6 +25,7 @@
 use crate::peer_server;
 use crate::request_owner;
 use crate::store_client;
+use crate::store_worker;
 use crate::worker_pool;
 
 /// Addresses in use; they differ from the settings where those name port 0.
@@ -84,7 +85,8 @@
     let peer_server = peer_server::PeerServer::bind(settings.peer_listen)?;
     let api_server = api_server::ApiServer::bind(settings.api_listen)?;
     let entry_listener = entry_server::bind(settings.entry_listen)?;
-    let shared = build(settings, peer_server.address())?;
+    let (shared, store_jobs) = build(settings, peer_server.address())?;
+    store_worker::start(&shared, &store_jobs)?;
     peer_server.start(&shared);
     api_server.start(&shared)?;
     let entry = entry_server::EntryServer::start(entry_listener, sync::Arc::clone(&shared))?;
@@ -104,7 +106,7 @@
 fn build(
     settings: daemon_settings::DaemonSettings,
     peer_address: net::SocketAddr,
-) -> Result<sync::Arc<node_shared::NodeShared>, NodeError> {
+) -> Result<(sync::Arc<node_shared::NodeShared>, request_owner::StoreJobs), NodeError> {
     let identity = request_identity::RequestOwner {
         daemon_id: settings.daemon_id.clone(),
         incarnation: request_owner::random_incarnation(),
@@ -119,8 +121,9 @@
         .clone()
         .map(|backend| sync::Arc::new(backend_client::BackendClient::new(backend)));
     let effects = node_effects::NodeEffects::new(identity.clone(), sync::Arc::clone(&peers), backend.clone());
-    let core = node_core::NodeCore::new(&settings, identity.clone(), effects.clone(), metrics.clone());
-    Ok(sync::Arc::new(node_shared::NodeShared {
+    let (queue, store_jobs) = request_owner::StoreQueue::new(store.is_some());
+    let core = node_core::NodeCore::new(&settings, identity.clone(), effects.clone(), metrics.clone(), queue);
+    let shared = node_shared::NodeShared {
         pool: worker_pool::WorkerPool::new("call", settings.max_calls),
         settings,
         identity,
@@ -135,5 +138,6 @@
         draining: atomic::AtomicBool::new(false),
         // Below 2^63, so that the ids of a process never wrap.
         next_call: atomic::AtomicU64::new(request_owner::random_incarnation() >> 1),
-    }))
+    };
+    Ok((sync::Arc::new(shared), store_jobs))
 }
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -17,6 +17,7 @@
 use damasktrack_wire::frame_reader;
 use damasktrack_wire::peer_message;
 
+use crate::call_begin;
 use crate::call_runner;
 use crate::call_watch;
 use crate::callee_runner;
@@ -27,6 +28,7 @@
 use crate::http_listener;
 use crate::node_shared;
 use crate::peer_connector;
+use crate::request_owner;
 use crate::worker_pool;
 
 /// Idle threads that stay; further ones end after [`IDLE_TIME`].
@@ -192,9 +194,15 @@
     };
     let mut writer = frame_writer::FrameWriter::new(request.into_writer());
     if overfull {
-        writer.push(&call_frame::CallFrame::Refused {
-            reason: call_outcome::RefusalReason::QueueFull,
-            report: None,
+        writer.push(&match call.head.stage {
+            call_frame::CallStage::Callee => call_frame::CallFrame::Refused {
+                reason: call_outcome::RefusalReason::QueueFull,
+                report: None,
+            },
+            // The ledger was not asked, and an earlier call with the same id may have run.
+            call_frame::CallStage::Owner => call_frame::CallFrame::Abort {
+                outcome: call_outcome::CallOutcome::Unknown,
+            },
         });
         return;
     }
@@ -270,12 +278,13 @@
         service: call.head.service.clone(),
         method: call.head.method.clone(),
         path: call.head.path.clone(),
-        body_digest: xxhash_rust::xxh3::xxh3_64(&call.body),
+        body_digest: request_owner::body_digest(&call.body),
         cancelled: sync::Arc::clone(&cancelled),
     };
-    let decision = shared
-        .core
-        .ask(|reply| core_command::CoreCommand::Begin(Box::new(start), reply));
+    let waiting = rc::Rc::clone(sink);
+    let decision = call_begin::begin(shared, start, &mut || {
+        frame_sink::send(&waiting, call_frame::CallFrame::Working)
+    });
     let request = call_runner::OutgoingRequest {
         service: call.head.service,
         method: call.head.method,
@@ -290,7 +299,9 @@
         Some(core_command::CallDecision::Refuse { reason, .. }) => {
             frame_sink::send(sink, call_frame::CallFrame::Refused { reason, report: None });
         }
-        Some(core_command::CallDecision::Unknown { .. }) => {
+        Some(core_command::CallDecision::Answer { answer, .. }) => call_begin::send_answer(*answer, sink),
+        // Without a decision of the ledger, an earlier call with the same id may have run.
+        Some(core_command::CallDecision::Unknown { .. } | core_command::CallDecision::AskKeeper(..)) | None => {
             frame_sink::send(
                 sink,
                 call_frame::CallFrame::Abort {
@@ -298,14 +309,5 @@
                 },
             );
         }
-        None => {
-            frame_sink::send(
-                sink,
-                call_frame::CallFrame::Refused {
-                    reason: call_outcome::RefusalReason::Leaving,
-                    report: None,
-                },
-            );
-        }
     }
 }
--- a/crates/node/src/request_owner.rs
+++ b/crates/node/src/request_owner.rs
@@ -1,122 +1,170 @@
-//! Decision point: at-most-once execution and retries. To be replaced by `ownership::action_ledger::ActionLedger` and
-//! `ownership::retry_ledger::RetryLedger`.
+//! At-most-once execution and retries of the requests that this daemon owns.
 
 use std::collections;
+use std::sync;
+use std::sync::mpsc;
+use std::time;
 
 use bytes::Bytes;
+use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
 use damasktrack_entity::request_identity;
-use damasktrack_wire::peer_message;
+use damasktrack_ownership::action_key;
+use damasktrack_ownership::action_ledger;
+use damasktrack_ownership::action_step;
+use damasktrack_ownership::answer_archive;
+use damasktrack_ownership::answer_cache;
+use damasktrack_ownership::claim_plan;
+use damasktrack_ownership::retry_ledger;
 
-/// Requests whose grants are remembered; the oldest are forgotten first and get no further grant.
-const MAX_GRANT_ENTRIES: usize = 100_000;
+use crate::core_calls;
+use crate::core_command;
 
-/// Call as the owner sees it.
+/// Calls to the store that wait for a worker; beyond them a claim counts as not sent.
+const MAX_STORE_JOBS: usize = 1024;
+
+/// Command about a request that this daemon owns.
+#[derive(Debug)]
+pub enum OwnerCommand {
+    /// An insert or a read of a claim ended.
+    ClaimSettled {
+        /// Claimed id.
+        request_id: Bytes,
+        /// Token of the claim.
+        token: claim_plan::ClaimToken,
+        /// Result.
+        result: claim_plan::ClaimResult,
+    },
+    /// The complete answer of a call; sent before the call's `Finish`.
+    Answered(ids::CallId, Box<answer_cache::StoredAnswer>),
+    /// The keeper of a request's retries answered about the arrival of a call.
+    Arrived(
+        ids::CallId,
+        damasktrack_wire::peer_message::GrantReply,
+        core_command::ReplySender<core_command::CallDecision>,
+    ),
+}
+
+/// Call to the store that the core asks for.
+#[derive(Debug)]
+pub enum StoreJob {
+    /// Insert the row of a claim.
+    Insert(claim_plan::ClaimPlan),
+    /// Read the row of a claim.
+    Read(claim_plan::ClaimPlan),
+    /// Write an answer; a failure is ignored.
+    Archive {
+        /// Key of the object.
+        key: String,
+        /// Content of the object.
+        content: Vec<u8>,
+    },
+}
+
+/// Sender of the core's calls to the store.
+#[derive(Clone, Debug)]
+pub struct StoreQueue {
+    jobs: Option<mpsc::SyncSender<StoreJob>>,
+}
+
+/// Receiver of the core's calls to the store.
+pub type StoreJobs = sync::Arc<sync::Mutex<mpsc::Receiver<StoreJob>>>;
+
+impl StoreQueue {
+    /// Makes a queue; without a store it takes nothing.
+    #[must_use]
+    pub fn new(has_store: bool) -> (Self, StoreJobs) {
+        let (sender, receiver) = mpsc::sync_channel(MAX_STORE_JOBS);
+        let queue = Self {
+            jobs: has_store.then_some(sender),
+        };
+        (queue, sync::Arc::new(sync::Mutex::new(receiver)))
+    }
+
+    /// Hands a job to the workers; returns whether one will run it.
+    #[must_use]
+    pub fn push(&self, job: StoreJob) -> bool {
+        self.jobs.as_ref().is_some_and(|jobs| jobs.try_send(job).is_ok())
+    }
+}
+
+/// Call that waits for a decision about its action, or for the keeper of its retries.
 #[derive(Debug)]
-pub struct ActionRequest<'a> {
-    /// Id of the root request.
-    pub request_id: &'a Bytes,
-    /// Whether the call may run more than once.
-    pub idempotent: bool,
-    /// Whether another daemon forwarded the call to this one as the owner.
-    pub forwarded: bool,
+pub(crate) struct PendingCall {
+    pub(crate) start: core_command::CallStart,
+    pub(crate) root: core_calls::CallRoot,
+    /// Absent while the worker of the call asks the keeper.
+    pub(crate) reply: Option<core_command::ReplySender<core_command::CallDecision>>,
 }
 
-/// What to do with a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum OwnerStep {
-    /// Route it to a backend server.
-    Dispatch,
-    /// Forward it to the daemon that owns the request id.
-    Forward(request_identity::RequestOwner),
-    /// Answer that its outcome can't be known.
-    Unknown,
+/// How far a dispatch of an action is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DrivePhase {
+    /// It may run.
+    Out,
+    /// It did not run, and the ledger waits for `retry` or `release`.
+    NotRun(call_outcome::RefusalReason),
+    /// The ledger expects nothing more of this call.
+    Ended,
 }
 
-/// Where a retry must be asked for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum GrantStep {
-    /// This daemon owns the request.
-    Local(peer_message::GrantReply),
-    /// Another daemon owns it.
-    Ask(request_identity::RequestOwner),
+/// Action that a call drives.
+#[derive(Clone, Debug)]
+pub struct ActionDrive {
+    pub(crate) key: action_key::ActionKey,
+    pub(crate) digest: action_key::Sha256Digest,
+    pub(crate) attempt: action_step::AttemptNumber,
+    pub(crate) phase: DrivePhase,
+    /// Complete answer, if it is small enough to be kept.
+    pub(crate) answer: Option<Box<answer_cache::StoredAnswer>>,
 }
 
-/// Id issue and grants of the requests that this incarnation owns.
+/// Ledgers of one incarnation. Invariant: each key of `pending` waits in the action ledger, or asks for its arrival.
 #[derive(Debug)]
 pub struct OwnerState {
-    identity: request_identity::RequestOwner,
-    sequence: u64,
-    grants: collections::HashMap<Bytes, u32>,
-    order: collections::VecDeque<Bytes>,
+    pub(crate) ledger: action_ledger::ActionLedger,
+    pub(crate) retries: retry_ledger::RetryLedger,
+    pub(crate) archive: answer_archive::AnswerArchive,
+    pub(crate) pending: collections::HashMap<ids::CallId, PendingCall>,
+    pub(crate) store: StoreQueue,
 }
 
 impl OwnerState {
     /// Creates the state of an incarnation.
     #[must_use]
-    pub fn new(identity: request_identity::RequestOwner) -> Self {
+    pub fn new(identity: request_identity::RequestOwner, store: StoreQueue, now: time::Instant) -> Self {
         Self {
-            identity,
-            sequence: 0,
-            grants: collections::HashMap::new(),
-            order: collections::VecDeque::new(),
+            ledger: action_ledger::ActionLedger::new(identity.clone(), action_ledger::LedgerLimits::default()),
+            retries: retry_ledger::RetryLedger::new(identity, retry_ledger::RetryLimits::default()),
+            archive: answer_archive::AnswerArchive::new(answer_archive::ArchiveLimits::default(), now),
+            pending: collections::HashMap::new(),
+            store,
         }
     }
 
     /// Issues a request id that this incarnation owns.
     pub fn issue_id(&mut self) -> Bytes {
-        self.sequence += 1;
-        request_identity::bound_id(&self.identity, self.sequence)
-    }
-
-    /// Grants one more attempt while the allowance lasts.
-    pub fn grant(&mut self, request_id: &Bytes, allowance: u32) -> peer_message::GrantReply {
-        if !self.grants.contains_key(request_id) {
-            self.order.push_back(request_id.clone());
-            if self.order.len() > MAX_GRANT_ENTRIES {
-                self.order.pop_front().and_then(|oldest| self.grants.remove(&oldest));
-            }
-        }
-        let spent = self.grants.entry(request_id.clone()).or_insert(0);
-        if *spent >= allowance {
-            return peer_message::GrantReply::Denied;
-        }
-        *spent += 1;
-        peer_message::GrantReply::Granted {
-            left: allowance - *spent,
-        }
+        self.ledger.issue_id()
     }
 }
 
-/// Queries.
-impl OwnerState {
-    /// Decides about a call before it is dispatched.
-    #[must_use]
-    pub fn begin(&self, request: &ActionRequest<'_>) -> OwnerStep {
-        if request.idempotent {
-            return OwnerStep::Dispatch;
-        }
-        match request_identity::parse(request.request_id) {
-            request_identity::RequestIdentity::Bound { owner, .. } if owner != self.identity => {
-                if request.forwarded {
-                    return OwnerStep::Unknown;
-                }
-                OwnerStep::Forward(owner)
-            }
-            request_identity::RequestIdentity::Bound { .. } | request_identity::RequestIdentity::Opaque => {
-                OwnerStep::Dispatch
-            }
-        }
+/// Returns the identity of a call's action.
+#[must_use]
+pub fn key_of(start: &core_command::CallStart, request_id: &Bytes) -> action_key::ActionKey {
+    action_key::ActionKey {
+        request_id: request_id.clone(),
+        service: start.service.clone(),
+        method: start.method.clone(),
+        path: start.path.clone(),
     }
+}
 
-    /// Tells who grants attempts of a request.
-    #[must_use]
-    pub fn grant_owner(&self, request_id: &Bytes) -> Option<request_identity::RequestOwner> {
-        match request_identity::parse(request_id) {
-            request_identity::RequestIdentity::Bound { owner, .. } if owner != self.identity => Some(owner),
-            request_identity::RequestIdentity::Bound { .. } | request_identity::RequestIdentity::Opaque => None,
-        }
-    }
+/// Returns the digest of a request body.
+#[must_use]
+pub fn body_digest(body: &[u8]) -> action_key::Sha256Digest {
+    let mut digest = action_key::BodyDigest::default();
+    digest.update(body);
+    digest.finish()
 }
 
 /// Returns an id that no other process draws, for incarnations and the start of call ids.
--- /dev/null
+++ b/crates/node/src/store_worker.rs
@@ -0,0 +1,110 @@
+//! Threads that make the core's calls to the store; results come back as commands.
+
+use std::io;
+use std::sync;
+use std::thread;
+use std::time;
+
+use damasktrack_ownership::claim_plan;
+use damasktrack_resource::store_rows;
+use serde_json::json;
+
+use crate::core_command;
+use crate::node_shared;
+use crate::request_owner;
+use crate::store_client;
+
+/// Threads; twice the calls that the client has in flight, so that a free place is taken at once.
+const THREADS: usize = 8;
+/// Pause after a read that found no row where an insert met one: the read was older than the insert.
+const STALE_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// Starts the threads.
+///
+/// # Errors
+/// Returns an error if a thread can't be started.
+pub fn start(shared: &sync::Arc<node_shared::NodeShared>, jobs: &request_owner::StoreJobs) -> io::Result<()> {
+    let Some(store) = &shared.store else {
+        return Ok(());
+    };
+    for _ in 0..THREADS {
+        let shared = sync::Arc::clone(shared);
+        let store = sync::Arc::clone(store);
+        let jobs = sync::Arc::clone(jobs);
+        thread::Builder::new()
+            .name("store".to_owned())
+            .spawn(move || run(&shared, &store, &jobs))?;
+    }
+    Ok(())
+}
+
+fn run(shared: &node_shared::NodeShared, store: &store_client::StoreClient, jobs: &request_owner::StoreJobs) {
+    loop {
+        let job = {
+            let jobs = jobs.lock().unwrap_or_else(sync::PoisonError::into_inner);
+            jobs.recv()
+        };
+        let (plan, result) = match job {
+            Ok(request_owner::StoreJob::Insert(plan)) => {
+                let result = insert(store, &plan);
+                (plan, result)
+            }
+            Ok(request_owner::StoreJob::Read(plan)) => {
+                let result = read(store, &plan);
+                (plan, result)
+            }
+            Ok(request_owner::StoreJob::Archive { key, content }) => {
+                if store.put_object(&key, content) != store_client::StoreReply::Ok(()) {
+                    log::info!(key = key.as_str(); "answer was not written to the object store");
+                }
+                continue;
+            }
+            Err(_stopped) => return,
+        };
+        let command = request_owner::OwnerCommand::ClaimSettled {
+            request_id: plan.request_id,
+            token: plan.token,
+            result,
+        };
+        shared.core.send(core_command::CoreCommand::Owner(command));
+    }
+}
+
+fn insert(store: &store_client::StoreClient, plan: &claim_plan::ClaimPlan) -> claim_plan::ClaimResult {
+    let commit = store_rows::TableCommit {
+        conditions: vec![store_rows::RowCondition {
+            table: claim_plan::CLAIM_TABLE.to_owned(),
+            key: plan.key.clone(),
+            version: 0,
+        }],
+        writes: vec![store_rows::RowWrite {
+            table: claim_plan::CLAIM_TABLE.to_owned(),
+            key: plan.key.clone(),
+            value: json!(plan.row),
+        }],
+    };
+    match store.commit(&commit) {
+        store_client::StoreReply::Ok(_) => claim_plan::ClaimResult::Inserted,
+        store_client::StoreReply::Conflict => claim_plan::ClaimResult::Conflict,
+        store_client::StoreReply::Unavailable => claim_plan::ClaimResult::Unavailable,
+        store_client::StoreReply::Unsettled => claim_plan::ClaimResult::Unsettled,
+    }
+}
+
+fn read(store: &store_client::StoreClient, plan: &claim_plan::ClaimPlan) -> claim_plan::ClaimResult {
+    match store.get::<serde_json::Value>(claim_plan::CLAIM_TABLE, &plan.key) {
+        store_client::StoreReply::Ok(Some(row)) => match serde_json::from_value(row.value) {
+            Ok(row) => claim_plan::ClaimResult::Found(row),
+            Err(error) => {
+                log::error!(key = plan.key.as_str(), error:% = error; "the row of a claim can't be read");
+                claim_plan::ClaimResult::Unreadable
+            }
+        },
+        store_client::StoreReply::Ok(None) => {
+            thread::sleep(STALE_PAUSE);
+            claim_plan::ClaimResult::Absent
+        }
+        store_client::StoreReply::Unavailable => claim_plan::ClaimResult::Unavailable,
+        store_client::StoreReply::Conflict | store_client::StoreReply::Unsettled => claim_plan::ClaimResult::Unsettled,
+    }
+}
--- a/crates/wire/src/peer_message.rs
+++ b/crates/wire/src/peer_message.rs
@@ -22,6 +22,9 @@
     pub class: ids::ClassName,
     /// Depth of the call that would be attempted again.
     pub depth: u32,
+    /// The call arrived from the caller under an id of the caller's: the first arrival costs nothing.
+    #[serde(default)]
+    pub arrival: bool,
 }
 
 /// Answer to a [`GrantRequest`].
