--- a/crates/daemon/tests/processes/support.rs
+++ b/crates/daemon/tests/processes/support.rs
@@ -27,11 +27,16 @@
 impl Daemon {
     /// Starts a daemon on free ports; `extra` is further JSON members, each with a leading comma.
     pub fn start(id: &str, extra: &str) -> Self {
+        Self::start_at(id, "127.0.0.1:0", extra)
+    }
+
+    /// As [`Self::start`], with the address for peers.
+    pub fn start_at(id: &str, peer: &str, extra: &str) -> Self {
         static FILES: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
         let number = FILES.fetch_add(1, atomic::Ordering::Relaxed);
         let name = format!("settings-{}-{number}.json", process::id());
         let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-        let listen = r#""entry_listen":"127.0.0.1:0","peer_listen":"127.0.0.1:0","api_listen":"127.0.0.1:0""#;
+        let listen = format!(r#""entry_listen":"127.0.0.1:0","peer_listen":"{peer}","api_listen":"127.0.0.1:0""#);
         let text = format!(r#"{{"daemon_id":"{id}","region":"r","data_centre":"d",{listen}{extra}}}"#);
         fs::write(&file, text).unwrap();
         let mut child = process::Command::new(env!("CARGO_BIN_EXE_damasktrackd"))
