--- a/crates/daemon/tests/processes/cluster.rs
+++ b/crates/daemon/tests/processes/cluster.rs
@@ -6,6 +6,7 @@
 use std::path;
 use std::process;
 use std::sync;
+use std::sync::atomic;
 use std::thread;
 
 use serde_json::json;
@@ -146,7 +147,7 @@
     pub store: StandIn,
     pub backend: StandIn,
     pub daemons: Vec<support::Daemon>,
-    ports: Vec<u16>,
+    peers: Vec<net::SocketAddr>,
 }
 
 impl Cluster {
@@ -159,7 +160,7 @@
                 &["--service-ms", &service_ms.to_string(), "--slots", "40"],
             ),
             daemons: Vec::new(),
-            ports: free_ports(4),
+            peers: peer_addresses(4),
         };
         for index in 0..3 {
             let daemon = cluster.start_daemon(index);
@@ -194,9 +195,9 @@
     pub fn start_daemon(&self, index: usize) -> support::Daemon {
         let seeds: Vec<_> = (0..3)
             .filter(|other| *other != index)
-            .map(|other| format!("127.0.0.1:{}", self.ports[other]))
+            .map(|other| self.peers[other].to_string())
             .collect();
-        let peer = format!("127.0.0.1:{}", self.ports[index]);
+        let peer = self.peers[index].to_string();
         let operators = json!([{"name": "maja", "role": "admin", "key_sha256": KEY_SHA256}]);
         let mut extra = format!(
             r#","seeds":{},"store_address":"{}","operators":{operators}"#,
@@ -279,13 +280,18 @@
     }
 }
 
-/// Returns ports that were free a moment ago; daemons that know each other from the start need them in advance.
-fn free_ports(count: usize) -> Vec<u16> {
+/// Returns addresses for daemons that know each other from the start. They lie on a loopback address of their own, so
+/// that no other socket takes one of the ports before its daemon does.
+fn peer_addresses(count: usize) -> Vec<net::SocketAddr> {
+    static CLUSTERS: atomic::AtomicU8 = atomic::AtomicU8::new(2);
+    let [_, _, high, low] = process::id().to_be_bytes();
+    let host = CLUSTERS.fetch_add(1, atomic::Ordering::Relaxed);
+    let address = net::Ipv4Addr::new(127, high, low, host);
     let listeners: Vec<_> = (0..count)
-        .map(|_| net::TcpListener::bind("127.0.0.1:0").unwrap())
+        .map(|_| net::TcpListener::bind((address, 0)).unwrap())
         .collect();
     listeners
         .iter()
-        .map(|listener| listener.local_addr().unwrap().port())
+        .map(|listener| listener.local_addr().unwrap())
         .collect()
 }
