Refuse work as starting before a configuration is known; test ambiguous results

Cause: a callee without a configuration answered 404 for declared services, and a mutation that took ambiguous results as not run passed the process tests. Ids of 201 to 256 bytes were accepted and then refused as not declared. Change: such a callee refuses work as starting, so another server is tried; a process test repeats actions after a cut response and a killed callee; the entry listener answers 400 to ids over 200 bytes.

--- a/crates/daemon/tests/processes/actions.rs
+++ b/crates/daemon/tests/processes/actions.rs
@@ -131,6 +131,42 @@
     assert_eq!(cluster.backend.max_executions(), 1);
 }
 
+/// Guards against an action that runs again after a result that does not tell whether it ran.
+#[test]
+fn ambiguous_result_is_final() {
+    let mut cluster = cluster::Cluster::start(5, 600);
+    let bound = cluster.issue(1);
+    let ids = ["cut-1", &bound, "killed-1"];
+    cluster.backend.fault(&json!({"kind": "cut_body"}));
+    for id in &ids[..2] {
+        let end = cluster.file(1, id);
+        assert!(["unknown", "broken"].contains(&end.outcome.as_str()), "{end:?}");
+    }
+    cluster.backend.fault(&json!({"kind": "clear"}));
+    cluster.backend.fault(&json!({"kind": "slow", "value": 80}));
+    let killed = cluster::start_filing(cluster.daemons[1].entry, ids[2]);
+    cluster.wait_execution(ids[2]);
+    cluster.daemons[0].kill();
+    assert_eq!(killed.join().unwrap().outcome, "unknown");
+    cluster.daemons[0] = cluster.start_daemon(0);
+    cluster::wait_ready(&cluster.daemons[0]);
+    cluster.backend.fault(&json!({"kind": "clear"}));
+    support::wait_for("the service to be routed to again", || {
+        (cluster.file(1, &cluster.issue(1)).outcome == "done").then_some(())
+    });
+    // Past the grace after which the owner gives up a call that reported nothing.
+    let end = time::Instant::now() + time::Duration::from_secs(4);
+    while time::Instant::now() < end {
+        for id in ids {
+            for end in cluster.file_through(&[0, 1, 2], id) {
+                assert_eq!(end.outcome, "unknown", "{id} {end:?}");
+            }
+        }
+        thread::sleep(time::Duration::from_millis(100));
+    }
+    assert_eq!(cluster.backend.max_executions(), 1);
+}
+
 /// Guards against an opaque id that runs without a settled claim, and against bound ids that need the store.
 #[test]
 fn faults_of_the_store_cost_no_bound_id_and_no_second_execution() {
--- a/crates/node/src/core_work.rs
+++ b/crates/node/src/core_work.rs
@@ -54,6 +54,11 @@
         reply: core_command::ReplySender<core_command::WorkDecision>,
         now: time::Instant,
     ) {
+        if !self.config.settled {
+            let reason = call_outcome::RefusalReason::Starting;
+            let _gone = reply.send(core_command::WorkDecision::Refuse { reason, report: None });
+            return;
+        }
         let found = self.classes.find(
             &arrival.service,
             &arrival.method,
--- a/crates/node/src/entry_request.rs
+++ b/crates/node/src/entry_request.rs
@@ -10,6 +10,7 @@
 use damasktrack_entity::call_context;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
+use damasktrack_entity::request_identity;
 use damasktrack_ownership::action_step;
 use damasktrack_ownership::answer_archive;
 use damasktrack_ownership::answer_cache;
@@ -28,9 +29,6 @@
 use crate::request_owner;
 use crate::worker_pool;
 
-/// Longest request id that a caller may choose.
-const MAX_REQUEST_ID_BYTES: usize = 256;
-
 /// Request of a caller, ready to run.
 #[derive(Debug)]
 pub struct EntryRequest {
@@ -94,10 +92,10 @@
         });
     }
     let request_id = headers.get(header_filter::REQUEST_KEY_HEADER);
-    if request_id.is_some_and(|value| value.is_empty() || value.len() > MAX_REQUEST_ID_BYTES) {
+    if request_id.is_some_and(|value| value.is_empty() || value.len() > request_identity::MAX_REQUEST_ID_BYTES) {
         return Err(RequestFault {
             status: 400,
-            text: "the Idempotency-Key header is empty or longer than 256 bytes\n",
+            text: "the Idempotency-Key header is empty or longer than 200 bytes\n",
         });
     }
     let tenant = headers.get(header_filter::TENANT_HEADER);
