--- a/crates/daemon/tests/processes/cluster.rs
+++ b/crates/daemon/tests/processes/cluster.rs
@@ -168,6 +168,10 @@
         }
         for daemon in &cluster.daemons {
             wait_ready(daemon);
+            support::wait_for("the daemons to know each other", || {
+                let known = operate(daemon, "GET", "/v1/daemons", "", "").1;
+                (known["items"].as_array()?.len() == 3).then_some(())
+            });
         }
         let class = |name: &str, method: &str, critical: bool| {
             json!({"kind": "Class", "name": name, "spec": {
--- a/crates/node/src/api_server.rs
+++ b/crates/node/src/api_server.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::io::Read as _;
-use std::io::Write as _;
 use std::net;
 use std::sync;
 use std::sync::atomic;
@@ -36,17 +35,12 @@
 const MAX_WATCHES: usize = 32;
 /// Changes that one response holds.
 const MAX_CHANGES: usize = 1000;
-/// See [`crate::peer_connector`] for the fault of `tiny_http` that occupying its idle threads avoids.
-const TINY_HTTP_IDLE_THREADS: usize = 4;
-/// Time for the response on an occupying connection.
-const OCCUPY_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
 /// Running server.
 #[derive(Debug)]
 pub struct ApiServer {
     address: net::SocketAddr,
     server: sync::Arc<http_listener::HttpServer>,
-    occupied: Vec<net::TcpStream>,
 }
 
 /// What the workers share.
@@ -74,13 +68,9 @@
     /// Returns an error if the address can't be listened on.
     pub fn bind(address: net::SocketAddr, stall_timeout: time::Duration) -> io::Result<Self> {
         let (server, address) = http_listener::bind(address, stall_timeout)?;
-        let occupied: io::Result<Vec<_>> = (0..TINY_HTTP_IDLE_THREADS)
-            .map(|_| net::TcpStream::connect(address))
-            .collect();
         Ok(Self {
             address,
             server: sync::Arc::new(server),
-            occupied: occupied?,
         })
     }
 
@@ -116,17 +106,6 @@
                 }
             })?;
         }
-        self.occupy()
-    }
-
-    /// Waits until each occupying connection has its thread. A connection that arrived before would be queued behind
-    /// threads that are about to take these.
-    fn occupy(&self) -> io::Result<()> {
-        for mut stream in &self.occupied {
-            stream.set_read_timeout(Some(OCCUPY_TIMEOUT))?;
-            stream.write_all(b"GET /health HTTP/1.1\r\nHost: api\r\n\r\n")?;
-            let _length = stream.read(&mut [0; 512])?;
-        }
         Ok(())
     }
 }
