Sample the load of the backend server's stand-in at its start

Cause: lagging_reports_and_freezes failed once under load: the sampling thread took its first sample after the drain that the test sends, so the report of an hour ago was already the drained one. Ruled out: the lag rule. Change: the first sample is taken when the state is made.

--- a/crates/standins/src/backend_state.rs
+++ b/crates/standins/src/backend_state.rs
@@ -171,7 +171,7 @@
             .max_idle_connections(options.slots.max(1))
             .max_idle_connections_per_host(options.slots.max(1))
             .build();
-        Self {
+        let state = Self {
             slots: backend_slots::SlotTable::new(options.slots),
             agent: ureq::Agent::new_with_config(config),
             started: time::Instant::now(),
@@ -183,7 +183,10 @@
                 samples: collections::VecDeque::new(),
             }),
             options,
-        }
+        };
+        // Reports that lag start from the state at the start, however late the sampling thread runs.
+        state.sample();
+        state
     }
 
     /// Adds a fault.
