Take a free port without SO_REUSEADDR

Cause: with the option, two processes that bind port 0 at the same time can get one port, and the later listen fails; a process test failed so with 'Address already in use'. Change: the option is set only for ports that the settings name. Result: not reproduced on purpose.

--- a/crates/node/src/http_listener.rs
+++ b/crates/node/src/http_listener.rs
@@ -74,7 +74,8 @@
         socket2::Type::STREAM,
         Some(socket2::Protocol::TCP),
     )?;
-    socket.set_reuse_address(true)?;
+    // With this option, the system may give the port of one socket that does not listen yet to a second one.
+    socket.set_reuse_address(address.port() != 0)?;
     socket.set_tcp_nodelay(true)?;
     // Connections inherit it as well; without it, a client that stops reading holds its thread for as long as it likes.
     socket.set_write_timeout(Some(stall_timeout))?;
