Admit work through the gate of the backend server

A fixed limit with a bounded queue shed calls by arrival order. The daemon now asks the admission gate, with the importance of the request, tenant weights and slots from the resources, timers from its next wake, and the time of nested calls. The level is reported when the work ends, since nested calls may have met a worse one below.

--- a/crates/admission/src/admission_gate.rs
+++ b/crates/admission/src/admission_gate.rs
@@ -119,6 +119,15 @@
         self.shares.set_weight(tenant, weight);
     }
 
+    /// Takes another number of declared slots; running calls go on.
+    pub fn set_slots(&mut self, slots: u32) {
+        let slots = slots.max(1);
+        if slots != self.policy.slots {
+            self.policy.slots = slots;
+            self.limit.set_slots(slots, self.policy.limit_factor);
+        }
+    }
+
     /// Decides on an arriving call.
     pub fn offer(&mut self, arrival: &CallArrival, now: time::Instant) -> ArrivalDecision {
         self.counts.offered += 1;
@@ -413,6 +422,12 @@
         }
     }
 
+    /// Returns the lowest level that the short lane admits.
+    #[must_use]
+    pub fn level(&self) -> admission_level::AdmissionLevel {
+        self.short.levels.level()
+    }
+
     /// Returns the number of calls that may run at once.
     #[must_use]
     pub fn limit(&self) -> u32 {
--- a/crates/admission/src/concurrency_limit.rs
+++ b/crates/admission/src/concurrency_limit.rs
@@ -118,6 +118,14 @@
         }
     }
 
+    /// Starts anew from another number of declared slots.
+    pub fn set_slots(&mut self, slots: u32, limit_factor: f64) {
+        *self = Self {
+            last_shed: self.last_shed,
+            ..Self::new(slots, limit_factor)
+        };
+    }
+
     /// Notes that a call had to wait or to be refused because the limit was reached.
     pub fn note_saturated(&mut self) {
         self.saturated = true;
--- a/crates/node/src/admission_control.rs
+++ b/crates/node/src/admission_control.rs
@@ -1,84 +1,25 @@
-//! Decision point: admission at the callee. To be replaced by `admission::admission_gate::AdmissionGate`, whose
-//! functions have these names.
+//! Admission at the callee: the gate of the local backend server, its health and its declared slots.
 
-use std::collections;
 use std::time;
 
+use bytes::Bytes;
+use damasktrack_admission::admission_gate;
+use damasktrack_admission::admission_policy;
+use damasktrack_admission::gate_report;
 use damasktrack_entity::admission_level;
+use damasktrack_entity::call_context;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
 
 use crate::call_class;
 
-/// Calls that may wait for each slot before further ones are refused.
-const QUEUE_PER_SLOT: usize = 4;
-
-/// Call that asks to be admitted.
-#[derive(Clone, Debug)]
-pub struct CallArrival {
-    /// Id of the call at this daemon.
-    pub call: ids::CallId,
-    /// Class as declared.
-    pub class: call_class::CallClass,
-    /// Priority by which the call is shed.
-    pub level: admission_level::AdmissionLevel,
-    /// End of the call's remaining time.
-    pub deadline: time::Instant,
-}
-
-/// What to do with an arrival.
-#[derive(Clone, Copy, Debug)]
-pub enum ArrivalDecision {
-    /// Dispatch it now.
-    Start,
-    /// Keep it until [`AdmissionControl::poll`] names it.
-    Queued,
-    /// Answer that it did not run.
-    Refuse(call_outcome::RefusalReason),
-}
-
-/// What to do next with queued calls.
-#[derive(Clone, Copy, Debug)]
-pub enum NextStart {
-    /// Dispatch this call.
-    Start(ids::CallId),
-    /// Answer that this call did not run.
-    Refuse(ids::CallId, call_outcome::RefusalReason),
-    /// Nothing until the next event.
-    Idle,
-}
-
-/// How admitted work ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FinishResult {
-    /// The backend server answered completely.
-    Completed,
-    /// The backend server reported that the call did not run.
-    ShedByBackendServer,
-    /// The call did not complete.
-    Failed,
-    /// The call was cancelled.
-    Cancelled,
-}
-
-/// What a cancellation met.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CancelDecision {
-    /// The call was queued and is dropped.
-    Dropped,
-    /// The call runs; the backend server must be told.
-    Running,
-    /// The call is not known.
-    Absent,
-}
-
-/// Fixed limit with a bounded queue.
+/// Admission to the backend server of this daemon.
 #[derive(Debug)]
 pub struct AdmissionControl {
-    limit: usize,
-    running: collections::HashSet<ids::CallId>,
-    queue: collections::VecDeque<(ids::CallId, time::Instant)>,
-    draining: bool,
+    /// Absent if the daemon has no backend server.
+    gate: Option<admission_gate::AdmissionGate>,
+    /// Slots as the settings declare them; a declared service replaces them.
+    settings_slots: u32,
     backend_server_up: bool,
 }
 
@@ -87,78 +28,81 @@
     /// Creates the control for a backend server with so many slots; 0 if there is no backend server.
     #[must_use]
     pub fn new(slots: u32) -> Self {
+        let policy = admission_policy::AdmissionPolicy::for_slots(slots);
         Self {
-            limit: slots as usize,
-            running: collections::HashSet::new(),
-            queue: collections::VecDeque::new(),
-            draining: false,
+            gate: (slots > 0).then(|| admission_gate::AdmissionGate::new(policy)),
+            settings_slots: slots,
             backend_server_up: true,
         }
     }
 
-    /// Offers a call.
-    pub fn offer(&mut self, arrival: &CallArrival, now: time::Instant) -> ArrivalDecision {
-        if self.draining {
-            return ArrivalDecision::Refuse(call_outcome::RefusalReason::Leaving);
+    /// Takes the slots that the service of the backend server declares; `None` if the service is not declared.
+    pub fn set_declared_slots(&mut self, slots: Option<u32>) {
+        if let Some(gate) = &mut self.gate {
+            gate.set_slots(slots.unwrap_or(self.settings_slots));
         }
-        if self.limit == 0 || !self.backend_server_up {
-            return ArrivalDecision::Refuse(call_outcome::RefusalReason::BackendServerDown);
-        }
-        if arrival.deadline <= now {
-            return ArrivalDecision::Refuse(call_outcome::RefusalReason::DeadlineTooShort);
-        }
-        if self.running.len() < self.limit {
-            self.running.insert(arrival.call);
-            return ArrivalDecision::Start;
+    }
+
+    /// Takes the weight of a declared tenant.
+    pub fn set_tenant_weight(&mut self, tenant: &ids::TenantName, weight: u32) {
+        if let Some(gate) = &mut self.gate {
+            gate.set_tenant_weight(tenant, weight);
         }
-        if self.queue.len() >= self.limit * QUEUE_PER_SLOT {
-            return ArrivalDecision::Refuse(call_outcome::RefusalReason::QueueFull);
+    }
+
+    /// Offers a call.
+    pub fn offer(&mut self, arrival: &gate_report::CallArrival, now: time::Instant) -> gate_report::ArrivalDecision {
+        match &mut self.gate {
+            Some(gate) if self.backend_server_up => gate.offer(arrival, now),
+            _ => gate_report::ArrivalDecision::Refuse(call_outcome::RefusalReason::BackendServerDown),
         }
-        self.queue.push_back((arrival.call, arrival.deadline));
-        ArrivalDecision::Queued
     }
 
     /// Returns the next queued call to start or refuse; called until idle after each event and timer.
-    pub fn poll(&mut self, now: time::Instant) -> NextStart {
-        let Some((call, deadline)) = self.queue.front().copied() else {
-            return NextStart::Idle;
-        };
-        if deadline <= now {
-            self.queue.pop_front();
-            return NextStart::Refuse(call, call_outcome::RefusalReason::DeadlineTooShort);
-        }
-        if self.running.len() >= self.limit {
-            return NextStart::Idle;
-        }
-        self.queue.pop_front();
-        self.running.insert(call);
-        NextStart::Start(call)
+    pub fn poll(&mut self, now: time::Instant) -> gate_report::NextStart {
+        let gate = self.gate.as_mut();
+        gate.map_or(gate_report::NextStart::Idle, |gate| gate.poll(now))
     }
 
     /// Ends admitted work.
-    pub fn finish(&mut self, call: ids::CallId, _result: FinishResult, _now: time::Instant) {
-        self.running.remove(&call);
+    pub fn finish(&mut self, call: ids::CallId, result: gate_report::FinishResult, now: time::Instant) {
+        if let Some(gate) = &mut self.gate {
+            gate.finish(call, result, now);
+        }
     }
 
-    /// Drops a queued call, or tells that it runs.
-    pub fn cancel(&mut self, call: ids::CallId, _now: time::Instant) -> CancelDecision {
-        if self.running.contains(&call) {
-            return CancelDecision::Running;
+    /// Notes that running work made a call to another service.
+    pub fn nested_started(&mut self, call: ids::CallId, now: time::Instant) {
+        if let Some(gate) = &mut self.gate {
+            gate.nested_started(call, now);
         }
-        let before = self.queue.len();
-        self.queue.retain(|queued| queued.0 != call);
-        if self.queue.len() < before {
-            return CancelDecision::Dropped;
+    }
+
+    /// Notes the end of a call that running work made.
+    pub fn nested_finished(&mut self, call: ids::CallId, now: time::Instant) {
+        if let Some(gate) = &mut self.gate {
+            gate.nested_finished(call, now);
         }
-        CancelDecision::Absent
+    }
+
+    /// Drops a queued call, or tells that it runs.
+    pub fn cancel(&mut self, call: ids::CallId) -> gate_report::CancelDecision {
+        let gate = self.gate.as_mut();
+        gate.map_or(gate_report::CancelDecision::Absent, |gate| gate.cancel(call))
     }
 
     /// Adapts to the passing of time.
-    pub fn tick(&mut self, _now: time::Instant) {}
+    pub fn tick(&mut self, now: time::Instant) {
+        if let Some(gate) = &mut self.gate {
+            gate.tick(now);
+        }
+    }
 
-    /// Refuses new work from now on; queued and running work goes on.
+    /// Refuses queued calls and all later ones; running work goes on.
     pub fn drain(&mut self) {
-        self.draining = true;
+        if let Some(gate) = &mut self.gate {
+            gate.drain();
+        }
     }
 
     /// Takes the result of a health check.
@@ -169,16 +113,16 @@
 
 /// Queries.
 impl AdmissionControl {
-    /// Returns the level that the path admits for a class.
+    /// Returns the level that the gate admits for one of its classes.
     #[must_use]
-    pub fn report(&self, _class: &ids::ClassName, _now: time::Instant) -> Option<call_outcome::LevelReport> {
-        None
-    }
-
-    /// Returns the number of queued and running calls.
-    #[must_use]
-    pub fn in_progress(&self) -> usize {
-        self.queue.len() + self.running.len()
+    pub fn report(&self, class: &ids::ClassName) -> call_outcome::LevelReport {
+        self.gate.as_ref().map_or(
+            call_outcome::LevelReport {
+                level: admission_level::AdmissionLevel::LOWEST,
+                age: time::Duration::ZERO,
+            },
+            |gate| gate.report(class),
+        )
     }
 
     /// Returns whether the backend server answers its health checks.
@@ -189,7 +133,36 @@
 
     /// Returns when [`Self::poll`] should be called next without an event.
     #[must_use]
-    pub fn next_wake(&self, _now: time::Instant) -> Option<time::Instant> {
-        self.queue.front().map(|queued| queued.1)
+    pub fn next_wake(&self, now: time::Instant) -> Option<time::Instant> {
+        self.gate.as_ref().and_then(|gate| gate.next_wake(now))
+    }
+
+    /// Returns the gate, if the daemon has a backend server.
+    #[must_use]
+    pub fn gate(&self) -> Option<&admission_gate::AdmissionGate> {
+        self.gate.as_ref()
+    }
+}
+
+/// Returns the name under which the gate keeps a call. A call of another class than its request has service times and
+/// perhaps a lane of its own, and keeps the importance of the request.
+#[must_use]
+pub fn gate_class(context: &call_context::CallContext, class: &call_class::CallClass) -> ids::ClassName {
+    if context.class == class.name {
+        return class.name.clone();
+    }
+    let mut name = Vec::with_capacity(context.class.len() + class.name.len() + 1);
+    name.extend_from_slice(&context.class);
+    name.push(b'/');
+    name.extend_from_slice(&class.name);
+    Bytes::from(name)
+}
+
+/// Returns the lane of the gate for a class.
+#[must_use]
+pub fn gate_lane(lane: call_class::CallLane) -> gate_report::CallLane {
+    match lane {
+        call_class::CallLane::Short => gate_report::CallLane::Short,
+        call_class::CallLane::Long => gate_report::CallLane::Long,
     }
 }
--- a/crates/node/src/call_class.rs
+++ b/crates/node/src/call_class.rs
@@ -115,6 +115,12 @@
         })
     }
 
+    /// Returns whether requests of a class are shed last.
+    #[must_use]
+    pub fn is_critical(&self, class: &ids::ClassName) -> bool {
+        self.set.class(class).is_some_and(|class| class.critical)
+    }
+
     /// Returns the limits of the requests of a class.
     #[must_use]
     pub fn chain_limits(&self, class: &ids::ClassName) -> Option<ChainLimits> {
--- a/crates/node/src/call_table.rs
+++ b/crates/node/src/call_table.rs
@@ -57,6 +57,8 @@
     pub context: call_context::CallContext,
     /// Class of the call at this service.
     pub class: call_class::CallClass,
+    /// Name of the class at the admission gate.
+    pub gate_class: ids::ClassName,
     /// End of the remaining time.
     pub deadline: time::Instant,
     /// Daemon and call that wait for it.
--- a/crates/node/src/callee_runner.rs
+++ b/crates/node/src/callee_runner.rs
@@ -6,13 +6,13 @@
 use std::time;
 
 use bytes::Bytes;
+use damasktrack_admission::gate_report;
 use damasktrack_entity::call_context;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
 use damasktrack_wire::call_frame;
 use damasktrack_wire::peer_message;
 
-use crate::admission_control;
 use crate::backend_client;
 use crate::call_table;
 use crate::call_watch;
@@ -41,7 +41,6 @@
 }
 
 struct WorkStart {
-    report: Option<call_outcome::LevelReport>,
     idempotent: bool,
     close_delimited: bool,
 }
@@ -53,11 +52,9 @@
     let cancelled = call_watch::CancelFlag::default();
     let start = match admit(shared, request, call, deadline, &cancelled, sink) {
         core_command::WorkDecision::Start {
-            report,
             idempotent,
             close_delimited,
         } => WorkStart {
-            report,
             idempotent,
             close_delimited,
         },
@@ -81,10 +78,11 @@
             "response without a length can't be told from a truncated one; the service does not declare close_delimited"
         );
     }
-    shared
+    // The level is asked for after the work, since its nested calls may have met a worse one.
+    let report = shared
         .core
-        .send(core_command::CoreCommand::FinishWork(call, finish_result(end)));
-    frame_sink::send(sink, last_frame(end, &start));
+        .ask(|reply| core_command::CoreCommand::FinishWork(call, finish_result(end), reply));
+    frame_sink::send(sink, last_frame(end, &start, report.flatten()));
 }
 
 /// Waits until the call may start, with a `Working` frame at intervals.
@@ -170,20 +168,23 @@
     backend.call(&backend_request, watch, &mut |frame| frame_sink::send(sink, frame))
 }
 
-fn finish_result(end: backend_client::BackendEnd) -> admission_control::FinishResult {
+fn finish_result(end: backend_client::BackendEnd) -> gate_report::FinishResult {
     match end {
-        backend_client::BackendEnd::Complete => admission_control::FinishResult::Completed,
-        backend_client::BackendEnd::NotRun => admission_control::FinishResult::ShedByBackendServer,
-        backend_client::BackendEnd::Cancelled => admission_control::FinishResult::Cancelled,
+        backend_client::BackendEnd::Complete => gate_report::FinishResult::Completed,
+        backend_client::BackendEnd::NotRun => gate_report::FinishResult::ShedByBackendServer,
+        backend_client::BackendEnd::Cancelled => gate_report::FinishResult::Cancelled,
         backend_client::BackendEnd::NotSent
         | backend_client::BackendEnd::Broken
         | backend_client::BackendEnd::CloseDelimited
-        | backend_client::BackendEnd::Deadline => admission_control::FinishResult::Failed,
+        | backend_client::BackendEnd::Deadline => gate_report::FinishResult::Failed,
     }
 }
 
-fn last_frame(end: backend_client::BackendEnd, start: &WorkStart) -> call_frame::CallFrame {
-    let report = start.report;
+fn last_frame(
+    end: backend_client::BackendEnd,
+    start: &WorkStart,
+    report: Option<call_outcome::LevelReport>,
+) -> call_frame::CallFrame {
     match end {
         backend_client::BackendEnd::Complete => call_frame::CallFrame::End { report },
         backend_client::BackendEnd::NotRun => call_frame::CallFrame::Refused {
--- a/crates/node/src/core_command.rs
+++ b/crates/node/src/core_command.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use bytes::Bytes;
+use damasktrack_admission::gate_report;
 use damasktrack_entity::call_context;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
@@ -12,7 +13,6 @@
 use damasktrack_wire::call_frame;
 use damasktrack_wire::peer_message;
 
-use crate::admission_control;
 use crate::call_class;
 use crate::call_watch;
 use crate::core_config;
@@ -76,8 +76,12 @@
     CallerGone(ids::CallId),
     /// A call arrived for the backend server of this daemon.
     Arrive(Box<WorkArrival>, ReplySender<WorkDecision>),
-    /// Admitted work ended.
-    FinishWork(ids::CallId, admission_control::FinishResult),
+    /// Admitted work ended; the reply is the level that the path admits for its class.
+    FinishWork(
+        ids::CallId,
+        gate_report::FinishResult,
+        ReplySender<Option<call_outcome::LevelReport>>,
+    ),
     /// A peer no longer waits for a call.
     CancelFromPeer(peer_message::CancelRequest),
     /// A peer asks for an attempt of a request that this daemon owns.
@@ -275,8 +279,6 @@
 pub enum WorkDecision {
     /// Dispatch it.
     Start {
-        /// Level that the path admits for the class.
-        report: Option<call_outcome::LevelReport>,
         /// Whether the call may run more than once.
         idempotent: bool,
         /// Whether a response that ends with its connection counts as complete.
--- a/crates/node/src/core_config.rs
+++ b/crates/node/src/core_config.rs
@@ -7,6 +7,7 @@
 use damasktrack_entity::ids;
 use damasktrack_resource::change_log;
 use damasktrack_resource::config_log;
+use damasktrack_resource::resource_document;
 use damasktrack_resource::resource_set;
 
 use crate::core_command;
@@ -146,9 +147,22 @@
         let revision = self.config.log.revision();
         log::info!(revision = revision; "configuration in force changed");
         self.classes.set_resources(sync::Arc::clone(self.config.log.set()));
+        self.take_limits();
         self.effects.config_signal().set_revision(revision);
     }
 
+    /// Hands the declared slots and tenant weights to the admission gate.
+    fn take_limits(&mut self) {
+        let set = sync::Arc::clone(self.config.log.set());
+        let declared = self.service.as_ref().and_then(|service| set.service(service));
+        self.admission.set_declared_slots(declared.map(|service| service.slots));
+        for entry in set.resources() {
+            if let resource_document::Resource::Tenant(tenant) = &entry.resource {
+                self.admission.set_tenant_weight(&tenant.name, tenant.weight);
+            }
+        }
+    }
+
     /// Counts an ended call, or one that was refused before it was sent.
     #[expect(dead_code, reason = "the request owner counts with it once it is connected")]
     pub(crate) fn count_effect(&mut self, class: &ids::ClassName, refused: bool, attempts: u32) {
--- a/crates/node/src/core_thread.rs
+++ b/crates/node/src/core_thread.rs
@@ -44,6 +44,8 @@
 
 struct CoreActor {
     core: node_core::NodeCore,
+    /// Timer of the earliest wake that the core asked for.
+    wake: stakker::MinTimerKey,
     /// Closes the channel when the actor ends, which ends all waits for replies.
     _guard: stakker::sync::ChannelGuard,
 }
@@ -59,7 +61,11 @@
         let (channel, guard) = stakker::sync::Channel::new(cx, receiver);
         ready.send(channel).ok()?;
         stakker::after!(node_core::TICK_INTERVAL, [cx], tick());
-        Some(Self { core, _guard: guard })
+        Some(Self {
+            core,
+            wake: stakker::MinTimerKey::default(),
+            _guard: guard,
+        })
     }
 
     fn receive(&mut self, cx: stakker::CX![], command: core_command::CoreCommand) {
@@ -69,11 +75,25 @@
         }
         let now = cx.now();
         self.core.handle(command, now);
+        self.plan_wake(cx, now);
+    }
+
+    fn wake(&mut self, cx: stakker::CX![]) {
+        let now = cx.now();
+        self.core.wake(now);
+        self.plan_wake(cx, now);
+    }
+
+    fn plan_wake(&mut self, cx: stakker::CX![], now: time::Instant) {
+        if let Some(at) = self.core.next_wake(now) {
+            stakker::timer_min!(&mut self.wake, at, [cx], wake());
+        }
     }
 
     fn tick(&mut self, cx: stakker::CX![]) {
         let now = cx.now();
         self.core.tick(now);
+        self.plan_wake(cx, now);
         stakker::after!(node_core::TICK_INTERVAL, [cx], tick());
     }
 }
--- a/crates/node/src/core_work.rs
+++ b/crates/node/src/core_work.rs
@@ -3,11 +3,14 @@
 use std::sync::atomic;
 use std::time;
 
+use damasktrack_admission::gate_report;
+use damasktrack_admission::level_view;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
 use damasktrack_wire::peer_message;
 
 use crate::admission_control;
+use crate::call_class;
 use crate::call_table;
 use crate::core_command;
 use crate::node_core;
@@ -27,21 +30,21 @@
     }
 
     fn cancel_work(&mut self, call: ids::CallId, now: time::Instant) {
-        let decision = self.admission.cancel(call, now);
+        let decision = self.admission.cancel(call);
         if let Some(work) = self.calls.work(call) {
             work.cancelled.store(true, atomic::Ordering::Relaxed);
         }
         match decision {
-            admission_control::CancelDecision::Running => {
+            gate_report::CancelDecision::Running => {
                 self.effects.cancel_at_backend_server(call);
                 for child in self.calls.children(call) {
                     self.cancel_outgoing(child);
                 }
             }
-            admission_control::CancelDecision::Dropped => {
+            gate_report::CancelDecision::Dropped => {
                 self.refuse_work(call, call_outcome::RefusalReason::Cancelled, now);
             }
-            admission_control::CancelDecision::Absent => {}
+            gate_report::CancelDecision::Absent => {}
         }
     }
 
@@ -62,69 +65,86 @@
             let _gone = reply.send(core_command::WorkDecision::Refuse { reason, report: None });
             return;
         };
+        let gate_class = admission_control::gate_class(&arrival.context, &class);
         let decision = self.admission.offer(
-            &admission_control::CallArrival {
+            &gate_report::CallArrival {
                 call: arrival.call,
-                class: class.clone(),
+                class: gate_class.clone(),
+                tenant: class.tenant.clone(),
+                // Importance belongs to the whole request, so that all its calls are shed together.
+                importance: arrival.context.level.importance,
+                critical: self.classes.is_critical(&arrival.context.class),
+                lane: admission_control::gate_lane(class.lane),
                 level: arrival.context.level,
                 deadline: arrival.deadline,
             },
             now,
         );
-        if let admission_control::ArrivalDecision::Refuse(reason) = decision {
-            let report = self.admission.report(&class.name, now);
-            let _gone = reply.send(core_command::WorkDecision::Refuse { reason, report });
-            return;
-        }
-        let waiting = if matches!(decision, admission_control::ArrivalDecision::Queued) {
-            Some(reply)
-        } else {
-            let _gone = reply.send(core_command::WorkDecision::Start {
-                report: self.admission.report(&class.name, now),
-                idempotent: class.idempotent,
-                close_delimited: class.close_delimited,
-            });
-            None
+        self.metrics.count_arrival(&class, decision);
+        let entry = call_table::WorkEntry {
+            context: arrival.context,
+            class,
+            gate_class,
+            deadline: arrival.deadline,
+            sender: arrival.sender,
+            waiting: None,
+            cancelled: arrival.cancelled,
         };
-        self.calls.add_work(
-            arrival.call,
-            call_table::WorkEntry {
-                context: arrival.context,
-                class,
-                deadline: arrival.deadline,
-                sender: arrival.sender,
-                waiting,
-                cancelled: arrival.cancelled,
-            },
-        );
+        match decision {
+            gate_report::ArrivalDecision::Refuse(reason) => {
+                let report = Some(self.work_report(&entry, now));
+                let _gone = reply.send(core_command::WorkDecision::Refuse { reason, report });
+            }
+            gate_report::ArrivalDecision::Queued => {
+                let waiting = Some(reply);
+                let entry = call_table::WorkEntry { waiting, ..entry };
+                self.calls.add_work(arrival.call, entry);
+            }
+            gate_report::ArrivalDecision::Start => {
+                let _gone = reply.send(start_decision(&entry.class));
+                self.calls.add_work(arrival.call, entry);
+            }
+        }
+        // The queue may have shed another call for this one.
+        self.start_queued(now);
+    }
+
+    /// Ends admitted work and returns the level that the path admits for its class.
+    pub(crate) fn finish_work(
+        &mut self,
+        call: ids::CallId,
+        result: gate_report::FinishResult,
+        now: time::Instant,
+    ) -> Option<call_outcome::LevelReport> {
+        self.admission.finish(call, result, now);
+        let work = self.calls.remove_work(call);
+        if let Some(work) = &work {
+            self.metrics.count_work_end(&work.class, result);
+        }
+        self.start_queued(now);
+        work.map(|work| self.work_report(&work, now))
     }
 
     pub(crate) fn start_queued(&mut self, now: time::Instant) {
         loop {
             match self.admission.poll(now) {
-                admission_control::NextStart::Idle => return,
-                admission_control::NextStart::Refuse(call, reason) => self.refuse_work(call, reason, now),
-                admission_control::NextStart::Start(call) => self.start_work(call, now),
+                gate_report::NextStart::Idle => return,
+                gate_report::NextStart::Refuse(call, reason) => self.refuse_work(call, reason, now),
+                gate_report::NextStart::Start(call) => self.start_work(call, now),
             }
         }
     }
 
     fn start_work(&mut self, call: ids::CallId, now: time::Instant) {
         let Some(work) = self.calls.work_mut(call) else {
-            self.admission
-                .finish(call, admission_control::FinishResult::Cancelled, now);
+            self.admission.finish(call, gate_report::FinishResult::Cancelled, now);
             return;
         };
-        let decision = core_command::WorkDecision::Start {
-            report: self.admission.report(&work.class.name, now),
-            idempotent: work.class.idempotent,
-            close_delimited: work.class.close_delimited,
-        };
+        let decision = start_decision(&work.class);
         let sent = work.waiting.take().map(|reply| reply.send(decision));
         if sent != Some(core_command::ReplyStep::Taken) {
             self.calls.remove_work(call);
-            self.admission
-                .finish(call, admission_control::FinishResult::Cancelled, now);
+            self.admission.finish(call, gate_report::FinishResult::Cancelled, now);
         }
     }
 
@@ -132,9 +152,26 @@
         let Some(work) = self.calls.remove_work(call) else {
             return;
         };
-        let report = self.admission.report(&work.class.name, now);
+        let report = Some(self.work_report(&work, now));
+        self.metrics.count_work_refused(&work.class, reason);
         if let Some(reply) = work.waiting {
             let _gone = reply.send(core_command::WorkDecision::Refuse { reason, report });
         }
     }
 }
+
+/// Queries.
+impl node_core::NodeCore {
+    /// Returns the worse of the gate's level and of what the backend server's own calls met below for the same class.
+    fn work_report(&self, work: &call_table::WorkEntry, now: time::Instant) -> call_outcome::LevelReport {
+        let own = self.admission.report(&work.gate_class);
+        level_view::worse(own, self.levels.worst_below(&work.context.class, now))
+    }
+}
+
+fn start_decision(class: &call_class::CallClass) -> core_command::WorkDecision {
+    core_command::WorkDecision::Start {
+        idempotent: class.idempotent,
+        close_delimited: class.close_delimited,
+    }
+}
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -3,6 +3,7 @@
 
 use std::time;
 
+use damasktrack_admission::level_view;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
 use damasktrack_entity::request_identity;
@@ -29,9 +30,12 @@
     pub(crate) effects: node_effects::NodeEffects,
     pub(crate) metrics: node_metrics::NodeMetrics,
     pub(crate) has_backend_server: bool,
+    /// Service of the backend server.
+    pub(crate) service: Option<ids::ServiceName>,
     pub(crate) seeds: usize,
     pub(crate) classes: call_class::ClassTable,
     pub(crate) admission: admission_control::AdmissionControl,
+    pub(crate) levels: level_view::LevelView,
     pub(crate) directory: peer_directory::PeerDirectory,
     pub(crate) routes: route_choice::RouteTable,
     pub(crate) owner: request_owner::OwnerState,
@@ -66,9 +70,11 @@
             effects,
             metrics,
             has_backend_server: settings.backend_server.is_some(),
+            service: settings.service.clone(),
             seeds: settings.seeds.len(),
             classes: call_class::ClassTable::new(settings.default_deadline, settings.store_address.is_some()),
             admission: admission_control::AdmissionControl::new(slots),
+            levels: level_view::LevelView::default(),
             directory: peer_directory::PeerDirectory::default(),
             routes,
             calls: call_table::CallTable::default(),
@@ -92,10 +98,8 @@
             core_command::CoreCommand::Finish(call, result, summary) => self.finish(call, result, summary, now),
             core_command::CoreCommand::CallerGone(call) => self.cancel_outgoing(call),
             core_command::CoreCommand::Arrive(arrival, reply) => self.arrive(*arrival, reply, now),
-            core_command::CoreCommand::FinishWork(call, result) => {
-                self.admission.finish(call, result, now);
-                self.calls.remove_work(call);
-                self.start_queued(now);
+            core_command::CoreCommand::FinishWork(call, result, reply) => {
+                let _gone = reply.send(self.finish_work(call, result, now));
             }
             core_command::CoreCommand::CancelFromPeer(request) => self.cancel_from_peer(request, now),
             core_command::CoreCommand::Grant(request, reply) => {
@@ -118,6 +122,15 @@
     /// Adapts to the passing of time.
     pub fn tick(&mut self, now: time::Instant) {
         self.admission.tick(now);
+        self.levels.tick(now);
+        self.start_queued(now);
+        if let Some(gate) = self.admission.gate() {
+            self.metrics.record_gate(gate);
+        }
+    }
+
+    /// Starts and refuses queued work whose time has come.
+    pub fn wake(&mut self, now: time::Instant) {
         self.start_queued(now);
     }
 
@@ -159,6 +172,12 @@
 
 /// Queries.
 impl NodeCore {
+    /// Returns when [`Self::wake`] is to be called if no command comes first.
+    #[must_use]
+    pub fn next_wake(&self, now: time::Instant) -> Option<time::Instant> {
+        self.admission.next_wake(now)
+    }
+
     pub(crate) fn has_joined(&self) -> bool {
         self.seeds == 0 || self.directory.peers().next().is_some()
     }
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use damasktrack_admission::admission_gate;
+use damasktrack_admission::gate_report;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
 use opentelemetry::metrics;
@@ -25,6 +27,14 @@
     latency: metrics::Histogram<f64>,
     undispatched: metrics::Counter<u64>,
     context_missing: metrics::Counter<u64>,
+    work_admitted: metrics::Counter<u64>,
+    work_queued: metrics::Counter<u64>,
+    work_refused: metrics::Counter<u64>,
+    work_ended: metrics::Counter<u64>,
+    work_limit: metrics::Gauge<u64>,
+    work_running: metrics::Gauge<u64>,
+    work_waiting: metrics::Gauge<u64>,
+    level: metrics::Gauge<u64>,
 }
 
 /// Why the instruments can't be created.
@@ -64,6 +74,38 @@
                 .u64_counter("damasktrack_context_missing")
                 .with_description("Calls on the loopback address without a context header")
                 .build(),
+            work_admitted: meter
+                .u64_counter("damasktrack_work_admitted")
+                .with_description("Calls that were sent to the local backend server without a wait in the queue")
+                .build(),
+            work_queued: meter
+                .u64_counter("damasktrack_work_queued")
+                .with_description("Calls that had to wait for the local backend server")
+                .build(),
+            work_refused: meter
+                .u64_counter("damasktrack_work_refused")
+                .with_description("Calls for the local backend server that were refused and did not run")
+                .build(),
+            work_ended: meter
+                .u64_counter("damasktrack_work_ended")
+                .with_description("Calls at the local backend server that ended, by result")
+                .build(),
+            work_limit: meter
+                .u64_gauge("damasktrack_work_limit")
+                .with_description("Calls that the local backend server may run at once")
+                .build(),
+            work_running: meter
+                .u64_gauge("damasktrack_work_running")
+                .with_description("Calls that the local backend server runs")
+                .build(),
+            work_waiting: meter
+                .u64_gauge("damasktrack_work_waiting")
+                .with_description("Calls that wait for the local backend server")
+                .build(),
+            level: meter
+                .u64_gauge("damasktrack_level")
+                .with_description("Lowest level that the local backend server admits, as importance * 128 + cohort")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -89,6 +131,51 @@
     pub fn count_context_missing(&self) {
         self.context_missing.add(1, &[]);
     }
+
+    /// Counts the admission decision about a call for the local backend server.
+    pub fn count_arrival(&self, class: &call_class::CallClass, decision: gate_report::ArrivalDecision) {
+        match decision {
+            gate_report::ArrivalDecision::Start => self.work_admitted.add(1, &class_attributes(class)),
+            gate_report::ArrivalDecision::Queued => self.work_queued.add(1, &class_attributes(class)),
+            gate_report::ArrivalDecision::Refuse(reason) => self.count_work_refused(class, reason),
+        }
+    }
+
+    /// Counts a refused call for the local backend server.
+    pub fn count_work_refused(&self, class: &call_class::CallClass, reason: call_outcome::RefusalReason) {
+        let [tenant, class] = class_attributes(class);
+        let reason = opentelemetry::KeyValue::new("reason", reason.to_string());
+        self.work_refused.add(1, &[tenant, class, reason]);
+    }
+
+    /// Counts the end of a call at the local backend server.
+    pub fn count_work_end(&self, class: &call_class::CallClass, result: gate_report::FinishResult) {
+        let [tenant, class] = class_attributes(class);
+        let result = match result {
+            gate_report::FinishResult::Completed => "completed",
+            gate_report::FinishResult::ShedByBackendServer => "shed by backend server",
+            gate_report::FinishResult::Failed => "failed",
+            gate_report::FinishResult::Cancelled => "cancelled",
+        };
+        let result = opentelemetry::KeyValue::new("result", result);
+        self.work_ended.add(1, &[tenant, class, result]);
+    }
+
+    /// Records the state of the admission gate.
+    pub fn record_gate(&self, gate: &admission_gate::AdmissionGate) {
+        let counts = gate.counts();
+        self.work_limit.record(u64::from(gate.limit()), &[]);
+        self.work_running.record(u64::from(counts.running), &[]);
+        self.work_waiting.record(counts.queued as u64, &[]);
+        self.level.record(gate.level().index() as u64, &[]);
+    }
+}
+
+fn class_attributes(class: &call_class::CallClass) -> [opentelemetry::KeyValue; 2] {
+    [
+        opentelemetry::KeyValue::new("tenant", ids::text(&class.tenant).into_owned()),
+        opentelemetry::KeyValue::new("class", ids::text(&class.name).into_owned()),
+    ]
 }
 
 /// Queries.
