Choose servers by the route table and check levels at the first hop

Calls went to the server with the fewest calls in flight, so stragglers kept their share, and nothing was refused early. The daemon now chooses by tier, latency and ejection, counts cross-region bytes, takes retries from its budget, refuses calls below the level of the path before a server is chosen, and gives long work connections of its own.

--- a/crates/daemon/tests/processes/failures.rs
+++ b/crates/daemon/tests/processes/failures.rs
@@ -298,7 +298,7 @@
         support::header_value(&response.header, "damasktrack-outcome"),
         Some("unknown")
     );
-    // The ejection of the silent server ends after a second; then the call meets the paused daemon itself.
+    // No other server can take the calls, so each meets the paused daemon.
     for _ in 0..30 {
         let refused = support::Caller::open(entry.entry).exchange("POST", "/s/echo", "", b"x");
         let refused = refused.unwrap();
--- a/crates/node/src/backend_client.rs
+++ b/crates/node/src/backend_client.rs
@@ -9,6 +9,7 @@
 use damasktrack_settings::daemon_settings;
 use damasktrack_wire::call_frame;
 
+use crate::call_class;
 use crate::call_watch;
 use crate::frame_sink;
 use crate::header_filter;
@@ -36,6 +37,8 @@
     pub context: String,
     /// Body.
     pub body: Bytes,
+    /// Lane of the class; long work has connections of its own.
+    pub lane: call_class::CallLane,
     /// Whether a response that ends with its connection counts as complete.
     pub close_delimited: bool,
 }
@@ -64,6 +67,8 @@
 pub struct BackendClient {
     settings: daemon_settings::BackendServerSettings,
     agent: ureq::Agent,
+    /// Connections of the long lane.
+    long_agent: ureq::Agent,
 }
 
 impl BackendClient {
@@ -74,6 +79,7 @@
         Self {
             settings,
             agent: http_agent::new_agent(idle),
+            long_agent: http_agent::new_agent(idle),
         }
     }
 
@@ -169,6 +175,10 @@
     }
 
     fn send(&self, request: &BackendRequest<'_>) -> Result<ureq::http::Response<ureq::Body>, ureq::Error> {
+        let agent = match request.lane {
+            call_class::CallLane::Short => &self.agent,
+            call_class::CallLane::Long => &self.long_agent,
+        };
         let path = String::from_utf8_lossy(request.path);
         let url = format!("http://{}{path}", self.settings.address);
         let mut builder = ureq::http::Request::builder().method(request.method).uri(url);
@@ -179,10 +189,9 @@
         let without_body =
             request.body.is_empty() && matches!(request.method, b"GET" | b"HEAD" | b"OPTIONS" | b"DELETE");
         if without_body {
-            return self.agent.run(builder.body(()).map_err(ureq::Error::Http)?);
+            return agent.run(builder.body(()).map_err(ureq::Error::Http)?);
         }
-        self.agent
-            .run(builder.body(request.body.as_ref()).map_err(ureq::Error::Http)?)
+        agent.run(builder.body(request.body.as_ref()).map_err(ureq::Error::Http)?)
     }
 }
 
--- a/crates/node/src/call_class.rs
+++ b/crates/node/src/call_class.rs
@@ -9,7 +9,7 @@
 use damasktrack_resource::resource_set;
 
 /// Lane in which the callee admits a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum CallLane {
     /// Work of ordinary length.
     Short,
@@ -19,6 +19,10 @@
 
 /// What the declarations say about a call.
 #[derive(Clone, Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is an independent declaration of an operator"
+)]
 pub struct CallClass {
     /// Name of the class.
     pub name: ids::ClassName,
@@ -38,6 +42,8 @@
     pub retry_allowance: u32,
     /// Greatest depth of the chain.
     pub max_depth: u32,
+    /// Whether calls of the long lane may be routed to other regions.
+    pub cross_region: bool,
     /// Whether a response that ends with its connection counts as complete.
     pub close_delimited: bool,
 }
@@ -111,6 +117,7 @@
             deadline: chain.deadline(),
             retry_allowance: chain.retry_allowance,
             max_depth: chain.max_depth,
+            cross_region: class.cross_region,
             close_delimited: declared.close_delimited,
         })
     }
@@ -149,6 +156,7 @@
         deadline,
         retry_allowance: 2,
         max_depth: 32,
+        cross_region: false,
         close_delimited: false,
     }
 }
--- a/crates/node/src/call_runner.rs
+++ b/crates/node/src/call_runner.rs
@@ -15,11 +15,11 @@
 use crate::call_watch;
 use crate::callee_runner;
 use crate::core_command;
+use crate::core_routes;
 use crate::frame_sink;
 use crate::node_core;
 use crate::node_shared;
 use crate::peer_client;
-use crate::route_choice;
 
 /// Time past the deadline in which the callee's own report of it is awaited.
 const DEADLINE_GRACE: time::Duration = time::Duration::from_millis(100);
@@ -62,20 +62,20 @@
         let started = time::Instant::now();
         let state = rc::Rc::new(cell::RefCell::new(AttemptState::default()));
         let end = match attempt.target {
-            route_choice::RouteTarget::Peer(address) => {
+            core_routes::RouteTarget::Peer(address) => {
                 let watch = new_watch(plan.deadline + DEADLINE_GRACE, cancelled, sink);
                 let body = encode_call(shared, plan.call, &attempt, request);
                 match body {
-                    Ok(body) => shared
-                        .peers
-                        .call(address, body, watch, &mut |frame| pass_frame(&state, sink, frame)),
+                    Ok(body) => shared.peers.call(address, plan.class.lane, body, watch, &mut |frame| {
+                        pass_frame(&state, sink, frame)
+                    }),
                     Err(error) => {
                         log::error!(call:? = plan.call, error:% = error; "call can't be encoded");
                         peer_client::PeerEnd::NotSent
                     }
                 }
             }
-            route_choice::RouteTarget::Local => {
+            core_routes::RouteTarget::Local => {
                 run_local(shared, plan.call, &attempt, request, &state, sink);
                 peer_client::PeerEnd::Ended
             }
--- a/crates/node/src/call_table.rs
+++ b/crates/node/src/call_table.rs
@@ -6,11 +6,12 @@
 use damasktrack_entity::call_context;
 use damasktrack_entity::ids;
 use damasktrack_entity::request_identity;
+use damasktrack_routing::route_candidate;
 
 use crate::call_class;
 use crate::call_watch;
 use crate::core_command;
-use crate::route_choice;
+use crate::core_routes;
 
 /// Daemon and call that wait for a call of this daemon.
 pub type SenderCall = (request_identity::RequestOwner, ids::CallId);
@@ -29,11 +30,13 @@
     /// Work of the local backend server that made the call.
     pub parent: Option<ids::CallId>,
     /// Candidates that were tried.
-    pub tried: Vec<route_choice::RouteKey>,
+    pub tried: Vec<route_candidate::ServerKey>,
     /// Candidate of the current attempt; absent while the owner of the request routes the call.
-    pub route: Option<route_choice::RouteKey>,
+    pub route: Option<core_routes::RunningAttempt>,
+    /// Whether the result of the current attempt is still to be taken.
+    pub attempt_open: bool,
     /// Target of the current attempt.
-    pub target: route_choice::RouteTarget,
+    pub target: core_routes::RouteTarget,
     /// Result of the last attempt, kept while a grant is asked for.
     pub last_result: Option<core_command::AttemptResult>,
     /// Cancellation of the call.
--- a/crates/node/src/callee_runner.rs
+++ b/crates/node/src/callee_runner.rs
@@ -14,6 +14,7 @@
 use damasktrack_wire::peer_message;
 
 use crate::backend_client;
+use crate::call_class;
 use crate::call_table;
 use crate::call_watch;
 use crate::core_command;
@@ -41,6 +42,7 @@
 }
 
 struct WorkStart {
+    lane: call_class::CallLane,
     idempotent: bool,
     close_delimited: bool,
 }
@@ -52,9 +54,11 @@
     let cancelled = call_watch::CancelFlag::default();
     let start = match admit(shared, request, call, deadline, &cancelled, sink) {
         core_command::WorkDecision::Start {
+            lane,
             idempotent,
             close_delimited,
         } => WorkStart {
+            lane,
             idempotent,
             close_delimited,
         },
@@ -151,6 +155,7 @@
         headers: &request.headers,
         context: context.to_header(),
         body: request.body.clone(),
+        lane: start.lane,
         close_delimited: start.close_delimited,
     };
     let waiting = rc::Rc::clone(sink);
--- a/crates/node/src/core_calls.rs
+++ b/crates/node/src/core_calls.rs
@@ -15,9 +15,9 @@
 use crate::call_class;
 use crate::call_table;
 use crate::core_command;
+use crate::core_routes;
 use crate::node_core;
 use crate::request_owner;
-use crate::route_choice;
 
 /// Commands.
 impl node_core::NodeCore {
@@ -57,18 +57,18 @@
                 };
             }
         }
-        let choice = self.routes.choose(
-            &route_choice::RouteRequest {
-                service: &start.service,
-                tried: &[],
-            },
-            now,
-        );
-        let route_choice::RouteChoice::Use(route, target) = choice else {
+        if !self.admits_level(&start.service, &root.context, now) {
+            self.metrics
+                .count_refused(&root.class, call_outcome::RefusalReason::Overloaded);
+            return refuse(root.context.request_id, call_outcome::RefusalReason::Overloaded);
+        }
+        let Some(server) = self.choose_server(&start.service, &root.class, &root.context, &[], now) else {
+            self.metrics
+                .count_refused(&root.class, call_outcome::RefusalReason::NoCandidate);
             return refuse(root.context.request_id, call_outcome::RefusalReason::NoCandidate);
         };
-        self.routes.begin(route, now);
-        self.start_call(start, root, Some(route), target, now)
+        self.routes.retry_budget.first_attempt();
+        self.start_call(start, root, Some(server), server.target, now)
     }
 
     fn forward_to_owner(
@@ -83,7 +83,7 @@
                 request_id: root.context.request_id,
             };
         };
-        let target = route_choice::RouteTarget::Peer(peer.address);
+        let target = core_routes::RouteTarget::Peer(peer.address);
         self.start_call(start, root, None, target, now)
     }
 
@@ -91,15 +91,19 @@
         &mut self,
         start: core_command::CallStart,
         root: CallRoot,
-        route: Option<route_choice::RouteKey>,
-        target: route_choice::RouteTarget,
+        server: Option<core_routes::ChosenServer>,
+        target: core_routes::RouteTarget,
         now: time::Instant,
     ) -> core_command::CallDecision {
+        let route = server.and_then(|server| self.begin_attempt(server, &root.class, now));
+        if let Some(parent) = root.parent {
+            self.admission.nested_started(parent, now);
+        }
         let mut context = root.context;
         context.remaining = root.deadline.saturating_duration_since(now);
         let attempt = core_command::AttemptPlan {
             target,
-            stage: stage_of(route),
+            stage: stage_of(server),
             context: context.clone(),
         };
         self.calls.add_outgoing(
@@ -110,8 +114,9 @@
                 class: root.class.clone(),
                 deadline: root.deadline,
                 parent: root.parent,
-                tried: route.into_iter().collect(),
+                tried: server.map(|server| server.key).into_iter().collect(),
                 route,
+                attempt_open: true,
                 target,
                 last_result: None,
                 cancelled: start.cancelled,
@@ -235,6 +240,12 @@
         if !may_retry(result, entry.class.idempotent) || entry.route_is_owner() || entry.deadline <= now {
             return core_command::RetryDecision::GiveUp(end);
         }
+        if !self.take_retry(call, now) {
+            return core_command::RetryDecision::GiveUp(end);
+        }
+        let Some(entry) = self.calls.outgoing(call) else {
+            return core_command::RetryDecision::GiveUp(core_command::CallEnd::Cancelled);
+        };
         let request_id = entry.context.request_id.clone();
         let allowance = entry.class.retry_allowance;
         let request = peer_message::GrantRequest {
@@ -246,10 +257,11 @@
             let grant = self.owner.grant(&request_id, allowance);
             return self.continue_retry(call, grant, now);
         };
-        match self.directory.find_owner(&owner) {
-            Some(peer) => core_command::RetryDecision::AskOwner(peer.address, request),
-            None => core_command::RetryDecision::GiveUp(end),
-        }
+        let Some(peer) = self.directory.find_owner(&owner) else {
+            self.routes.retry_budget.give_back();
+            return core_command::RetryDecision::GiveUp(end);
+        };
+        core_command::RetryDecision::AskOwner(peer.address, request)
     }
 
     pub(crate) fn continue_retry(
@@ -264,24 +276,29 @@
         let result = entry.last_result.unwrap_or(core_command::AttemptResult::Failed);
         let end = end_of(result, entry.class.idempotent);
         let peer_message::GrantReply::Granted { left } = grant else {
+            self.routes.retry_budget.give_back();
             return core_command::RetryDecision::GiveUp(end);
         };
-        let request = route_choice::RouteRequest {
-            service: &entry.service,
-            tried: &entry.tried,
-        };
-        let route_choice::RouteChoice::Use(route, target) = self.routes.choose(&request, now) else {
+        let (service, class) = (entry.service.clone(), entry.class.clone());
+        let (context, tried) = (entry.context.clone(), entry.tried.clone());
+        let Some(server) = self.choose_server(&service, &class, &context, &tried, now) else {
+            self.routes.retry_budget.give_back();
             return core_command::RetryDecision::GiveUp(end);
         };
-        self.routes.begin(route, now);
-        entry.tried.push(route);
-        entry.route = Some(route);
-        entry.target = target;
+        let route = self.begin_attempt(server, &class, now);
+        self.metrics.count_retried(&class);
+        let Some(entry) = self.calls.outgoing_mut(call) else {
+            return core_command::RetryDecision::GiveUp(core_command::CallEnd::Cancelled);
+        };
+        entry.tried.push(server.key);
+        entry.route = route;
+        entry.attempt_open = true;
+        entry.target = server.target;
         entry.context.attempt += 1;
         entry.context.retry_allowance = left;
         entry.context.remaining = entry.deadline.saturating_duration_since(now);
         core_command::RetryDecision::Again(core_command::AttemptPlan {
-            target,
+            target: server.target,
             stage: call_frame::CallStage::Callee,
             context: entry.context.clone(),
         })
@@ -294,10 +311,25 @@
         summary: core_command::CallSummary,
         now: time::Instant,
     ) {
-        self.end_attempt(call, result, now);
+        // A call that no worker ran says nothing about its server.
+        let observed = if summary.attempts == 0 {
+            core_command::AttemptResult::Refused {
+                reason: call_outcome::RefusalReason::Cancelled,
+                report: None,
+            }
+        } else {
+            result
+        };
+        self.end_attempt(call, observed, now);
         let Some(entry) = self.calls.remove_outgoing(call) else {
             return;
         };
+        if let Some(parent) = entry.parent {
+            self.admission.nested_finished(parent, now);
+        }
+        if let core_command::CallEnd::Refused(reason) = summary.end {
+            self.metrics.count_refused(&entry.class, reason);
+        }
         if let core_command::CallEnd::Lost(outcome) = summary.end {
             log::warn!(
                 request_id:% = ids::text(&entry.context.request_id),
@@ -310,13 +342,6 @@
         }
     }
 
-    fn end_attempt(&mut self, call: ids::CallId, result: core_command::AttemptResult, now: time::Instant) {
-        let entry = self.calls.outgoing_mut(call);
-        if let Some(route) = entry.and_then(|entry| entry.route.take()) {
-            self.routes.finish(route, route_result(result), now);
-        }
-    }
-
     pub(crate) fn cancel_outgoing(&mut self, call: ids::CallId) {
         let Some(entry) = self.calls.outgoing(call) else {
             return;
@@ -326,10 +351,10 @@
         self.cancel_target(call, target, time::Instant::now());
     }
 
-    fn cancel_target(&mut self, call: ids::CallId, target: route_choice::RouteTarget, now: time::Instant) {
+    fn cancel_target(&mut self, call: ids::CallId, target: core_routes::RouteTarget, now: time::Instant) {
         match target {
-            route_choice::RouteTarget::Peer(address) => self.effects.cancel_at_peer(address, call),
-            route_choice::RouteTarget::Local => {
+            core_routes::RouteTarget::Peer(address) => self.effects.cancel_at_peer(address, call),
+            core_routes::RouteTarget::Local => {
                 let request = peer_message::CancelRequest {
                     sender: self.identity.clone(),
                     sender_call: call,
@@ -372,8 +397,8 @@
     sender: Option<call_table::SenderCall>,
 }
 
-fn stage_of(route: Option<route_choice::RouteKey>) -> call_frame::CallStage {
-    match route {
+fn stage_of(server: Option<core_routes::ChosenServer>) -> call_frame::CallStage {
+    match server {
         Some(_) => call_frame::CallStage::Callee,
         None => call_frame::CallStage::Owner,
     }
@@ -415,20 +440,3 @@
         | core_command::AttemptResult::Cancelled => false,
     }
 }
-
-fn route_result(result: core_command::AttemptResult) -> route_choice::RouteResult {
-    match result {
-        core_command::AttemptResult::Completed { latency, bytes, .. } => {
-            route_choice::RouteResult::Completed { latency, bytes }
-        }
-        core_command::AttemptResult::Refused { reason, .. } => route_choice::RouteResult::Refused(reason),
-        core_command::AttemptResult::NotSent => {
-            route_choice::RouteResult::Refused(call_outcome::RefusalReason::BackendServerDown)
-        }
-        core_command::AttemptResult::Failed | core_command::AttemptResult::Deadline => {
-            route_choice::RouteResult::Failed
-        }
-        core_command::AttemptResult::Silent => route_choice::RouteResult::Silent,
-        core_command::AttemptResult::Cancelled => route_choice::RouteResult::Cancelled,
-    }
-}
--- a/crates/node/src/core_command.rs
+++ b/crates/node/src/core_command.rs
@@ -16,8 +16,8 @@
 use crate::call_class;
 use crate::call_watch;
 use crate::core_config;
+use crate::core_routes;
 use crate::peer_directory;
-use crate::route_choice;
 
 /// Receiver of one reply. It runs on the core's thread, so it hands the reply over and never waits.
 pub struct ReplySender<T>(Box<dyn FnOnce(T) -> ReplyStep + Send>);
@@ -182,7 +182,7 @@
 #[derive(Clone, Debug)]
 pub struct AttemptPlan {
     /// Where to send it.
-    pub target: route_choice::RouteTarget,
+    pub target: core_routes::RouteTarget,
     /// Part that the receiver plays.
     pub stage: call_frame::CallStage,
     /// Context that the receiver gets.
@@ -279,6 +279,8 @@
 pub enum WorkDecision {
     /// Dispatch it.
     Start {
+        /// Lane of the class.
+        lane: call_class::CallLane,
         /// Whether the call may run more than once.
         idempotent: bool,
         /// Whether a response that ends with its connection counts as complete.
--- /dev/null
+++ b/crates/node/src/core_routes.rs
@@ -0,0 +1,294 @@
+//! Levels, servers and budgets of the calls that this daemon sends.
+
+use std::net;
+use std::time;
+
+use damasktrack_admission::level_view;
+use damasktrack_entity::call_context;
+use damasktrack_entity::call_outcome;
+use damasktrack_entity::ids;
+use damasktrack_entity::server_location;
+use damasktrack_routing::hedge_policy;
+use damasktrack_routing::region_budget;
+use damasktrack_routing::retry_budget;
+use damasktrack_routing::route_candidate;
+use damasktrack_routing::route_table;
+use damasktrack_routing::straggler_ejection;
+use damasktrack_settings::daemon_settings;
+
+use crate::call_class;
+use crate::core_command;
+use crate::node_core;
+use crate::peer_directory;
+
+/// How a server is reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteTarget {
+    /// The backend server beside this daemon.
+    Local,
+    /// The daemon beside the backend server.
+    Peer(net::SocketAddr),
+}
+
+/// Server that was chosen for an attempt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ChosenServer {
+    pub(crate) key: route_candidate::ServerKey,
+    pub(crate) target: RouteTarget,
+    pub(crate) distance: server_location::ServerDistance,
+}
+
+/// Attempt that the route table counts as running.
+#[derive(Clone, Copy, Debug)]
+pub struct RunningAttempt {
+    pub(crate) call: route_candidate::CallKey,
+    pub(crate) distance: server_location::ServerDistance,
+}
+
+/// What routing knows at this daemon.
+#[derive(Debug)]
+pub(crate) struct RouteState {
+    pub(crate) table: route_table::RouteTable,
+    pub(crate) region_budget: region_budget::RegionBudget,
+    pub(crate) retry_budget: retry_budget::RetryBudget,
+    pub(crate) hedges: hedge_policy::HedgePolicy,
+    /// Start of this daemon. A server that appears more than a ramp later is taken to start cold.
+    started: time::Instant,
+}
+
+impl RouteState {
+    /// Creates the state of a starting daemon, with its own backend server as the first candidate.
+    pub(crate) fn new(
+        settings: &daemon_settings::DaemonSettings,
+        incarnation: ids::Incarnation,
+        now: time::Instant,
+    ) -> Self {
+        let mut table = route_table::RouteTable::new(settings.location());
+        if let (Some(service), Some(backend)) = (&settings.service, &settings.backend_server) {
+            table.upsert(route_candidate::RouteCandidate {
+                daemon_id: settings.daemon_id.clone(),
+                incarnation,
+                service: service.clone(),
+                address: settings.peer_listen,
+                location: settings.location(),
+                slots: backend.slots,
+                state: route_candidate::CandidateState::Ready,
+                ready_since: None,
+            });
+        }
+        Self {
+            table,
+            region_budget: region_budget::RegionBudget::new(settings.cross_region_bytes_per_s, now),
+            retry_budget: retry_budget::RetryBudget::new(now),
+            hedges: hedge_policy::HedgePolicy::new(),
+            started: now,
+        }
+    }
+
+    /// Takes what a peer announces about its backend server.
+    pub(crate) fn learn(&mut self, peer: &peer_directory::PeerIdentity, now: time::Instant) {
+        let known = self.table.key_of(&peer.owner.daemon_id);
+        let Some(service) = &peer.service else {
+            if let Some(key) = known {
+                self.table.remove(key);
+            }
+            return;
+        };
+        let appears_late = now.saturating_duration_since(self.started) > damasktrack_routing::cold_ramp::RAMP_DURATION;
+        self.table.upsert(route_candidate::RouteCandidate {
+            daemon_id: peer.owner.daemon_id.clone(),
+            incarnation: peer.owner.incarnation,
+            service: service.clone(),
+            address: peer.address,
+            location: peer.location.clone(),
+            slots: peer.slots,
+            state: if peer.draining {
+                route_candidate::CandidateState::Leaving
+            } else {
+                route_candidate::CandidateState::Ready
+            },
+            ready_since: (appears_late || known.is_some()).then_some(now),
+        });
+    }
+
+    /// Stops the use of the local backend server.
+    pub(crate) fn drain_local(&mut self, daemon_id: &ids::DaemonId) {
+        let local = self.table.key_of(daemon_id);
+        if let Some(candidate) = local.and_then(|key| self.table.candidate(key)) {
+            let state = route_candidate::CandidateState::Leaving;
+            let leaving = route_candidate::RouteCandidate {
+                state,
+                ..candidate.clone()
+            };
+            self.table.upsert(leaving);
+        }
+    }
+}
+
+/// Commands.
+impl node_core::NodeCore {
+    /// Returns whether the path admits a call by its level. Only the first hop asks: work above a later hop would be
+    /// wasted by a refusal, and the callee decides there anyway.
+    pub(crate) fn admits_level(
+        &mut self,
+        service: &ids::ServiceName,
+        context: &call_context::CallContext,
+        now: time::Instant,
+    ) -> bool {
+        if context.depth > 0 {
+            return true;
+        }
+        let check = self.levels.check(service, &context.class, context.level, now);
+        check != level_view::LevelCheck::Refuse
+    }
+
+    /// Chooses a server for an attempt.
+    pub(crate) fn choose_server(
+        &mut self,
+        service: &ids::ServiceName,
+        class: &call_class::CallClass,
+        context: &call_context::CallContext,
+        tried: &[route_candidate::ServerKey],
+        now: time::Instant,
+    ) -> Option<ChosenServer> {
+        let declared = class.lane == call_class::CallLane::Short || class.cross_region;
+        let cross_region = declared && self.routes.region_budget.check(now) == region_budget::RegionDecision::Allowed;
+        let request = route_candidate::RouteRequest {
+            service,
+            class: &class.name,
+            lane: route_lane(class.lane),
+            cross_region,
+            may_probe: class.idempotent && !self.classes.is_critical(&context.class),
+            exclude: tried,
+        };
+        let choice = self.routes.table.choose(&request, now, &mut rand::rng());
+        let route_candidate::RouteChoice::Use { key, distance, .. } = choice else {
+            return None;
+        };
+        let candidate = self.routes.table.candidate(key)?;
+        let target = if candidate.daemon_id == self.identity.daemon_id {
+            RouteTarget::Local
+        } else {
+            RouteTarget::Peer(candidate.address)
+        };
+        Some(ChosenServer { key, target, distance })
+    }
+
+    /// Counts an attempt as running.
+    pub(crate) fn begin_attempt(
+        &mut self,
+        server: ChosenServer,
+        class: &call_class::CallClass,
+        now: time::Instant,
+    ) -> Option<RunningAttempt> {
+        let lane = route_lane(class.lane);
+        let call = self.routes.table.begin(server.key, &class.name, lane, now)?;
+        let distance = server.distance;
+        Some(RunningAttempt { call, distance })
+    }
+
+    /// Takes the result of an attempt: its level, latency and bytes.
+    pub(crate) fn end_attempt(&mut self, call: ids::CallId, result: core_command::AttemptResult, now: time::Instant) {
+        let Some(entry) = self.calls.outgoing_mut(call) else {
+            return;
+        };
+        let (route, open) = (entry.route.take(), std::mem::take(&mut entry.attempt_open));
+        if !open {
+            return;
+        }
+        if let core_command::AttemptResult::Completed {
+            report: Some(report), ..
+        }
+        | core_command::AttemptResult::Refused {
+            report: Some(report), ..
+        } = result
+        {
+            let origin = match entry.parent {
+                Some(_) => level_view::CallOrigin::Nested,
+                None => level_view::CallOrigin::Entry,
+            };
+            self.levels
+                .learn(&entry.service, &entry.context.class, report, origin, now);
+        }
+        let Some(route) = route else {
+            return;
+        };
+        self.routes.table.finish(route.call, route_result(result), now);
+        if let core_command::AttemptResult::Completed { latency, bytes, .. } = result {
+            if entry.tried.len() == 1 {
+                self.routes
+                    .hedges
+                    .record(&entry.service, &entry.class.name, latency, now);
+            }
+            if route.distance == server_location::ServerDistance::CrossRegion {
+                self.routes.region_budget.charge(&entry.class.name, bytes, now);
+                self.metrics.count_cross_region(&entry.class, bytes);
+            }
+        }
+    }
+
+    /// Returns whether the budget of this daemon allows one more attempt of a call, and takes it. While the service sheds
+    /// calls of the class, a retry would take the place of another request.
+    pub(crate) fn take_retry(&mut self, call: ids::CallId, now: time::Instant) -> bool {
+        let Some(entry) = self.calls.outgoing(call) else {
+            return false;
+        };
+        let critical = self.classes.is_critical(&entry.context.class);
+        let importance = entry.context.level.importance;
+        if !critical && self.levels.sheds(&entry.service, &entry.context.class, importance, now) {
+            return false;
+        }
+        self.routes.retry_budget.try_retry(now) == retry_budget::RetryDecision::Allowed
+    }
+
+    /// Reviews the servers and records what changed.
+    pub(crate) fn review_routes(&mut self, now: time::Instant) {
+        for event in self.routes.table.tick(now) {
+            let (key, cause) = match event {
+                route_candidate::RouteEvent::Ejected { key, cause } => (key, Some(cause)),
+                route_candidate::RouteEvent::Returned { key } => (key, None),
+            };
+            let Some(candidate) = self.routes.table.candidate(key) else {
+                continue;
+            };
+            let daemon_id = ids::text(&candidate.daemon_id);
+            match cause {
+                Some(cause) => {
+                    log::warn!(daemon:% = daemon_id, cause:? = cause; "server ejected");
+                    self.metrics.count_ejected(&candidate.service, cause_text(cause));
+                }
+                None => log::info!(daemon:% = daemon_id; "server returned"),
+            }
+        }
+    }
+}
+
+fn cause_text(cause: straggler_ejection::EjectionCause) -> &'static str {
+    match cause {
+        straggler_ejection::EjectionCause::Straggler => "straggler",
+        straggler_ejection::EjectionCause::Unreachable => "unreachable",
+    }
+}
+
+fn route_lane(lane: call_class::CallLane) -> route_candidate::RouteLane {
+    match lane {
+        call_class::CallLane::Short => route_candidate::RouteLane::Short,
+        call_class::CallLane::Long => route_candidate::RouteLane::Long,
+    }
+}
+
+fn route_result(result: core_command::AttemptResult) -> route_candidate::RouteResult {
+    match result {
+        core_command::AttemptResult::Completed { .. } => route_candidate::RouteResult::Completed,
+        core_command::AttemptResult::Refused { reason, .. } => route_candidate::RouteResult::Refused(reason),
+        core_command::AttemptResult::NotSent => {
+            route_candidate::RouteResult::Refused(call_outcome::RefusalReason::BackendServerDown)
+        }
+        core_command::AttemptResult::Failed => route_candidate::RouteResult::Failed,
+        core_command::AttemptResult::Silent => route_candidate::RouteResult::Silent,
+        // A deadline that passes is as often the fault of a service further down, so it counts as latency only.
+        core_command::AttemptResult::Deadline | core_command::AttemptResult::Cancelled => {
+            route_candidate::RouteResult::Cancelled
+        }
+    }
+}
--- a/crates/node/src/core_work.rs
+++ b/crates/node/src/core_work.rs
@@ -171,6 +171,7 @@
 
 fn start_decision(class: &call_class::CallClass) -> core_command::WorkDecision {
     core_command::WorkDecision::Start {
+        lane: class.lane,
         idempotent: class.idempotent,
         close_delimited: class.close_delimited,
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,6 @@
 //! The daemon as a library: actor, servers, clients, metrics, logs and shutdown.
 //!
-//! [`node_run::run`] starts a daemon. Decisions live in [`call_class`], [`admission_control`], [`route_choice`],
+//! [`node_run::run`] starts a daemon. Decisions live in [`call_class`], [`admission_control`], [`core_routes`],
 //! [`request_owner`] and [`peer_directory`]; only [`node_core`] calls them, on the one thread of [`core_thread`]. All
 //! other modules move bytes.
 
@@ -22,6 +22,7 @@
 mod core_calls;
 pub mod core_command;
 pub mod core_config;
+pub mod core_routes;
 pub mod core_thread;
 mod core_work;
 pub mod entry_body;
@@ -45,7 +46,6 @@
 pub mod peer_directory;
 pub mod peer_server;
 pub mod request_owner;
-pub mod route_choice;
 pub mod store_circuit;
 pub mod store_client;
 pub mod worker_pool;
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -14,11 +14,11 @@
 use crate::call_table;
 use crate::core_command;
 use crate::core_config;
+use crate::core_routes;
 use crate::node_effects;
 use crate::node_metrics;
 use crate::peer_directory;
 use crate::request_owner;
-use crate::route_choice;
 
 /// Interval of [`admission_control::AdmissionControl::tick`].
 pub const TICK_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -37,7 +37,7 @@
     pub(crate) admission: admission_control::AdmissionControl,
     pub(crate) levels: level_view::LevelView,
     pub(crate) directory: peer_directory::PeerDirectory,
-    pub(crate) routes: route_choice::RouteTable,
+    pub(crate) routes: core_routes::RouteState,
     pub(crate) owner: request_owner::OwnerState,
     pub(crate) calls: call_table::CallTable,
     pub(crate) config: core_config::ConfigState,
@@ -55,15 +55,7 @@
         metrics: node_metrics::NodeMetrics,
     ) -> Self {
         let slots = settings.backend_server.as_ref().map_or(0, |backend| backend.slots);
-        let mut routes = route_choice::RouteTable::default();
-        if let (Some(service), Some(_backend)) = (&settings.service, &settings.backend_server) {
-            routes.upsert(route_choice::RouteCandidate {
-                daemon_id: settings.daemon_id.clone(),
-                service: service.clone(),
-                location: settings.location(),
-                target: route_choice::RouteTarget::Local,
-            });
-        }
+        let incarnation = identity.incarnation;
         Self {
             owner: request_owner::OwnerState::new(identity.clone()),
             identity,
@@ -76,7 +68,7 @@
             admission: admission_control::AdmissionControl::new(slots),
             levels: level_view::LevelView::default(),
             directory: peer_directory::PeerDirectory::default(),
-            routes,
+            routes: core_routes::RouteState::new(settings, incarnation, time::Instant::now()),
             calls: call_table::CallTable::default(),
             config: core_config::ConfigState::default(),
             draining: false,
@@ -108,7 +100,7 @@
             core_command::CoreCommand::IssueId(reply) => {
                 let _gone = reply.send(self.owner.issue_id());
             }
-            core_command::CoreCommand::PeersLearned(peers) => self.learn_peers(peers),
+            core_command::CoreCommand::PeersLearned(peers) => self.learn_peers(peers, now),
             core_command::CoreCommand::BackendServerChecked(up) => self.take_health(up),
             core_command::CoreCommand::Config(command) => self.handle_config(command),
             core_command::CoreCommand::Drain => self.drain(now),
@@ -124,6 +116,7 @@
         self.admission.tick(now);
         self.levels.tick(now);
         self.start_queued(now);
+        self.review_routes(now);
         if let Some(gate) = self.admission.gate() {
             self.metrics.record_gate(gate);
         }
@@ -134,23 +127,13 @@
         self.start_queued(now);
     }
 
-    fn learn_peers(&mut self, peers: Vec<peer_directory::PeerIdentity>) {
+    fn learn_peers(&mut self, peers: Vec<peer_directory::PeerIdentity>, now: time::Instant) {
         for peer in peers {
             if peer.owner.daemon_id == self.identity.daemon_id || !self.directory.learn(peer.clone()) {
                 continue;
             }
             log::info!(peer:% = ids::text(&peer.owner.daemon_id), address:% = peer.address; "peer changed");
-            match peer.service {
-                Some(service) if !peer.draining => {
-                    self.routes.upsert(route_choice::RouteCandidate {
-                        daemon_id: peer.owner.daemon_id,
-                        service,
-                        location: peer.location,
-                        target: route_choice::RouteTarget::Peer(peer.address),
-                    });
-                }
-                _ => self.routes.remove(&peer.owner.daemon_id),
-            }
+            self.routes.learn(&peer, now);
         }
     }
 
@@ -164,7 +147,7 @@
     fn drain(&mut self, now: time::Instant) {
         self.draining = true;
         self.admission.drain();
-        self.routes.remove(&self.identity.daemon_id);
+        self.routes.drain_local(&self.identity.daemon_id);
         self.effects.drain_backend_server();
         self.start_queued(now);
     }
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -35,6 +35,11 @@
     work_running: metrics::Gauge<u64>,
     work_waiting: metrics::Gauge<u64>,
     level: metrics::Gauge<u64>,
+    refused: metrics::Counter<u64>,
+    retried: metrics::Counter<u64>,
+    hedged: metrics::Counter<u64>,
+    ejected: metrics::Counter<u64>,
+    cross_region: metrics::Counter<u64>,
 }
 
 /// Why the instruments can't be created.
@@ -102,6 +107,26 @@
                 .u64_gauge("damasktrack_work_waiting")
                 .with_description("Calls that wait for the local backend server")
                 .build(),
+            refused: meter
+                .u64_counter("damasktrack_calls_refused")
+                .with_description("Calls that ended as refused at the daemon that sends them, by reason")
+                .build(),
+            retried: meter
+                .u64_counter("damasktrack_calls_retried")
+                .with_description("Attempts beyond the first, without hedges")
+                .build(),
+            hedged: meter
+                .u64_counter("damasktrack_calls_hedged")
+                .with_description("Second copies of slow calls")
+                .build(),
+            ejected: meter
+                .u64_counter("damasktrack_servers_ejected")
+                .with_description("Ejections of servers from routing, by service and cause")
+                .build(),
+            cross_region: meter
+                .u64_counter("damasktrack_cross_region_bytes")
+                .with_description("Body bytes of responses from other regions")
+                .build(),
             level: meter
                 .u64_gauge("damasktrack_level")
                 .with_description("Lowest level that the local backend server admits, as importance * 128 + cohort")
@@ -161,6 +186,35 @@
         self.work_ended.add(1, &[tenant, class, result]);
     }
 
+    /// Counts a call that ended as refused at the daemon that sends it.
+    pub fn count_refused(&self, class: &call_class::CallClass, reason: call_outcome::RefusalReason) {
+        let [tenant, class] = class_attributes(class);
+        let reason = opentelemetry::KeyValue::new("reason", reason.to_string());
+        self.refused.add(1, &[tenant, class, reason]);
+    }
+
+    /// Counts an attempt beyond the first.
+    pub fn count_retried(&self, class: &call_class::CallClass) {
+        self.retried.add(1, &class_attributes(class));
+    }
+
+    /// Counts a second copy of a slow call.
+    pub fn count_hedged(&self, class: &call_class::CallClass) {
+        self.hedged.add(1, &class_attributes(class));
+    }
+
+    /// Counts an ejection of a server.
+    pub fn count_ejected(&self, service: &ids::ServiceName, cause: &'static str) {
+        let service = opentelemetry::KeyValue::new("service", ids::text(service).into_owned());
+        let cause = opentelemetry::KeyValue::new("cause", cause);
+        self.ejected.add(1, &[service, cause]);
+    }
+
+    /// Counts bytes of a response from another region.
+    pub fn count_cross_region(&self, class: &call_class::CallClass, bytes: u64) {
+        self.cross_region.add(bytes, &class_attributes(class));
+    }
+
     /// Records the state of the admission gate.
     pub fn record_gate(&self, gate: &admission_gate::AdmissionGate) {
         let counts = gate.counts();
--- a/crates/node/src/node_shared.rs
+++ b/crates/node/src/node_shared.rs
@@ -62,6 +62,7 @@
             address: self.peer_address,
             service: self.settings.service.clone(),
             location: self.settings.location(),
+            slots: self.settings.backend_server.as_ref().map_or(0, |backend| backend.slots),
             draining: self.draining.load(atomic::Ordering::Relaxed),
         }
     }
--- a/crates/node/src/peer_client.rs
+++ b/crates/node/src/peer_client.rs
@@ -10,6 +10,7 @@
 use damasktrack_wire::codec;
 use damasktrack_wire::frame_reader;
 
+use crate::call_class;
 use crate::call_watch;
 use crate::frame_sink;
 use crate::http_agent;
@@ -54,10 +55,11 @@
     Codec(codec::CodecError),
 }
 
-/// Clients by peer. Each peer has a pool of its own, since a pool search is linear in its connections.
+/// Clients by peer and lane. Each peer has a pool of its own, since a pool search is linear in its connections. Long work
+/// has other connections than short work, so that downloads can't hold those of short calls.
 #[derive(Debug, Default)]
 pub struct PeerClient {
-    agents: sync::RwLock<collections::HashMap<net::SocketAddr, ureq::Agent>>,
+    agents: sync::RwLock<collections::HashMap<(net::SocketAddr, call_class::CallLane), ureq::Agent>>,
 }
 
 impl PeerClient {
@@ -65,11 +67,12 @@
     pub fn call(
         &self,
         address: net::SocketAddr,
+        lane: call_class::CallLane,
         body: Vec<u8>,
         watch: call_watch::CallWatch,
         on_frame: &mut dyn FnMut(call_frame::CallFrame) -> frame_sink::SinkStep,
     ) -> PeerEnd {
-        let agent = self.agent(address);
+        let agent = self.agent(address, lane);
         let (result, report) = call_watch::run(watch, || exchange(&agent, address, body, on_frame));
         match (result, report.stop) {
             (Ok(end), _) => end,
@@ -98,7 +101,7 @@
         message: &Q,
     ) -> Result<A, MessageError> {
         let body = codec::encode(message)?;
-        let agent = self.agent(address);
+        let agent = self.agent(address, call_class::CallLane::Short);
         let watch = call_watch::CallWatch::for_message(MESSAGE_TIMEOUT);
         let (result, _report) = call_watch::run(watch, || {
             let request = post(address, path, body)?;
@@ -116,18 +119,19 @@
     /// Drops the idle connections of a peer that fell silent, so that the next call greets it on a new one.
     fn forget(&self, address: net::SocketAddr) {
         let mut agents = self.agents.write().unwrap_or_else(sync::PoisonError::into_inner);
-        agents.remove(&address);
+        agents.remove(&(address, call_class::CallLane::Short));
+        agents.remove(&(address, call_class::CallLane::Long));
     }
 
-    fn agent(&self, address: net::SocketAddr) -> ureq::Agent {
+    fn agent(&self, address: net::SocketAddr, lane: call_class::CallLane) -> ureq::Agent {
         let agents = self.agents.read().unwrap_or_else(sync::PoisonError::into_inner);
-        if let Some(agent) = agents.get(&address) {
+        if let Some(agent) = agents.get(&(address, lane)) {
             return agent.clone();
         }
         drop(agents);
         let mut agents = self.agents.write().unwrap_or_else(sync::PoisonError::into_inner);
         agents
-            .entry(address)
+            .entry((address, lane))
             .or_insert_with(|| http_agent::new_peer_agent(MAX_IDLE_CONNECTIONS))
             .clone()
     }
--- a/crates/node/src/peer_directory.rs
+++ b/crates/node/src/peer_directory.rs
@@ -19,6 +19,8 @@
     pub service: Option<ids::ServiceName>,
     /// Where it runs.
     pub location: server_location::ServerLocation,
+    /// Calls that its backend server runs at once; 0 without one.
+    pub slots: u32,
     /// Whether it is leaving.
     pub draining: bool,
 }
--- a/crates/settings/src/daemon_settings.rs
+++ b/crates/settings/src/daemon_settings.rs
@@ -41,6 +41,7 @@
     pub stall_timeout: time::Duration,
     pub max_connections: usize,
     pub max_calls: usize,
+    pub cross_region_bytes_per_s: u64,
     #[serde(rename = "default_deadline_ms", deserialize_with = "milliseconds")]
     pub default_deadline: time::Duration,
 }
--- a/crates/settings/src/settings_table.rs
+++ b/crates/settings/src/settings_table.rs
@@ -305,6 +305,14 @@
         SettingDefault::Number(512),
         "calls in progress in each of the roles entry and callee; further ones are refused",
     ),
+    row(
+        "cross_region_bytes_per_s",
+        number(0, 1_000_000_000_000),
+        "B/s",
+        // About 380 daemons of a region share a link of 4 Gbit/s with other traffic.
+        SettingDefault::Number(1_000_000),
+        "response bytes that calls to other regions may bring; 0 keeps all calls in the region",
+    ),
     row(
         "default_deadline_ms",
         number(1, 86_400_000),
