--- a/crates/node/src/call_table.rs
+++ b/crates/node/src/call_table.rs
@@ -12,6 +12,7 @@
 use crate::call_watch;
 use crate::core_command;
 use crate::core_routes;
+use crate::request_owner;
 
 /// Daemon and call that wait for a call of this daemon.
 pub type SenderCall = (request_identity::RequestOwner, ids::CallId);
@@ -41,6 +42,8 @@
     pub last_result: Option<core_command::AttemptResult>,
     /// Cancellation of the call.
     pub cancelled: call_watch::CancelFlag,
+    /// Action that the call drives.
+    pub action: Option<request_owner::ActionDrive>,
     /// Peer that forwarded the call to this daemon as its owner.
     pub sender: Option<SenderCall>,
 }
--- a/crates/node/src/core_calls.rs
+++ b/crates/node/src/core_calls.rs
@@ -9,19 +9,40 @@
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
 use damasktrack_entity::request_identity;
+use damasktrack_ownership::action_step;
 use damasktrack_wire::call_frame;
 use damasktrack_wire::peer_message;
 
 use crate::call_class;
 use crate::call_table;
 use crate::core_command;
+use crate::core_owner;
 use crate::core_routes;
 use crate::node_core;
 use crate::request_owner;
 
 /// Commands.
 impl node_core::NodeCore {
-    pub(crate) fn begin(&mut self, start: core_command::CallStart, now: time::Instant) -> core_command::CallDecision {
+    pub(crate) fn begin(
+        &mut self,
+        start: core_command::CallStart,
+        reply: core_command::ReplySender<core_command::CallDecision>,
+        now: time::Instant,
+    ) {
+        let decision = match self.check_start(&start, now) {
+            Ok(root) if root.class.idempotent => self.begin_idempotent(start, root, now),
+            Ok(root) => return self.begin_action(start, root, reply, now),
+            Err(decision) => decision,
+        };
+        let _gone = reply.send(decision);
+    }
+
+    /// Makes the checks that need no ledger.
+    fn check_start(
+        &mut self,
+        start: &core_command::CallStart,
+        now: time::Instant,
+    ) -> Result<CallRoot, core_command::CallDecision> {
         if let core_command::CallOrigin::Caller {
             context: None,
             loopback: true,
@@ -30,48 +51,63 @@
         {
             self.metrics.count_context_missing();
         }
-        let root = match self.root_of(&start, now) {
-            Ok(root) => root,
-            Err(refusal) => return refusal,
-        };
-        if start.cancelled.load(atomic::Ordering::Relaxed) {
-            return refuse(root.context.request_id, call_outcome::RefusalReason::Cancelled);
-        }
-        if root.context.depth >= root.class.max_depth {
-            return refuse(root.context.request_id, call_outcome::RefusalReason::TooDeep);
-        }
-        if root.deadline <= now {
-            return refuse(root.context.request_id, call_outcome::RefusalReason::DeadlineTooShort);
-        }
-        let step = self.owner.begin(&request_owner::ActionRequest {
-            request_id: &root.context.request_id,
-            idempotent: root.class.idempotent,
-            forwarded: root.sender.is_some(),
-        });
-        match step {
-            request_owner::OwnerStep::Dispatch => {}
-            request_owner::OwnerStep::Forward(owner) => return self.forward_to_owner(&owner, start, root, now),
-            request_owner::OwnerStep::Unknown => {
-                return core_command::CallDecision::Unknown {
-                    request_id: root.context.request_id,
-                };
-            }
+        if !self.config.settled {
+            let request_id = self.id_of(start);
+            return Err(self.refuse_checked(start, &request_id, call_outcome::RefusalReason::Starting));
         }
+        let root = self.root_of(start, now)?;
+        let reason = if Self::is_cancelled(start) {
+            call_outcome::RefusalReason::Cancelled
+        } else if root.context.depth >= root.class.max_depth {
+            call_outcome::RefusalReason::TooDeep
+        } else if root.deadline <= now {
+            call_outcome::RefusalReason::DeadlineTooShort
+        } else {
+            return Ok(root);
+        };
+        Err(self.refuse_root(start, &root, reason))
+    }
+
+    /// Sends a call to a backend server for the first time, if its level and a server allow it.
+    pub(crate) fn run_first(
+        &mut self,
+        start: core_command::CallStart,
+        root: CallRoot,
+        action: Option<request_owner::ActionDrive>,
+        now: time::Instant,
+    ) -> core_command::CallDecision {
         if !self.admits_level(&start.service, &root.context, now) {
-            self.metrics
-                .count_refused(&root.class, call_outcome::RefusalReason::Overloaded);
-            return refuse(root.context.request_id, call_outcome::RefusalReason::Overloaded);
+            let reason = call_outcome::RefusalReason::Overloaded;
+            return self.refuse_first(&start, &root, action, reason, now);
         }
         let Some(server) = self.choose_server(&start.service, &root.class, &root.context, &[], now) else {
-            self.metrics
-                .count_refused(&root.class, call_outcome::RefusalReason::NoCandidate);
-            return refuse(root.context.request_id, call_outcome::RefusalReason::NoCandidate);
+            let reason = call_outcome::RefusalReason::NoCandidate;
+            return self.refuse_first(&start, &root, action, reason, now);
         };
         self.routes.retry_budget.first_attempt();
-        self.start_call(start, root, Some(server), server.target, now)
+        self.start_call(start, root, action, Some(server), server.target, now)
+    }
+
+    /// Refuses a call before its first attempt. The ledger of an action has decided that it did not run.
+    fn refuse_first(
+        &mut self,
+        start: &core_command::CallStart,
+        root: &CallRoot,
+        action: Option<request_owner::ActionDrive>,
+        reason: call_outcome::RefusalReason,
+        now: time::Instant,
+    ) -> core_command::CallDecision {
+        match action {
+            Some(drive) => {
+                self.metrics.count_refused(&root.class, reason);
+                self.count_effect(&root.class.name, true, 1);
+                self.release_unsent(&drive, reason, now)
+            }
+            None => self.refuse_root(start, root, reason),
+        }
     }
 
-    fn forward_to_owner(
+    pub(crate) fn forward_to_owner(
         &mut self,
         owner: &request_identity::RequestOwner,
         start: core_command::CallStart,
@@ -79,18 +115,18 @@
         now: time::Instant,
     ) -> core_command::CallDecision {
         let Some(peer) = self.directory.find_owner(owner) else {
-            return core_command::CallDecision::Unknown {
-                request_id: root.context.request_id,
-            };
+            let reason = action_step::UnknownReason::OwnerGone;
+            return core_owner::unknown(root.context.request_id, Some(reason));
         };
         let target = core_routes::RouteTarget::Peer(peer.address);
-        self.start_call(start, root, None, target, now)
+        self.start_call(start, root, None, None, target, now)
     }
 
     fn start_call(
         &mut self,
         start: core_command::CallStart,
         root: CallRoot,
+        action: Option<request_owner::ActionDrive>,
         server: Option<core_routes::ChosenServer>,
         target: core_routes::RouteTarget,
         now: time::Instant,
@@ -106,6 +142,7 @@
             stage: stage_of(server),
             context: context.clone(),
         };
+        let keeps_answer = action.is_some();
         self.calls.add_outgoing(
             start.call,
             call_table::OutgoingCall {
@@ -119,6 +156,7 @@
                 attempt_open: true,
                 target,
                 last_result: None,
+                action,
                 cancelled: start.cancelled,
                 sender: root.sender,
             },
@@ -128,6 +166,7 @@
             class: root.class,
             deadline: root.deadline,
             attempt,
+            keeps_answer,
         }))
     }
 
@@ -161,7 +200,10 @@
                 timeout,
                 ..
             } => {
-                let issued = request_id.clone().unwrap_or_else(|| self.owner.issue_id());
+                let issued = match request_id {
+                    Some(request_id) => request_id.clone(),
+                    None => self.owner.issue_id(),
+                };
                 let found = self.class_of(start, tenant.as_ref());
                 let class = found.ok_or_else(|| not_declared(&issued))?;
                 let remaining = timeout.unwrap_or(class.deadline).min(class.deadline);
@@ -232,36 +274,41 @@
             return core_command::RetryDecision::GiveUp(core_command::CallEnd::Cancelled);
         };
         entry.last_result = Some(result);
-        let end = end_of(result, entry.class.idempotent);
-        if entry.cancelled.load(atomic::Ordering::Relaxed) {
-            return core_command::RetryDecision::GiveUp(core_command::CallEnd::Cancelled);
-        }
-        // An owner that was reached for a forwarded call has made its own attempts.
-        if !may_retry(result, entry.class.idempotent) || entry.route_is_owner() || entry.deadline <= now {
-            return core_command::RetryDecision::GiveUp(end);
-        }
-        if !self.take_retry(call, now) {
+        let mut end = end_of(result, entry.class.idempotent);
+        if entry.route_is_owner() {
+            // An owner that was reached has made its own attempts. One that was not reached may have run the action for
+            // an earlier call.
+            if result == core_command::AttemptResult::NotSent {
+                end = core_command::CallEnd::Lost(call_outcome::CallOutcome::Unknown);
+            }
             return core_command::RetryDecision::GiveUp(end);
         }
-        let Some(entry) = self.calls.outgoing(call) else {
-            return core_command::RetryDecision::GiveUp(core_command::CallEnd::Cancelled);
-        };
-        let request_id = entry.context.request_id.clone();
-        let allowance = entry.class.retry_allowance;
+        let cancelled = entry.cancelled.load(atomic::Ordering::Relaxed);
+        let useful = may_retry(result, entry.class.idempotent) && entry.deadline > now;
         let request = peer_message::GrantRequest {
-            request_id: request_id.clone(),
+            request_id: entry.context.request_id.clone(),
             class: entry.context.class.clone(),
             depth: entry.context.depth,
+            arrival: false,
         };
-        let Some(owner) = self.owner.grant_owner(&request_id) else {
-            let grant = self.owner.grant(&request_id, allowance);
-            return self.continue_retry(call, grant, now);
-        };
-        let Some(peer) = self.directory.find_owner(&owner) else {
-            self.routes.retry_budget.give_back();
-            return core_command::RetryDecision::GiveUp(end);
-        };
-        core_command::RetryDecision::AskOwner(peer.address, request)
+        self.note_not_run(call, result);
+        if cancelled {
+            return self.give_up(call, core_command::CallEnd::Cancelled, now);
+        }
+        if !useful || !self.take_retry(call, now) {
+            return self.give_up(call, end, now);
+        }
+        match self.retry_keeper(&request.request_id) {
+            core_owner::RetryKeeper::Local => {
+                let grant = self.grant(&request, now);
+                self.continue_retry(call, grant, now)
+            }
+            core_owner::RetryKeeper::Peer(address) => core_command::RetryDecision::AskOwner(address, request),
+            core_owner::RetryKeeper::Gone => {
+                self.routes.retry_budget.give_back();
+                self.give_up(call, end, now)
+            }
+        }
     }
 
     pub(crate) fn continue_retry(
@@ -277,14 +324,18 @@
         let end = end_of(result, entry.class.idempotent);
         let peer_message::GrantReply::Granted { left } = grant else {
             self.routes.retry_budget.give_back();
-            return core_command::RetryDecision::GiveUp(end);
+            return self.give_up(call, end, now);
         };
         let (service, class) = (entry.service.clone(), entry.class.clone());
         let (context, tried) = (entry.context.clone(), entry.tried.clone());
         let Some(server) = self.choose_server(&service, &class, &context, &tried, now) else {
             self.routes.retry_budget.give_back();
-            return core_command::RetryDecision::GiveUp(end);
+            return self.give_up(call, end, now);
         };
+        if !self.note_retry(call, now) {
+            self.routes.retry_budget.give_back();
+            return self.give_up(call, end, now);
+        }
         let route = self.begin_attempt(server, &class, now);
         self.metrics.count_retried(&class);
         let Some(entry) = self.calls.outgoing_mut(call) else {
@@ -321,12 +372,22 @@
             result
         };
         self.end_attempt(call, observed, now);
-        let Some(entry) = self.calls.remove_outgoing(call) else {
+        if let core_command::CallEnd::Refused(_) = summary.end {
+            // A call that no worker ran has not been released yet.
+            self.note_not_run(call, result);
+            self.give_up(call, summary.end, now);
+        }
+        let Some(mut entry) = self.calls.remove_outgoing(call) else {
             return;
         };
         if let Some(parent) = entry.parent {
             self.admission.nested_finished(parent, now);
         }
+        if let Some(drive) = entry.action.take() {
+            self.finish_action(drive, result, now);
+        }
+        let refused = matches!(summary.end, core_command::CallEnd::Refused(_));
+        self.count_effect(&entry.class.name, refused, summary.attempts);
         if let core_command::CallEnd::Refused(reason) = summary.end {
             self.metrics.count_refused(&entry.class, reason);
         }
@@ -363,25 +424,27 @@
             }
         }
     }
-
-    pub(crate) fn grant(&mut self, request: &peer_message::GrantRequest) -> peer_message::GrantReply {
-        if self.owner.grant_owner(&request.request_id).is_some() {
-            return peer_message::GrantReply::Denied;
-        }
-        // The allowance belongs to the root class; one class exists until resources are connected.
-        let found = self.classes.find(
-            &Bytes::from_static(b"-"),
-            &Bytes::from_static(b"GET"),
-            &Bytes::from_static(b"/"),
-            None,
-        );
-        let allowance = found.map_or(0, |class| class.retry_allowance);
-        self.owner.grant(&request.request_id, allowance)
-    }
 }
 
 /// Queries.
 impl node_core::NodeCore {
+    /// Returns the id of a request whose class is not known yet; a fresh one if the caller chose none.
+    fn id_of(&mut self, start: &core_command::CallStart) -> Bytes {
+        match &start.origin {
+            core_command::CallOrigin::Peer { context, .. }
+            | core_command::CallOrigin::Caller {
+                context: Some(context),
+                loopback: true,
+                ..
+            } => context.request_id.clone(),
+            core_command::CallOrigin::Caller {
+                request_id: Some(request_id),
+                ..
+            } => request_id.clone(),
+            core_command::CallOrigin::Caller { .. } => self.owner.issue_id(),
+        }
+    }
+
     fn class_of(&self, start: &core_command::CallStart, tenant: Option<&Bytes>) -> Option<call_class::CallClass> {
         self.classes.find(&start.service, &start.method, &start.path, tenant)
     }
@@ -389,12 +452,12 @@
 
 /// What a call inherits or starts with.
 #[derive(Debug)]
-struct CallRoot {
-    context: call_context::CallContext,
-    class: call_class::CallClass,
-    deadline: time::Instant,
-    parent: Option<ids::CallId>,
-    sender: Option<call_table::SenderCall>,
+pub(crate) struct CallRoot {
+    pub(crate) context: call_context::CallContext,
+    pub(crate) class: call_class::CallClass,
+    pub(crate) deadline: time::Instant,
+    pub(crate) parent: Option<ids::CallId>,
+    pub(crate) sender: Option<call_table::SenderCall>,
 }
 
 fn stage_of(server: Option<core_routes::ChosenServer>) -> call_frame::CallStage {
