Test shedding, lanes, stragglers, leaving and chain retries with processes

Nothing showed with real daemons which calls are shed, where calls go and how often a chain is attempted. Scripted backend servers of several services now count it.

--- a/crates/daemon/tests/processes/cluster.rs
+++ b/crates/daemon/tests/processes/cluster.rs
@@ -15,7 +15,7 @@
 
 /// Operator key, and its digest as the settings hold it.
 const KEY: &str = "operator-key";
-const KEY_SHA256: &str = "c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818";
+pub const KEY_SHA256: &str = "c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818";
 
 /// Stand-in as a process; killed when dropped.
 pub struct StandIn {
@@ -282,7 +282,7 @@
 
 /// Returns addresses for daemons that know each other from the start. They lie on a loopback address of their own, so
 /// that no other socket takes one of the ports before its daemon does.
-fn peer_addresses(count: usize) -> Vec<net::SocketAddr> {
+pub fn peer_addresses(count: usize) -> Vec<net::SocketAddr> {
     static CLUSTERS: atomic::AtomicU8 = atomic::AtomicU8::new(2);
     let [_, _, high, low] = process::id().to_be_bytes();
     let host = CLUSTERS.fetch_add(1, atomic::Ordering::Relaxed);
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -4,5 +4,8 @@
 mod cluster;
 mod configuration;
 mod failures;
+mod overload;
 mod request_path;
+mod routes;
+mod site;
 mod support;
--- /dev/null
+++ b/crates/daemon/tests/processes/overload.rs
@@ -0,0 +1,155 @@
+//! Admission at the callee and early refusal, counted at the backend server.
+
+use std::collections;
+use std::sync;
+use std::sync::mpsc;
+use std::thread;
+use std::time;
+
+use crate::site;
+use crate::support;
+
+const SERVICE_TIME: time::Duration = time::Duration::from_millis(20);
+
+fn requests_of(backend: &support::BackendServer) -> collections::HashMap<String, usize> {
+    let mut counts = collections::HashMap::new();
+    for request in backend.requests.try_iter() {
+        *counts.entry(request.path).or_insert(0) += 1;
+    }
+    counts
+}
+
+/// Guards against important calls that are shed while less important ones run, and against a refusal of a call that ran.
+#[test]
+fn overload_sheds_the_low_class_only() {
+    const CALLS: usize = 60;
+    let backend = support::BackendServer::start(|_request, stream| {
+        thread::sleep(SERVICE_TIME);
+        support::respond(stream, b"")
+    });
+    let server = site::SiteServer {
+        service: "s",
+        slots: 4,
+        backend,
+    };
+    let classes = [
+        site::class("pairing", 15, false, "short", &[("s", "/pair")]),
+        site::class("browsing", 3, true, "short", &[("s", "/browse")]),
+    ];
+    let site = site::Site::start(vec![server], &site::resources(&[("s", 4)], &classes));
+    let low = site::call_all(site.entry.entry, 24, CALLS, "GET", |thread, number| {
+        format!("/s/browse/{thread}-{number}")
+    });
+    let critical = site::call_all(site.entry.entry, 2, CALLS, "POST", |thread, number| {
+        format!("/s/pair/{thread}-{number}")
+    });
+    let critical = site::join_all(critical);
+    let low = site::join_all(low);
+    let lost: Vec<_> = critical.iter().filter(|end| end.outcome != "done").collect();
+    assert!(lost.is_empty(), "{lost:?}");
+    let ran = requests_of(&site.backends[0]);
+    let mut refused = 0;
+    for end in critical.iter().chain(&low) {
+        let runs = ran.get(end.path.strip_prefix("/s").unwrap()).copied().unwrap_or(0);
+        let expected = usize::from(end.outcome == "done");
+        assert_eq!(runs, expected, "{end:?}");
+        refused += usize::from(end.outcome == "refused");
+    }
+    let done = low.iter().filter(|end| end.outcome == "done").count();
+    assert_eq!(done + refused, low.len(), "{low:?}");
+    assert!(
+        refused > 0 && done > 0,
+        "{refused} refused and {done} done of the low class"
+    );
+    assert!(site.metric("damasktrack_calls_refused") >= refused as f64);
+}
+
+/// Guards against downloads that take all slots, or all connections, from short calls.
+#[test]
+fn long_downloads_leave_slots_to_short_calls() {
+    const DOWNLOADS: usize = 8;
+    const LENGTH: usize = 100_000;
+    let (release, wait) = mpsc::channel::<()>();
+    let wait = sync::Mutex::new(wait);
+    let backend = support::BackendServer::start(move |request, stream| {
+        if request.path != "/ledger" {
+            return support::respond(stream, b"");
+        }
+        let _released = wait.lock().unwrap().recv();
+        support::respond(stream, &vec![b'x'; LENGTH])
+    });
+    let server = site::SiteServer {
+        service: "s",
+        slots: 4,
+        backend,
+    };
+    let classes = [
+        site::class("download", 5, true, "long", &[("s", "/ledger")]),
+        site::class("query", 5, true, "short", &[("s", "/tag")]),
+    ];
+    let site = site::Site::start(vec![server], &site::resources(&[("s", 4)], &classes));
+    let entry = site.entry.entry;
+    let downloads: Vec<_> = (0..DOWNLOADS)
+        .map(|_| {
+            thread::spawn(move || {
+                support::Caller::open(entry)
+                    .exchange("GET", "/s/ledger", "", b"")
+                    .unwrap()
+            })
+        })
+        .collect();
+    site.backends[0].wait_request("/ledger");
+    let short = site::join_all(site::call_all(entry, 2, 100, "GET", |thread, number| {
+        format!("/s/tag/{thread}-{number}")
+    }));
+    let lost: Vec<_> = short.iter().filter(|end| end.outcome != "done").collect();
+    assert!(lost.is_empty(), "{lost:?}");
+    for _ in 0..DOWNLOADS {
+        release.send(()).unwrap();
+    }
+    let (mut done, mut refused) = (0, 0);
+    for download in downloads {
+        let response = download.join().unwrap();
+        match response.status {
+            200 => {
+                assert_eq!(response.body.len(), LENGTH);
+                done += 1;
+            }
+            status => {
+                assert_eq!(status, 503);
+                refused += 1;
+            }
+        }
+    }
+    assert!(done >= 1 && refused >= 1, "{done} done and {refused} refused");
+}
+
+/// Guards against a limit that ignores the backend server's own refusals.
+#[test]
+fn refusals_of_the_backend_server_lower_the_limit() {
+    let backend = support::BackendServer::start(|request, stream| {
+        if request.path == "/full" {
+            let refusal = b"HTTP/1.1 503 Busy\r\nDamasktrack-Not-Run: true\r\nContent-Length: 0\r\n\r\n";
+            return std::io::Write::write_all(stream, refusal).is_ok();
+        }
+        support::respond(stream, b"")
+    });
+    let server = site::SiteServer {
+        service: "s",
+        slots: 16,
+        backend,
+    };
+    let classes = [site::class("query", 5, true, "short", &[("s", "/")])];
+    let site = site::Site::start(vec![server], &site::resources(&[("s", 16)], &classes));
+    let limit = || {
+        let response = support::Caller::open(site.daemons[0].api).exchange("GET", "/metrics", "", b"");
+        let text = String::from_utf8(response.unwrap().body).unwrap();
+        let line = text.lines().find(|line| line.starts_with("damasktrack_work_limit"));
+        line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+    };
+    support::wait_for("the first limit", || limit().filter(|limit| *limit >= 16.0));
+    let mut caller = support::Caller::open(site.entry.entry);
+    let end = site::call(&mut caller, "GET", "/s/full");
+    assert_eq!(end.outcome, "refused");
+    support::wait_for("a lower limit", || limit().filter(|limit| *limit < 16.0));
+}
