--- a/crates/daemon/tests/processes/routes.rs
+++ b/crates/daemon/tests/processes/routes.rs
@@ -64,7 +64,11 @@
         })
     };
     let servers = [server("s", 40, backend()), server("s", 40, backend())];
-    let classes = [site::class("query", 5, true, "short", &[("s", "/")])];
+    // A class of its own, so that the held request does not make its server look slow.
+    let classes = [
+        site::class("query", 5, true, "short", &[("s", "/")]),
+        site::class("download", 5, true, "long", &[("s", "/held")]),
+    ];
     let mut site = site::Site::start(servers.into(), &site::resources(&[("s", 40)], &classes));
     let entry = site.entry.entry;
     // The request in flight keeps the leaving daemon running. It may be at either server.
