Send a second copy of slow idempotent calls

A call at a server that slowed down waited for it to the end. After the 95th percentile of its class, with a token of the retry budget and a grant of the request's owner, a copy goes to another server on a thread of its own. The attempt whose head arrives first answers, and the other one is cancelled. No thread or core round trip is added to calls that end before.

--- a/crates/daemon/tests/processes/routes.rs
+++ b/crates/daemon/tests/processes/routes.rs
@@ -162,3 +162,63 @@
     // Otherwise nothing was retried, and the bound shows nothing.
     assert!(most > 1);
 }
+
+/// Guards against a slow idempotent call that waits although another server is free, against a first copy that runs on
+/// for nobody, and against a second copy of an action.
+#[test]
+fn slow_idempotent_call_gets_a_second_copy() {
+    let held = sync::Arc::new(sync::atomic::AtomicUsize::new(0));
+    let (release, wait) = mpsc::channel::<()>();
+    let wait = sync::Arc::new(sync::Mutex::new(wait));
+    let backend = || {
+        let (held, wait) = (sync::Arc::clone(&held), sync::Arc::clone(&wait));
+        support::BackendServer::start(move |request, stream| {
+            let is_first = || held.fetch_add(1, sync::atomic::Ordering::Relaxed) == 0;
+            if request.path == "/action" || (request.path == "/held" && is_first()) {
+                let _released = wait.lock().unwrap().recv();
+            }
+            support::respond(stream, b"")
+        })
+    };
+    let servers = [server("s", 40, backend()), server("s", 40, backend())];
+    let classes = [
+        site::class("query", 5, true, "short", &[("s", "/")]),
+        site::class("pairing", 15, false, "short", &[("s", "/action")]),
+    ];
+    let site = site::Site::start(servers.into(), &site::resources(&[("s", 40)], &classes));
+    let entry = site.entry.entry;
+    // Enough calls for a percentile and for the retry budget.
+    site::join_all(site::call_all(entry, 2, 100, "GET", |_, _| "/s/early".to_owned()));
+    let end = site::call(&mut support::Caller::open(entry), "GET", "/s/held");
+    assert_eq!(end.outcome, "done");
+    assert_eq!(held.load(sync::atomic::Ordering::Relaxed), 2);
+    let mut copies = Vec::new();
+    support::wait_for("the first copy to be cancelled", || {
+        let requests = site.backends.iter().flat_map(|backend| backend.requests.try_iter());
+        let mut cancelled = None;
+        for request in requests {
+            if request.path == "/held" {
+                let context = support::header_value(&request.header, "damasktrack-context").unwrap();
+                copies.push(context.split(';').nth(1).unwrap().to_owned());
+            }
+            cancelled = cancelled.or(request.path.starts_with("/cancel").then_some(()));
+        }
+        cancelled
+    });
+    copies.sort();
+    assert_eq!(copies, ["attempt=1", "attempt=2"]);
+    assert!(site.metric("damasktrack_calls_hedged") >= 1.0);
+    release.send(()).unwrap();
+    let action = thread::spawn(move || site::call(&mut support::Caller::open(entry), "POST", "/s/action"));
+    let reached = || -> usize {
+        let requests = site.backends.iter().flat_map(|backend| backend.requests.try_iter());
+        requests.filter(|request| request.path == "/action").count()
+    };
+    let mut count = support::wait_for("the action", || Some(reached()).filter(|count| *count > 0));
+    // Many times the percentile.
+    thread::sleep(time::Duration::from_millis(500));
+    count += reached();
+    assert_eq!(count, 1);
+    release.send(()).unwrap();
+    assert_eq!(action.join().unwrap().outcome, "done");
+}
--- a/crates/node/src/call_runner.rs
+++ b/crates/node/src/call_runner.rs
@@ -16,6 +16,7 @@
 use damasktrack_wire::peer_message;
 
 use crate::call_begin;
+use crate::call_hedge;
 use crate::call_watch;
 use crate::callee_runner;
 use crate::core_command;
@@ -27,7 +28,7 @@
 use crate::request_owner;
 
 /// Time past the deadline in which the callee's own report of it is awaited.
-const DEADLINE_GRACE: time::Duration = time::Duration::from_millis(100);
+pub(crate) const DEADLINE_GRACE: time::Duration = time::Duration::from_millis(100);
 
 /// Call without its context, the same for all attempts.
 #[derive(Clone, Debug)]
@@ -70,6 +71,7 @@
     cancelled: &call_watch::CancelFlag,
     sink: &frame_sink::FrameSink,
 ) -> core_command::CallSummary {
+    let hedge = rc::Rc::new(cell::RefCell::new(call_hedge::CallHedge::new(shared, &plan, request)));
     let mut attempt = plan.attempt;
     let mut attempts = 0;
     loop {
@@ -81,10 +83,13 @@
         }));
         let end = match attempt.target {
             core_routes::RouteTarget::Peer(address) => {
-                let watch = new_watch(plan.deadline + DEADLINE_GRACE, cancelled, sink);
+                let watch = new_watch(plan.deadline + DEADLINE_GRACE, cancelled, sink, &attempt, &hedge);
                 let body = encode_call(shared, plan.call, &attempt, request);
                 match body {
                     Ok(body) => shared.peers.call(address, plan.class.lane, body, watch, &mut |frame| {
+                        if matches!(frame, call_frame::CallFrame::Head { .. }) {
+                            hedge.borrow_mut().lose_if_sent();
+                        }
                         pass_frame(&state, sink, frame)
                     }),
                     Err(error) => {
@@ -98,8 +103,16 @@
                 peer_client::PeerEnd::Ended
             }
         };
+        let mut result = attempt_result(end, &state.borrow(), started, plan.deadline);
+        if !state.borrow().head_passed
+            && let Some(end) = hedge
+                .borrow_mut()
+                .take_over(result, cancelled, &mut |frame| pass_frame(&state, sink, frame))
+        {
+            attempts += 1;
+            result = attempt_result(end, &state.borrow(), started, plan.deadline);
+        }
         let mut state = state.borrow_mut();
-        let result = attempt_result(end, &state, started, plan.deadline);
         if matches!(result, core_command::AttemptResult::Completed { .. })
             && let Some(answer) = state.answer.take()
         {
@@ -220,18 +233,34 @@
     deadline: time::Instant,
     cancelled: &call_watch::CancelFlag,
     sink: &frame_sink::FrameSink,
+    attempt: &core_command::AttemptPlan,
+    hedge: &rc::Rc<cell::RefCell<call_hedge::CallHedge>>,
 ) -> call_watch::CallWatch {
     let waiting = rc::Rc::clone(sink);
+    let hedge = rc::Rc::clone(hedge);
+    let mut reported = time::Instant::now();
     call_watch::CallWatch {
         deadline,
         silence: Some(call_watch::PEER_SILENCE),
         cancelled: sync::Arc::clone(cancelled),
-        on_wait: Box::new(
-            move || match frame_sink::send(&waiting, call_frame::CallFrame::Working) {
-                frame_sink::SinkStep::Continue => call_watch::WatchStep::Continue,
-                frame_sink::SinkStep::Gone => call_watch::WatchStep::Stop,
-            },
-        ),
+        slice: attempt
+            .hedge_after
+            .unwrap_or(call_watch::WAIT_SLICE)
+            .min(call_watch::WAIT_SLICE),
+        on_wait: Box::new(move || {
+            // Looks at a copy come more often than `Working` frames are needed.
+            if reported.elapsed() >= call_watch::WAIT_SLICE {
+                reported = time::Instant::now();
+                if frame_sink::send(&waiting, call_frame::CallFrame::Working) == frame_sink::SinkStep::Gone {
+                    return call_watch::WatchStep::Stop;
+                }
+            }
+            match hedge.borrow_mut().look() {
+                call_hedge::HedgeLook::Wait(time) => call_watch::WatchStep::ContinueWithin(time),
+                call_hedge::HedgeLook::Won => call_watch::WatchStep::Stop,
+                call_hedge::HedgeLook::Over => call_watch::WatchStep::Continue,
+            }
+        }),
     }
 }
 
@@ -340,7 +369,7 @@
     }
 }
 
-fn encode_call(
+pub(crate) fn encode_call(
     shared: &node_shared::NodeShared,
     call: ids::CallId,
     attempt: &core_command::AttemptPlan,
--- a/crates/node/src/call_table.rs
+++ b/crates/node/src/call_table.rs
@@ -11,6 +11,7 @@
 use crate::call_class;
 use crate::call_watch;
 use crate::core_command;
+use crate::core_hedges;
 use crate::core_routes;
 use crate::request_owner;
 
@@ -36,6 +37,14 @@
     pub route: Option<core_routes::RunningAttempt>,
     /// Whether the result of the current attempt is still to be taken.
     pub attempt_open: bool,
+    /// Id of the current attempt on the wire; the receiver knows it by this.
+    pub wire_call: ids::CallId,
+    /// Second copy that runs beside the current attempt.
+    pub hedge: Option<core_hedges::HedgeEntry>,
+    /// Cancellation of a copy that took the place of the first attempt.
+    pub copy_cancelled: Option<call_watch::CancelFlag>,
+    /// Whether an attempt was made after one that ended without a response.
+    pub retried: bool,
     /// Target of the current attempt.
     pub target: core_routes::RouteTarget,
     /// Result of the last attempt, kept while a grant is asked for.
--- a/crates/node/src/call_watch.rs
+++ b/crates/node/src/call_watch.rs
@@ -24,6 +24,8 @@
 pub enum WatchStep {
     /// Go on waiting.
     Continue,
+    /// Go on waiting, and look again within this time.
+    ContinueWithin(time::Duration),
     /// Nobody takes the response any longer.
     Stop,
 }
@@ -47,6 +49,8 @@
     pub silence: Option<time::Duration>,
     /// Cancellation of the call.
     pub cancelled: CancelFlag,
+    /// Longest wait until the first look.
+    pub slice: time::Duration,
     /// Called after each slice without input.
     pub on_wait: Box<dyn FnMut() -> WatchStep>,
 }
@@ -67,6 +71,7 @@
             deadline: time::Instant::now() + timeout,
             silence: Some(PEER_SILENCE),
             cancelled: CancelFlag::default(),
+            slice: WAIT_SLICE,
             on_wait: Box::new(|| WatchStep::Continue),
         }
     }
@@ -174,7 +179,10 @@
             return WAIT_SLICE;
         };
         let now = time::Instant::now();
-        let mut slice = WAIT_SLICE.min(active.watch.deadline.saturating_duration_since(now));
+        let mut slice = active
+            .watch
+            .slice
+            .min(active.watch.deadline.saturating_duration_since(now));
         if let Some(silence) = active.watch.silence {
             slice = slice.min((started + silence).saturating_duration_since(now));
         }
@@ -200,10 +208,18 @@
             Some(WatchStop::Deadline)
         } else if watch.silence.is_some_and(|silence| now >= started + silence) {
             Some(WatchStop::Silent)
-        } else if (watch.on_wait)() == WatchStep::Stop {
-            Some(WatchStop::Cancelled)
         } else {
-            None
+            match (watch.on_wait)() {
+                WatchStep::Stop => Some(WatchStop::Cancelled),
+                WatchStep::Continue => {
+                    watch.slice = WAIT_SLICE;
+                    None
+                }
+                WatchStep::ContinueWithin(slice) => {
+                    watch.slice = slice.min(WAIT_SLICE);
+                    None
+                }
+            }
         };
         active.report.stop = stop;
         match stop {
--- a/crates/node/src/callee_runner.rs
+++ b/crates/node/src/callee_runner.rs
@@ -163,6 +163,7 @@
         deadline,
         silence: None,
         cancelled,
+        slice: call_watch::WAIT_SLICE,
         on_wait: Box::new(
             move || match frame_sink::send(&waiting, call_frame::CallFrame::Working) {
                 frame_sink::SinkStep::Continue => call_watch::WatchStep::Continue,
--- a/crates/node/src/core_calls.rs
+++ b/crates/node/src/core_calls.rs
@@ -141,6 +141,7 @@
             target,
             stage: stage_of(server),
             context: context.clone(),
+            hedge_after: server.and_then(|server| self.hedge_delay(&start.service, &root.class, server.target)),
         };
         let keeps_answer = action.is_some();
         self.calls.add_outgoing(
@@ -154,6 +155,10 @@
                 tried: server.map(|server| server.key).into_iter().collect(),
                 route,
                 attempt_open: true,
+                wire_call: start.call,
+                hedge: None,
+                retried: false,
+                copy_cancelled: None,
                 target,
                 last_result: None,
                 action,
@@ -345,6 +350,8 @@
         entry.route = route;
         entry.attempt_open = true;
         entry.target = server.target;
+        entry.wire_call = call;
+        entry.retried = true;
         entry.context.attempt += 1;
         entry.context.retry_allowance = left;
         entry.context.remaining = entry.deadline.saturating_duration_since(now);
@@ -352,6 +359,7 @@
             target: server.target,
             stage: call_frame::CallStage::Callee,
             context: entry.context.clone(),
+            hedge_after: None,
         })
     }
 
@@ -380,6 +388,9 @@
         let Some(mut entry) = self.calls.remove_outgoing(call) else {
             return;
         };
+        if let Some(hedge) = entry.hedge.take() {
+            self.end_hedge(&hedge, now);
+        }
         if let Some(parent) = entry.parent {
             self.admission.nested_finished(parent, now);
         }
@@ -399,7 +410,7 @@
                 "call ended as {outcome}"
             );
             // The callee may still run it for nobody.
-            self.cancel_target(call, entry.target, now);
+            self.cancel_target(entry.wire_call, entry.target, now);
         }
     }
 
@@ -407,12 +418,15 @@
         let Some(entry) = self.calls.outgoing(call) else {
             return;
         };
-        entry.cancelled.store(true, atomic::Ordering::Relaxed);
-        let target = entry.target;
-        self.cancel_target(call, target, time::Instant::now());
+        entry.set_cancelled();
+        let now = time::Instant::now();
+        self.cancel_target(entry.wire_call, entry.target, now);
+        if let Some(hedge) = self.calls.outgoing_mut(call).and_then(|entry| entry.hedge.take()) {
+            self.end_hedge(&hedge, now);
+        }
     }
 
-    fn cancel_target(&mut self, call: ids::CallId, target: core_routes::RouteTarget, now: time::Instant) {
+    pub(crate) fn cancel_target(&mut self, call: ids::CallId, target: core_routes::RouteTarget, now: time::Instant) {
         match target {
             core_routes::RouteTarget::Peer(address) => self.effects.cancel_at_peer(address, call),
             core_routes::RouteTarget::Local => {
--- a/crates/node/src/core_command.rs
+++ b/crates/node/src/core_command.rs
@@ -19,6 +19,7 @@
 use crate::call_class;
 use crate::call_watch;
 use crate::core_config;
+use crate::core_hedges;
 use crate::core_routes;
 use crate::peer_directory;
 use crate::request_owner;
@@ -96,6 +97,8 @@
     PeersLearned(Vec<peer_directory::PeerIdentity>),
     /// A health check of the backend server ended.
     BackendServerChecked(bool),
+    /// About the copy of a slow call.
+    Hedge(core_hedges::HedgeCommand),
     /// About a request that this daemon owns.
     Owner(request_owner::OwnerCommand),
     /// About the configuration.
@@ -207,6 +210,8 @@
     pub stage: call_frame::CallStage,
     /// Context that the receiver gets.
     pub context: call_context::CallContext,
+    /// Time after which a second copy may be sent.
+    pub hedge_after: Option<time::Duration>,
 }
 
 /// How an attempt ended.
--- /dev/null
+++ b/crates/node/src/core_hedges.rs
@@ -0,0 +1,268 @@
+//! Decisions about second copies of slow calls.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use damasktrack_entity::ids;
+use damasktrack_routing::hedge_policy;
+use damasktrack_wire::call_frame;
+use damasktrack_wire::peer_message;
+
+use crate::call_class;
+use crate::call_table;
+use crate::call_watch;
+use crate::core_command;
+use crate::core_owner;
+use crate::core_routes;
+use crate::node_core;
+
+/// Command about the copy of a call.
+#[derive(Debug)]
+pub enum HedgeCommand {
+    /// A call has been slow; a copy may be sent.
+    Ask {
+        /// The call.
+        call: ids::CallId,
+        /// Id that the copy gets.
+        copy: ids::CallId,
+        /// Time since the first attempt was sent.
+        elapsed: time::Duration,
+        /// Where the decision goes.
+        reply: core_command::ReplySender<HedgeStep>,
+    },
+    /// The owner of the request answered about a copy.
+    Granted {
+        /// The call.
+        call: ids::CallId,
+        /// The answer.
+        grant: peer_message::GrantReply,
+        /// Where the decision goes.
+        reply: core_command::ReplySender<HedgeStep>,
+    },
+    /// The copy takes the place of the first attempt, which ended so.
+    Won(ids::CallId, core_command::AttemptResult),
+    /// The copy is no longer needed.
+    Lost(ids::CallId),
+}
+
+/// What to do about a slow call.
+#[derive(Debug)]
+pub enum HedgeStep {
+    /// Send the copy.
+    Send(Box<HedgePlan>),
+    /// Ask the owner of the request for a grant.
+    AskOwner(net::SocketAddr, peer_message::GrantRequest),
+    /// Send no copy.
+    Never,
+}
+
+/// Copy of a call.
+#[derive(Debug)]
+pub struct HedgePlan {
+    /// Id of the copy on the wire.
+    pub copy: ids::CallId,
+    /// Where to send it.
+    pub attempt: core_command::AttemptPlan,
+    /// Cancellation of the copy.
+    pub cancelled: call_watch::CancelFlag,
+}
+
+/// Copy as the call table keeps it.
+#[derive(Debug)]
+pub struct HedgeEntry {
+    /// Id of the copy on the wire.
+    pub copy: ids::CallId,
+    /// Attempt of the copy once it is sent, and its target.
+    pub(crate) sent: Option<(core_routes::RunningAttempt, core_routes::RouteTarget)>,
+    /// Cancellation of the copy.
+    pub cancelled: call_watch::CancelFlag,
+}
+
+/// Commands.
+impl node_core::NodeCore {
+    pub(crate) fn handle_hedge(&mut self, command: HedgeCommand, now: time::Instant) {
+        match command {
+            HedgeCommand::Ask {
+                call,
+                copy,
+                elapsed,
+                reply,
+            } => {
+                let _gone = reply.send(self.ask_hedge(call, copy, elapsed, now));
+            }
+            HedgeCommand::Granted { call, grant, reply } => {
+                let _gone = reply.send(self.continue_hedge(call, grant, now));
+            }
+            HedgeCommand::Won(call, first) => self.win_hedge(call, first, now),
+            HedgeCommand::Lost(call) => {
+                if let Some(hedge) = self.calls.outgoing_mut(call).and_then(|entry| entry.hedge.take()) {
+                    self.end_hedge(&hedge, now);
+                }
+            }
+        }
+    }
+
+    fn ask_hedge(
+        &mut self,
+        call: ids::CallId,
+        copy: ids::CallId,
+        elapsed: time::Duration,
+        now: time::Instant,
+    ) -> HedgeStep {
+        let Some(entry) = self.calls.outgoing(call) else {
+            return HedgeStep::Never;
+        };
+        let decision = self.routes.hedges.decide(hedge_policy::HedgeRequest {
+            service: &entry.service,
+            class: &entry.class.name,
+            idempotent: entry.class.idempotent,
+            elapsed,
+            remaining: entry.deadline.saturating_duration_since(now),
+            hedges: u32::from(entry.hedge.is_some()),
+        });
+        let gone = entry.cancelled.load(atomic::Ordering::Relaxed) || entry.route.is_none();
+        if decision != hedge_policy::HedgeDecision::Send || gone {
+            return HedgeStep::Never;
+        }
+        let request = peer_message::GrantRequest {
+            request_id: entry.context.request_id.clone(),
+            class: entry.context.class.clone(),
+            depth: entry.context.depth,
+            arrival: false,
+        };
+        // A copy takes the slot of another request, also for a critical call, so none is sent while the service sheds.
+        let importance = entry.context.level.importance;
+        let sheds = self.levels.sheds(&entry.service, &entry.context.class, importance, now);
+        if sheds || !self.take_retry(call, now) {
+            return HedgeStep::Never;
+        }
+        if let Some(entry) = self.calls.outgoing_mut(call) {
+            entry.hedge = Some(HedgeEntry {
+                copy,
+                sent: None,
+                cancelled: call_watch::CancelFlag::default(),
+            });
+        }
+        match self.retry_keeper(&request.request_id) {
+            core_owner::RetryKeeper::Local => {
+                let grant = self.grant(&request, now);
+                self.continue_hedge(call, grant, now)
+            }
+            core_owner::RetryKeeper::Peer(address) => HedgeStep::AskOwner(address, request),
+            core_owner::RetryKeeper::Gone => self.continue_hedge(call, peer_message::GrantReply::Denied, now),
+        }
+    }
+
+    fn continue_hedge(&mut self, call: ids::CallId, grant: peer_message::GrantReply, now: time::Instant) -> HedgeStep {
+        let step = self.send_hedge(call, grant, now);
+        if step.is_none() {
+            self.routes.retry_budget.give_back();
+        }
+        step.map_or(HedgeStep::Never, |plan| HedgeStep::Send(Box::new(plan)))
+    }
+
+    fn send_hedge(
+        &mut self,
+        call: ids::CallId,
+        grant: peer_message::GrantReply,
+        now: time::Instant,
+    ) -> Option<HedgePlan> {
+        let peer_message::GrantReply::Granted { left } = grant else {
+            return None;
+        };
+        let entry = self.calls.outgoing(call)?;
+        entry.hedge.as_ref()?;
+        let (service, class) = (entry.service.clone(), entry.class.clone());
+        let (mut context, tried) = (entry.context.clone(), entry.tried.clone());
+        let server = self.choose_server(&service, &class, &context, &tried, now)?;
+        if server.target == core_routes::RouteTarget::Local {
+            return None;
+        }
+        let route = self.begin_attempt(server, &class, now)?;
+        self.metrics.count_hedged(&class);
+        let entry = self.calls.outgoing_mut(call)?;
+        entry.tried.push(server.key);
+        entry.context.attempt += 1;
+        entry.context.retry_allowance = left;
+        context.attempt = entry.context.attempt;
+        context.retry_allowance = left;
+        context.remaining = entry.deadline.saturating_duration_since(now);
+        let hedge = entry.hedge.as_mut()?;
+        hedge.sent = Some((route, server.target));
+        Some(HedgePlan {
+            copy: hedge.copy,
+            attempt: core_command::AttemptPlan {
+                target: server.target,
+                stage: call_frame::CallStage::Callee,
+                context,
+                hedge_after: None,
+            },
+            cancelled: sync::Arc::clone(&hedge.cancelled),
+        })
+    }
+
+    /// Puts the copy in the place of the first attempt.
+    fn win_hedge(&mut self, call: ids::CallId, first: core_command::AttemptResult, now: time::Instant) {
+        self.end_attempt(call, first, now);
+        let Some(entry) = self.calls.outgoing_mut(call) else {
+            return;
+        };
+        let Some(HedgeEntry {
+            copy,
+            sent: Some((route, target)),
+            cancelled,
+        }) = entry.hedge.take()
+        else {
+            return;
+        };
+        let loser = (entry.wire_call, entry.target);
+        entry.wire_call = copy;
+        entry.target = target;
+        entry.route = Some(route);
+        entry.attempt_open = true;
+        if entry.cancelled.load(atomic::Ordering::Relaxed) {
+            cancelled.store(true, atomic::Ordering::Relaxed);
+        }
+        entry.copy_cancelled = Some(cancelled);
+        self.cancel_target(loser.0, loser.1, now);
+    }
+
+    /// Cancels a copy.
+    pub(crate) fn end_hedge(&mut self, hedge: &HedgeEntry, now: time::Instant) {
+        hedge.cancelled.store(true, atomic::Ordering::Relaxed);
+        if let Some((route, target)) = hedge.sent {
+            self.end_route(route, now);
+            self.cancel_target(hedge.copy, target, now);
+        }
+    }
+}
+
+/// Queries.
+impl node_core::NodeCore {
+    /// Returns the time after which a call is hedged, if it may be.
+    pub(crate) fn hedge_delay(
+        &self,
+        service: &ids::ServiceName,
+        class: &call_class::CallClass,
+        target: core_routes::RouteTarget,
+    ) -> Option<time::Duration> {
+        let may =
+            class.idempotent && class.lane == call_class::CallLane::Short && target != core_routes::RouteTarget::Local;
+        if !may {
+            return None;
+        }
+        self.routes.hedges.delay(service, &class.name)
+    }
+}
+
+impl call_table::OutgoingCall {
+    /// Sets the cancellation flags of the call and its copies.
+    pub(crate) fn set_cancelled(&self) {
+        self.cancelled.store(true, atomic::Ordering::Relaxed);
+        if let Some(flag) = &self.copy_cancelled {
+            flag.store(true, atomic::Ordering::Relaxed);
+        }
+    }
+}
--- a/crates/node/src/core_routes.rs
+++ b/crates/node/src/core_routes.rs
@@ -215,7 +215,8 @@
         };
         self.routes.table.finish(route.call, route_result(result), now);
         if let core_command::AttemptResult::Completed { latency, bytes, .. } = result {
-            if entry.tried.len() == 1 {
+            // The time of a hedged call counts from its first attempt; without such calls the percentile would shrink.
+            if !entry.retried {
                 self.routes
                     .hedges
                     .record(&entry.service, &entry.class.name, latency, now);
@@ -227,6 +228,12 @@
         }
     }
 
+    /// Ends an attempt that is no longer needed.
+    pub(crate) fn end_route(&mut self, route: RunningAttempt, now: time::Instant) {
+        let result = route_candidate::RouteResult::Cancelled;
+        self.routes.table.finish(route.call, result, now);
+    }
+
     /// Returns whether the budget of this daemon allows one more attempt of a call, and takes it. While the service sheds
     /// calls of the class, a retry would take the place of another request.
     pub(crate) fn take_retry(&mut self, call: ids::CallId, now: time::Instant) -> bool {
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -104,6 +104,7 @@
             }
             core_command::CoreCommand::PeersLearned(peers) => self.learn_peers(peers, now),
             core_command::CoreCommand::BackendServerChecked(up) => self.take_health(up),
+            core_command::CoreCommand::Hedge(command) => self.handle_hedge(command, now),
             core_command::CoreCommand::Owner(command) => self.handle_owner(command, now),
             core_command::CoreCommand::Config(command) => self.handle_config(command),
             core_command::CoreCommand::Drain => self.drain(now),
--- a/crates/node/src/store_client.rs
+++ b/crates/node/src/store_client.rs
@@ -200,6 +200,7 @@
             deadline: time::Instant::now() + CALL_TIMEOUT,
             silence: None,
             cancelled: call_watch::CancelFlag::default(),
+            slice: call_watch::WAIT_SLICE,
             on_wait: Box::new(|| call_watch::WatchStep::Continue),
         };
         let (result, report) = call_watch::run(watch, || self.exchange(method, path, body));
