--- a/crates/daemon/tests/processes/actions.rs
+++ b/crates/daemon/tests/processes/actions.rs
@@ -167,6 +167,33 @@
     assert_eq!(cluster.backend.max_executions(), 1);
 }
 
+/// Guards against a refusal, given before the owner is asked, of an action that ran.
+#[test]
+fn refusal_that_the_owner_did_not_give_is_unknown() {
+    let cluster = cluster::Cluster::start(5, DEADLINE_MS);
+    let bound = cluster.issue(1);
+    for id in ["ran-1", &bound] {
+        assert_eq!(cluster.file(1, id).outcome, "done");
+    }
+    let fresh = cluster.issue(2);
+    for (daemon, id, outcome) in [
+        (0, "ran-1", "unknown"),
+        (1, "ran-1", "unknown"),
+        (2, &bound, "unknown"),
+        (1, &bound, "unknown"),
+        (1, &fresh, "unknown"),
+        (2, &fresh, "refused"),
+    ] {
+        let header = format!("Idempotency-Key: {id}\r\nDamasktrack-Timeout-Ms: 0\r\n");
+        let response = support::Caller::open(cluster.daemons[daemon].entry)
+            .exchange("POST", "/permits/file", &header, b"calf 7")
+            .unwrap();
+        let found = support::header_value(&response.header, "damasktrack-outcome");
+        assert_eq!(found, Some(outcome), "{daemon} {id}");
+    }
+    assert_eq!(cluster.backend.max_executions(), 1);
+}
+
 /// Guards against an opaque id that runs without a settled claim, and against bound ids that need the store.
 #[test]
 fn faults_of_the_store_cost_no_bound_id_and_no_second_execution() {
