--- a/crates/admission/src/admission_gate.rs
+++ b/crates/admission/src/admission_gate.rs
@@ -427,10 +427,10 @@
         }
     }
 
-    /// Returns the lowest level that the short lane admits.
+    /// Returns the lowest level that the short lane admits of a tenant that is not known.
     #[must_use]
     pub fn level(&self) -> admission_level::AdmissionLevel {
-        self.short.levels.level()
+        self.short.levels.level(usize::MAX)
     }
 
     /// Returns the number of calls that may run at once.
--- a/crates/node/src/admission_control.rs
+++ b/crates/node/src/admission_control.rs
@@ -113,15 +113,15 @@
 
 /// Queries.
 impl AdmissionControl {
-    /// Returns the level that the gate admits for one of its classes.
+    /// Returns the level that the gate admits for a tenant's calls of one of its classes.
     #[must_use]
-    pub fn report(&self, class: &ids::ClassName) -> call_outcome::LevelReport {
+    pub fn report(&self, class: &ids::ClassName, tenant: &ids::TenantName) -> call_outcome::LevelReport {
         self.gate.as_ref().map_or(
             call_outcome::LevelReport {
                 level: admission_level::AdmissionLevel::LOWEST,
                 age: time::Duration::ZERO,
             },
-            |gate| gate.report(class),
+            |gate| gate.report(class, tenant),
         )
     }
 
--- a/crates/node/src/core_hedges.rs
+++ b/crates/node/src/core_hedges.rs
@@ -134,7 +134,9 @@
         };
         // A copy takes the slot of another request, also for a critical call, so none is sent while the service sheds.
         let importance = entry.context.level.importance;
-        let sheds = self.levels.sheds(&entry.service, &entry.context.class, importance, now);
+        let sheds = self
+            .levels
+            .sheds(&entry.service, &core_routes::view_key(&entry.context), importance, now);
         if sheds || !self.take_retry(call, now) {
             return HedgeStep::Never;
         }
--- a/crates/node/src/core_routes.rs
+++ b/crates/node/src/core_routes.rs
@@ -138,7 +138,7 @@
         if context.depth > 0 {
             return true;
         }
-        let check = self.levels.check(service, &context.class, context.level, now);
+        let check = self.levels.check(service, &view_key(context), context.level, now);
         check != level_view::LevelCheck::Refuse
     }
 
@@ -207,8 +207,8 @@
                 Some(_) => level_view::CallOrigin::Nested,
                 None => level_view::CallOrigin::Entry,
             };
-            self.levels
-                .learn(&entry.service, &entry.context.class, report, origin, now);
+            let key = view_key(&entry.context);
+            self.levels.learn(&entry.service, &key, report, origin, now);
         }
         let Some(route) = route else {
             return;
@@ -242,7 +242,8 @@
         };
         let critical = self.classes.is_critical(&entry.context.class);
         let importance = entry.context.level.importance;
-        if !critical && self.levels.sheds(&entry.service, &entry.context.class, importance, now) {
+        let key = view_key(&entry.context);
+        if !critical && self.levels.sheds(&entry.service, &key, importance, now) {
             return false;
         }
         self.routes.retry_budget.try_retry(now) == retry_budget::RetryDecision::Allowed
@@ -270,6 +271,11 @@
     }
 }
 
+/// Returns the class and tenant of a request, for which levels are reported.
+pub(crate) fn view_key(context: &call_context::CallContext) -> level_view::ViewKey {
+    (context.class.clone(), context.tenant.clone())
+}
+
 fn cause_text(cause: straggler_ejection::EjectionCause) -> &'static str {
     match cause {
         straggler_ejection::EjectionCause::Straggler => "straggler",
--- a/crates/node/src/core_work.rs
+++ b/crates/node/src/core_work.rs
@@ -13,6 +13,7 @@
 use crate::call_class;
 use crate::call_table;
 use crate::core_command;
+use crate::core_routes;
 use crate::node_core;
 
 /// Commands.
@@ -172,8 +173,9 @@
 impl node_core::NodeCore {
     /// Returns the worse of the gate's level and of what the backend server's own calls met below for the same class.
     fn work_report(&self, work: &call_table::WorkEntry, now: time::Instant) -> call_outcome::LevelReport {
-        let own = self.admission.report(&work.gate_class);
-        level_view::worse(own, self.levels.worst_below(&work.context.class, now))
+        let own = self.admission.report(&work.gate_class, &work.class.tenant);
+        let key = core_routes::view_key(&work.context);
+        level_view::worse(own, self.levels.worst_below(&key, now))
     }
 }
 
