Test that overload further down is refused at the first hop

A service with more slots than callers calls one with two slots; the calls that are refused never reach the upper backend server.

--- a/crates/daemon/tests/processes/overload.rs
+++ b/crates/daemon/tests/processes/overload.rs
@@ -153,3 +153,47 @@
     assert_eq!(end.outcome, "refused");
     support::wait_for("a lower limit", || limit().filter(|limit| *limit < 16.0));
 }
+
+/// Guards against work of an upper service for requests that an overloaded service further down refuses.
+#[test]
+fn overload_further_down_is_refused_at_the_first_hop() {
+    const CALLS: usize = 80;
+    let entry = sync::Arc::new(sync::OnceLock::<std::net::SocketAddr>::new());
+    let daemon = sync::Arc::clone(&entry);
+    let upper = support::BackendServer::start(move |request, stream| {
+        let context = support::header_value(&request.header, "damasktrack-context").unwrap();
+        let header = format!("Damasktrack-Context: {context}\r\n");
+        let nested = support::Caller::open(*daemon.get().unwrap()).exchange("GET", "/b/x", &header, b"");
+        match nested {
+            Ok(nested) if nested.status == 200 => support::respond(stream, b""),
+            _ => std::io::Write::write_all(stream, b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n").is_ok(),
+        }
+    });
+    let lower = support::BackendServer::start(|_request, stream| {
+        thread::sleep(SERVICE_TIME);
+        support::respond(stream, b"")
+    });
+    let server = |service, slots, backend| site::SiteServer {
+        service,
+        slots,
+        backend,
+    };
+    let servers = vec![server("a", 40, upper), server("b", 2, lower)];
+    let classes = [site::class("browsing", 3, true, "short", &[("a", "/"), ("b", "/")])];
+    let site = site::Site::start(servers, &site::resources(&[("a", 40), ("b", 2)], &classes));
+    entry.set(site.daemons[0].entry).unwrap();
+    let ends = site::join_all(site::call_all(site.entry.entry, 16, CALLS, "GET", |thread, number| {
+        format!("/a/{thread}-{number}")
+    }));
+    let ran = requests_of(&site.backends[0]);
+    let mut refused = 0;
+    for end in &ends {
+        let runs = ran.get(end.path.strip_prefix("/a").unwrap()).copied().unwrap_or(0);
+        assert_eq!(runs > 0, end.outcome == "done", "{end:?}");
+        refused += usize::from(end.outcome == "refused");
+    }
+    // The upper service has more slots than there are callers, so only the level of the lower one can refuse.
+    assert!(refused > ends.len() / 10, "{refused} of {} refused", ends.len());
+    let whole = ends.iter().filter(|end| end.status == 200).count();
+    assert!(whole > 0);
+}
