--- a/crates/node/src/call_table.rs
+++ b/crates/node/src/call_table.rs
@@ -6,12 +6,14 @@
 use damasktrack_entity::call_context;
 use damasktrack_entity::ids;
 use damasktrack_entity::request_identity;
+use damasktrack_routing::route_candidate;
 
 use crate::call_class;
 use crate::call_watch;
 use crate::core_command;
+use crate::core_hedges;
+use crate::core_routes;
 use crate::request_owner;
-use crate::route_choice;
 
 /// Daemon and call that wait for a call of this daemon.
 pub type SenderCall = (request_identity::RequestOwner, ids::CallId);
@@ -30,11 +32,21 @@
     /// Work of the local backend server that made the call.
     pub parent: Option<ids::CallId>,
     /// Candidates that were tried.
-    pub tried: Vec<route_choice::RouteKey>,
+    pub tried: Vec<route_candidate::ServerKey>,
     /// Candidate of the current attempt; absent while the owner of the request routes the call.
-    pub route: Option<route_choice::RouteKey>,
+    pub route: Option<core_routes::RunningAttempt>,
+    /// Whether the result of the current attempt is still to be taken.
+    pub attempt_open: bool,
+    /// Id of the current attempt on the wire; the receiver knows it by this.
+    pub wire_call: ids::CallId,
+    /// Second copy that runs beside the current attempt.
+    pub hedge: Option<core_hedges::HedgeEntry>,
+    /// Cancellation of a copy that took the place of the first attempt.
+    pub copy_cancelled: Option<call_watch::CancelFlag>,
+    /// Whether an attempt was made after one that ended without a response.
+    pub retried: bool,
     /// Target of the current attempt.
-    pub target: route_choice::RouteTarget,
+    pub target: core_routes::RouteTarget,
     /// Result of the last attempt, kept while a grant is asked for.
     pub last_result: Option<core_command::AttemptResult>,
     /// Cancellation of the call.
@@ -60,6 +72,8 @@
     pub context: call_context::CallContext,
     /// Class of the call at this service.
     pub class: call_class::CallClass,
+    /// Name of the class at the admission gate.
+    pub gate_class: ids::ClassName,
     /// End of the remaining time.
     pub deadline: time::Instant,
     /// Daemon and call that wait for it.
--- a/crates/node/src/core_owner.rs
+++ b/crates/node/src/core_owner.rs
@@ -403,6 +403,7 @@
         root: &core_calls::CallRoot,
         reason: call_outcome::RefusalReason,
     ) -> core_command::CallDecision {
+        self.metrics.count_refused(&root.class, reason);
         if root.class.idempotent {
             self.count_effect(&root.class.name, true, 1);
             let request_id = root.context.request_id.clone();
