--- /dev/null
+++ b/crates/standins/src/bench_fit.rs
@@ -0,0 +1,64 @@
+//! Least-squares fit of a line, and medians.
+
+/// Line through measured points.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LineFit {
+    /// Value at zero.
+    pub intercept: f64,
+    /// Increase per unit.
+    pub slope: f64,
+    /// Standard deviation of the points around the line; zero for two points.
+    pub residual: f64,
+}
+
+/// Fits a line to points (x, y); `None` for fewer than two different x.
+#[must_use]
+pub fn fit(points: &[(f64, f64)]) -> Option<LineFit> {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|point| point.0).sum::<f64>() / count;
+    let mean_y = points.iter().map(|point| point.1).sum::<f64>() / count;
+    let square: f64 = points.iter().map(|point| (point.0 - mean_x).powi(2)).sum();
+    if points.len() < 2 || square <= 0.0 {
+        return None;
+    }
+    let product: f64 = points.iter().map(|point| (point.0 - mean_x) * (point.1 - mean_y)).sum();
+    let slope = product / square;
+    let intercept = mean_y - slope * mean_x;
+    let error: f64 = points
+        .iter()
+        .map(|point| (point.1 - intercept - slope * point.0).powi(2))
+        .sum();
+    // Two of the degrees of freedom are spent on the line.
+    let freedom = (count - 2.0).max(1.0);
+    Some(LineFit {
+        intercept,
+        slope,
+        residual: (error / freedom).sqrt(),
+    })
+}
+
+/// Median, least and greatest of several values.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ValueSpread {
+    /// Median; the mean of the two middle values for an even count.
+    pub median: f64,
+    /// Least value.
+    pub min: f64,
+    /// Greatest value.
+    pub max: f64,
+}
+
+/// Returns the spread of values; `None` without any.
+#[must_use]
+pub fn spread(values: &[f64]) -> Option<ValueSpread> {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let (min, max) = (*sorted.first()?, *sorted.last()?);
+    let middle = sorted.len() / 2;
+    let median = if sorted.len().is_multiple_of(2) {
+        f64::midpoint(sorted[middle - 1], sorted[middle])
+    } else {
+        sorted[middle]
+    };
+    Some(ValueSpread { median, min, max })
+}
--- a/crates/standins/src/demo_processes.rs
+++ b/crates/standins/src/demo_processes.rs
@@ -68,6 +68,13 @@
         output.map_err(|error| format!("{program} can't be started: {error}"))
     }
 
+    /// Returns the process id of a running program.
+    #[must_use]
+    pub fn id(&self, name: &str) -> Option<u32> {
+        let process = self.running.iter().find(|process| process.name == name)?;
+        Some(process.child.id())
+    }
+
     /// Returns the names of the processes that ended by themselves.
     pub fn ended(&mut self) -> Vec<String> {
         let mut names = Vec::new();
--- /dev/null
+++ b/crates/standins/src/process_usage.rs
@@ -0,0 +1,74 @@
+//! Processor time and memory of a process, from `/proc`.
+
+use std::fs;
+use std::io;
+use std::time;
+
+/// Clock ticks per second in `/proc/PID/stat`; fixed at 100 on Linux for user space.
+const TICKS_PER_SECOND: u64 = 100;
+
+/// Usage of a process at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ProcessUsage {
+    /// Processor time of all threads since the start, in steps of 10 ms.
+    pub processor: time::Duration,
+    /// Resident memory in bytes.
+    pub resident: u64,
+    /// Most resident memory in bytes since the start or the last [`reset_peak`].
+    pub peak: u64,
+    /// Running threads.
+    pub threads: u64,
+}
+
+/// Reads the usage of a process.
+///
+/// # Errors
+/// Returns an error if the process has ended or a value is missing.
+pub fn read(id: u32) -> io::Result<ProcessUsage> {
+    let stat = fs::read_to_string(format!("/proc/{id}/stat"))?;
+    let status = fs::read_to_string(format!("/proc/{id}/status"))?;
+    parse(&stat, &status).ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, format!("/proc/{id}: no usage")))
+}
+
+/// Reads the usage from the contents of `stat` and `status`.
+#[must_use]
+pub fn parse(stat: &str, status: &str) -> Option<ProcessUsage> {
+    // The program's name may hold spaces; the fields after it are counted from its closing bracket.
+    let (_, fields) = stat.rsplit_once(')')?;
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    let ticks = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+    let value = |name: &str| {
+        let line = status.lines().find_map(|line| line.strip_prefix(name))?;
+        line.split_whitespace().next()?.parse::<u64>().ok()
+    };
+    Some(ProcessUsage {
+        processor: time::Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND),
+        resident: value("VmRSS:")? * 1_024,
+        peak: value("VmHWM:")? * 1_024,
+        threads: value("Threads:")?,
+    })
+}
+
+/// Starts the count of the most resident memory anew.
+///
+/// # Errors
+/// Returns the error of the write.
+pub fn reset_peak(id: u32) -> io::Result<()> {
+    fs::write(format!("/proc/{id}/clear_refs"), "5")
+}
+
+/// Returns the processor time of the running threads with one of these names.
+#[must_use]
+pub fn thread_processor(id: u32, names: &[&str]) -> time::Duration {
+    let Ok(threads) = fs::read_dir(format!("/proc/{id}/task")) else {
+        return time::Duration::ZERO;
+    };
+    let spent = threads.flatten().filter_map(|thread| {
+        // A thread may end between the listing and the reading.
+        let name = fs::read_to_string(thread.path().join("comm")).ok()?;
+        let schedule = fs::read_to_string(thread.path().join("schedstat")).ok()?;
+        let nanoseconds: u64 = schedule.split_whitespace().next()?.parse().ok()?;
+        names.contains(&name.trim()).then_some(nanoseconds)
+    });
+    time::Duration::from_nanos(spent.sum())
+}
