--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -22,7 +22,7 @@
 
 /// Interval of the reads of the head; 760 daemons make 25 reads/s of them.
 const HEAD_INTERVAL: time::Duration = time::Duration::from_secs(30);
-/// The same for a daemon without a store, which asks one peer instead.
+/// Interval of the questions to one random peer, for changes that no push brought.
 const PEER_INTERVAL: time::Duration = time::Duration::from_secs(5);
 /// Pauses between two tries to find a configuration at the start.
 const START_PAUSE_MIN: time::Duration = time::Duration::from_millis(100);
@@ -82,27 +82,25 @@
         thread::sleep(rand::rng().random_range(START_PAUSE_MIN..START_PAUSE_MAX));
     }
     send(shared, core_config::ConfigCommand::Settled);
-    let interval = match shared.store {
-        Some(_) => HEAD_INTERVAL,
-        None => PEER_INTERVAL,
-    };
-    let mut next_look = time::Instant::now() + jittered(interval);
+    let mut next_head = time::Instant::now() + jittered(HEAD_INTERVAL);
+    let mut next_peer = time::Instant::now() + jittered(PEER_INTERVAL);
     loop {
-        for peer in shared.effects.config_signal().wait_ahead(next_look) {
+        for peer in shared.effects.config_signal().wait_ahead(next_head.min(next_peer)) {
             fetch_from_peer(shared, peer);
         }
-        if time::Instant::now() >= next_look {
-            look_around(shared);
-            next_look = time::Instant::now() + jittered(interval);
+        let now = time::Instant::now();
+        if now >= next_peer {
+            if let Some(peer) = known_peers(shared).choose(&mut rand::rng()) {
+                fetch_from_peer(shared, *peer);
+            }
+            next_peer = now + jittered(PEER_INTERVAL);
+        }
+        if now >= next_head {
+            if let Some(store) = &shared.store {
+                catch_up(shared, store);
+            }
+            next_head = now + jittered(HEAD_INTERVAL);
         }
-    }
-}
-
-fn look_around(shared: &node_shared::NodeShared) {
-    if let Some(store) = &shared.store {
-        catch_up(shared, store);
-    } else if let Some(peer) = known_peers(shared).choose(&mut rand::rng()) {
-        fetch_from_peer(shared, *peer);
     }
 }
 
