--- a/crates/standins/src/bench_capacity.rs
+++ b/crates/standins/src/bench_capacity.rs
@@ -30,7 +30,18 @@
 /// Time after which memory is read: longer than buffers of ended work are kept busy.
 const MEMORY_PAUSE: time::Duration = time::Duration::from_secs(1);
 
-/// Measures and prints all slopes; returns them as a Markdown table.
+/// Which slopes to measure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CapacityPart {
+    /// All.
+    All,
+    /// Those over the number of daemons.
+    Daemons,
+    /// Those of one pair of daemons.
+    Pair,
+}
+
+/// Measures and prints slopes; returns them as a Markdown table.
 ///
 /// # Errors
 /// Returns what failed.
@@ -39,22 +50,35 @@
     seed: u64,
     length: time::Duration,
     sizes: &[usize],
+    part: CapacityPart,
 ) -> Result<String, String> {
     let mut report = bench_report::BenchReport::new("capacity", seed);
-    measure_sizes(options, &mut report, length, sizes)?;
+    if part != CapacityPart::Pair {
+        measure_sizes(options, &mut report, length, sizes)?;
+    }
+    if part != CapacityPart::Daemons {
+        measure_pair(options, &mut report, length)?;
+    }
+    Ok(report.table().to_owned())
+}
+
+fn measure_pair(
+    options: &bench_fleet::FleetOptions,
+    report: &mut bench_report::BenchReport,
+    length: time::Duration,
+) -> Result<(), String> {
     // One pair of daemons for all slopes of a daemon; those that leave memory behind come last.
     let options = bench_fleet::FleetOptions {
         daemons: 2,
         ..options.clone()
     };
     let mut fleet = bench_fleet::BenchFleet::start(&options)?;
-    measure_calls(&fleet, &mut report, length)?;
-    measure_connections(&fleet, &mut report)?;
-    measure_in_flight(&fleet, &mut report)?;
-    measure_request_ids(&fleet, &mut report)?;
-    measure_resources(&mut fleet, &mut report)?;
-    ended(&mut fleet)?;
-    Ok(report.table().to_owned())
+    measure_calls(&fleet, report, length)?;
+    measure_connections(&fleet, report)?;
+    measure_in_flight(&fleet, report)?;
+    measure_request_ids(&fleet, report)?;
+    measure_resources(&mut fleet, report)?;
+    ended(&mut fleet)
 }
 
 fn ended(fleet: &mut bench_fleet::BenchFleet) -> Result<(), String> {
