Reserve the ports of daemons until each starts

All 5 starts of 64 daemons failed: their 4,000 connections took ports that had been chosen for daemons which had not started. Sockets that are bound but don't listen now hold each daemon's ports until just before its start.

--- a/crates/standins/src/bench_fleet.rs
+++ b/crates/standins/src/bench_fleet.rs
@@ -61,6 +61,8 @@
     backend: net::SocketAddr,
     store: net::SocketAddr,
     relays: Vec<bench_relay::BenchRelay>,
+    /// Sockets that keep the ports of daemons which have not started.
+    reserved: Vec<Vec<socket2::Socket>>,
     agent: ureq::Agent,
 }
 
@@ -89,8 +91,16 @@
             .http_status_as_error(false)
             .timeout_global(Some(time::Duration::from_secs(5)))
             .build();
-        let mut addresses = demo_plan::find_addresses(options.daemons + 1).map_err(text)?;
+        let mut reserved = Vec::new();
+        let mut addresses = Vec::new();
+        for _ in 0..=options.daemons {
+            let (found, held) = reserve_addresses().map_err(text)?;
+            addresses.push(found);
+            reserved.push(held);
+        }
         let last = addresses.pop().ok_or("no address")?;
+        // Those of the store and the backend server are free before anything starts.
+        reserved.truncate(options.daemons);
         let mut fleet = Self {
             options: options.clone(),
             processes: demo_processes::DemoProcesses::new(options.programs.clone(), directory.clone()),
@@ -99,6 +109,7 @@
             backend: last.backend,
             store: last.api,
             relays: Vec::new(),
+            reserved,
             agent: ureq::Agent::new_with_config(config),
         };
         fleet.start_processes()?;
@@ -130,6 +141,9 @@
     }
 
     fn start_daemon(&mut self, index: usize) -> Result<(), String> {
+        if let Some(held) = self.reserved.get_mut(index) {
+            held.clear();
+        }
         let path = self.directory.join(format!("{index}.json"));
         let arguments = ["--settings".to_owned(), path.display().to_string()];
         self.processes
@@ -470,6 +484,31 @@
     ]
 }
 
+/// Finds free ports and keeps them by sockets that are bound but don't listen: 64 daemons hold some 4,000 connections,
+/// whose own ports would otherwise soon take those of daemons that start later.
+fn reserve_addresses() -> io::Result<(demo_plan::DemoAddresses, Vec<socket2::Socket>)> {
+    let mut held = Vec::new();
+    let mut found = Vec::new();
+    while found.len() < 4 {
+        let tcp = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+        tcp.bind(&net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0)).into())?;
+        let address = tcp.local_addr()?;
+        // The peer port is used for TCP and UDP.
+        let udp = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::DGRAM, None)?;
+        if udp.bind(&address).is_ok() {
+            found.extend(address.as_socket());
+            held.extend([tcp, udp]);
+        }
+    }
+    let addresses = demo_plan::DemoAddresses {
+        entry: found[0],
+        peer: found[1],
+        api: found[2],
+        backend: found[3],
+    };
+    Ok((addresses, held))
+}
+
 fn text(error: impl std::fmt::Display) -> String {
     error.to_string()
 }
