--- a/crates/node/src/core_calls.rs
+++ b/crates/node/src/core_calls.rs
@@ -84,7 +84,9 @@
             let reason = call_outcome::RefusalReason::NoCandidate;
             return self.refuse_first(&start, &root, action, reason, now);
         };
-        self.routes.retry_budget.first_attempt();
+        if root.context.depth == 0 {
+            self.routes.retry_budget.first_attempt();
+        }
         self.start_call(start, root, action, Some(server), server.target, now)
     }
 
@@ -300,7 +302,7 @@
         if cancelled {
             return self.give_up(call, core_command::CallEnd::Cancelled, now);
         }
-        if !useful || !self.take_retry(call, now) {
+        if !useful || !self.leaves_room_for_retry(call, now) {
             return self.give_up(call, end, now);
         }
         match self.retry_keeper(&request.request_id) {
@@ -309,10 +311,7 @@
                 self.continue_retry(call, grant, now)
             }
             core_owner::RetryKeeper::Peer(address) => core_command::RetryDecision::AskOwner(address, request),
-            core_owner::RetryKeeper::Gone => {
-                self.routes.retry_budget.give_back();
-                self.give_up(call, end, now)
-            }
+            core_owner::RetryKeeper::Gone => self.give_up(call, end, now),
         }
     }
 
@@ -328,17 +327,14 @@
         let result = entry.last_result.unwrap_or(core_command::AttemptResult::Failed);
         let end = end_of(result, entry.class.idempotent);
         let peer_message::GrantReply::Granted { left } = grant else {
-            self.routes.retry_budget.give_back();
             return self.give_up(call, end, now);
         };
         let (service, class) = (entry.service.clone(), entry.class.clone());
         let (context, tried) = (entry.context.clone(), entry.tried.clone());
         let Some(server) = self.choose_server(&service, &class, &context, &tried, now) else {
-            self.routes.retry_budget.give_back();
             return self.give_up(call, end, now);
         };
         if !self.note_retry(call, now) {
-            self.routes.retry_budget.give_back();
             return self.give_up(call, end, now);
         }
         let route = self.begin_attempt(server, &class, now);
--- a/crates/node/src/core_hedges.rs
+++ b/crates/node/src/core_hedges.rs
@@ -137,7 +137,7 @@
         let sheds = self
             .levels
             .sheds(&entry.service, &core_routes::view_key(&entry.context), importance, now);
-        if sheds || !self.take_retry(call, now) {
+        if sheds || !self.leaves_room_for_retry(call, now) {
             return HedgeStep::Never;
         }
         if let Some(entry) = self.calls.outgoing_mut(call) {
@@ -159,9 +159,6 @@
 
     fn continue_hedge(&mut self, call: ids::CallId, grant: peer_message::GrantReply, now: time::Instant) -> HedgeStep {
         let step = self.send_hedge(call, grant, now);
-        if step.is_none() {
-            self.routes.retry_budget.give_back();
-        }
         step.map_or(HedgeStep::Never, |plan| HedgeStep::Send(Box::new(plan)))
     }
 
--- a/crates/node/src/core_owner.rs
+++ b/crates/node/src/core_owner.rs
@@ -13,6 +13,7 @@
 use damasktrack_ownership::claim_plan;
 use damasktrack_ownership::owner_choice;
 use damasktrack_ownership::retry_ledger;
+use damasktrack_routing::retry_budget;
 use damasktrack_wire::peer_message;
 
 use crate::core_calls;
@@ -385,7 +386,15 @@
                 retry_ledger::ArrivalReply::Repeat(reply) => reply,
             }
         } else {
-            self.owner.retries.grant(&call, now)
+            // One budget for all depths of a request: a budget at each daemon lets a chain exceed the average.
+            if self.routes.retry_budget.try_retry(now) == retry_budget::RetryDecision::Denied {
+                return peer_message::GrantReply::Denied;
+            }
+            let reply = self.owner.retries.grant(&call, now);
+            if matches!(reply, retry_ledger::GrantReply::Denied(_)) {
+                self.routes.retry_budget.give_back();
+            }
+            reply
         };
         match reply {
             retry_ledger::GrantReply::Granted { left } => peer_message::GrantReply::Granted { left },
--- a/crates/node/src/core_routes.rs
+++ b/crates/node/src/core_routes.rs
@@ -234,19 +234,16 @@
         self.routes.table.finish(route.call, result, now);
     }
 
-    /// Returns whether the budget of this daemon allows one more attempt of a call, and takes it. While the service sheds
-    /// calls of the class, a retry would take the place of another request.
-    pub(crate) fn take_retry(&mut self, call: ids::CallId, now: time::Instant) -> bool {
+    /// Returns whether the service admits calls of this class without shedding. While it sheds, a retry would take the
+    /// place of another request.
+    pub(crate) fn leaves_room_for_retry(&self, call: ids::CallId, now: time::Instant) -> bool {
         let Some(entry) = self.calls.outgoing(call) else {
             return false;
         };
         let critical = self.classes.is_critical(&entry.context.class);
         let importance = entry.context.level.importance;
         let key = view_key(&entry.context);
-        if !critical && self.levels.sheds(&entry.service, &key, importance, now) {
-            return false;
-        }
-        self.routes.retry_budget.try_retry(now) == retry_budget::RetryDecision::Allowed
+        critical || !self.levels.sheds(&entry.service, &key, importance, now)
     }
 
     /// Reviews the servers and records what changed.
--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -1,4 +1,4 @@
-//! Retries of one daemon as a share of its first attempts.
+//! Retries granted by one request owner as a share of the requests that it saw begin.
 
 use std::time;
 
