Split the harness by concept and name items through modules

The harness kept a hedge policy per service although the policy is keyed by service.

Change: call_world has modules for callers, senders and callees; the queries of the admission gate and of the action ledger have files of their own; items are named through their modules; each node has one hedge policy.

--- a/crates/admission/src/admission_gate.rs
+++ b/crates/admission/src/admission_gate.rs
@@ -8,11 +8,13 @@
 use crate::admission_policy;
 use crate::class_queue;
 use crate::concurrency_limit;
-use crate::gate_report::{ArrivalDecision, CallArrival, CallLane, CancelDecision, FinishResult, GateCounts, NextStart};
+use crate::gate_report;
 use crate::level_controller;
 use crate::service_estimate;
 use crate::tenant_share;
 
+mod gate_queries;
+
 /// Longest time until the gate is polled again while calls are queued.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
@@ -34,7 +36,7 @@
     refusals: collections::VecDeque<(ids::CallId, call_outcome::RefusalReason)>,
     /// Reused by `tick`.
     expired: Vec<ids::CallId>,
-    counts: GateCounts,
+    counts: gate_report::GateCounts,
     draining: bool,
 }
 
@@ -50,7 +52,7 @@
 
 #[derive(Debug)]
 struct ClassState {
-    lane: CallLane,
+    lane: gate_report::CallLane,
     importance: u8,
     estimate: service_estimate::ServiceEstimate,
     baseline: concurrency_limit::ServiceBaseline,
@@ -59,7 +61,7 @@
 #[derive(Debug)]
 struct RunningCall {
     class: usize,
-    lane: CallLane,
+    lane: gate_report::CallLane,
     started: time::Instant,
     /// Nested calls in flight, and since when there was at least one.
     nested: u32,
@@ -108,7 +110,7 @@
             running: collections::HashMap::new(),
             refusals: collections::VecDeque::new(),
             expired: Vec::new(),
-            counts: GateCounts::default(),
+            counts: gate_report::GateCounts::default(),
             draining: false,
             policy,
         }
@@ -120,7 +122,7 @@
     }
 
     /// Decides on an arriving call.
-    pub fn offer(&mut self, arrival: &CallArrival, now: time::Instant) -> ArrivalDecision {
+    pub fn offer(&mut self, arrival: &gate_report::CallArrival, now: time::Instant) -> gate_report::ArrivalDecision {
         self.counts.offered += 1;
         if self.draining {
             return self.refuse(call_outcome::RefusalReason::Leaving);
@@ -137,7 +139,7 @@
         }
         if self.can_start(arrival.lane) && self.lane(arrival.lane).queue.is_empty() {
             self.begin(arrival.call, class, now);
-            return ArrivalDecision::Start;
+            return gate_report::ArrivalDecision::Start;
         }
         self.limit.note_saturated();
         let wait = self.lane(arrival.lane).queue.work_ahead(importance) / self.limit.limit();
@@ -146,7 +148,7 @@
         }
         let cost = self.classes[class].estimate.mean(now);
         let capacity = self.policy.queue_capacity;
-        let lane = if arrival.lane == CallLane::Short {
+        let lane = if arrival.lane == gate_report::CallLane::Short {
             &mut self.short
         } else {
             &mut self.long
@@ -180,41 +182,41 @@
             self.counts.refused += 1;
             self.refusals.push_back((shed.call.call, reason));
         }
-        ArrivalDecision::Queued
+        gate_report::ArrivalDecision::Queued
     }
 
     /// Returns what to do next; called until `Idle` after each event and at `next_wake`.
-    pub fn poll(&mut self, now: time::Instant) -> NextStart {
+    pub fn poll(&mut self, now: time::Instant) -> gate_report::NextStart {
         if let Some((call, reason)) = self.refusals.pop_front() {
-            return NextStart::Refuse(call, reason);
+            return gate_report::NextStart::Refuse(call, reason);
         }
         for lane in [&mut self.short, &mut self.long] {
             let bound = lane.wait_bound(&self.policy, now);
             if let Some(shed) = lane.queue.pop_overdue(bound, &self.shares, now) {
                 lane.levels.note_overdue(shed.call.critical);
                 self.counts.refused += 1;
-                return NextStart::Refuse(shed.call.call, shed_reason(&shed));
+                return gate_report::NextStart::Refuse(shed.call.call, shed_reason(&shed));
             }
         }
         if let Some(lane) = self.next_lane() {
-            let state = if lane == CallLane::Short {
+            let state = if lane == gate_report::CallLane::Short {
                 &mut self.short
             } else {
                 &mut self.long
             };
             let Some(call) = state.queue.pop(&self.shares) else {
-                return NextStart::Idle;
+                return gate_report::NextStart::Idle;
             };
             if call.deadline <= now + self.classes[call.class].estimate.low(now) {
                 state.levels.note_overdue(call.critical);
                 self.counts.refused += 1;
-                return NextStart::Refuse(call.call, call_outcome::RefusalReason::DeadlineTooShort);
+                return gate_report::NextStart::Refuse(call.call, call_outcome::RefusalReason::DeadlineTooShort);
             }
             self.begin(call.call, call.class, now);
-            return NextStart::Start(call.call);
+            return gate_report::NextStart::Start(call.call);
         }
         self.note_state(now);
-        NextStart::Idle
+        gate_report::NextStart::Idle
     }
 
     /// Notes that the backend server made a call to another service for a running call.
@@ -243,13 +245,13 @@
     }
 
     /// Ends a running call.
-    pub fn finish(&mut self, call: ids::CallId, result: FinishResult, now: time::Instant) {
+    pub fn finish(&mut self, call: ids::CallId, result: gate_report::FinishResult, now: time::Instant) {
         let Some(ended) = self.running.remove(&call) else {
             return;
         };
         let running = self.counts.running;
         self.counts.running -= 1;
-        self.counts.running_long -= u32::from(ended.lane == CallLane::Long);
+        self.counts.running_long -= u32::from(ended.lane == gate_report::CallLane::Long);
         let total = now.saturating_duration_since(ended.started);
         let open = if ended.nested > 0 {
             now.saturating_duration_since(ended.nested_since)
@@ -259,24 +261,24 @@
         let own = total.saturating_sub(ended.nested_time + open);
         let class = &mut self.classes[ended.class];
         match result {
-            FinishResult::Completed => {
+            gate_report::FinishResult::Completed => {
                 class.estimate.add(total, now);
-                let lane = if ended.lane == CallLane::Short {
+                let lane = if ended.lane == gate_report::CallLane::Short {
                     &mut self.short
                 } else {
                     &mut self.long
                 };
                 lane.service.add(own, now);
                 let ratio = class.baseline.add(own, now);
-                if ended.lane == CallLane::Short {
+                if ended.lane == gate_report::CallLane::Short {
                     self.limit.add(ratio, ended.started, now);
                 }
             }
-            FinishResult::ShedByBackendServer => self.limit.shed(running, now),
-            FinishResult::Failed | FinishResult::Cancelled => {
+            gate_report::FinishResult::ShedByBackendServer => self.limit.shed(running, now),
+            gate_report::FinishResult::Failed | gate_report::FinishResult::Cancelled => {
                 // The full service time is not known, but it is at least this long.
                 let ratio = class.baseline.ratio(own);
-                if ended.lane == CallLane::Short && ratio > 1.0 {
+                if ended.lane == gate_report::CallLane::Short && ratio > 1.0 {
                     self.limit.add(ratio, ended.started, now);
                 }
             }
@@ -285,15 +287,15 @@
     }
 
     /// Ends a call whose caller went away.
-    pub fn cancel(&mut self, call: ids::CallId) -> CancelDecision {
+    pub fn cancel(&mut self, call: ids::CallId) -> gate_report::CancelDecision {
         if self.running.contains_key(&call) {
-            return CancelDecision::Running;
+            return gate_report::CancelDecision::Running;
         }
         if self.short.queue.remove(call).is_some() || self.long.queue.remove(call).is_some() {
             self.counts.dropped += 1;
-            return CancelDecision::Dropped;
+            return gate_report::CancelDecision::Dropped;
         }
-        CancelDecision::Absent
+        gate_report::CancelDecision::Absent
     }
 
     /// Refuses queued calls whose deadline has passed, and adapts levels; called at least every 100 ms.
@@ -322,16 +324,16 @@
         }
     }
 
-    fn refuse(&mut self, reason: call_outcome::RefusalReason) -> ArrivalDecision {
+    fn refuse(&mut self, reason: call_outcome::RefusalReason) -> gate_report::ArrivalDecision {
         self.counts.refused += 1;
-        ArrivalDecision::Refuse(reason)
+        gate_report::ArrivalDecision::Refuse(reason)
     }
 
     fn begin(&mut self, call: ids::CallId, class: usize, now: time::Instant) {
         let lane = self.classes[class].lane;
         self.counts.started += 1;
         self.counts.running += 1;
-        self.counts.running_long += u32::from(lane == CallLane::Long);
+        self.counts.running_long += u32::from(lane == gate_report::CallLane::Long);
         let started = RunningCall {
             class,
             lane,
@@ -343,7 +345,7 @@
         self.running.insert(call, started);
     }
 
-    fn enter_class(&mut self, name: &ids::ClassName, importance: u8, lane: CallLane) -> usize {
+    fn enter_class(&mut self, name: &ids::ClassName, importance: u8, lane: gate_report::CallLane) -> usize {
         if let Some(index) = self.class_index.get(name) {
             self.classes[*index].lane = lane;
             self.classes[*index].importance = importance;
@@ -361,17 +363,17 @@
     }
 
     fn note_state(&mut self, now: time::Instant) {
-        for lane in [CallLane::Short, CallLane::Long] {
+        for lane in [gate_report::CallLane::Short, gate_report::CallLane::Long] {
             let (limit, running) = match lane {
-                CallLane::Short => (self.limit.limit(), self.counts.running),
-                CallLane::Long => (self.long_limit(), self.counts.running_long),
+                gate_report::CallLane::Short => (self.limit.limit(), self.counts.running),
+                gate_report::CallLane::Long => (self.long_limit(), self.counts.running_long),
             };
             let free = if self.can_start(lane) {
                 limit.saturating_sub(running)
             } else {
                 0
             };
-            let state = if lane == CallLane::Short {
+            let state = if lane == gate_report::CallLane::Short {
                 &mut self.short
             } else {
                 &mut self.long
@@ -385,111 +387,10 @@
         }
     }
 
-    fn lane_mut(&mut self, lane: CallLane) -> &mut LaneState {
+    fn lane_mut(&mut self, lane: gate_report::CallLane) -> &mut LaneState {
         match lane {
-            CallLane::Short => &mut self.short,
-            CallLane::Long => &mut self.long,
-        }
-    }
-}
-
-impl AdmissionGate {
-    /// Returns the lowest level that this callee admits for a class and tenant, as its responses report it. Levels met below by the
-    /// backend server's own calls are added by [`crate::level_view::worse`].
-    ///
-    /// The level is held to the range of the class's importance: its lowest level means that the whole class is admitted.
-    /// A caller that takes the mean of several servers' reports would otherwise count importances that nobody uses.
-    #[must_use]
-    pub fn report(&self, class: &ids::ClassName, tenant: &ids::TenantName) -> call_outcome::LevelReport {
-        let class = self.class_index.get(class).map(|index| &self.classes[*index]);
-        let tenant = self.shares.position(tenant).unwrap_or(usize::MAX);
-        let level = class.map_or(admission_level::AdmissionLevel::LOWEST, |class| {
-            let start = admission_level::AdmissionLevel {
-                importance: class.importance,
-                cohort: 0,
-            };
-            let end = start.index() + usize::from(admission_level::COHORT_COUNT);
-            let level = self.lane(class.lane).levels.level(tenant);
-            level.clamp(start, admission_level::AdmissionLevel::from_index(end))
-        });
-        call_outcome::LevelReport {
-            level,
-            age: time::Duration::ZERO,
-        }
-    }
-
-    /// Returns the number of calls that may run at once.
-    #[must_use]
-    pub fn limit(&self) -> u32 {
-        self.limit.limit()
-    }
-
-    /// Returns the number of calls of the long lane that may run at once.
-    #[must_use]
-    pub fn long_limit(&self) -> u32 {
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a share of the declared slots"
-        )]
-        let limit = (f64::from(self.policy.slots) * self.policy.long_share) as u32;
-        limit.clamp(1, self.limit.limit())
-    }
-
-    /// Returns the counts of the gate.
-    #[must_use]
-    pub fn counts(&self) -> GateCounts {
-        GateCounts {
-            queued: self.short.queue.len() + self.long.queue.len(),
-            ..self.counts
-        }
-    }
-
-    /// Returns when to poll again if no event comes first.
-    #[must_use]
-    pub fn next_wake(&self, now: time::Instant) -> Option<time::Instant> {
-        if !self.refusals.is_empty() {
-            return Some(now);
-        }
-        let lanes = [&self.short, &self.long].into_iter();
-        let wakes = lanes.filter(|lane| !lane.queue.is_empty()).map(|lane| {
-            let bound = lane.wait_bound(&self.policy, now);
-            let overdue = lane.queue.oldest_queued_at().map(|at| at + bound);
-            overdue.unwrap_or(now + POLL_INTERVAL).clamp(now, now + POLL_INTERVAL)
-        });
-        wakes.min()
-    }
-
-    fn lane(&self, lane: CallLane) -> &LaneState {
-        match lane {
-            CallLane::Short => &self.short,
-            CallLane::Long => &self.long,
-        }
-    }
-
-    fn can_start(&self, lane: CallLane) -> bool {
-        let room = self.counts.running < self.limit.limit();
-        room && (lane == CallLane::Short || self.counts.running_long < self.long_limit())
-    }
-
-    /// Returns the lane whose queue starts next: the more important head, and the long lane among equals, since its own
-    /// limit bounds it and short work would otherwise starve it.
-    fn next_lane(&self) -> Option<CallLane> {
-        let short = self
-            .short
-            .queue
-            .greatest_importance()
-            .filter(|_| self.can_start(CallLane::Short));
-        let long = self
-            .long
-            .queue
-            .greatest_importance()
-            .filter(|_| self.can_start(CallLane::Long));
-        match (short, long) {
-            (None, None) => None,
-            (Some(short), Some(long)) if short > long => Some(CallLane::Short),
-            (Some(_), None) => Some(CallLane::Short),
-            (_, Some(_)) => Some(CallLane::Long),
+            gate_report::CallLane::Short => &mut self.short,
+            gate_report::CallLane::Long => &mut self.long,
         }
     }
 }
--- a/crates/filetests/src/measure_cases.rs
+++ b/crates/filetests/src/measure_cases.rs
@@ -4,9 +4,9 @@
 use std::time;
 
 use crate::call_world;
-use crate::control_arm::ControlArm;
+use crate::control_arm;
 use crate::scenario_file;
-use crate::world_tally::{RequestFilter, WorldTally};
+use crate::world_tally;
 
 /// Names of the measurements.
 pub const NAMES: [&str; 7] = [
@@ -63,7 +63,7 @@
 impl FigureSink<'_> {
     fn put(
         &mut self,
-        arm: ControlArm,
+        arm: control_arm::ControlArm,
         case: &str,
         metric: &'static str,
         unit: &'static str,
@@ -94,7 +94,7 @@
         });
     }
 
-    fn run(&self, arm: ControlArm, text: &str) -> WorldTally {
+    fn run(&self, arm: control_arm::ControlArm, text: &str) -> world_tally::WorldTally {
         let mut scenario = scenario_file::parse(text).expect("the built-in scenarios are valid");
         scenario.seed = u64::from(self.seed);
         scenario.arm = arm;
@@ -163,9 +163,9 @@
                 mixed_load(load * CAPACITY, 0, 10_000)
             );
             let case = format!("depth={depth} load={load}x");
-            for arm in ControlArm::ALL {
+            for arm in control_arm::ControlArm::ALL {
                 let tally = sink.run(arm, &text);
-                let goodput = tally.goodput(RequestFilter::default(), tally.measure) / CAPACITY;
+                let goodput = tally.goodput(world_tally::RequestFilter::default(), tally.measure) / CAPACITY;
                 let target = if load > 1.0 {
                     FigureTarget::AtLeast(0.95)
                 } else {
@@ -187,9 +187,9 @@
             1.4 * CAPACITY,
             2.0 * CAPACITY,
         );
-        for arm in ControlArm::ALL {
+        for arm in control_arm::ControlArm::ALL {
             let tally = sink.run(arm, &text);
-            let filter = RequestFilter {
+            let filter = world_tally::RequestFilter {
                 class: Some(0),
                 tenant: None,
             };
@@ -221,7 +221,7 @@
             (55, slow, "deep service 5x slower for 30s", 35),
         ];
         for (seconds, disturbance, name, end) in cases {
-            for arm in ControlArm::ALL {
+            for arm in control_arm::ControlArm::ALL {
                 let calm = calm(seconds);
                 let tally = sink.run(arm, &format!("{calm}{disturbance}"));
                 let time = tally.recovery(&sink.run(arm, &calm), last(end), last(u64::from(seconds)));
@@ -241,7 +241,7 @@
             mixed_load(4.0 * CAPACITY, 0, 10_000)
         );
         let case = format!("depth={depth} load=4x");
-        for arm in ControlArm::ALL {
+        for arm in control_arm::ControlArm::ALL {
             let tally = sink.run(arm, &text);
             let target = FigureTarget::AtMost(1.1);
             sink.put(
@@ -272,8 +272,8 @@
         service ledgers servers 6 slots 10 time 20ms\n\
         load query rate 1200\n";
     let long = format!("{short}load ledger rate 15\n");
-    for arm in ControlArm::ALL {
-        let filter = RequestFilter {
+    for arm in control_arm::ControlArm::ALL {
+        let filter = world_tally::RequestFilter {
             class: Some(0),
             tenant: None,
         };
@@ -319,10 +319,11 @@
             load * 6.0 * 10.0 / 0.020,
         );
         let uneven = format!("{even}fault slow tags 0 factor 10 from 10s\n");
-        for arm in ControlArm::ALL {
+        for arm in control_arm::ControlArm::ALL {
             let [alone, mixed] = [&even, &uneven].map(|text| sink.run(arm, text));
             let span = (time::Duration::from_secs(10), time::Duration::from_secs(30));
-            let [before, after] = [&alone, &mixed].map(|tally| tally.latency(RequestFilter::default(), span, 0.99));
+            let [before, after] =
+                [&alone, &mixed].map(|tally| tally.latency(world_tally::RequestFilter::default(), span, 0.99));
             let case = format!("one of six 10x slower, report 5s late, load={load}");
             sink.put(arm, &case, "p99_s", "s", Some(after), FigureTarget::None);
             sink.put(
@@ -347,11 +348,11 @@
             text.push_str(&mixed_load((0.4 + 1.6 * part) * CAPACITY, step * 250, (step + 1) * 250));
         }
         let case = format!("depth={depth} demand 0.4x to 2x within 2s");
-        for arm in ControlArm::ALL {
+        for arm in control_arm::ControlArm::ALL {
             let tally = sink.run(arm, &text);
-            let all = tally.completed_ratio(RequestFilter::default(), tally.measure);
+            let all = tally.completed_ratio(world_tally::RequestFilter::default(), tally.measure);
             let critical = tally.completed_ratio(
-                RequestFilter {
+                world_tally::RequestFilter {
                     class: Some(0),
                     tenant: None,
                 },
--- a/crates/filetests/src/world_node.rs
+++ b/crates/filetests/src/world_node.rs
@@ -39,8 +39,8 @@
     pub retries: retry_ledger::RetryLedger,
     /// Budget of retries and hedges of the requests that this daemon owns.
     pub budget: retry_budget::RetryBudget,
-    /// When to hedge, by service.
-    pub hedges: Vec<hedge_policy::HedgePolicy>,
+    /// When to hedge.
+    pub hedges: hedge_policy::HedgePolicy,
     /// Next scheduled poll of the gate.
     pub wake_at: Option<time::Instant>,
 }
@@ -136,11 +136,7 @@
         table: route_table::RouteTable::new(location()),
         retries: retry_ledger::RetryLedger::new(owner, retry_ledger::RetryLimits::default()),
         budget: retry_budget::RetryBudget::new(now),
-        hedges: scenario
-            .services
-            .iter()
-            .map(|_| hedge_policy::HedgePolicy::new())
-            .collect(),
+        hedges: hedge_policy::HedgePolicy::new(),
         wake_at: None,
     }
 }
--- a/crates/ownership/src/action_ledger.rs
+++ b/crates/ownership/src/action_ledger.rs
@@ -15,6 +15,8 @@
 use crate::request_issuer;
 use crate::request_table;
 
+mod ledger_queries;
+
 /// Time after its deadline at which a driving call that reported no result is given up. The node ends calls at their
 /// deadline, so a missing result means that the call was lost.
 pub const DRIVER_GRACE: time::Duration = time::Duration::from_secs(2);
@@ -102,11 +104,9 @@
 
     /// Decides about a call that arrived.
     pub fn begin(&mut self, request: &action_step::ActionRequest, now: time::Instant) -> action_step::ActionStep {
-        use action_step::ActionStep;
-        use action_step::UnknownReason;
         if request.key.request_id.len() > request_identity::MAX_REQUEST_ID_BYTES {
             // No ledger runs such an id, so the refusal is true.
-            return ActionStep::Refuse(call_outcome::RefusalReason::NotDeclared);
+            return action_step::ActionStep::Refuse(call_outcome::RefusalReason::NotDeclared);
         }
         if let Some(key) = self.table.find(&request.key.request_id) {
             return self.begin_remembered(key, request, now);
@@ -117,10 +117,10 @@
             }
             request_identity::RequestIdentity::Bound { sequence, .. } => {
                 if !self.issuer.has_issued(sequence) {
-                    return ActionStep::Unknown(UnknownReason::NeverIssued);
+                    return action_step::ActionStep::Unknown(action_step::UnknownReason::NeverIssued);
                 }
                 if sequence < self.floor {
-                    return ActionStep::Unknown(UnknownReason::Forgotten);
+                    return action_step::ActionStep::Unknown(action_step::UnknownReason::Forgotten);
                 }
                 action_entry::RequestOrigin::Bound { sequence }
             }
@@ -150,38 +150,40 @@
         attempt: action_step::AttemptNumber,
         result: action_step::ActionResult,
     ) -> action_step::FinishStep {
-        use action_entry::ActionState;
-        use action_step::ActionResult;
-        use action_step::ActionStep;
-        use action_step::FinishStep;
-        use action_step::UnknownReason;
         let call = key.call_digest();
         let Some((request, action)) = find_action(&mut self.table, &key.request_id, &call) else {
-            return FinishStep::Stale;
+            return action_step::FinishStep::Stale;
         };
         // The state in between is `Unknown`, so that no path can leave a finished dispatch repeatable by mistake.
-        let Some(driver) = action.end_dispatch(attempt, ActionState::Unknown(UnknownReason::Ambiguous)) else {
-            return FinishStep::Stale;
+        let Some(driver) = action.end_dispatch(
+            attempt,
+            action_entry::ActionState::Unknown(action_step::UnknownReason::Ambiguous),
+        ) else {
+            return action_step::FinishStep::Stale;
         };
         let step = match result {
-            ActionResult::NotRun(_) => {
-                action.state = ActionState::Ready { driver: Some(driver) };
-                return FinishStep::Ready;
+            action_step::ActionResult::NotRun(_) => {
+                action.state = action_entry::ActionState::Ready { driver: Some(driver) };
+                return action_step::FinishStep::Ready;
             }
-            ActionResult::Done(answer) => {
+            action_step::ActionResult::Done(answer) => {
                 let number = self.answers.keep(&answer);
-                action.state = ActionState::Done(number);
-                number.map(|_| ActionStep::Answer(answer))
+                action.state = action_entry::ActionState::Done(number);
+                number.map(|_| action_step::ActionStep::Answer(answer))
             }
-            ActionResult::DoneNotKept => {
-                action.state = ActionState::Done(None);
+            action_step::ActionResult::DoneNotKept => {
+                action.state = action_entry::ActionState::Done(None);
                 None
             }
-            ActionResult::Ambiguous => Some(ActionStep::Unknown(UnknownReason::Ambiguous)),
+            action_step::ActionResult::Ambiguous => {
+                Some(action_step::ActionStep::Unknown(action_step::UnknownReason::Ambiguous))
+            }
         };
-        let step = step.unwrap_or(ActionStep::Unknown(UnknownReason::AnswerNotKept));
+        let step = step.unwrap_or(action_step::ActionStep::Unknown(
+            action_step::UnknownReason::AnswerNotKept,
+        ));
         self.table.unwatch(request, call, &driver);
-        FinishStep::Ended(self.reply_all(request, call, &step))
+        action_step::FinishStep::Ended(self.reply_all(request, call, &step))
     }
 
     /// Dispatches once more after a dispatch that did not run. The caller holds a grant of the retry ledger.
@@ -263,55 +265,6 @@
 }
 
 // Queries.
-impl ActionLedger {
-    /// Returns the incarnation for which the ledger decides.
-    #[must_use]
-    pub fn owner(&self) -> &request_identity::RequestOwner {
-        self.issuer.owner()
-    }
-
-    /// Returns the time of the next `expire`.
-    #[must_use]
-    pub fn next_wake(&self) -> Option<time::Instant> {
-        self.table.next_wake()
-    }
-
-    /// Returns whether a refusal that is given before `begin`, for example for overload, would be true.
-    #[must_use]
-    pub fn refusal_check(&self, key: &action_key::ActionKey) -> action_step::RefusalCheck {
-        let not_run = match self.table.find(&key.request_id).and_then(|found| self.table.get(found)) {
-            Some(request) => match request.action(&key.call_digest()) {
-                Some(action) => matches!(action.state, action_entry::ActionState::Ready { driver: None }),
-                None => request.is_owned(),
-            },
-            None => match request_identity::parse(&key.request_id) {
-                request_identity::RequestIdentity::Bound { owner, sequence } => {
-                    owner == *self.issuer.owner() && self.issuer.has_issued(sequence) && sequence >= self.floor
-                }
-                request_identity::RequestIdentity::Opaque => false,
-            },
-        };
-        if not_run {
-            action_step::RefusalCheck::NotRun
-        } else {
-            action_step::RefusalCheck::MayHaveRun
-        }
-    }
-
-    /// Returns the sizes.
-    #[must_use]
-    pub fn counts(&self) -> LedgerCounts {
-        let (requests, actions, waiters) = self.table.sizes();
-        LedgerCounts {
-            requests,
-            actions,
-            waiters,
-            answer_bytes: self.answers.bytes(),
-            floor: self.floor,
-        }
-    }
-}
-
 impl ActionLedger {
     fn begin_remembered(
         &mut self,
@@ -319,12 +272,9 @@
         request: &action_step::ActionRequest,
         now: time::Instant,
     ) -> action_step::ActionStep {
-        use action_entry::ActionState;
-        use action_step::ActionStep;
-        use action_step::UnknownReason;
         let call = request.key.call_digest();
         let Some(entry) = self.table.get(key) else {
-            return ActionStep::Unknown(UnknownReason::Forgotten);
+            return action_step::ActionStep::Unknown(action_step::UnknownReason::Forgotten);
         };
         let owned = entry.is_owned();
         let action_count = entry.actions.len();
@@ -339,21 +289,24 @@
             return step;
         };
         if action.digest.is_some_and(|digest| digest != request.digest) {
-            return ActionStep::Refuse(call_outcome::RefusalReason::BodyMismatch);
+            return action_step::ActionStep::Refuse(call_outcome::RefusalReason::BodyMismatch);
         }
         match &action.state {
-            ActionState::Done(number) => {
+            action_entry::ActionState::Done(number) => {
                 let answer = number.and_then(|number| self.answers.get(number));
-                answer.map_or(ActionStep::Unknown(UnknownReason::AnswerNotKept), |answer| {
-                    ActionStep::Answer(answer.clone())
-                })
+                answer.map_or(
+                    action_step::ActionStep::Unknown(action_step::UnknownReason::AnswerNotKept),
+                    |answer| action_step::ActionStep::Answer(answer.clone()),
+                )
+            }
+            action_entry::ActionState::Unknown(reason) => action_step::ActionStep::Unknown(*reason),
+            action_entry::ActionState::Ready { driver: None } if now >= request.deadline => {
+                action_step::ActionStep::Refuse(call_outcome::RefusalReason::DeadlineTooShort)
             }
-            ActionState::Unknown(reason) => ActionStep::Unknown(*reason),
-            ActionState::Ready { driver: None } if now >= request.deadline => {
-                ActionStep::Refuse(call_outcome::RefusalReason::DeadlineTooShort)
+            action_entry::ActionState::Ready { driver: None } if self.is_crowded() => full(true),
+            _ if now >= request.deadline => {
+                action_step::ActionStep::Unknown(action_step::UnknownReason::DeadlinePassed)
             }
-            ActionState::Ready { driver: None } if self.is_crowded() => full(true),
-            _ if now >= request.deadline => ActionStep::Unknown(UnknownReason::DeadlinePassed),
             _ if self.is_crowded() || action.waiters.len() >= self.limits.max_waiters_per_action => full(false),
             _ => {
                 let step = self.attach(key, request);
@@ -370,12 +323,11 @@
         request: &action_step::ActionRequest,
         now: time::Instant,
     ) -> Option<action_step::ActionStep> {
-        use action_step::ActionStep;
         if now >= request.deadline {
             return Some(if owned {
-                ActionStep::Refuse(call_outcome::RefusalReason::DeadlineTooShort)
+                action_step::ActionStep::Refuse(call_outcome::RefusalReason::DeadlineTooShort)
             } else {
-                ActionStep::Unknown(action_step::UnknownReason::DeadlinePassed)
+                action_step::ActionStep::Unknown(action_step::UnknownReason::DeadlinePassed)
             });
         }
         if self.is_crowded() || !self.make_room() {
@@ -430,7 +382,6 @@
         key: request_table::RequestKey,
         request: &action_step::ActionRequest,
     ) -> action_step::ActionStep {
-        use action_step::ActionStep;
         let call = request.key.call_digest();
         let waiter = action_entry::ActionWaiter {
             waiter: request.waiter,
@@ -447,26 +398,25 @@
                 let plan = self.plan(&request.key.request_id, claim.token, &request.digest);
                 if claim.unsettled {
                     self.set_claim(key, action_entry::ClaimPhase::Reading, true);
-                    ActionStep::ReadBack(plan)
+                    action_step::ActionStep::ReadBack(plan)
                 } else {
                     self.set_claim(key, action_entry::ClaimPhase::Inserting, false);
-                    ActionStep::Claim(plan)
+                    action_step::ActionStep::Claim(plan)
                 }
             }
-            _ => ActionStep::Wait,
+            _ => action_step::ActionStep::Wait,
         }
     }
 
     /// Returns the step for a call whose owner is known to be another one.
     pub(crate) fn pass_to(&self, owner: request_identity::RequestOwner, forwarded: bool) -> action_step::ActionStep {
-        use action_step::ActionStep;
         if owner.daemon_id == self.issuer.owner().daemon_id {
-            return ActionStep::Unknown(action_step::UnknownReason::OwnerGone);
+            return action_step::ActionStep::Unknown(action_step::UnknownReason::OwnerGone);
         }
         if forwarded {
-            return ActionStep::Unknown(action_step::UnknownReason::NotOwner);
+            return action_step::ActionStep::Unknown(action_step::UnknownReason::NotOwner);
         }
-        ActionStep::Forward(owner)
+        action_step::ActionStep::Forward(owner)
     }
 
     pub(crate) fn plan(
@@ -504,15 +454,14 @@
         key: request_table::RequestKey,
         call: action_key::Sha256Digest,
     ) -> Vec<action_step::WaiterReply> {
-        use action_entry::ActionState;
         let Some(action) = self.table.get_mut(key).and_then(|request| request.action_mut(&call)) else {
             return Vec::new();
         };
-        let step = if matches!(action.state, ActionState::Dispatched { .. }) {
-            action.state = ActionState::Unknown(action_step::UnknownReason::Ambiguous);
+        let step = if matches!(action.state, action_entry::ActionState::Dispatched { .. }) {
+            action.state = action_entry::ActionState::Unknown(action_step::UnknownReason::Ambiguous);
             action_step::ActionStep::Unknown(action_step::UnknownReason::Ambiguous)
         } else {
-            action.state = ActionState::Ready { driver: None };
+            action.state = action_entry::ActionState::Ready { driver: None };
             action_step::ActionStep::Refuse(call_outcome::RefusalReason::DeadlineTooShort)
         };
         self.reply_all(key, call, &step)
--- a/crates/ownership/src/claim_progress.rs
+++ b/crates/ownership/src/claim_progress.rs
@@ -34,9 +34,6 @@
         result: &claim_plan::ClaimResult,
         now: time::Instant,
     ) -> action_step::ClaimStep {
-        use action_step::UnknownReason;
-        use claim_plan::ClaimHolder;
-        use claim_plan::ClaimResult;
         let Some(key) = self.table.find(request_id) else {
             return action_step::ClaimStep::default();
         };
@@ -45,19 +42,22 @@
             return action_step::ClaimStep::default();
         };
         let holder = match result {
-            ClaimResult::Inserted => ClaimHolder::ThisClaim,
-            ClaimResult::Found(row) => row.holder(self.issuer.owner(), token),
-            ClaimResult::Unreadable => ClaimHolder::Unreadable,
-            ClaimResult::Conflict | ClaimResult::Absent | ClaimResult::Unavailable | ClaimResult::Unsettled => {
+            claim_plan::ClaimResult::Inserted => claim_plan::ClaimHolder::ThisClaim,
+            claim_plan::ClaimResult::Found(row) => row.holder(self.issuer.owner(), token),
+            claim_plan::ClaimResult::Unreadable => claim_plan::ClaimHolder::Unreadable,
+            claim_plan::ClaimResult::Conflict
+            | claim_plan::ClaimResult::Absent
+            | claim_plan::ClaimResult::Unavailable
+            | claim_plan::ClaimResult::Unsettled => {
                 return self.continue_claim(key, claim, result, now);
             }
         };
         let replies = match holder {
-            ClaimHolder::ThisClaim => self.hold(key, now),
-            ClaimHolder::EarlierClaim => self.give_up(key, UnknownReason::Forgotten),
-            ClaimHolder::EarlierIncarnation => self.give_up(key, UnknownReason::OwnerGone),
-            ClaimHolder::Unreadable => self.give_up(key, UnknownReason::ClaimUnreadable),
-            ClaimHolder::Peer(owner) => {
+            claim_plan::ClaimHolder::ThisClaim => self.hold(key, now),
+            claim_plan::ClaimHolder::EarlierClaim => self.give_up(key, action_step::UnknownReason::Forgotten),
+            claim_plan::ClaimHolder::EarlierIncarnation => self.give_up(key, action_step::UnknownReason::OwnerGone),
+            claim_plan::ClaimHolder::Unreadable => self.give_up(key, action_step::UnknownReason::ClaimUnreadable),
+            claim_plan::ClaimHolder::Peer(owner) => {
                 let waiting = self.drop_claim(key);
                 let reply = |entry: &WaitingCall| action_step::WaiterReply {
                     waiter: entry.1.waiter,
@@ -107,13 +107,14 @@
         result: &claim_plan::ClaimResult,
         now: time::Instant,
     ) -> action_step::ClaimStep {
-        use action_entry::ClaimPhase;
-        use claim_plan::ClaimResult;
-        let doubt = claim.unsettled || (*result == ClaimResult::Unsettled && claim.phase != ClaimPhase::Reading);
+        let doubt = claim.unsettled
+            || (*result == claim_plan::ClaimResult::Unsettled && claim.phase != action_entry::ClaimPhase::Reading);
         let next_phase = match result {
-            ClaimResult::Conflict => Some(ClaimPhase::Reading),
-            ClaimResult::Unsettled if claim.phase == ClaimPhase::Inserting => Some(ClaimPhase::Reading),
-            ClaimResult::Absent => Some(ClaimPhase::Inserting),
+            claim_plan::ClaimResult::Conflict => Some(action_entry::ClaimPhase::Reading),
+            claim_plan::ClaimResult::Unsettled if claim.phase == action_entry::ClaimPhase::Inserting => {
+                Some(action_entry::ClaimPhase::Reading)
+            }
+            claim_plan::ClaimResult::Absent => Some(action_entry::ClaimPhase::Inserting),
             _ => None,
         };
         let live = self.first_live_digest(key, now);
@@ -124,7 +125,7 @@
             let plan = self.plan(&request_id, claim.token, &digest);
             self.set_claim(key, phase, doubt);
             return action_step::ClaimStep {
-                next: if phase == ClaimPhase::Reading {
+                next: if phase == action_entry::ClaimPhase::Reading {
                     action_step::NextClaim::Read(plan)
                 } else {
                     action_step::NextClaim::Insert(plan)
@@ -133,7 +134,7 @@
             };
         }
         let replies = if doubt {
-            self.set_claim(key, ClaimPhase::Parked, true);
+            self.set_claim(key, action_entry::ClaimPhase::Parked, true);
             unknown_replies(&self.take_waiters(key), action_step::UnknownReason::StoreUnavailable)
         } else {
             self.give_up(key, action_step::UnknownReason::StoreUnavailable)
--- a/crates/routing/src/route_queries.rs
+++ b/crates/routing/src/route_queries.rs
@@ -7,7 +7,7 @@
 use rand::RngExt;
 
 use crate::route_candidate;
-use crate::route_table::RouteTable;
+use crate::route_table;
 use crate::server_state;
 use crate::straggler_ejection;
 
@@ -20,7 +20,7 @@
 const DEFAULT_LATENCY_SECONDS: f64 = 0.01;
 
 /// Queries.
-impl RouteTable {
+impl route_table::RouteTable {
     /// Returns a server; `None` if it was removed.
     #[must_use]
     pub fn candidate(&self, key: route_candidate::ServerKey) -> Option<&route_candidate::RouteCandidate> {
