--- /dev/null
+++ b/crates/node/src/http_listener.rs
@@ -0,0 +1,163 @@
+//! `tiny_http` servers on listeners with `TCP_NODELAY`.
+
+use std::io;
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net;
+use std::thread;
+use std::time;
+
+/// Connections that the system holds until they are accepted.
+const BACKLOG: i32 = 1024;
+/// Idle connection threads that `tiny_http` starts with and keeps.
+const TINY_HTTP_IDLE_THREADS: usize = 4;
+/// Path of the opening exchange of the connections that occupy these threads.
+const OCCUPY_PATH: &str = "/occupy-idle-thread";
+/// Bound on the opening exchange of the connections that occupy these threads.
+const OCCUPY_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// Longest time for which a connection can stay unserved behind a busy thread.
+const RELEASE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// A `tiny_http` server.
+///
+/// `tiny_http` 0.12 queues a new connection whenever its count of idle threads is above zero, and lowers that count only
+/// when a thread wakes up. Connections that arrive in a burst can thus be queued behind one thread, which takes the first
+/// of them; the others wait until some connection ends. Two measures bound that: connections of the process to itself
+/// occupy the idle threads that the library keeps, so that nearly every connection gets a thread of its own, and a
+/// connection that is opened and closed at intervals makes a thread look at the queue.
+pub struct HttpServer {
+    server: tiny_http::Server,
+    /// Each was served once, so none of the library's threads counts as idle any more.
+    _occupied: Vec<net::TcpStream>,
+}
+
+impl std::fmt::Debug for HttpServer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("HttpServer").finish_non_exhaustive()
+    }
+}
+
+/// What a server received.
+#[derive(Debug)]
+pub enum Received {
+    /// A request.
+    Request(Box<tiny_http::Request>),
+    /// Nothing in the given time.
+    Nothing,
+    /// The listener failed.
+    Closed,
+}
+
+impl HttpServer {
+    /// Waits for a request.
+    #[must_use]
+    pub fn receive(&self, timeout: time::Duration) -> Received {
+        match self.server.recv_timeout(timeout) {
+            Ok(Some(request)) => Received::Request(Box::new(request)),
+            Ok(None) => Received::Nothing,
+            Err(error) => {
+                log::error!(error:% = error; "listener failed");
+                Received::Closed
+            }
+        }
+    }
+}
+
+/// Opens a listener whose connections inherit `TCP_NODELAY`; without it, responses over 1 KB wait 40 ms for an
+/// acknowledgement.
+///
+/// # Errors
+/// Returns an error if the address can't be listened on.
+pub fn listen(address: net::SocketAddr, stall_timeout: time::Duration) -> io::Result<net::TcpListener> {
+    let socket = socket2::Socket::new(
+        socket2::Domain::for_address(address),
+        socket2::Type::STREAM,
+        Some(socket2::Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.set_tcp_nodelay(true)?;
+    // Connections inherit it as well; without it, a client that stops reading holds its thread for as long as it likes.
+    socket.set_write_timeout(Some(stall_timeout))?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+/// Opens a server and returns it with the address in use.
+///
+/// # Errors
+/// Returns an error if the address can't be listened on.
+pub fn bind(address: net::SocketAddr, stall_timeout: time::Duration) -> io::Result<(HttpServer, net::SocketAddr)> {
+    let listener = listen(address, stall_timeout)?;
+    let address = listener.local_addr()?;
+    let server = tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)?;
+    let occupied = occupy_idle_threads(&server, address)?;
+    thread::Builder::new()
+        .name("release".to_owned())
+        .spawn(move || release_queued(address))?;
+    let server = HttpServer {
+        server,
+        _occupied: occupied,
+    };
+    Ok((server, address))
+}
+
+/// Opens a connection for each idle thread and completes one exchange on it.
+fn occupy_idle_threads(server: &tiny_http::Server, address: net::SocketAddr) -> io::Result<Vec<net::TcpStream>> {
+    let connections: io::Result<Vec<_>> = (0..TINY_HTTP_IDLE_THREADS)
+        .map(|_| {
+            let mut connection = net::TcpStream::connect(address)?;
+            connection.set_read_timeout(Some(OCCUPY_TIMEOUT))?;
+            let head = format!("GET {OCCUPY_PATH} HTTP/1.1\r\nHost: self\r\n\r\n");
+            connection.write_all(head.as_bytes())?;
+            Ok(connection)
+        })
+        .collect();
+    let mut connections = connections?;
+    let mut completed = 0;
+    while completed < connections.len() {
+        match server.recv_timeout(OCCUPY_TIMEOUT)? {
+            Some(request) if request.url() == OCCUPY_PATH => {
+                completed += 1;
+                respond_empty(request);
+            }
+            Some(request) => respond_text(request, 503, "starting"),
+            None => return Err(io::ErrorKind::TimedOut.into()),
+        }
+    }
+    for connection in &mut connections {
+        connection.read_exact(&mut [0])?;
+    }
+    Ok(connections)
+}
+
+/// Runs until the process ends, or the listener is closed.
+fn release_queued(address: net::SocketAddr) {
+    while net::TcpStream::connect(address).is_ok() {
+        thread::sleep(RELEASE_INTERVAL);
+    }
+}
+
+/// Answers with status 204.
+pub fn respond_empty(request: tiny_http::Request) {
+    finish(
+        request,
+        tiny_http::Response::from_data(Vec::new()).with_status_code(204),
+    );
+}
+
+/// Answers with a text.
+pub fn respond_text(request: tiny_http::Request, status: u16, text: &str) {
+    finish(request, tiny_http::Response::from_string(text).with_status_code(status));
+}
+
+/// Answers with bytes and status 200.
+pub fn respond_bytes(request: tiny_http::Request, bytes: Vec<u8>) {
+    finish(request, tiny_http::Response::from_data(bytes));
+}
+
+fn finish(request: tiny_http::Request, response: tiny_http::Response<io::Cursor<Vec<u8>>>) {
+    if let Err(error) = request.respond(response) {
+        log::debug!(error:% = error; "client closed its connection before the response");
+    }
+}
