Find daemons by gossip and through the store

Daemons knew only the seeds of their settings and asked each of them every second over HTTP, so a server outside that list got no calls and a dead one stayed in the list.

The core now owns the gossip and the plan of joining. A UDP socket on the port of the peer listener hands datagrams to it, stakker wakes it at the time that it asks for, and a thread makes the calls to the store and the exchanges with peers. Changed members feed the route candidates, the peer directory and the receivers of pushes; higher revisions in probes start a fetch. A planned stop gossips Draining and Left and removes the own row. The demonstration names no seeds.

Metrics count the bytes of the control work by kind, processor time and resident memory.

--- a/crates/daemon/tests/processes/support.rs
+++ b/crates/daemon/tests/processes/support.rs
@@ -67,12 +67,18 @@
 
     /// Starts a daemon without a backend server that knows another daemon, and waits until it is ready.
     pub fn in_front_of(callee: &Self, extra: &str) -> Self {
+        callee.wait_ready();
         let daemon = Self::start("entry", &format!(r#","seeds":["{}"]{extra}"#, callee.peer));
+        daemon.wait_ready();
+        daemon
+    }
+
+    /// Waits until the daemon is ready; then it has announced that it takes calls.
+    pub fn wait_ready(&self) {
         wait_for("the daemon to be ready", || {
-            let response = Caller::open(daemon.api).exchange("GET", "/ready", "", b"").ok();
+            let response = Caller::open(self.api).exchange("GET", "/ready", "", b"").ok();
             response.filter(|response| response.status == 200)
         });
-        daemon
     }
 
     pub fn terminate(&self) {
--- a/crates/membership/src/gossip_context.rs
+++ b/crates/membership/src/gossip_context.rs
@@ -172,6 +172,14 @@
         self.take_output()
     }
 
+    /// Announces that this daemon takes no calls for now, for example since its backend server is down.
+    pub fn set_waiting(&mut self, now: time::Instant) -> GossipOutput {
+        if self.own_record().state == member_record::MemberState::Up {
+            self.change_own(now, |record| record.state = member_record::MemberState::Joining);
+        }
+        self.take_output()
+    }
+
     /// Announces that this daemon takes no new calls. Final for the incarnation.
     pub fn drain(&mut self, now: time::Instant) -> GossipOutput {
         if !self.own_record().leaving {
--- a/crates/node/src/api_queries.rs
+++ b/crates/node/src/api_queries.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use damasktrack_entity::ids;
+use damasktrack_membership::member_record;
 use damasktrack_resource::change_status;
 use damasktrack_resource::config_log;
 use damasktrack_resource::resource_document;
@@ -17,6 +18,7 @@
 use crate::config_sync;
 use crate::core_command;
 use crate::core_config;
+use crate::member_jobs;
 use crate::node_shared;
 use crate::peer_directory;
 
@@ -120,20 +122,18 @@
     }
 }
 
-/// Lists this daemon and those that it knows, with the revision that each has in force.
+/// Lists all known daemons with their state, and with the revision that each live one has in force.
 pub fn daemons(shared: &node_shared::NodeShared, name: Option<&str>) -> api_response::ApiResponse {
-    let Some(view) = config_sync::view(shared) else {
+    let (Some(view), Some(mut members)) = (config_sync::view(shared), member_jobs::view(shared)) else {
         return stopping();
     };
-    let mut peers = view.peers;
-    peers.push(shared.describe());
-    peers.retain(|peer| name.is_none_or(|name| name.as_bytes() == peer.owner.daemon_id));
-    peers.sort_by(|left, right| left.owner.daemon_id.cmp(&right.owner.daemon_id));
-    let revisions = revisions(shared, &peers, view.set.revision());
-    let mut items: Vec<_> = peers
+    members.retain(|member| name.is_none_or(|name| name.as_bytes() == member.owner.daemon_id));
+    members.sort_by(|left, right| left.owner.daemon_id.cmp(&right.owner.daemon_id));
+    let revisions = revisions(shared, &members, view.set.revision());
+    let mut items: Vec<_> = members
         .iter()
         .zip(revisions)
-        .map(|(peer, revision)| daemon(peer, revision))
+        .map(|(member, revision)| daemon(member, revision))
         .collect();
     match (name, items.pop()) {
         (None, last) => {
@@ -145,33 +145,48 @@
     }
 }
 
-fn daemon(peer: &peer_directory::PeerIdentity, revision: Option<ids::Revision>) -> serde_json::Value {
+fn daemon(member: &peer_directory::PeerIdentity, revision: Option<ids::Revision>) -> serde_json::Value {
     let text = |name: &Bytes| ids::text(name).into_owned();
-    let state = if peer.draining { "draining" } else { "up" };
     json!({
         "kind": "Daemon",
-        "name": text(&peer.owner.daemon_id),
+        "name": text(&member.owner.daemon_id),
         "spec": {
-            "service": peer.service.as_ref().map(text),
-            "region": text(&peer.location.region),
-            "data_centre": text(&peer.location.data_centre),
-            "peer_address": peer.address.to_string(),
+            "service": member.service.as_ref().map(text),
+            "slots": member.slots,
+            "region": text(&member.location.region),
+            "data_centre": text(&member.location.data_centre),
+            "peer_address": member.address.to_string(),
+        },
+        "status": {
+            "state": state_name(member.state),
+            "incarnation": format!("{:016x}", member.owner.incarnation),
+            "revision": revision,
+            "reachable": revision.is_some(),
         },
-        "status": {"state": state, "revision": revision, "reachable": revision.is_some()},
     })
 }
 
+fn state_name(state: member_record::MemberState) -> &'static str {
+    match state {
+        member_record::MemberState::Joining => "joining",
+        member_record::MemberState::Up => "up",
+        member_record::MemberState::Draining => "draining",
+        member_record::MemberState::Suspect => "suspect",
+        member_record::MemberState::Dead => "dead",
+        member_record::MemberState::Left => "left",
+    }
+}
+
 /// Tells where a revision is in force.
 pub fn spread(shared: &node_shared::NodeShared, revision: Option<ids::Revision>) -> api_response::ApiResponse {
-    let Some(view) = config_sync::view(shared) else {
+    let (Some(view), Some(mut live)) = (config_sync::view(shared), member_jobs::view(shared)) else {
         return stopping();
     };
+    live.retain(|member| member.state.is_live());
     let current = view.set.revision();
-    let mut peers = view.peers;
-    peers.push(shared.describe());
-    let members: Vec<_> = peers
+    let members: Vec<_> = live
         .iter()
-        .zip(revisions(shared, &peers, current))
+        .zip(revisions(shared, &live, current))
         .map(|(peer, revision)| change_status::MemberRevision {
             daemon_id: peer.owner.daemon_id.clone(),
             location: peer.location.clone(),
@@ -183,7 +198,7 @@
     api_response::ApiResponse::ok(json!(status))
 }
 
-/// Asks daemons for the revisions that they have in force; none for one that does not answer.
+/// Asks live daemons for the revisions that they have in force; none for one that does not answer.
 fn revisions(
     shared: &node_shared::NodeShared,
     peers: &[peer_directory::PeerIdentity],
@@ -198,8 +213,10 @@
         } {
             let revision = if peer.owner == shared.identity {
                 Some(own)
-            } else {
+            } else if peer.state.is_live() {
                 ask_revision(shared, peer)
+            } else {
+                None
             };
             found.lock().unwrap_or_else(sync::PoisonError::into_inner)[index] = revision;
         }
--- a/crates/node/src/core_command.rs
+++ b/crates/node/src/core_command.rs
@@ -16,7 +16,7 @@
 use crate::call_class;
 use crate::call_watch;
 use crate::core_config;
-use crate::peer_directory;
+use crate::member_sync;
 use crate::route_choice;
 
 /// Receiver of one reply. It runs on the core's thread, so it hands the reply over and never waits.
@@ -84,8 +84,8 @@
     Grant(peer_message::GrantRequest, ReplySender<peer_message::GrantReply>),
     /// A caller asks for a request id.
     IssueId(ReplySender<Bytes>),
-    /// Peers told who they are.
-    PeersLearned(Vec<peer_directory::PeerIdentity>),
+    /// About the membership.
+    Member(member_sync::MemberCommand),
     /// A health check of the backend server ended.
     BackendServerChecked(bool),
     /// About the configuration.
--- a/crates/node/src/core_config.rs
+++ b/crates/node/src/core_config.rs
@@ -147,6 +147,7 @@
         log::info!(revision = revision; "configuration in force changed");
         self.classes.set_resources(sync::Arc::clone(self.config.log.set()));
         self.effects.config_signal().set_revision(revision);
+        self.members.set_revision(revision);
     }
 
     /// Counts an ended call, or one that was refused before it was sent.
--- /dev/null
+++ b/crates/node/src/core_members.rs
@@ -0,0 +1,109 @@
+//! What follows for the core from members that changed.
+
+use std::time;
+
+use damasktrack_entity::ids;
+use damasktrack_membership::gossip_context;
+use damasktrack_membership::member_record;
+use damasktrack_membership::member_table;
+
+use crate::member_sync;
+use crate::node_core;
+use crate::peer_directory;
+use crate::route_choice;
+
+/// Commands.
+impl node_core::NodeCore {
+    pub(crate) fn handle_member(&mut self, command: member_sync::MemberCommand, now: time::Instant) {
+        let events = self.members.handle(command, now);
+        self.take_member_events(events, now);
+    }
+
+    /// Returns when [`Self::wake_members`] has something to do next.
+    #[must_use]
+    pub fn next_member_wake(&self, now: time::Instant) -> time::Instant {
+        self.members.next_wake(now)
+    }
+
+    /// Does what the membership has due.
+    pub fn wake_members(&mut self, now: time::Instant) {
+        let events = self.members.wake(now);
+        self.take_member_events(events, now);
+        self.follow_readiness(now);
+    }
+
+    /// Announces `Up` while this daemon may take calls, and `Joining` while it may not.
+    pub(crate) fn follow_readiness(&mut self, now: time::Instant) {
+        let ready = self.is_ready();
+        let announced = self.members.gossip().own_record().state == member_record::MemberState::Up;
+        if ready != announced && !self.draining {
+            log::info!(ready = ready; "readiness changed");
+            self.members.set_ready(ready, now);
+        }
+    }
+
+    fn take_member_events(&mut self, events: Vec<gossip_context::GossipEvent>, now: time::Instant) {
+        for event in events {
+            match event {
+                gossip_context::GossipEvent::MemberChanged { key, before } => self.member_changed(key, before, now),
+                gossip_context::GossipEvent::ExchangeDue { address } => self.members.exchange_with(address),
+                gossip_context::GossipEvent::RevisionAhead { address, .. } => {
+                    self.effects.config_signal().report_ahead(address);
+                }
+                gossip_context::GossipEvent::Refuted => log::info!("refuted a suspicion, or an earlier start"),
+                gossip_context::GossipEvent::Superseded => {
+                    log::error!(
+                        daemon:% = ids::text(&self.identity.daemon_id);
+                        "another process with this daemon's id started later; this one stops"
+                    );
+                    self.effects.stop_process();
+                }
+            }
+        }
+    }
+
+    fn member_changed(
+        &mut self,
+        key: member_table::MemberKey,
+        before: Option<member_record::MemberState>,
+        now: time::Instant,
+    ) {
+        let Some(entry) = self.members.gossip().table().get(key) else {
+            return;
+        };
+        let record = entry.record.clone();
+        if record.daemon_id == self.identity.daemon_id {
+            return;
+        }
+        if before != Some(record.state) {
+            let name = ids::text(&record.daemon_id);
+            log::info!(peer:% = name, address:% = record.address, state:? = record.state; "member changed");
+        }
+        if record.state.is_live() {
+            self.directory.learn(peer_directory::PeerIdentity::of(&record));
+        } else {
+            self.directory.remove(&record.daemon_id);
+            self.members.check_isolation(now);
+        }
+        self.route_member(record);
+    }
+
+    fn route_member(&mut self, record: member_record::MemberRecord) {
+        if !record.is_candidate() || record.service.is_empty() {
+            self.routed.remove(&record.daemon_id);
+            self.routes.remove(&record.daemon_id);
+            return;
+        }
+        // Suspicions and refutations leave the candidate as it is, with what was observed of it.
+        let reached = (record.incarnation, record.address);
+        if self.routed.insert(record.daemon_id.clone(), reached) == Some(reached) {
+            return;
+        }
+        self.routes.upsert(route_choice::RouteCandidate {
+            daemon_id: record.daemon_id,
+            service: record.service,
+            location: record.location,
+            target: route_choice::RouteTarget::Peer(record.address),
+        });
+    }
+}
--- a/crates/node/src/core_thread.rs
+++ b/crates/node/src/core_thread.rs
@@ -13,6 +13,9 @@
 /// Longest sleep of the thread; timers and commands end it earlier.
 const MAX_SLEEP: Duration = Duration::from_mins(1);
 
+/// Shortest time between two timers of the membership.
+const MIN_SLEEP: Duration = Duration::from_millis(1);
+
 /// Handle of the core; cheap to clone.
 #[derive(Clone)]
 pub struct CoreHandle {
@@ -44,6 +47,8 @@
 
 struct CoreActor {
     core: node_core::NodeCore,
+    /// Wakes the membership at the time that it asked for.
+    member_timer: stakker::MinTimerKey,
     /// Closes the channel when the actor ends, which ends all waits for replies.
     _guard: stakker::sync::ChannelGuard,
 }
@@ -59,7 +64,12 @@
         let (channel, guard) = stakker::sync::Channel::new(cx, receiver);
         ready.send(channel).ok()?;
         stakker::after!(node_core::TICK_INTERVAL, [cx], tick());
-        Some(Self { core, _guard: guard })
+        stakker::after!(Duration::ZERO, [cx], wake_members());
+        Some(Self {
+            core,
+            member_timer: stakker::MinTimerKey::default(),
+            _guard: guard,
+        })
     }
 
     fn receive(&mut self, cx: stakker::CX![], command: core_command::CoreCommand) {
@@ -67,8 +77,24 @@
             stakker::stop!(cx);
             return;
         }
+        let about_members = matches!(command, core_command::CoreCommand::Member(_));
         let now = cx.now();
         self.core.handle(command, now);
+        if about_members {
+            self.set_member_timer(cx);
+        }
+    }
+
+    fn wake_members(&mut self, cx: stakker::CX![]) {
+        let now = cx.now();
+        self.core.wake_members(now);
+        self.set_member_timer(cx);
+    }
+
+    fn set_member_timer(&mut self, cx: stakker::CX![]) {
+        let now = cx.now();
+        let due = self.core.next_member_wake(now).max(now + MIN_SLEEP);
+        stakker::timer_min!(&mut self.member_timer, due, [cx], wake_members());
     }
 
     fn tick(&mut self, cx: stakker::CX![]) {
--- a/crates/node/src/graceful_shutdown.rs
+++ b/crates/node/src/graceful_shutdown.rs
@@ -7,6 +7,8 @@
 
 use crate::core_command;
 use crate::entry_server;
+use crate::member_jobs;
+use crate::member_sync;
 use crate::node_shared;
 
 /// Interval in which the remaining work is counted.
@@ -38,6 +40,12 @@
         let calls = count(shared).is_none_or(|counts| counts.calls == 0 && counts.work == 0);
         calls && entry.connections() == 0 && shared.peer_requests.load(atomic::Ordering::Relaxed) == 0
     });
+    // Told last, since a member that has left answers nobody; the row goes after it, so that no daemon reads a member that
+    // is gone already.
+    let _stopped = shared
+        .core
+        .ask(|reply| core_command::CoreCommand::Member(member_sync::MemberCommand::Leave(reply)));
+    member_jobs::remove_own_row(shared);
     if work_ended && calls_ended {
         log::info!(seconds = started.elapsed().as_secs_f64(); "planned stop complete");
         ShutdownResult::Complete
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -1,6 +1,8 @@
 //! All decision state of a daemon, and the dispatch of commands to it. `core_calls` holds the part of the entry and the
 //! owner, `core_work` the part of the callee.
 
+use std::collections;
+use std::net;
 use std::time;
 
 use damasktrack_entity::call_outcome;
@@ -13,6 +15,7 @@
 use crate::call_table;
 use crate::core_command;
 use crate::core_config;
+use crate::member_sync;
 use crate::node_effects;
 use crate::node_metrics;
 use crate::peer_directory;
@@ -29,10 +32,13 @@
     pub(crate) effects: node_effects::NodeEffects,
     pub(crate) metrics: node_metrics::NodeMetrics,
     pub(crate) has_backend_server: bool,
-    pub(crate) seeds: usize,
     pub(crate) classes: call_class::ClassTable,
     pub(crate) admission: admission_control::AdmissionControl,
+    pub(crate) members: member_sync::MemberSync,
+    /// Live members besides this daemon.
     pub(crate) directory: peer_directory::PeerDirectory,
+    /// Incarnation and address of each member that is a route candidate.
+    pub(crate) routed: collections::HashMap<ids::DaemonId, (ids::Incarnation, net::SocketAddr)>,
     pub(crate) routes: route_choice::RouteTable,
     pub(crate) owner: request_owner::OwnerState,
     pub(crate) calls: call_table::CallTable,
@@ -49,6 +55,7 @@
         identity: request_identity::RequestOwner,
         effects: node_effects::NodeEffects,
         metrics: node_metrics::NodeMetrics,
+        members: member_sync::MemberSync,
     ) -> Self {
         let slots = settings.backend_server.as_ref().map_or(0, |backend| backend.slots);
         let mut routes = route_choice::RouteTable::default();
@@ -66,10 +73,11 @@
             effects,
             metrics,
             has_backend_server: settings.backend_server.is_some(),
-            seeds: settings.seeds.len(),
             classes: call_class::ClassTable::new(settings.default_deadline, settings.store_address.is_some()),
             admission: admission_control::AdmissionControl::new(slots),
+            members,
             directory: peer_directory::PeerDirectory::default(),
+            routed: collections::HashMap::new(),
             routes,
             calls: call_table::CallTable::default(),
             config: core_config::ConfigState::default(),
@@ -104,7 +112,7 @@
             core_command::CoreCommand::IssueId(reply) => {
                 let _gone = reply.send(self.owner.issue_id());
             }
-            core_command::CoreCommand::PeersLearned(peers) => self.learn_peers(peers),
+            core_command::CoreCommand::Member(command) => self.handle_member(command, now),
             core_command::CoreCommand::BackendServerChecked(up) => self.take_health(up),
             core_command::CoreCommand::Config(command) => self.handle_config(command),
             core_command::CoreCommand::Drain => self.drain(now),
@@ -113,6 +121,7 @@
             }
             core_command::CoreCommand::Stop => {}
         }
+        self.follow_readiness(now);
     }
 
     /// Adapts to the passing of time.
@@ -121,26 +130,6 @@
         self.start_queued(now);
     }
 
-    fn learn_peers(&mut self, peers: Vec<peer_directory::PeerIdentity>) {
-        for peer in peers {
-            if peer.owner.daemon_id == self.identity.daemon_id || !self.directory.learn(peer.clone()) {
-                continue;
-            }
-            log::info!(peer:% = ids::text(&peer.owner.daemon_id), address:% = peer.address; "peer changed");
-            match peer.service {
-                Some(service) if !peer.draining => {
-                    self.routes.upsert(route_choice::RouteCandidate {
-                        daemon_id: peer.owner.daemon_id,
-                        service,
-                        location: peer.location,
-                        target: route_choice::RouteTarget::Peer(peer.address),
-                    });
-                }
-                _ => self.routes.remove(&peer.owner.daemon_id),
-            }
-        }
-    }
-
     fn take_health(&mut self, up: bool) {
         if self.admission.backend_server_up() != up {
             log::warn!(up = up; "health of the backend server changed");
@@ -150,6 +139,7 @@
 
     fn drain(&mut self, now: time::Instant) {
         self.draining = true;
+        self.members.drain(now);
         self.admission.drain();
         self.routes.remove(&self.identity.daemon_id);
         self.effects.drain_backend_server();
@@ -160,16 +150,19 @@
 /// Queries.
 impl NodeCore {
     pub(crate) fn has_joined(&self) -> bool {
-        self.seeds == 0 || self.directory.peers().next().is_some()
+        self.members.has_joined()
     }
 
-    fn counts(&self) -> core_command::NodeCounts {
-        let joined = self.has_joined();
+    pub(crate) fn is_ready(&self) -> bool {
         let backend = !self.has_backend_server || self.admission.backend_server_up();
+        self.has_joined() && backend && self.config.settled && !self.draining
+    }
+
+    fn counts(&self) -> core_command::NodeCounts {
         core_command::NodeCounts {
             calls: self.calls.outgoing_count(),
             work: self.calls.work_count(),
-            ready: joined && backend && self.config.settled && !self.draining,
+            ready: self.is_ready(),
         }
     }
 }
--- a/crates/node/src/node_effects.rs
+++ b/crates/node/src/node_effects.rs
@@ -81,6 +81,13 @@
         });
     }
 
+    /// Begins the planned stop of this process, as SIGTERM does.
+    pub fn stop_process(&self) {
+        if let Err(error) = signal_hook::low_level::raise(signal_hook::consts::SIGTERM) {
+            log::error!(error:% = error; "the planned stop can't be begun");
+        }
+    }
+
     /// Returns the wake-ups around the configuration.
     #[must_use]
     pub fn config_signal(&self) -> &config_signal::ConfigSignal {
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -9,6 +9,7 @@
 use prometheus::Encoder;
 
 use crate::call_class;
+use crate::control_traffic;
 
 /// Upper bounds of the latency histogram, in seconds: about three for each factor of ten, from half a millisecond to a
 /// minute.
@@ -38,7 +39,7 @@
     ///
     /// # Errors
     /// Returns an error if the exporter can't be built.
-    pub fn new() -> Result<Self, MetricsError> {
+    pub fn new(traffic: &control_traffic::ControlTraffic) -> Result<Self, MetricsError> {
         let registry = prometheus::Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -49,6 +50,8 @@
             .with_reader(exporter)
             .build();
         let meter = provider.meter("damasktrack");
+        observe_control(&meter, traffic);
+        observe_process(&meter);
         Ok(Self {
             latency: meter
                 .f64_histogram("damasktrack_call_duration")
@@ -91,6 +94,54 @@
     }
 }
 
+/// Registers the bytes of the control work, by kind.
+fn observe_control(meter: &metrics::Meter, traffic: &control_traffic::ControlTraffic) {
+    let attribute = |kind| [opentelemetry::KeyValue::new("kind", kind)];
+    let counts = traffic.clone();
+    let _sent = meter
+        .u64_observable_counter("damasktrack_control_bytes_sent")
+        .with_description("Bytes of control messages sent, without HTTP and TCP headers")
+        .with_callback(move |observer| {
+            for (kind, count) in counts.kinds() {
+                observer.observe(count.sent(), &attribute(kind));
+            }
+        })
+        .build();
+    let counts = traffic.clone();
+    let _received = meter
+        .u64_observable_counter("damasktrack_control_bytes_received")
+        .with_description("Bytes of control messages received, without HTTP and TCP headers")
+        .with_callback(move |observer| {
+            for (kind, count) in counts.kinds() {
+                observer.observe(count.received(), &attribute(kind));
+            }
+        })
+        .build();
+}
+
+/// Registers what the process takes of its VM.
+fn observe_process(meter: &metrics::Meter) {
+    let _cpu = meter
+        .f64_observable_counter("damasktrack_process_cpu_seconds")
+        .with_description("Processor time of the daemon, user and system")
+        .with_callback(|observer| {
+            if let Some(seconds) = control_traffic::process_cpu_seconds() {
+                observer.observe(seconds, &[]);
+            }
+        })
+        .build();
+    let _memory = meter
+        .u64_observable_gauge("damasktrack_process_resident_memory")
+        .with_unit("By")
+        .with_description("Resident memory of the daemon")
+        .with_callback(|observer| {
+            if let Some(bytes) = control_traffic::resident_bytes() {
+                observer.observe(bytes, &[]);
+            }
+        })
+        .build();
+}
+
 /// Queries.
 impl NodeMetrics {
     /// Returns all metrics in the Prometheus text format.
--- a/crates/node/src/node_run.rs
+++ b/crates/node/src/node_run.rs
@@ -5,6 +5,7 @@
 use std::net;
 use std::sync;
 use std::sync::atomic;
+use std::sync::mpsc;
 
 use damasktrack_entity::request_identity;
 use damasktrack_settings::daemon_settings;
@@ -13,9 +14,13 @@
 use crate::backend_client;
 use crate::background_checks;
 use crate::config_sync;
+use crate::control_traffic;
 use crate::core_thread;
 use crate::entry_server;
+use crate::gossip_socket;
 use crate::graceful_shutdown;
+use crate::member_jobs;
+use crate::member_sync;
 use crate::node_core;
 use crate::node_effects;
 use crate::node_logs;
@@ -49,6 +54,8 @@
     Metrics(node_metrics::MetricsError),
 }
 
+/// Ports that are tried where the settings name port 0.
+const MAX_PORT_TRIES: u32 = 16;
 /// Size of the block by which [`keep_freed_memory`] raises the thresholds of the allocator; above the buffers of one
 /// response.
 const RETAINED_BLOCK_BYTES: usize = 512 << 10;
@@ -81,10 +88,17 @@
     node_logs::start(&settings.log_level);
     // The handler is set before anything listens, so that an early signal is not lost.
     let mut signals = signal_hook::iterator::Signals::new([signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT])?;
-    let peer_server = peer_server::PeerServer::bind(settings.peer_listen, settings.stall_timeout)?;
+    let (peer_server, gossip) = bind_peer(&settings)?;
     let api_server = api_server::ApiServer::bind(settings.api_listen, settings.stall_timeout)?;
     let entry_listener = entry_server::bind(settings.entry_listen, settings.stall_timeout)?;
-    let shared = build(settings, peer_server.address())?;
+    let (member_queue, member_work) = mpsc::channel();
+    let members = MemberParts {
+        socket: gossip.clone(),
+        jobs: member_queue,
+    };
+    let shared = build(settings, peer_server.address(), members)?;
+    member_jobs::start(&shared, member_work)?;
+    gossip.start(&shared.core)?;
     peer_server.start(&shared);
     api_server.start(&shared)?;
     let entry = entry_server::EntryServer::start(entry_listener, sync::Arc::clone(&shared))?;
@@ -101,9 +115,33 @@
     Ok(graceful_shutdown::run(&shared, &entry))
 }
 
+/// What connects the membership in the core to the outside.
+struct MemberParts {
+    socket: gossip_socket::GossipSocket,
+    jobs: mpsc::Sender<member_sync::MemberJob>,
+}
+
+/// Opens the listener for peers and the gossip socket on one port.
+fn bind_peer(
+    settings: &daemon_settings::DaemonSettings,
+) -> io::Result<(peer_server::PeerServer, gossip_socket::GossipSocket)> {
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let server = peer_server::PeerServer::bind(settings.peer_listen, settings.stall_timeout)?;
+        match gossip_socket::GossipSocket::bind(server.address()) {
+            Ok(gossip) => return Ok((server, gossip)),
+            // The system chose a port that is free for TCP only.
+            Err(_in_use) if settings.peer_listen.port() == 0 && tries < MAX_PORT_TRIES => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
 fn build(
     settings: daemon_settings::DaemonSettings,
     peer_address: net::SocketAddr,
+    members: MemberParts,
 ) -> Result<sync::Arc<node_shared::NodeShared>, NodeError> {
     let identity = request_identity::RequestOwner {
         daemon_id: settings.daemon_id.clone(),
@@ -112,14 +150,23 @@
     let store = settings
         .store_address
         .map(|address| sync::Arc::new(store_client::StoreClient::new(address)));
-    let metrics = node_metrics::NodeMetrics::new()?;
     let peers = sync::Arc::new(peer_client::PeerClient::default());
+    let traffic = control_traffic::ControlTraffic {
+        gossip: sync::Arc::clone(members.socket.bytes()),
+        configuration: sync::Arc::clone(peers.config_bytes()),
+        store: store
+            .as_ref()
+            .map_or_else(Default::default, |store| sync::Arc::clone(store.bytes())),
+        exchange: sync::Arc::default(),
+    };
+    let metrics = node_metrics::NodeMetrics::new(&traffic)?;
     let backend = settings
         .backend_server
         .clone()
         .map(|backend| sync::Arc::new(backend_client::BackendClient::new(backend)));
     let effects = node_effects::NodeEffects::new(identity.clone(), sync::Arc::clone(&peers), backend.clone());
-    let core = node_core::NodeCore::new(&settings, identity.clone(), effects.clone(), metrics.clone());
+    let members = member_sync::MemberSync::new(&settings, &identity, peer_address, members.socket, members.jobs);
+    let core = node_core::NodeCore::new(&settings, identity.clone(), effects.clone(), metrics.clone(), members);
     Ok(sync::Arc::new(node_shared::NodeShared {
         pool: worker_pool::WorkerPool::new("call", settings.max_calls),
         settings,
@@ -131,6 +178,7 @@
         backend,
         store,
         metrics,
+        traffic,
         peer_requests: atomic::AtomicUsize::new(0),
         draining: atomic::AtomicBool::new(false),
         // Below 2^63, so that the ids of a process never wrap.
--- a/crates/node/src/node_shared.rs
+++ b/crates/node/src/node_shared.rs
@@ -9,11 +9,11 @@
 use damasktrack_settings::daemon_settings;
 
 use crate::backend_client;
+use crate::control_traffic;
 use crate::core_thread;
 use crate::node_effects;
 use crate::node_metrics;
 use crate::peer_client;
-use crate::peer_directory;
 use crate::store_client;
 use crate::worker_pool;
 
@@ -40,6 +40,8 @@
     pub pool: worker_pool::WorkerPool,
     /// Instruments.
     pub metrics: node_metrics::NodeMetrics,
+    /// Bytes of the control work.
+    pub traffic: control_traffic::ControlTraffic,
     /// Peer requests in progress, until the last byte of their response is written.
     pub peer_requests: atomic::AtomicUsize,
     /// Set when a planned stop begins.
@@ -53,16 +55,4 @@
     pub fn next_call(&self) -> ids::CallId {
         self.next_call.fetch_add(1, atomic::Ordering::Relaxed).max(1)
     }
-
-    /// Returns what this daemon tells about itself.
-    #[must_use]
-    pub fn describe(&self) -> peer_directory::PeerIdentity {
-        peer_directory::PeerIdentity {
-            owner: self.identity.clone(),
-            address: self.peer_address,
-            service: self.settings.service.clone(),
-            location: self.settings.location(),
-            draining: self.draining.load(atomic::Ordering::Relaxed),
-        }
-    }
 }
--- a/crates/node/src/peer_client.rs
+++ b/crates/node/src/peer_client.rs
@@ -10,6 +10,7 @@
 use damasktrack_wire::codec;
 use damasktrack_wire::frame_reader;
 
+use crate::byte_count;
 use crate::call_watch;
 use crate::frame_sink;
 use crate::http_agent;
@@ -58,6 +59,7 @@
 #[derive(Debug, Default)]
 pub struct PeerClient {
     agents: sync::RwLock<collections::HashMap<net::SocketAddr, ureq::Agent>>,
+    config_bytes: sync::Arc<byte_count::ByteCount>,
 }
 
 impl PeerClient {
@@ -98,6 +100,19 @@
         message: &Q,
     ) -> Result<A, MessageError> {
         let body = codec::encode(message)?;
+        let sent = body.len();
+        let answer = self.message_bytes(address, path, body)?;
+        if matches!(path, "/peer/config" | "/peer/push") {
+            self.config_bytes.add(sent, answer.len());
+        }
+        Ok(codec::decode(&answer)?)
+    }
+
+    /// Sends an encoded message and returns its answer.
+    ///
+    /// # Errors
+    /// Returns an error if the peer did not answer.
+    pub fn message_bytes(&self, address: net::SocketAddr, path: &str, body: Vec<u8>) -> Result<Vec<u8>, MessageError> {
         let agent = self.agent(address);
         let watch = call_watch::CallWatch::for_message(MESSAGE_TIMEOUT);
         let (result, _report) = call_watch::run(watch, || {
@@ -110,7 +125,13 @@
             let limit = codec::MAX_MESSAGE_BYTES as u64;
             Ok(response.body_mut().with_config().limit(limit).read_to_vec()?)
         });
-        Ok(codec::decode(&result?)?)
+        result
+    }
+
+    /// Returns the bytes of messages about the configuration.
+    #[must_use]
+    pub fn config_bytes(&self) -> &sync::Arc<byte_count::ByteCount> {
+        &self.config_bytes
     }
 
     /// Drops the idle connections of a peer that fell silent, so that the next call greets it on a new one.
--- a/crates/node/src/peer_directory.rs
+++ b/crates/node/src/peer_directory.rs
@@ -1,5 +1,4 @@
-//! Decision point: known daemons. To be replaced by `membership::member_table::MemberTable`; until then the daemon asks
-//! the `seeds` of its settings who they are.
+//! Live daemons besides this one, as the membership tells them: owners of requests, and receivers of the configuration.
 
 use std::collections;
 use std::net;
@@ -7,9 +6,10 @@
 use damasktrack_entity::ids;
 use damasktrack_entity::request_identity;
 use damasktrack_entity::server_location;
+use damasktrack_membership::member_record;
 
-/// What a daemon tells about itself.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+/// A daemon and how it is reached.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerIdentity {
     /// Daemon and incarnation.
     pub owner: request_identity::RequestOwner,
@@ -19,30 +19,52 @@
     pub service: Option<ids::ServiceName>,
     /// Where it runs.
     pub location: server_location::ServerLocation,
-    /// Whether it is leaving.
-    pub draining: bool,
+    /// Slots of its backend server.
+    pub slots: u32,
+    /// State in the member table.
+    pub state: member_record::MemberState,
 }
 
-/// Daemons by id.
+impl PeerIdentity {
+    /// Returns what a record tells about its daemon.
+    #[must_use]
+    pub fn of(record: &member_record::MemberRecord) -> Self {
+        Self {
+            owner: request_identity::RequestOwner {
+                daemon_id: record.daemon_id.clone(),
+                incarnation: record.incarnation,
+            },
+            address: record.address,
+            service: Some(record.service.clone()).filter(|service| !service.is_empty()),
+            location: record.location.clone(),
+            slots: record.slots,
+            state: record.state,
+        }
+    }
+}
+
+/// Live daemons by id, without this one.
 #[derive(Debug, Default)]
 pub struct PeerDirectory {
     peers: collections::BTreeMap<ids::DaemonId, PeerIdentity>,
 }
 
+/// Commands.
 impl PeerDirectory {
-    /// Takes what a daemon tells; returns whether anything changed.
-    pub fn learn(&mut self, identity: PeerIdentity) -> bool {
-        if self.peers.get(&identity.owner.daemon_id) == Some(&identity) {
-            return false;
-        }
+    /// Adds or replaces a live daemon.
+    pub fn learn(&mut self, identity: PeerIdentity) {
         self.peers.insert(identity.owner.daemon_id.clone(), identity);
-        true
+    }
+
+    /// Removes a daemon that is dead or has left.
+    pub fn remove(&mut self, daemon_id: &ids::DaemonId) {
+        self.peers.remove(daemon_id);
     }
 }
 
 /// Queries.
 impl PeerDirectory {
-    /// Returns the daemon that owns ids of this owner, if that incarnation is known.
+    /// Returns the daemon that owns ids of this owner, if that incarnation is live.
     #[must_use]
     pub fn find_owner(&self, owner: &request_identity::RequestOwner) -> Option<&PeerIdentity> {
         self.peers
@@ -50,7 +72,7 @@
             .filter(|peer| peer.owner.incarnation == owner.incarnation)
     }
 
-    /// Returns all known daemons.
+    /// Returns all daemons.
     pub fn peers(&self) -> impl Iterator<Item = &PeerIdentity> {
         self.peers.values()
     }
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -25,6 +25,7 @@
 use crate::frame_sink;
 use crate::frame_writer;
 use crate::http_listener;
+use crate::member_jobs;
 use crate::node_shared;
 use crate::peer_connector;
 use crate::worker_pool;
@@ -140,13 +141,13 @@
                 .core
                 .ask(|reply| core_command::CoreCommand::Grant(message, reply))
         }),
-        "/peer/config" => answer_message(request, |message: peer_message::ConfigRequest| {
+        "/peer/config" => answer_counted(request, shared, |message: peer_message::ConfigRequest| {
             config_sync::answer_request(shared, &message)
         }),
-        "/peer/push" => answer_message(request, |message: config_sync::PushRequest| {
+        "/peer/push" => answer_counted(request, shared, |message: config_sync::PushRequest| {
             config_sync::take_push(shared, message)
         }),
-        "/peer/members" => answer_message(request, |(): ()| Some(vec![shared.describe()])),
+        "/peer/members" => answer_bytes(request, |message| member_jobs::answer(shared, message)),
         _ => http_listener::respond_text(request, 404, "no such path\n"),
     }
 }
@@ -169,21 +170,45 @@
 }
 
 fn answer_message<Q: serde::de::DeserializeOwned, A: serde::Serialize>(
-    mut request: tiny_http::Request,
+    request: tiny_http::Request,
     handle: impl FnOnce(Q) -> Option<A>,
 ) {
+    answer_bytes(request, |bytes| decode_and_handle(bytes, handle));
+}
+
+/// As [`answer_message`], for messages that count as traffic of the configuration.
+fn answer_counted<Q: serde::de::DeserializeOwned, A: serde::Serialize>(
+    request: tiny_http::Request,
+    shared: &node_shared::NodeShared,
+    handle: impl FnOnce(Q) -> Option<A>,
+) {
+    answer_bytes(request, |bytes| {
+        let answer = decode_and_handle(bytes, handle);
+        let sent = answer.as_ref().map_or(0, Vec::len);
+        shared.traffic.configuration.add(sent, bytes.len());
+        answer
+    });
+}
+
+fn decode_and_handle<Q: serde::de::DeserializeOwned, A: serde::Serialize>(
+    bytes: &[u8],
+    handle: impl FnOnce(Q) -> Option<A>,
+) -> Option<Vec<u8>> {
+    let message = codec::decode::<Q>(bytes).ok()?;
+    codec::encode(&handle(message)?).ok()
+}
+
+/// Answers a message; one that can't be read or answered gets status 503.
+fn answer_bytes(mut request: tiny_http::Request, handle: impl FnOnce(&[u8]) -> Option<Vec<u8>>) {
     let mut bytes = Vec::new();
     let mut limited = io::Read::take(request.as_reader(), codec::MAX_MESSAGE_BYTES as u64);
-    let read = io::Read::read_to_end(&mut limited, &mut bytes);
-    let message = read.ok().and_then(|_length| codec::decode::<Q>(&bytes).ok());
-    let Some(message) = message else {
+    if io::Read::read_to_end(&mut limited, &mut bytes).is_err() {
         http_listener::respond_text(request, 400, "message can't be read\n");
         return;
-    };
-    let answer = handle(message).and_then(|answer| codec::encode(&answer).ok());
-    match answer {
+    }
+    match handle(&bytes) {
         Some(bytes) => http_listener::respond_bytes(request, bytes),
-        None => http_listener::respond_text(request, 503, "stopping\n"),
+        None => http_listener::respond_text(request, 503, "message can't be read, or the daemon is stopping\n"),
     }
 }
 
--- a/crates/node/src/store_client.rs
+++ b/crates/node/src/store_client.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use damasktrack_resource::store_rows;
 
+use crate::byte_count;
 use crate::call_watch;
 use crate::http_agent;
 use crate::store_circuit;
@@ -81,6 +82,7 @@
     agent: ureq::Agent,
     gate: sync::Mutex<CallGate>,
     freed: sync::Condvar,
+    bytes: sync::Arc<byte_count::ByteCount>,
 }
 
 /// Answer as it came.
@@ -98,9 +100,16 @@
             agent: http_agent::new_agent(MAX_IN_FLIGHT),
             gate: sync::Mutex::new(CallGate::default()),
             freed: sync::Condvar::new(),
+            bytes: sync::Arc::default(),
         }
     }
 
+    /// Returns the bytes of paths and bodies.
+    #[must_use]
+    pub fn bytes(&self) -> &sync::Arc<byte_count::ByteCount> {
+        &self.bytes
+    }
+
     /// Commits a transaction.
     pub fn commit(&self, commit: &store_rows::TableCommit) -> StoreReply<store_rows::RowVersion> {
         #[derive(serde::Deserialize)]
@@ -229,6 +238,7 @@
         let request = ureq::http::Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address));
+        self.bytes.add(path.len() + body.len(), 0);
         let mut response = if method == "GET" {
             self.agent.run(request.body(()).map_err(ureq::Error::Http)?)?
         } else {
@@ -240,6 +250,7 @@
             .with_config()
             .limit(MAX_ANSWER_BYTES)
             .read_to_vec()?;
+        self.bytes.add(0, body.len());
         Ok(RawAnswer { status, body })
     }
 
--- a/crates/standins/src/demo_plan.rs
+++ b/crates/standins/src/demo_plan.rs
@@ -98,7 +98,7 @@
     Ok(all)
 }
 
-/// Returns the settings of a server's daemon.
+/// Returns the settings of a server's daemon. It names no seeds: the daemons find each other through the store.
 #[must_use]
 pub fn settings(
     plan: &DemoPlan,
@@ -108,12 +108,6 @@
     key_sha256: &str,
 ) -> serde_json::Value {
     let (server, own) = (&plan.servers[index], addresses[index]);
-    // Every daemon is a seed of the others, so that the demonstration does not wait for gossip.
-    let seeds: Vec<net::SocketAddr> = addresses
-        .iter()
-        .map(|addresses| addresses.peer)
-        .filter(|peer| *peer != own.peer)
-        .collect();
     json!({
         "daemon_id": name(plan, index),
         "region": server.region,
@@ -124,7 +118,6 @@
         "api_listen": own.api,
         "backend_server": { "address": own.backend, "slots": server.slots },
         "store_address": store,
-        "seeds": seeds,
         "operators": [{ "name": "demo", "role": "admin", "key_sha256": key_sha256 }],
         "drain_timeout_ms": 10_000,
     })
