--- a/crates/node/src/member_sync.rs
+++ b/crates/node/src/member_sync.rs
@@ -84,6 +84,18 @@
     Exchange(net::SocketAddr, anti_entropy::ExchangeRequest),
 }
 
+/// What this daemon has learned of the members since its start. It only grows, since members that join later are learned
+/// by gossip.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum MemberKnowledge {
+    /// Nothing yet.
+    None,
+    /// The store listed nobody else who is live.
+    Alone,
+    /// A peer has told its members.
+    Exchanged,
+}
+
 /// Membership state of the core.
 #[derive(Debug)]
 pub struct MemberSync {
@@ -93,10 +105,7 @@
     jobs: mpsc::Sender<MemberJob>,
     seeds: Vec<net::SocketAddr>,
     has_store: bool,
-    /// Whether a peer has told its members.
-    exchanged: bool,
-    /// Whether the members were known once. It stays so, since members that join later are learned by gossip.
-    joined: bool,
+    knowledge: MemberKnowledge,
     /// Next contact of members that were read from the store.
     contact_due: time::Instant,
     leaving: bool,
@@ -123,8 +132,7 @@
             jobs,
             seeds,
             has_store: settings.store_address.is_some(),
-            exchanged: false,
-            joined: false,
+            knowledge: MemberKnowledge::None,
             contact_due: now,
             leaving: false,
         }
@@ -149,8 +157,7 @@
             }
             MemberCommand::ExchangeAnswered(answer, reply) => {
                 if matches!(answer, anti_entropy::ExchangeReply::Members { .. }) {
-                    self.exchanged = true;
-                    self.joined = true;
+                    self.knowledge = MemberKnowledge::Exchanged;
                     self.plan.contacted();
                 }
                 let (newer, output) = self.gossip.exchange_finish(&answer, now);
@@ -200,8 +207,10 @@
             }
         }
         let alone = self.gossip.table().live_count() <= 1 && self.plan.has_listed();
-        self.joined |= self.exchanged || alone;
-        if !self.exchanged && !self.leaving && now >= self.contact_due {
+        if alone && self.knowledge == MemberKnowledge::None {
+            self.knowledge = MemberKnowledge::Alone;
+        }
+        if self.knowledge != MemberKnowledge::Exchanged && !self.leaving && now >= self.contact_due {
             events.extend(self.contact_members(now));
         }
         events
@@ -276,7 +285,7 @@
         if !old.is_empty() {
             self.submit(MemberJob::RemoveRows(old));
         }
-        if !self.exchanged {
+        if self.knowledge != MemberKnowledge::Exchanged {
             events.extend(self.contact_members(now));
         }
         events
@@ -324,7 +333,7 @@
     /// Returns whether the members are known: a peer told them, or nobody else is there.
     #[must_use]
     pub fn has_joined(&self) -> bool {
-        self.joined || !self.has_store && self.seeds.is_empty()
+        self.knowledge != MemberKnowledge::None || !self.has_store && self.seeds.is_empty()
     }
 
     /// Returns when [`Self::wake`] has something to do next.
@@ -333,7 +342,7 @@
         let mut due = self.gossip.next_wake();
         if !self.leaving {
             due = due.min(self.plan.next_wake(now));
-            if !self.exchanged {
+            if self.knowledge != MemberKnowledge::Exchanged {
                 due = due.min(self.contact_due);
             }
         }
