--- a/crates/daemon/tests/processes/members.rs
+++ b/crates/daemon/tests/processes/members.rs
@@ -1,87 +1,40 @@
 //! Daemons that find and lose each other, with the store stand-in as a process.
 
-use std::io;
-use std::io::BufRead;
-use std::net;
-use std::path;
-use std::process;
-use std::sync;
+use serde_json::json;
 
+use crate::cluster;
 use crate::support;
 
-/// Key `operator-key` as the settings hold it.
-const OPERATORS: &str = r#","operators":[{"name":"maja","role":"admin","key_sha256":"c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818"}]"#;
-
-struct Store {
-    child: process::Child,
-    address: net::SocketAddr,
+fn start_store() -> cluster::StandIn {
+    cluster::StandIn::start("standin-store", &[])
 }
 
-impl Store {
-    fn start() -> Self {
-        let mut child = process::Command::new(store_path())
-            .stdout(process::Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut line = String::new();
-        io::BufReader::new(child.stdout.take().unwrap())
-            .read_line(&mut line)
-            .unwrap();
-        let address = line.trim().strip_prefix("listening ").unwrap().parse().unwrap();
-        Self { child, address }
-    }
-
-    fn settings(&self) -> String {
-        format!(r#","store_address":"{}"{OPERATORS}"#, self.address)
-    }
-
-    fn stop(&mut self) {
-        self.child.kill().unwrap();
-        self.child.wait().unwrap();
-    }
-
-    /// Returns how many rows of members the store holds.
-    fn rows(&self) -> usize {
-        let path = "/table/list?table=members&prefix=&after=&limit=100";
-        let response = support::Caller::open(self.address)
-            .exchange("GET", path, "", b"")
-            .unwrap();
-        String::from_utf8(response.body)
-            .unwrap()
-            .matches("\"daemon_id\"")
-            .count()
-    }
+/// Settings of a daemon that uses the store.
+fn settings(store: &cluster::StandIn) -> String {
+    let operators = json!([{"name": "maja", "role": "admin", "key_sha256": cluster::KEY_SHA256}]);
+    format!(r#","store_address":"{}","operators":{operators}"#, store.address)
 }
 
-impl Drop for Store {
-    fn drop(&mut self) {
-        let _ended = self.child.kill();
-        let _status = self.child.wait();
-    }
+/// Returns how many rows of members the store holds.
+fn count_rows(store: &cluster::StandIn) -> usize {
+    let list = store.get("/table/list?table=members&prefix=&after=&limit=100");
+    list["rows"].as_array().unwrap().len()
 }
 
-/// Returns the path of the store and builds it first, since cargo builds only the own programs of a package for its
-/// tests.
-fn store_path() -> path::PathBuf {
-    static BUILT: sync::Once = sync::Once::new();
-    let daemon = path::Path::new(env!("CARGO_BIN_EXE_damasktrackd"));
-    BUILT.call_once(|| {
-        let mut build = process::Command::new(env!("CARGO"));
-        build.args([
-            "build",
-            "--locked",
-            "--quiet",
-            "--bins",
-            "--package",
-            "damasktrack-standins",
-        ]);
-        if daemon.parent().is_some_and(|parent| parent.ends_with("release")) {
-            build.arg("--release");
-        }
-        build.current_dir(env!("CARGO_MANIFEST_DIR"));
-        assert!(build.status().unwrap().success());
-    });
-    daemon.with_file_name("standin-store")
+/// Declares the service `s` and waits until all daemons have it in force.
+fn declare(daemons: &[&support::Daemon]) {
+    let resources = json!({"resources": [
+        {"kind": "Service", "name": "s", "spec": {"slots": 16}},
+        {"kind": "Chain", "name": "short", "spec": {"max_depth": 4, "deadline_ms": 5000, "retry_allowance": 2}},
+        {"kind": "Class", "name": "echo", "spec": {"importance": 5, "critical": false, "idempotent": true,
+            "chain": "short", "routes": [{"service": "s", "method": "POST", "path_prefix": "/"}]}}]});
+    let answer = cluster::operate(daemons[0], "POST", "/v1/apply", "declare", &resources.to_string());
+    assert_eq!(answer.0, 200, "{answer:?}");
+    for daemon in daemons {
+        support::wait_for("the service to be declared", || {
+            (cluster::revision(daemon) >= 1).then_some(())
+        });
+    }
 }
 
 fn echo() -> support::BackendServer {
@@ -90,12 +43,9 @@
 
 /// Returns how many daemons another one holds for being in a state.
 fn count_state(daemon: &support::Daemon, state: &str) -> usize {
-    let header = "Authorization: Bearer operator-key\r\n";
-    let response = support::Caller::open(daemon.api)
-        .exchange("GET", "/v1/daemons", header, b"")
-        .unwrap();
-    let body = String::from_utf8(response.body).unwrap();
-    body.replace(' ', "").matches(&format!("\"state\":\"{state}\"")).count()
+    let list = cluster::operate(daemon, "GET", "/v1/daemons", "", "").1;
+    let items = list["items"].as_array().unwrap().iter();
+    items.filter(|item| item["status"]["state"] == state).count()
 }
 
 fn wait_state(daemon: &support::Daemon, state: &str, count: usize) {
@@ -118,8 +68,8 @@
 }
 
 /// Two servers and an entry daemon that know only the store.
-fn three_through(store: &Store, backends: [&support::BackendServer; 2]) -> [support::Daemon; 3] {
-    let settings = store.settings();
+fn three_through(store: &cluster::StandIn, backends: [&support::BackendServer; 2]) -> [support::Daemon; 3] {
+    let settings = settings(store);
     let daemons = [
         support::Daemon::beside(backends[0], &settings),
         support::Daemon::beside(backends[1], &settings),
@@ -128,6 +78,7 @@
     for daemon in &daemons {
         wait_state(daemon, "up", 3);
     }
+    declare(&[&daemons[0], &daemons[1], &daemons[2]]);
     daemons
 }
 
@@ -135,10 +86,10 @@
 /// it was noticed, and against a frozen one that does not come back.
 #[test]
 fn daemons_find_each_other_through_the_store() {
-    let store = Store::start();
+    let store = start_store();
     let (first, second) = (echo(), echo());
     let [mut killed, frozen, entry] = three_through(&store, [&first, &second]);
-    assert_eq!(store.rows(), 3);
+    assert_eq!(count_rows(&store), 3);
     for number in 0..20 {
         assert_eq!(call(&entry, &format!("before {number}")), 200);
     }
@@ -164,14 +115,15 @@
 /// against one that leaves unnoticed.
 #[test]
 fn seeds_replace_a_store_that_is_down() {
-    let mut store = Store::start();
+    let store = start_store();
     let (first, second) = (echo(), echo());
-    let mut leaving = support::Daemon::beside(&first, &store.settings());
+    let mut leaving = support::Daemon::beside(&first, &settings(&store));
     leaving.wait_ready();
-    store.stop();
-    let settings = format!(r#"{},"seeds":["{}"]"#, store.settings(), leaving.peer);
-    let stays = support::Daemon::beside(&second, &settings);
-    let entry = support::Daemon::start("entry", &settings);
+    declare(&[&leaving]);
+    store.fault(&json!({"kind": "down"}));
+    let with_seed = format!(r#"{},"seeds":["{}"]"#, settings(&store), leaving.peer);
+    let stays = support::Daemon::beside(&second, &with_seed);
+    let entry = support::Daemon::start("entry", &with_seed);
     for daemon in [&leaving, &stays, &entry] {
         wait_state(daemon, "up", 3);
     }
--- a/crates/node/src/node_run.rs
+++ b/crates/node/src/node_run.rs
@@ -30,6 +30,7 @@
 use crate::peer_server;
 use crate::request_owner;
 use crate::store_client;
+use crate::store_worker;
 use crate::worker_pool;
 
 /// Addresses in use; they differ from the settings where those name port 0.
@@ -96,7 +97,8 @@
         socket: gossip.clone(),
         jobs: member_queue,
     };
-    let shared = build(settings, peer_server.address(), members)?;
+    let (shared, store_jobs) = build(settings, peer_server.address(), members)?;
+    store_worker::start(&shared, &store_jobs)?;
     member_jobs::start(&shared, member_work)?;
     gossip.start(&shared.core)?;
     peer_server.start(&shared);
@@ -142,7 +144,7 @@
     settings: daemon_settings::DaemonSettings,
     peer_address: net::SocketAddr,
     members: MemberParts,
-) -> Result<sync::Arc<node_shared::NodeShared>, NodeError> {
+) -> Result<(sync::Arc<node_shared::NodeShared>, request_owner::StoreJobs), NodeError> {
     let identity = request_identity::RequestOwner {
         daemon_id: settings.daemon_id.clone(),
         incarnation: request_owner::random_incarnation(),
@@ -166,8 +168,16 @@
         .map(|backend| sync::Arc::new(backend_client::BackendClient::new(backend)));
     let effects = node_effects::NodeEffects::new(identity.clone(), sync::Arc::clone(&peers), backend.clone());
     let members = member_sync::MemberSync::new(&settings, &identity, peer_address, members.socket, members.jobs);
-    let core = node_core::NodeCore::new(&settings, identity.clone(), effects.clone(), metrics.clone(), members);
-    Ok(sync::Arc::new(node_shared::NodeShared {
+    let (queue, store_jobs) = request_owner::StoreQueue::new(store.is_some());
+    let core = node_core::NodeCore::new(
+        &settings,
+        identity.clone(),
+        effects.clone(),
+        metrics.clone(),
+        members,
+        queue,
+    );
+    let shared = node_shared::NodeShared {
         pool: worker_pool::WorkerPool::new("call", settings.max_calls),
         settings,
         identity,
@@ -183,5 +193,6 @@
         draining: atomic::AtomicBool::new(false),
         // Below 2^63, so that the ids of a process never wrap.
         next_call: atomic::AtomicU64::new(request_owner::random_incarnation() >> 1),
-    }))
+    };
+    Ok((sync::Arc::new(shared), store_jobs))
 }
