--- a/crates/daemon/tests/processes/cluster.rs
+++ b/crates/daemon/tests/processes/cluster.rs
@@ -303,7 +303,7 @@
 
 /// Returns addresses for daemons that know each other from the start. They lie on a loopback address of their own, so
 /// that no other socket takes one of the ports before its daemon does.
-fn peer_addresses(count: usize) -> Vec<net::SocketAddr> {
+pub fn peer_addresses(count: usize) -> Vec<net::SocketAddr> {
     static CLUSTERS: atomic::AtomicU8 = atomic::AtomicU8::new(2);
     let [_, _, high, low] = process::id().to_be_bytes();
     let host = CLUSTERS.fetch_add(1, atomic::Ordering::Relaxed);
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -5,5 +5,8 @@
 mod configuration;
 mod failures;
 mod members;
+mod overload;
 mod request_path;
+mod routes;
+mod site;
 mod support;
--- a/crates/node/src/core_members.rs
+++ b/crates/node/src/core_members.rs
@@ -10,7 +10,6 @@
 use crate::member_sync;
 use crate::node_core;
 use crate::peer_directory;
-use crate::route_choice;
 
 /// Commands.
 impl node_core::NodeCore {
@@ -85,25 +84,11 @@
             self.directory.remove(&record.daemon_id);
             self.members.check_isolation(now);
         }
-        self.route_member(record);
-    }
-
-    fn route_member(&mut self, record: member_record::MemberRecord) {
-        if !record.is_candidate() || record.service.is_empty() {
-            self.routed.remove(&record.daemon_id);
-            self.routes.remove(&record.daemon_id);
-            return;
-        }
-        // Suspicions and refutations leave the candidate as it is, with what was observed of it.
-        let reached = (record.incarnation, record.address);
-        if self.routed.insert(record.daemon_id.clone(), reached) == Some(reached) {
-            return;
+        let mut peer = peer_directory::PeerIdentity::of(&record);
+        if record.leaving && record.state.is_live() {
+            // A suspicion must not hide that the server is leaving.
+            peer.state = member_record::MemberState::Draining;
         }
-        self.routes.upsert(route_choice::RouteCandidate {
-            daemon_id: record.daemon_id,
-            service: record.service,
-            location: record.location,
-            target: route_choice::RouteTarget::Peer(record.address),
-        });
+        self.routes.learn(&peer, now);
     }
 }
--- a/crates/node/src/core_thread.rs
+++ b/crates/node/src/core_thread.rs
@@ -49,6 +49,8 @@
     core: node_core::NodeCore,
     /// Wakes the membership at the time that it asked for.
     member_timer: stakker::MinTimerKey,
+    /// Timer of the earliest wake that the core asked for.
+    wake: stakker::MinTimerKey,
     /// Closes the channel when the actor ends, which ends all waits for replies.
     _guard: stakker::sync::ChannelGuard,
 }
@@ -68,6 +70,7 @@
         Some(Self {
             core,
             member_timer: stakker::MinTimerKey::default(),
+            wake: stakker::MinTimerKey::default(),
             _guard: guard,
         })
     }
@@ -83,6 +86,7 @@
         if about_members {
             self.set_member_timer(cx);
         }
+        self.plan_wake(cx, now);
     }
 
     fn wake_members(&mut self, cx: stakker::CX![]) {
@@ -97,9 +101,22 @@
         stakker::timer_min!(&mut self.member_timer, due, [cx], wake_members());
     }
 
+    fn wake(&mut self, cx: stakker::CX![]) {
+        let now = cx.now();
+        self.core.wake(now);
+        self.plan_wake(cx, now);
+    }
+
+    fn plan_wake(&mut self, cx: stakker::CX![], now: time::Instant) {
+        if let Some(at) = self.core.next_wake(now) {
+            stakker::timer_min!(&mut self.wake, at, [cx], wake());
+        }
+    }
+
     fn tick(&mut self, cx: stakker::CX![]) {
         let now = cx.now();
         self.core.tick(now);
+        self.plan_wake(cx, now);
         stakker::after!(node_core::TICK_INTERVAL, [cx], tick());
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,6 @@
 //! The daemon as a library: actor, servers, clients, metrics, logs and shutdown.
 //!
-//! [`node_run::run`] starts a daemon. Decisions live in [`call_class`], [`admission_control`], [`route_choice`],
+//! [`node_run::run`] starts a daemon. Decisions live in [`call_class`], [`admission_control`], [`core_routes`],
 //! [`request_owner`], [`member_sync`] and [`peer_directory`]; only [`node_core`] calls them, on the one thread of [`core_thread`]. All
 //! other modules move bytes.
 
@@ -15,6 +15,7 @@
 pub mod byte_count;
 pub mod call_begin;
 pub mod call_class;
+pub mod call_hedge;
 pub mod call_runner;
 pub mod call_table;
 pub mod call_watch;
@@ -25,8 +26,10 @@
 mod core_calls;
 pub mod core_command;
 pub mod core_config;
+pub mod core_hedges;
 mod core_members;
 mod core_owner;
+pub mod core_routes;
 pub mod core_thread;
 mod core_work;
 pub mod entry_body;
@@ -53,7 +56,6 @@
 pub mod peer_directory;
 pub mod peer_server;
 pub mod request_owner;
-pub mod route_choice;
 pub mod store_circuit;
 pub mod store_client;
 mod store_worker;
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -1,10 +1,9 @@
 //! All decision state of a daemon, and the dispatch of commands to it. `core_calls` holds the part of the entry and the
 //! owner, `core_work` the part of the callee.
 
-use std::collections;
-use std::net;
 use std::time;
 
+use damasktrack_admission::level_view;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
 use damasktrack_entity::request_identity;
@@ -15,12 +14,12 @@
 use crate::call_table;
 use crate::core_command;
 use crate::core_config;
+use crate::core_routes;
 use crate::member_sync;
 use crate::node_effects;
 use crate::node_metrics;
 use crate::peer_directory;
 use crate::request_owner;
-use crate::route_choice;
 
 /// Interval of [`admission_control::AdmissionControl::tick`].
 pub const TICK_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -32,14 +31,15 @@
     pub(crate) effects: node_effects::NodeEffects,
     pub(crate) metrics: node_metrics::NodeMetrics,
     pub(crate) has_backend_server: bool,
+    /// Service of the backend server.
+    pub(crate) service: Option<ids::ServiceName>,
     pub(crate) classes: call_class::ClassTable,
     pub(crate) admission: admission_control::AdmissionControl,
+    pub(crate) levels: level_view::LevelView,
     pub(crate) members: member_sync::MemberSync,
     /// Live members besides this daemon.
     pub(crate) directory: peer_directory::PeerDirectory,
-    /// Incarnation and address of each member that is a route candidate.
-    pub(crate) routed: collections::HashMap<ids::DaemonId, (ids::Incarnation, net::SocketAddr)>,
-    pub(crate) routes: route_choice::RouteTable,
+    pub(crate) routes: core_routes::RouteState,
     pub(crate) owner: request_owner::OwnerState,
     pub(crate) calls: call_table::CallTable,
     pub(crate) config: core_config::ConfigState,
@@ -59,27 +59,20 @@
         store: request_owner::StoreQueue,
     ) -> Self {
         let slots = settings.backend_server.as_ref().map_or(0, |backend| backend.slots);
-        let mut routes = route_choice::RouteTable::default();
-        if let (Some(service), Some(_backend)) = (&settings.service, &settings.backend_server) {
-            routes.upsert(route_choice::RouteCandidate {
-                daemon_id: settings.daemon_id.clone(),
-                service: service.clone(),
-                location: settings.location(),
-                target: route_choice::RouteTarget::Local,
-            });
-        }
+        let incarnation = identity.incarnation;
         Self {
             owner: request_owner::OwnerState::new(identity.clone(), store, time::Instant::now()),
             identity,
             effects,
             metrics,
             has_backend_server: settings.backend_server.is_some(),
+            service: settings.service.clone(),
+            members,
             classes: call_class::ClassTable::new(settings.default_deadline, settings.store_address.is_some()),
             admission: admission_control::AdmissionControl::new(slots),
-            members,
+            levels: level_view::LevelView::default(),
             directory: peer_directory::PeerDirectory::default(),
-            routed: collections::HashMap::new(),
-            routes,
+            routes: core_routes::RouteState::new(settings, incarnation, time::Instant::now()),
             calls: call_table::CallTable::default(),
             config: core_config::ConfigState::default(),
             draining: false,
@@ -102,10 +95,8 @@
                 self.cancel_outgoing(call);
             }
             core_command::CoreCommand::Arrive(arrival, reply) => self.arrive(*arrival, reply, now),
-            core_command::CoreCommand::FinishWork(call, result) => {
-                self.admission.finish(call, result, now);
-                self.calls.remove_work(call);
-                self.start_queued(now);
+            core_command::CoreCommand::FinishWork(call, result, reply) => {
+                let _gone = reply.send(self.finish_work(call, result, now));
             }
             core_command::CoreCommand::CancelFromPeer(request) => self.cancel_from_peer(request, now),
             core_command::CoreCommand::Grant(request, reply) => {
@@ -116,6 +107,7 @@
             }
             core_command::CoreCommand::Member(command) => self.handle_member(command, now),
             core_command::CoreCommand::BackendServerChecked(up) => self.take_health(up),
+            core_command::CoreCommand::Hedge(command) => self.handle_hedge(command, now),
             core_command::CoreCommand::Owner(command) => self.handle_owner(command, now),
             core_command::CoreCommand::Config(command) => self.handle_config(command),
             core_command::CoreCommand::Drain => self.drain(now),
@@ -130,6 +122,16 @@
     /// Adapts to the passing of time.
     pub fn tick(&mut self, now: time::Instant) {
         self.admission.tick(now);
+        self.levels.tick(now);
+        self.start_queued(now);
+        self.review_routes(now);
+        if let Some(gate) = self.admission.gate() {
+            self.metrics.record_gate(gate);
+        }
+    }
+
+    /// Starts and refuses queued work whose time has come.
+    pub fn wake(&mut self, now: time::Instant) {
         self.start_queued(now);
         self.expire_actions(now);
     }
@@ -145,7 +147,7 @@
         self.draining = true;
         self.members.drain(now);
         self.admission.drain();
-        self.routes.remove(&self.identity.daemon_id);
+        self.routes.drain_local(&self.identity.daemon_id);
         self.effects.drain_backend_server();
         self.start_queued(now);
     }
@@ -153,6 +155,12 @@
 
 /// Queries.
 impl NodeCore {
+    /// Returns when [`Self::wake`] is to be called if no command comes first.
+    #[must_use]
+    pub fn next_wake(&self, now: time::Instant) -> Option<time::Instant> {
+        self.admission.next_wake(now)
+    }
+
     pub(crate) fn has_joined(&self) -> bool {
         self.members.has_joined()
     }
