--- a/crates/daemon/tests/processes/cluster.rs
+++ b/crates/daemon/tests/processes/cluster.rs
@@ -192,6 +192,7 @@
         );
         assert_eq!(answer.0, 200, "{answer:?}");
         cluster.wait_revision(1);
+        cluster.wait_members();
         cluster
     }
 
@@ -216,6 +217,22 @@
         support::Daemon::start_at(&format!("d{index}"), &peer, &extra)
     }
 
+    /// Waits until all daemons know all others as up and have written their rows, so that no fault hits these writes.
+    fn wait_members(&self) {
+        let count = self.daemons.len();
+        for daemon in &self.daemons {
+            support::wait_for("the members to be known", || {
+                let list = operate(daemon, "GET", "/v1/daemons", "", "").1;
+                let items = list["items"].as_array().into_iter().flatten();
+                (items.filter(|item| item["status"]["state"] == "up").count() == count).then_some(())
+            });
+        }
+        support::wait_for("the rows of the members", || {
+            let list = self.store.get("/table/list?table=members&prefix=&after=&limit=100");
+            (list["rows"].as_array()?.len() == count).then_some(())
+        });
+    }
+
     pub fn wait_revision(&self, wanted: u64) {
         for daemon in &self.daemons {
             support::wait_for("the revision to be in force", || {
--- a/crates/daemon/tests/processes/configuration.rs
+++ b/crates/daemon/tests/processes/configuration.rs
@@ -74,13 +74,14 @@
     );
     // Nobody can read it back until the store is up again.
     cluster.store.fault(&json!({"kind": "lose_answer", "scope": "writes"}));
+    // The daemons' rows in the table of members are commits as well.
+    let commits = || cluster.store.get("/control/stats")["commits"].as_u64().unwrap();
+    let before = commits();
     let api = cluster.daemons[1].api;
     let header = cluster::operator_header("lost-2");
     let body = cluster::tenant("holstebro", 3).to_string();
     let change = thread::spawn(move || cluster::exchange(api, "PUT", "/v1/tenants/holstebro", &header, &body));
-    support::wait_for("the commit", || {
-        (cluster.store.get("/control/stats")["commits"].as_u64() >= Some(3)).then_some(())
-    });
+    support::wait_for("the commit", || (commits() > before).then_some(()));
     cluster.store.fault(&json!({"kind": "lose_request"}));
     let unsettled = change.join().unwrap();
     assert_eq!(
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod configuration;
 mod failures;
+mod members;
 mod overload;
 mod request_path;
 mod routes;
--- a/crates/membership/src/gossip_context.rs
+++ b/crates/membership/src/gossip_context.rs
@@ -23,7 +23,7 @@
 
 /// Time between two probes of a daemon.
 pub const GOSSIP_PERIOD: time::Duration = time::Duration::from_secs(1);
-/// Daemons that are told at once that this one drains or has left.
+/// Daemons that are told at once that this one takes calls, drains or has left.
 const LEAVE_FANOUT: usize = 4;
 /// Time after the start in which a daemon asks another member when its exchange was refused.
 const JOIN_TIME: time::Duration = time::Duration::from_secs(30);
@@ -168,6 +168,15 @@
     pub fn set_up(&mut self, now: time::Instant) -> GossipOutput {
         if self.own_record().state == member_record::MemberState::Joining {
             self.change_own(now, |record| record.state = member_record::MemberState::Up);
+            self.tell_some(now);
+        }
+        self.take_output()
+    }
+
+    /// Announces that this daemon takes no calls for now, for example since its backend server is down.
+    pub fn set_waiting(&mut self, now: time::Instant) -> GossipOutput {
+        if self.own_record().state == member_record::MemberState::Up {
+            self.change_own(now, |record| record.state = member_record::MemberState::Joining);
         }
         self.take_output()
     }
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -119,15 +119,18 @@
             None => SyncStep::Current,
         };
     }
-    let needed = peers.len().min(START_PEERS);
+    let mut needed = peers.len().min(START_PEERS);
     let mut answered = 0;
     while answered < needed && !peers.is_empty() {
         let peer = peers.swap_remove(rand::rng().random_range(0..peers.len()));
-        if fetch_from_peer(shared, peer).is_some_and(|reply| reply.settled) {
-            answered += 1;
+        match fetch_from_peer(shared, peer) {
+            Some(reply) if reply.settled => answered += 1,
+            // Daemons that start together would wait for each other.
+            Some(_starting) => needed = needed.min(answered + peers.len()),
+            None => {}
         }
     }
-    if answered == needed {
+    if answered > 0 && answered == needed {
         SyncStep::Current
     } else {
         SyncStep::Unavailable
--- a/crates/node/src/core_command.rs
+++ b/crates/node/src/core_command.rs
@@ -21,7 +21,7 @@
 use crate::core_config;
 use crate::core_hedges;
 use crate::core_routes;
-use crate::peer_directory;
+use crate::member_sync;
 use crate::request_owner;
 
 /// Receiver of one reply. It runs on the core's thread, so it hands the reply over and never waits.
@@ -93,8 +93,8 @@
     Grant(peer_message::GrantRequest, ReplySender<peer_message::GrantReply>),
     /// A caller asks for a request id.
     IssueId(ReplySender<Bytes>),
-    /// Peers told who they are.
-    PeersLearned(Vec<peer_directory::PeerIdentity>),
+    /// About the membership.
+    Member(member_sync::MemberCommand),
     /// A health check of the backend server ended.
     BackendServerChecked(bool),
     /// About the copy of a slow call.
--- a/crates/node/src/core_config.rs
+++ b/crates/node/src/core_config.rs
@@ -149,6 +149,7 @@
         self.classes.set_resources(sync::Arc::clone(self.config.log.set()));
         self.take_limits();
         self.effects.config_signal().set_revision(revision);
+        self.members.set_revision(revision);
     }
 
     /// Hands the declared slots and tenant weights to the admission gate.
--- a/crates/node/src/core_routes.rs
+++ b/crates/node/src/core_routes.rs
@@ -8,6 +8,7 @@
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
 use damasktrack_entity::server_location;
+use damasktrack_membership::member_record;
 use damasktrack_routing::hedge_policy;
 use damasktrack_routing::region_budget;
 use damasktrack_routing::retry_budget;
@@ -88,13 +89,31 @@
     /// Takes what a peer announces about its backend server.
     pub(crate) fn learn(&mut self, peer: &peer_directory::PeerIdentity, now: time::Instant) {
         let known = self.table.key_of(&peer.owner.daemon_id);
-        let Some(service) = &peer.service else {
+        let state = match peer.state {
+            member_record::MemberState::Joining => Some(route_candidate::CandidateState::Starting),
+            member_record::MemberState::Up => Some(route_candidate::CandidateState::Ready),
+            member_record::MemberState::Suspect => Some(route_candidate::CandidateState::Suspect),
+            member_record::MemberState::Draining => Some(route_candidate::CandidateState::Leaving),
+            member_record::MemberState::Dead | member_record::MemberState::Left => None,
+        };
+        let (Some(service), Some(state)) = (&peer.service, state) else {
             if let Some(key) = known {
                 self.table.remove(key);
             }
             return;
         };
         let appears_late = now.saturating_duration_since(self.started) > damasktrack_routing::cold_ramp::RAMP_DURATION;
+        let before = known.and_then(|key| self.table.candidate(key));
+        let restarted = before.is_some_and(|before| before.incarnation != peer.owner.incarnation);
+        // A suspicion or its refutation does not make a server cold.
+        let warm = before.filter(|before| {
+            let used = [
+                route_candidate::CandidateState::Ready,
+                route_candidate::CandidateState::Suspect,
+            ];
+            !restarted && used.contains(&before.state)
+        });
+        let ready_since = warm.map_or((appears_late || restarted).then_some(now), |before| before.ready_since);
         self.table.upsert(route_candidate::RouteCandidate {
             daemon_id: peer.owner.daemon_id.clone(),
             incarnation: peer.owner.incarnation,
@@ -102,12 +121,8 @@
             address: peer.address,
             location: peer.location.clone(),
             slots: peer.slots,
-            state: if peer.draining {
-                route_candidate::CandidateState::Leaving
-            } else {
-                route_candidate::CandidateState::Ready
-            },
-            ready_since: (appears_late || known.is_some()).then_some(now),
+            state,
+            ready_since,
         });
     }
 
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -15,6 +15,7 @@
 use crate::core_command;
 use crate::core_config;
 use crate::core_routes;
+use crate::member_sync;
 use crate::node_effects;
 use crate::node_metrics;
 use crate::peer_directory;
@@ -32,10 +33,11 @@
     pub(crate) has_backend_server: bool,
     /// Service of the backend server.
     pub(crate) service: Option<ids::ServiceName>,
-    pub(crate) seeds: usize,
     pub(crate) classes: call_class::ClassTable,
     pub(crate) admission: admission_control::AdmissionControl,
     pub(crate) levels: level_view::LevelView,
+    pub(crate) members: member_sync::MemberSync,
+    /// Live members besides this daemon.
     pub(crate) directory: peer_directory::PeerDirectory,
     pub(crate) routes: core_routes::RouteState,
     pub(crate) owner: request_owner::OwnerState,
@@ -53,6 +55,7 @@
         identity: request_identity::RequestOwner,
         effects: node_effects::NodeEffects,
         metrics: node_metrics::NodeMetrics,
+        members: member_sync::MemberSync,
         store: request_owner::StoreQueue,
     ) -> Self {
         let slots = settings.backend_server.as_ref().map_or(0, |backend| backend.slots);
@@ -64,7 +67,7 @@
             metrics,
             has_backend_server: settings.backend_server.is_some(),
             service: settings.service.clone(),
-            seeds: settings.seeds.len(),
+            members,
             classes: call_class::ClassTable::new(settings.default_deadline, settings.store_address.is_some()),
             admission: admission_control::AdmissionControl::new(slots),
             levels: level_view::LevelView::default(),
@@ -102,7 +105,7 @@
             core_command::CoreCommand::IssueId(reply) => {
                 let _gone = reply.send(self.owner.issue_id());
             }
-            core_command::CoreCommand::PeersLearned(peers) => self.learn_peers(peers, now),
+            core_command::CoreCommand::Member(command) => self.handle_member(command, now),
             core_command::CoreCommand::BackendServerChecked(up) => self.take_health(up),
             core_command::CoreCommand::Hedge(command) => self.handle_hedge(command, now),
             core_command::CoreCommand::Owner(command) => self.handle_owner(command, now),
@@ -113,6 +116,7 @@
             }
             core_command::CoreCommand::Stop => {}
         }
+        self.follow_readiness(now);
     }
 
     /// Adapts to the passing of time.
@@ -132,16 +136,6 @@
         self.expire_actions(now);
     }
 
-    fn learn_peers(&mut self, peers: Vec<peer_directory::PeerIdentity>, now: time::Instant) {
-        for peer in peers {
-            if peer.owner.daemon_id == self.identity.daemon_id || !self.directory.learn(peer.clone()) {
-                continue;
-            }
-            log::info!(peer:% = ids::text(&peer.owner.daemon_id), address:% = peer.address; "peer changed");
-            self.routes.learn(&peer, now);
-        }
-    }
-
     fn take_health(&mut self, up: bool) {
         if self.admission.backend_server_up() != up {
             log::warn!(up = up; "health of the backend server changed");
@@ -151,6 +145,7 @@
 
     fn drain(&mut self, now: time::Instant) {
         self.draining = true;
+        self.members.drain(now);
         self.admission.drain();
         self.routes.drain_local(&self.identity.daemon_id);
         self.effects.drain_backend_server();
@@ -167,16 +162,19 @@
     }
 
     pub(crate) fn has_joined(&self) -> bool {
-        self.seeds == 0 || self.directory.peers().next().is_some()
+        self.members.has_joined()
     }
 
-    fn counts(&self) -> core_command::NodeCounts {
-        let joined = self.has_joined();
+    pub(crate) fn is_ready(&self) -> bool {
         let backend = !self.has_backend_server || self.admission.backend_server_up();
+        self.has_joined() && backend && self.config.settled && !self.draining
+    }
+
+    fn counts(&self) -> core_command::NodeCounts {
         core_command::NodeCounts {
             calls: self.calls.outgoing_count() + self.owner.pending.len(),
             work: self.calls.work_count(),
-            ready: joined && backend && self.config.settled && !self.draining,
+            ready: self.is_ready(),
         }
     }
 }
