--- a/crates/node/src/core_calls.rs
+++ b/crates/node/src/core_calls.rs
@@ -17,9 +17,9 @@
 use crate::call_table;
 use crate::core_command;
 use crate::core_owner;
+use crate::core_routes;
 use crate::node_core;
 use crate::request_owner;
-use crate::route_choice;
 
 /// Commands.
 impl node_core::NodeCore {
@@ -68,7 +68,7 @@
         Err(self.refuse_root(start, &root, reason))
     }
 
-    /// Sends a call to a backend server for the first time.
+    /// Sends a call to a backend server for the first time, if its level and a server allow it.
     pub(crate) fn run_first(
         &mut self,
         start: core_command::CallStart,
@@ -76,25 +76,37 @@
         action: Option<request_owner::ActionDrive>,
         now: time::Instant,
     ) -> core_command::CallDecision {
-        let choice = self.routes.choose(
-            &route_choice::RouteRequest {
-                service: &start.service,
-                tried: &[],
-            },
-            now,
-        );
-        let route_choice::RouteChoice::Use(route, target) = choice else {
+        if !self.admits_level(&start.service, &root.context, now) {
+            let reason = call_outcome::RefusalReason::Overloaded;
+            return self.refuse_first(&start, &root, action, reason, now);
+        }
+        let Some(server) = self.choose_server(&start.service, &root.class, &root.context, &[], now) else {
             let reason = call_outcome::RefusalReason::NoCandidate;
-            return match action {
-                Some(drive) => {
-                    self.count_effect(&root.class.name, true, 1);
-                    self.release_unsent(&drive, reason, now)
-                }
-                None => self.refuse_root(&start, &root, reason),
-            };
+            return self.refuse_first(&start, &root, action, reason, now);
         };
-        self.routes.begin(route, now);
-        self.start_call(start, root, action, Some(route), target, now)
+        if root.context.depth == 0 {
+            self.routes.retry_budget.first_attempt();
+        }
+        self.start_call(start, root, action, Some(server), server.target, now)
+    }
+
+    /// Refuses a call before its first attempt. The ledger of an action has decided that it did not run.
+    fn refuse_first(
+        &mut self,
+        start: &core_command::CallStart,
+        root: &CallRoot,
+        action: Option<request_owner::ActionDrive>,
+        reason: call_outcome::RefusalReason,
+        now: time::Instant,
+    ) -> core_command::CallDecision {
+        match action {
+            Some(drive) => {
+                self.metrics.count_refused(&root.class, reason);
+                self.count_effect(&root.class.name, true, 1);
+                self.release_unsent(&drive, reason, now)
+            }
+            None => self.refuse_root(start, root, reason),
+        }
     }
 
     pub(crate) fn forward_to_owner(
@@ -108,7 +120,7 @@
             let reason = action_step::UnknownReason::OwnerGone;
             return core_owner::unknown(root.context.request_id, Some(reason));
         };
-        let target = route_choice::RouteTarget::Peer(peer.address);
+        let target = core_routes::RouteTarget::Peer(peer.address);
         self.start_call(start, root, None, None, target, now)
     }
 
@@ -117,16 +129,21 @@
         start: core_command::CallStart,
         root: CallRoot,
         action: Option<request_owner::ActionDrive>,
-        route: Option<route_choice::RouteKey>,
-        target: route_choice::RouteTarget,
+        server: Option<core_routes::ChosenServer>,
+        target: core_routes::RouteTarget,
         now: time::Instant,
     ) -> core_command::CallDecision {
+        let route = server.and_then(|server| self.begin_attempt(server, &root.class, now));
+        if let Some(parent) = root.parent {
+            self.admission.nested_started(parent, now);
+        }
         let mut context = root.context;
         context.remaining = root.deadline.saturating_duration_since(now);
         let attempt = core_command::AttemptPlan {
             target,
-            stage: stage_of(route),
+            stage: stage_of(server),
             context: context.clone(),
+            hedge_after: server.and_then(|server| self.hedge_delay(&start.service, &root.class, server.target)),
         };
         let keeps_answer = action.is_some();
         self.calls.add_outgoing(
@@ -137,8 +154,13 @@
                 class: root.class.clone(),
                 deadline: root.deadline,
                 parent: root.parent,
-                tried: route.into_iter().collect(),
+                tried: server.map(|server| server.key).into_iter().collect(),
                 route,
+                attempt_open: true,
+                wire_call: start.call,
+                hedge: None,
+                retried: false,
+                copy_cancelled: None,
                 target,
                 last_result: None,
                 action,
@@ -280,7 +302,7 @@
         if cancelled {
             return self.give_up(call, core_command::CallEnd::Cancelled, now);
         }
-        if !useful {
+        if !useful || !self.leaves_room_for_retry(call, now) {
             return self.give_up(call, end, now);
         }
         match self.retry_keeper(&request.request_id) {
@@ -307,30 +329,33 @@
         let peer_message::GrantReply::Granted { left } = grant else {
             return self.give_up(call, end, now);
         };
-        let request = route_choice::RouteRequest {
-            service: &entry.service,
-            tried: &entry.tried,
-        };
-        let route_choice::RouteChoice::Use(route, target) = self.routes.choose(&request, now) else {
+        let (service, class) = (entry.service.clone(), entry.class.clone());
+        let (context, tried) = (entry.context.clone(), entry.tried.clone());
+        let Some(server) = self.choose_server(&service, &class, &context, &tried, now) else {
             return self.give_up(call, end, now);
         };
         if !self.note_retry(call, now) {
             return self.give_up(call, end, now);
         }
+        let route = self.begin_attempt(server, &class, now);
+        self.metrics.count_retried(&class);
         let Some(entry) = self.calls.outgoing_mut(call) else {
             return core_command::RetryDecision::GiveUp(core_command::CallEnd::Cancelled);
         };
-        self.routes.begin(route, now);
-        entry.tried.push(route);
-        entry.route = Some(route);
-        entry.target = target;
+        entry.tried.push(server.key);
+        entry.route = route;
+        entry.attempt_open = true;
+        entry.target = server.target;
+        entry.wire_call = call;
+        entry.retried = true;
         entry.context.attempt += 1;
         entry.context.retry_allowance = left;
         entry.context.remaining = entry.deadline.saturating_duration_since(now);
         core_command::RetryDecision::Again(core_command::AttemptPlan {
-            target,
+            target: server.target,
             stage: call_frame::CallStage::Callee,
             context: entry.context.clone(),
+            hedge_after: None,
         })
     }
 
@@ -341,8 +366,17 @@
         summary: core_command::CallSummary,
         now: time::Instant,
     ) {
-        self.end_attempt(call, result, now);
-        if matches!(summary.end, core_command::CallEnd::Refused(_)) {
+        // A call that no worker ran says nothing about its server.
+        let observed = if summary.attempts == 0 {
+            core_command::AttemptResult::Refused {
+                reason: call_outcome::RefusalReason::Cancelled,
+                report: None,
+            }
+        } else {
+            result
+        };
+        self.end_attempt(call, observed, now);
+        if let core_command::CallEnd::Refused(_) = summary.end {
             // A call that no worker ran has not been released yet.
             self.note_not_run(call, result);
             self.give_up(call, summary.end, now);
@@ -350,11 +384,20 @@
         let Some(mut entry) = self.calls.remove_outgoing(call) else {
             return;
         };
+        if let Some(hedge) = entry.hedge.take() {
+            self.end_hedge(&hedge, now);
+        }
+        if let Some(parent) = entry.parent {
+            self.admission.nested_finished(parent, now);
+        }
         if let Some(drive) = entry.action.take() {
             self.finish_action(drive, result, now);
         }
         let refused = matches!(summary.end, core_command::CallEnd::Refused(_));
         self.count_effect(&entry.class.name, refused, summary.attempts);
+        if let core_command::CallEnd::Refused(reason) = summary.end {
+            self.metrics.count_refused(&entry.class, reason);
+        }
         if let core_command::CallEnd::Lost(outcome) = summary.end {
             log::warn!(
                 request_id:% = ids::text(&entry.context.request_id),
@@ -363,14 +406,7 @@
                 "call ended as {outcome}"
             );
             // The callee may still run it for nobody.
-            self.cancel_target(call, entry.target, now);
-        }
-    }
-
-    fn end_attempt(&mut self, call: ids::CallId, result: core_command::AttemptResult, now: time::Instant) {
-        let entry = self.calls.outgoing_mut(call);
-        if let Some(route) = entry.and_then(|entry| entry.route.take()) {
-            self.routes.finish(route, route_result(result), now);
+            self.cancel_target(entry.wire_call, entry.target, now);
         }
     }
 
@@ -378,15 +414,18 @@
         let Some(entry) = self.calls.outgoing(call) else {
             return;
         };
-        entry.cancelled.store(true, atomic::Ordering::Relaxed);
-        let target = entry.target;
-        self.cancel_target(call, target, time::Instant::now());
+        entry.set_cancelled();
+        let now = time::Instant::now();
+        self.cancel_target(entry.wire_call, entry.target, now);
+        if let Some(hedge) = self.calls.outgoing_mut(call).and_then(|entry| entry.hedge.take()) {
+            self.end_hedge(&hedge, now);
+        }
     }
 
-    fn cancel_target(&mut self, call: ids::CallId, target: route_choice::RouteTarget, now: time::Instant) {
+    pub(crate) fn cancel_target(&mut self, call: ids::CallId, target: core_routes::RouteTarget, now: time::Instant) {
         match target {
-            route_choice::RouteTarget::Peer(address) => self.effects.cancel_at_peer(address, call),
-            route_choice::RouteTarget::Local => {
+            core_routes::RouteTarget::Peer(address) => self.effects.cancel_at_peer(address, call),
+            core_routes::RouteTarget::Local => {
                 let request = peer_message::CancelRequest {
                     sender: self.identity.clone(),
                     sender_call: call,
@@ -431,8 +470,8 @@
     pub(crate) sender: Option<call_table::SenderCall>,
 }
 
-fn stage_of(route: Option<route_choice::RouteKey>) -> call_frame::CallStage {
-    match route {
+fn stage_of(server: Option<core_routes::ChosenServer>) -> call_frame::CallStage {
+    match server {
         Some(_) => call_frame::CallStage::Callee,
         None => call_frame::CallStage::Owner,
     }
@@ -474,20 +513,3 @@
         | core_command::AttemptResult::Cancelled => false,
     }
 }
-
-fn route_result(result: core_command::AttemptResult) -> route_choice::RouteResult {
-    match result {
-        core_command::AttemptResult::Completed { latency, bytes, .. } => {
-            route_choice::RouteResult::Completed { latency, bytes }
-        }
-        core_command::AttemptResult::Refused { reason, .. } => route_choice::RouteResult::Refused(reason),
-        core_command::AttemptResult::NotSent => {
-            route_choice::RouteResult::Refused(call_outcome::RefusalReason::BackendServerDown)
-        }
-        core_command::AttemptResult::Failed | core_command::AttemptResult::Deadline => {
-            route_choice::RouteResult::Failed
-        }
-        core_command::AttemptResult::Silent => route_choice::RouteResult::Silent,
-        core_command::AttemptResult::Cancelled => route_choice::RouteResult::Cancelled,
-    }
-}
--- a/crates/node/src/core_command.rs
+++ b/crates/node/src/core_command.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use bytes::Bytes;
+use damasktrack_admission::gate_report;
 use damasktrack_entity::call_context;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
@@ -15,13 +16,13 @@
 use damasktrack_wire::call_frame;
 use damasktrack_wire::peer_message;
 
-use crate::admission_control;
 use crate::call_class;
 use crate::call_watch;
 use crate::core_config;
+use crate::core_hedges;
+use crate::core_routes;
 use crate::peer_directory;
 use crate::request_owner;
-use crate::route_choice;
 
 /// Receiver of one reply. It runs on the core's thread, so it hands the reply over and never waits.
 pub struct ReplySender<T>(Box<dyn FnOnce(T) -> ReplyStep + Send>);
@@ -80,8 +81,12 @@
     CallerGone(ids::CallId),
     /// A call arrived for the backend server of this daemon.
     Arrive(Box<WorkArrival>, ReplySender<WorkDecision>),
-    /// Admitted work ended.
-    FinishWork(ids::CallId, admission_control::FinishResult),
+    /// Admitted work ended; the reply is the level that the path admits for its class.
+    FinishWork(
+        ids::CallId,
+        gate_report::FinishResult,
+        ReplySender<Option<call_outcome::LevelReport>>,
+    ),
     /// A peer no longer waits for a call.
     CancelFromPeer(peer_message::CancelRequest),
     /// A peer asks for an attempt of a request that this daemon owns.
@@ -92,6 +97,8 @@
     PeersLearned(Vec<peer_directory::PeerIdentity>),
     /// A health check of the backend server ended.
     BackendServerChecked(bool),
+    /// About the copy of a slow call.
+    Hedge(core_hedges::HedgeCommand),
     /// About a request that this daemon owns.
     Owner(request_owner::OwnerCommand),
     /// About the configuration.
@@ -198,11 +205,13 @@
 #[derive(Clone, Debug)]
 pub struct AttemptPlan {
     /// Where to send it.
-    pub target: route_choice::RouteTarget,
+    pub target: core_routes::RouteTarget,
     /// Part that the receiver plays.
     pub stage: call_frame::CallStage,
     /// Context that the receiver gets.
     pub context: call_context::CallContext,
+    /// Time after which a second copy may be sent.
+    pub hedge_after: Option<time::Duration>,
 }
 
 /// How an attempt ended.
@@ -295,8 +304,8 @@
 pub enum WorkDecision {
     /// Dispatch it.
     Start {
-        /// Level that the path admits for the class.
-        report: Option<call_outcome::LevelReport>,
+        /// Lane of the class.
+        lane: call_class::CallLane,
         /// Whether the call may run more than once.
         idempotent: bool,
         /// Whether a response that ends with its connection counts as complete.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,6 @@
 //! The daemon as a library: actor, servers, clients, metrics, logs and shutdown.
 //!
-//! [`node_run::run`] starts a daemon. Decisions live in [`call_class`], [`admission_control`], [`route_choice`],
+//! [`node_run::run`] starts a daemon. Decisions live in [`call_class`], [`admission_control`], [`core_routes`],
 //! [`request_owner`] and [`peer_directory`]; only [`node_core`] calls them, on the one thread of [`core_thread`]. All
 //! other modules move bytes.
 
@@ -14,6 +14,7 @@
 pub mod background_checks;
 pub mod call_begin;
 pub mod call_class;
+pub mod call_hedge;
 pub mod call_runner;
 pub mod call_table;
 pub mod call_watch;
@@ -23,7 +24,9 @@
 mod core_calls;
 pub mod core_command;
 pub mod core_config;
+pub mod core_hedges;
 mod core_owner;
+pub mod core_routes;
 pub mod core_thread;
 mod core_work;
 pub mod entry_body;
@@ -47,7 +50,6 @@
 pub mod peer_directory;
 pub mod peer_server;
 pub mod request_owner;
-pub mod route_choice;
 pub mod store_circuit;
 pub mod store_client;
 mod store_worker;
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/node_core.rs
@@ -3,6 +3,7 @@
 
 use std::time;
 
+use damasktrack_admission::level_view;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
 use damasktrack_entity::request_identity;
@@ -13,11 +14,11 @@
 use crate::call_table;
 use crate::core_command;
 use crate::core_config;
+use crate::core_routes;
 use crate::node_effects;
 use crate::node_metrics;
 use crate::peer_directory;
 use crate::request_owner;
-use crate::route_choice;
 
 /// Interval of [`admission_control::AdmissionControl::tick`].
 pub const TICK_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -29,11 +30,14 @@
     pub(crate) effects: node_effects::NodeEffects,
     pub(crate) metrics: node_metrics::NodeMetrics,
     pub(crate) has_backend_server: bool,
+    /// Service of the backend server.
+    pub(crate) service: Option<ids::ServiceName>,
     pub(crate) seeds: usize,
     pub(crate) classes: call_class::ClassTable,
     pub(crate) admission: admission_control::AdmissionControl,
+    pub(crate) levels: level_view::LevelView,
     pub(crate) directory: peer_directory::PeerDirectory,
-    pub(crate) routes: route_choice::RouteTable,
+    pub(crate) routes: core_routes::RouteState,
     pub(crate) owner: request_owner::OwnerState,
     pub(crate) calls: call_table::CallTable,
     pub(crate) config: core_config::ConfigState,
@@ -52,26 +56,20 @@
         store: request_owner::StoreQueue,
     ) -> Self {
         let slots = settings.backend_server.as_ref().map_or(0, |backend| backend.slots);
-        let mut routes = route_choice::RouteTable::default();
-        if let (Some(service), Some(_backend)) = (&settings.service, &settings.backend_server) {
-            routes.upsert(route_choice::RouteCandidate {
-                daemon_id: settings.daemon_id.clone(),
-                service: service.clone(),
-                location: settings.location(),
-                target: route_choice::RouteTarget::Local,
-            });
-        }
+        let incarnation = identity.incarnation;
         Self {
             owner: request_owner::OwnerState::new(identity.clone(), store, time::Instant::now()),
             identity,
             effects,
             metrics,
             has_backend_server: settings.backend_server.is_some(),
+            service: settings.service.clone(),
             seeds: settings.seeds.len(),
             classes: call_class::ClassTable::new(settings.default_deadline, settings.store_address.is_some()),
             admission: admission_control::AdmissionControl::new(slots),
+            levels: level_view::LevelView::default(),
             directory: peer_directory::PeerDirectory::default(),
-            routes,
+            routes: core_routes::RouteState::new(settings, incarnation, time::Instant::now()),
             calls: call_table::CallTable::default(),
             config: core_config::ConfigState::default(),
             draining: false,
@@ -94,10 +92,8 @@
                 self.cancel_outgoing(call);
             }
             core_command::CoreCommand::Arrive(arrival, reply) => self.arrive(*arrival, reply, now),
-            core_command::CoreCommand::FinishWork(call, result) => {
-                self.admission.finish(call, result, now);
-                self.calls.remove_work(call);
-                self.start_queued(now);
+            core_command::CoreCommand::FinishWork(call, result, reply) => {
+                let _gone = reply.send(self.finish_work(call, result, now));
             }
             core_command::CoreCommand::CancelFromPeer(request) => self.cancel_from_peer(request, now),
             core_command::CoreCommand::Grant(request, reply) => {
@@ -106,8 +102,9 @@
             core_command::CoreCommand::IssueId(reply) => {
                 let _gone = reply.send(self.owner.issue_id());
             }
-            core_command::CoreCommand::PeersLearned(peers) => self.learn_peers(peers),
+            core_command::CoreCommand::PeersLearned(peers) => self.learn_peers(peers, now),
             core_command::CoreCommand::BackendServerChecked(up) => self.take_health(up),
+            core_command::CoreCommand::Hedge(command) => self.handle_hedge(command, now),
             core_command::CoreCommand::Owner(command) => self.handle_owner(command, now),
             core_command::CoreCommand::Config(command) => self.handle_config(command),
             core_command::CoreCommand::Drain => self.drain(now),
@@ -121,27 +118,27 @@
     /// Adapts to the passing of time.
     pub fn tick(&mut self, now: time::Instant) {
         self.admission.tick(now);
+        self.levels.tick(now);
+        self.start_queued(now);
+        self.review_routes(now);
+        if let Some(gate) = self.admission.gate() {
+            self.metrics.record_gate(gate);
+        }
+    }
+
+    /// Starts and refuses queued work whose time has come.
+    pub fn wake(&mut self, now: time::Instant) {
         self.start_queued(now);
         self.expire_actions(now);
     }
 
-    fn learn_peers(&mut self, peers: Vec<peer_directory::PeerIdentity>) {
+    fn learn_peers(&mut self, peers: Vec<peer_directory::PeerIdentity>, now: time::Instant) {
         for peer in peers {
             if peer.owner.daemon_id == self.identity.daemon_id || !self.directory.learn(peer.clone()) {
                 continue;
             }
             log::info!(peer:% = ids::text(&peer.owner.daemon_id), address:% = peer.address; "peer changed");
-            match peer.service {
-                Some(service) if !peer.draining => {
-                    self.routes.upsert(route_choice::RouteCandidate {
-                        daemon_id: peer.owner.daemon_id,
-                        service,
-                        location: peer.location,
-                        target: route_choice::RouteTarget::Peer(peer.address),
-                    });
-                }
-                _ => self.routes.remove(&peer.owner.daemon_id),
-            }
+            self.routes.learn(&peer, now);
         }
     }
 
@@ -155,7 +152,7 @@
     fn drain(&mut self, now: time::Instant) {
         self.draining = true;
         self.admission.drain();
-        self.routes.remove(&self.identity.daemon_id);
+        self.routes.drain_local(&self.identity.daemon_id);
         self.effects.drain_backend_server();
         self.start_queued(now);
     }
@@ -163,6 +160,12 @@
 
 /// Queries.
 impl NodeCore {
+    /// Returns when [`Self::wake`] is to be called if no command comes first.
+    #[must_use]
+    pub fn next_wake(&self, now: time::Instant) -> Option<time::Instant> {
+        self.admission.next_wake(now)
+    }
+
     pub(crate) fn has_joined(&self) -> bool {
         self.seeds == 0 || self.directory.peers().next().is_some()
     }
