--- a/crates/daemon/tests/processes/failures.rs
+++ b/crates/daemon/tests/processes/failures.rs
@@ -9,26 +9,33 @@
 
 use crate::support;
 
-/// Backend server whose `/half` responses stop in mid-body until the test lets go.
+/// Backend server whose `/half` and `/half-chunked` responses stop in mid-body until the test lets go.
 fn halting() -> (support::BackendServer, mpsc::Sender<()>) {
     let (release, wait) = mpsc::channel::<()>();
     let wait = sync::Mutex::new(wait);
     let backend = support::BackendServer::start(move |request, stream| {
-        if request.path != "/half" {
-            return support::respond(stream, &request.body);
-        }
-        let _written = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n");
+        let head = match request.path.as_str() {
+            "/half" => "Content-Length: 100000\r\n\r\n",
+            "/half-chunked" => "Transfer-Encoding: chunked\r\n\r\n186a0\r\n",
+            _ => return support::respond(stream, &request.body),
+        };
+        let _written = write!(stream, "HTTP/1.1 200 OK\r\n{head}");
         let _written = stream.write_all(&vec![b'x'; 50_000]);
         let _released = wait.lock().unwrap().recv();
-        stream.write_all(&vec![b'x'; 50_000]).is_ok()
+        let _written = stream.write_all(&vec![b'x'; 50_000]);
+        request.path == "/half" || stream.write_all(b"\r\n0\r\n\r\n").is_ok()
     });
     (backend, release)
 }
 
 /// Sends a request for `/half` and reads until its body has begun.
 fn begin_half(entry: net::SocketAddr) -> support::Caller {
+    begin(entry, "/s/half")
+}
+
+fn begin(entry: net::SocketAddr, path: &str) -> support::Caller {
     let mut caller = support::Caller::open(entry);
-    caller.send("GET", "/s/half", "", b"");
+    caller.send("GET", path, "", b"");
     let mut begun = 0;
     while begun < 10_000 {
         let length = std::io::BufRead::fill_buf(&mut caller.reader).unwrap().len();
@@ -41,11 +48,27 @@
     caller
 }
 
+/// Reads until the daemon closes or resets the connection. One that stays open would leave its caller waiting.
+fn read_to_close(caller: &mut support::Caller) -> Vec<u8> {
+    let mut rest = Vec::new();
+    if let Err(error) = std::io::Read::read_to_end(&mut caller.reader, &mut rest) {
+        let open = matches!(
+            error.kind(),
+            std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+        );
+        assert!(!open, "the connection stayed open after {} bytes", rest.len());
+    }
+    rest
+}
+
 /// Reads the rest of the connection and returns whether it ended short of the announced body.
 fn is_cut_short(caller: &mut support::Caller) -> bool {
-    let mut rest = Vec::new();
-    let read = std::io::Read::read_to_end(&mut caller.reader, &mut rest);
-    read.is_err() || rest.len() < 100_000
+    read_to_close(caller).len() < 100_000
+}
+
+/// Reads the rest of the connection and returns whether it ended without the last chunk.
+fn lacks_last_chunk(caller: &mut support::Caller) -> bool {
+    !read_to_close(caller).ends_with(b"\r\n0\r\n\r\n")
 }
 
 fn assert_echo(entry: net::SocketAddr, body: &[u8]) {
@@ -89,6 +112,21 @@
     );
 }
 
+/// Guards against a chunked body that ends with a last chunk although the backend server, or the daemon between, was lost
+/// in the middle of it. Without a length, only that chunk tells the caller that the body is complete.
+#[test]
+fn chunked_body_cut_short_gets_no_last_chunk() {
+    let (backend, _release) = halting();
+    let mut beside = support::Daemon::beside(&backend, "");
+    let entry = support::Daemon::in_front_of(&beside, "");
+    let mut caller = begin(entry.entry, "/s/half-chunked");
+    backend.break_connections();
+    assert!(lacks_last_chunk(&mut caller));
+    let mut caller = begin(entry.entry, "/s/half-chunked");
+    beside.kill();
+    assert!(lacks_last_chunk(&mut caller));
+}
+
 /// Guards against work that goes on for a caller that is gone: before the head, and in mid-body.
 #[test]
 fn caller_that_disconnects_cancels_at_the_backend_server() {
--- a/crates/daemon/tests/processes/support.rs
+++ b/crates/daemon/tests/processes/support.rs
@@ -174,15 +174,10 @@
 
     /// Waits for a request whose path starts so.
     pub fn wait_request(&self, path: &str) -> Request {
-        loop {
-            let request = self
-                .requests
-                .recv_timeout(PATIENCE)
-                .expect("request at the backend server");
-            if request.path.starts_with(path) {
-                return request;
-            }
-        }
+        // Health checks arrive all the time, so the bound is on the whole wait.
+        wait_for(path, || {
+            self.requests.try_iter().find(|request| request.path.starts_with(path))
+        })
     }
 }
 
