Ask random peers for changes every 30 s only

Cause: the questions each 5 s were the only spread beyond 21 daemons before gossip was connected; now each probe carries the revision. Change: the questions stay as a fallback at the interval of the head reads.

--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -22,8 +22,9 @@
 
 /// Interval of the reads of the head; 760 daemons make 25 reads/s of them.
 const HEAD_INTERVAL: time::Duration = time::Duration::from_secs(30);
-/// Interval of the questions to one random peer, for changes that no push brought.
-const PEER_INTERVAL: time::Duration = time::Duration::from_secs(5);
+/// Interval of the questions to one random peer, for changes that neither a push nor the revision in a probe brought, for
+/// example where UDP is blocked.
+const PEER_INTERVAL: time::Duration = time::Duration::from_secs(30);
 /// Pauses between two tries to find a configuration at the start.
 const START_PAUSE_MIN: time::Duration = time::Duration::from_millis(100);
 const START_PAUSE_MAX: time::Duration = time::Duration::from_millis(400);
