Close connections to peers that are not used

A pool closes idle connections only when it is used, and pushes, questions and exchanges go to random peers, so that each daemon ended up with a connection, and a thread of tiny_http, for each other one. Ruled out: the member table, 0.29 MB at 760 members. Change: such messages keep no connection, and pools that were not used for 15 s are dropped.

--- a/crates/node/src/background_checks.rs
+++ b/crates/node/src/background_checks.rs
@@ -1,8 +1,9 @@
-//! Thread that checks the health of the backend server at intervals.
+//! Threads that look around at intervals: the health of the backend server, and connections to peers that are not used.
 
 use std::io;
 use std::sync;
 use std::thread;
+use std::time;
 
 use crate::core_command;
 use crate::node_shared;
@@ -10,10 +11,13 @@
 /// Failed health checks in a row before the backend server counts as down; one slow answer under load is not enough.
 const FAILURES_UNTIL_DOWN: u32 = 3;
 
-/// Starts the thread.
+/// Interval in which pools of peers that were not used are dropped.
+const POOL_INTERVAL: time::Duration = time::Duration::from_secs(15);
+
+/// Starts the threads.
 ///
 /// # Errors
-/// Returns an error if the thread can't be started.
+/// Returns an error if a thread can't be started.
 pub fn start(shared: &sync::Arc<node_shared::NodeShared>) -> io::Result<()> {
     if shared.backend.is_some() {
         let shared = sync::Arc::clone(shared);
@@ -21,6 +25,13 @@
             .name("health".to_owned())
             .spawn(move || check_backend_server(&shared))?;
     }
+    let peers = sync::Arc::clone(&shared.peers);
+    thread::Builder::new().name("pools".to_owned()).spawn(move || {
+        loop {
+            thread::sleep(POOL_INTERVAL);
+            peers.drop_unused();
+        }
+    })?;
     Ok(())
 }
 
--- a/crates/node/src/peer_client.rs
+++ b/crates/node/src/peer_client.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use damasktrack_wire::call_frame;
@@ -58,12 +59,32 @@
 
 /// Clients by peer and lane. Each peer has a pool of its own, since a pool search is linear in its connections. Long work
 /// has other connections than short work, so that downloads can't hold those of short calls.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PeerClient {
-    agents: sync::RwLock<collections::HashMap<(net::SocketAddr, call_class::CallLane), ureq::Agent>>,
+    agents: sync::RwLock<collections::HashMap<(net::SocketAddr, call_class::CallLane), PeerAgent>>,
+    /// Client of messages that go to random peers. It keeps no connection, since each takes a thread at the peer.
+    unpooled: ureq::Agent,
     config_bytes: sync::Arc<byte_count::ByteCount>,
 }
 
+/// Pool of one peer.
+#[derive(Debug)]
+struct PeerAgent {
+    agent: ureq::Agent,
+    /// Whether it was used since the last [`PeerClient::drop_unused`].
+    used: atomic::AtomicBool,
+}
+
+impl Default for PeerClient {
+    fn default() -> Self {
+        Self {
+            agents: sync::RwLock::default(),
+            unpooled: http_agent::new_peer_agent(0),
+            config_bytes: sync::Arc::default(),
+        }
+    }
+}
+
 impl PeerClient {
     /// Sends a call and hands the frames of its response to `on_frame`.
     pub fn call(
@@ -116,7 +137,11 @@
     /// # Errors
     /// Returns an error if the peer did not answer.
     pub fn message_bytes(&self, address: net::SocketAddr, path: &str, body: Vec<u8>) -> Result<Vec<u8>, MessageError> {
-        let agent = self.agent(address, call_class::CallLane::Short);
+        let agent = if matches!(path, "/peer/grant" | "/peer/cancel") {
+            self.agent(address, call_class::CallLane::Short)
+        } else {
+            self.unpooled.clone()
+        };
         let watch = call_watch::CallWatch::for_message(MESSAGE_TIMEOUT);
         let (result, _report) = call_watch::run(watch, || {
             let request = post(address, path, body)?;
@@ -137,6 +162,13 @@
         &self.config_bytes
     }
 
+    /// Drops the pools that were not used since the last call of this function. A pool closes its idle connections only when
+    /// it is used, and each of them takes a thread at the peer.
+    pub fn drop_unused(&self) {
+        let mut agents = self.agents.write().unwrap_or_else(sync::PoisonError::into_inner);
+        agents.retain(|_key, peer| peer.used.swap(false, atomic::Ordering::Relaxed));
+    }
+
     /// Drops the idle connections of a peer that fell silent, so that the next call greets it on a new one.
     fn forget(&self, address: net::SocketAddr) {
         let mut agents = self.agents.write().unwrap_or_else(sync::PoisonError::into_inner);
@@ -146,15 +178,17 @@
 
     fn agent(&self, address: net::SocketAddr, lane: call_class::CallLane) -> ureq::Agent {
         let agents = self.agents.read().unwrap_or_else(sync::PoisonError::into_inner);
-        if let Some(agent) = agents.get(&(address, lane)) {
-            return agent.clone();
+        if let Some(peer) = agents.get(&(address, lane)) {
+            peer.used.store(true, atomic::Ordering::Relaxed);
+            return peer.agent.clone();
         }
         drop(agents);
         let mut agents = self.agents.write().unwrap_or_else(sync::PoisonError::into_inner);
-        agents
-            .entry((address, lane))
-            .or_insert_with(|| http_agent::new_peer_agent(MAX_IDLE_CONNECTIONS))
-            .clone()
+        let peer = agents.entry((address, lane)).or_insert_with(|| PeerAgent {
+            agent: http_agent::new_peer_agent(MAX_IDLE_CONNECTIONS),
+            used: atomic::AtomicBool::new(true),
+        });
+        peer.agent.clone()
     }
 }
 
