Share the rate of archived answers among the daemons

Cause: 5 writes/s per daemon allow 3,800 writes/s at 760 daemons, over the store's several hundred (docs/CAPACITY.md). Change: 200 writes/s in all are divided by the number of live daemons, with 5 per daemon at most. Result: 1,000 offers in 100 s: 509 writes alone, 36 as one of 760 daemons, 10 of them the burst; before, 509 in both cases.

--- a/crates/node/src/core_owner.rs
+++ b/crates/node/src/core_owner.rs
@@ -349,6 +349,7 @@
         }
         let result = match (result, drive.answer) {
             (core_command::AttemptResult::Completed { .. }, Some(answer)) => {
+                self.owner.archive.share(self.directory.peers().count() + 1);
                 let step = self.owner.archive.offer(&drive.key, &drive.digest, &answer, now);
                 if let answer_archive::ArchiveStep::Write { key, content } = step {
                     let _best_effort = self.owner.store.push(request_owner::StoreJob::Archive { key, content });
--- a/crates/ownership/src/answer_archive.rs
+++ b/crates/ownership/src/answer_archive.rs
@@ -12,8 +12,11 @@
 /// Limits of an [`AnswerArchive`].
 #[derive(Clone, Copy, Debug)]
 pub struct ArchiveLimits {
-    /// Writes per second. 5 from each of many daemons is already a large part of the store's several hundred.
+    /// Most writes per second of one daemon.
     pub writes_per_second: f64,
+    /// Writes per second of all daemons together, which [`AnswerArchive::share`] divides among them. The store takes several
+    /// hundred writes per second for everything.
+    pub writes_of_all_per_second: f64,
     /// Writes that may be made at once after a pause.
     pub burst: f64,
 }
@@ -22,6 +25,7 @@
     fn default() -> Self {
         Self {
             writes_per_second: 5.0,
+            writes_of_all_per_second: 200.0,
             burst: 10.0,
         }
     }
@@ -86,6 +90,8 @@
 #[derive(Debug)]
 pub struct AnswerArchive {
     limits: ArchiveLimits,
+    /// Writes per second now; at most `limits.writes_per_second`.
+    rate: f64,
     /// Writes that may be made now, within [0, `limits.burst`].
     tokens: f64,
     refilled: time::Instant,
@@ -97,11 +103,18 @@
     pub fn new(limits: ArchiveLimits, now: time::Instant) -> Self {
         Self {
             limits,
+            rate: limits.writes_per_second,
             tokens: limits.burst,
             refilled: now,
         }
     }
 
+    /// Takes the number of daemons that share the store, this one included.
+    pub fn share(&mut self, daemons: usize) {
+        let share = self.limits.writes_of_all_per_second / daemons.max(1) as f64;
+        self.rate = share.min(self.limits.writes_per_second);
+    }
+
     /// Decides about an answer that is complete.
     pub fn offer(
         &mut self,
@@ -136,7 +149,7 @@
     fn take_token(&mut self, now: time::Instant) -> bool {
         let elapsed = now.saturating_duration_since(self.refilled).as_secs_f64();
         self.refilled = self.refilled.max(now);
-        self.tokens = (self.tokens + elapsed * self.limits.writes_per_second).min(self.limits.burst);
+        self.tokens = (self.tokens + elapsed * self.rate).min(self.limits.burst);
         let available = self.tokens >= 1.0;
         if available {
             self.tokens -= 1.0;
--- a/crates/ownership/tests/ownership_rules.rs
+++ b/crates/ownership/tests/ownership_rules.rs
@@ -186,3 +186,22 @@
         "{moved} of 2000 ids belonged to one of 20 members"
     );
 }
+
+/// Guards against many daemons that together exceed the write rate of the store with archived answers.
+#[test]
+fn archive_rate_is_shared_among_daemons() {
+    let start = Instant::now();
+    let limits = ArchiveLimits::default();
+    let writes = |daemons: usize| {
+        let mut archive = AnswerArchive::new(limits, start);
+        archive.share(daemons);
+        let at = |tenths: u64| start + Duration::from_millis(100 * tenths);
+        let offer = |tenths| archive.offer(&key(&"id".into()), &[7; 32], &answer(1), at(tenths));
+        (0..1_000)
+            .map(offer)
+            .filter(|step| matches!(step, ArchiveStep::Write { .. }))
+            .count()
+    };
+    // 100 s at 5 per second, or at a 760th of 200 per second, after a burst of 10.
+    assert_eq!((writes(1), writes(760)), (509, 36));
+}
