--- a/crates/admission/src/admission_gate.rs
+++ b/crates/admission/src/admission_gate.rs
@@ -163,7 +163,8 @@
             &mut self.long
         };
         let least = lane.queue.least_importance();
-        // A call below the level still waits if a less important one is queued, which would otherwise start in its place.
+        // A call below the level still waits if a less important one is queued, which would otherwise start in its
+        // place.
         let outranks = least.is_some_and(|least| least < importance);
         if !arrival.critical && !outranks && arrival.level < lane.levels.level(tenant) {
             return self.refuse(call_outcome::RefusalReason::Overloaded);
@@ -230,8 +231,8 @@
 
     /// Notes that the backend server made a call to another service for a running call.
     ///
-    /// Time with nested calls in flight does not count for the concurrency limit: a slow service below must not lower the
-    /// limits of all services above it.
+    /// Time with nested calls in flight does not count for the concurrency limit: a slow service below must not lower
+    /// the limits of all services above it.
     pub fn nested_started(&mut self, call: ids::CallId, now: time::Instant) {
         let Some(running) = self.running.get_mut(&call) else {
             return;
--- a/crates/admission/src/admission_gate/gate_queries.rs
+++ b/crates/admission/src/admission_gate/gate_queries.rs
@@ -13,8 +13,9 @@
     /// Returns the lowest level that this callee admits for a class and tenant, as its responses report it. Levels met
     /// below by the backend server's own calls are added by [`crate::level_view::worse`].
     ///
-    /// The level is held to the range of the class's importance: its lowest level means that the whole class is admitted.
-    /// A caller that takes the mean of several servers' reports would otherwise count importances that nobody uses.
+    /// The level is held to the range of the class's importance: its lowest level means that the whole class is
+    /// admitted. A caller that takes the mean of several servers' reports would otherwise count importances that nobody
+    /// uses.
     #[must_use]
     pub fn report(&self, class: &ids::ClassName, tenant: &ids::TenantName) -> call_outcome::LevelReport {
         let class = self.class_index.get(class).map(|index| &self.classes[*index]);
--- a/crates/admission/src/class_queue.rs
+++ b/crates/admission/src/class_queue.rs
@@ -116,8 +116,8 @@
             let &(_, _, key) = queue.order.first()?;
             let cost = cost_us(self.calls[key].cost);
             if queue.deficit < cost {
-                // The mean cost gives a tenant of weight 1 about one call a turn. A fixed quantum would start many short
-                // calls of one tenant in a row while those of others wait past their bound.
+                // The mean cost gives a tenant of weight 1 about one call a turn. A fixed quantum would start many
+                // short calls of one tenant in a row while those of others wait past their bound.
                 let quantum = band.cost_us / i64::try_from(band.count).unwrap_or(1);
                 queue.deficit += quantum.max(COST_RANGE.0) * i64::from(shares.weight(tenant));
                 band.round.rotate_left(1);
--- a/crates/admission/src/level_controller.rs
+++ b/crates/admission/src/level_controller.rs
@@ -22,8 +22,8 @@
 const BAND_MEMORY: f32 = 0.95;
 /// Change of the admitted demand for each part of the slot time that was idle.
 const IDLE_GAIN: f32 = 2.0;
-/// Change of the admitted demand for each part of the arrivals that the queue refused. It is less than [`IDLE_GAIN`]: an
-/// idle slot loses a whole request, while a refused call only loses the work that was done above it.
+/// Change of the admitted demand for each part of the arrivals that the queue refused. It is less than [`IDLE_GAIN`]:
+/// an idle slot loses a whole request, while a refused call only loses the work that was done above it.
 const OVERDUE_GAIN: f32 = 0.5;
 /// Greatest parts of the admitted demand that one window adds and takes away.
 const CHANGE_RANGE: (f32, f32) = (-0.3, 1.0);
@@ -113,8 +113,8 @@
         }
     }
 
-    /// Returns where an arrival counts. In the importance of the level, thresholds of tenants differ; an arrival is moved
-    /// so that it lies above the level if it is above its tenant's threshold.
+    /// Returns where an arrival counts. In the importance of the level, thresholds of tenants differ; an arrival is
+    /// moved so that it lies above the level if it is above its tenant's threshold.
     fn position(&self, level: admission_level::AdmissionLevel, tenant: tenant_share::TenantIndex) -> usize {
         let index = level.index().min(LEVEL_COUNT - 1);
         let start = self.level / COHORTS * COHORTS;
@@ -137,8 +137,8 @@
         start + moved
     }
 
-    /// Divides what is admitted of the level's importance among its tenants by weight; what a tenant does not use goes to
-    /// the others. Without this, a tenant that floods the service has the calls of all tenants shed alike.
+    /// Divides what is admitted of the level's importance among its tenants by weight; what a tenant does not use goes
+    /// to the others. Without this, a tenant that floods the service has the calls of all tenants shed alike.
     fn divide(&mut self, shares: &tenant_share::TenantShare) {
         let (band, all) = ((self.level / COHORTS).min(BAND_COUNT - 1), COHORTS as f32);
         let part = 1.0 - (self.level % COHORTS) as f32 / all;
@@ -248,8 +248,8 @@
         }
     }
 
-    /// Lowers the level until the demand above it has risen by about `part`. Calls below the level arrive only as probes,
-    /// so the demand there is taken to be as dense as above the level in the same importance.
+    /// Lowers the level until the demand above it has risen by about `part`. Calls below the level arrive only as
+    /// probes, so the demand there is taken to be as dense as above the level in the same importance.
     fn lower(&mut self, part: f32) {
         if self.level.is_multiple_of(COHORTS) {
             let band = self.level / COHORTS;
--- a/crates/admission/src/level_view.rs
+++ b/crates/admission/src/level_view.rs
@@ -52,8 +52,8 @@
     /// When the newest report was observed at the server that set it.
     observed: time::Instant,
     learned: time::Instant,
-    /// Newest report of a nested call, and when it was observed. It is passed on as it is: a mean at each hop would delay
-    /// a change by the depth of the chain, and the daemon at the first hop takes the mean anyway.
+    /// Newest report of a nested call, and when it was observed. It is passed on as it is: a mean at each hop would
+    /// delay a change by the depth of the chain, and the daemon at the first hop takes the mean anyway.
     nested: Option<(admission_level::AdmissionLevel, time::Instant)>,
     below: u32,
 }
--- a/crates/daemon/tests/processes/failures.rs
+++ b/crates/daemon/tests/processes/failures.rs
@@ -112,8 +112,8 @@
     );
 }
 
-/// Guards against a chunked body that ends with a last chunk although the backend server, or the daemon between, was lost
-/// in the middle of it. Without a length, only that chunk tells the caller that the body is complete.
+/// Guards against a chunked body that ends with a last chunk although the backend server, or the daemon between, was
+/// lost in the middle of it. Without a length, only that chunk tells the caller that the body is complete.
 #[test]
 fn chunked_body_cut_short_gets_no_last_chunk() {
     let (backend, _release) = halting();
@@ -387,8 +387,8 @@
     assert!(read.is_err() || rest.len() < 50_000_000);
 }
 
-/// Guards against a lost daemon that costs requests which never reached it, actions included, while another daemon of the
-/// service works, and against a retry that runs a request twice.
+/// Guards against a lost daemon that costs requests which never reached it, actions included, while another daemon of
+/// the service works, and against a retry that runs a request twice.
 #[test]
 fn lost_daemon_costs_no_further_request_while_another_works() {
     const CALLS: usize = 40;
@@ -421,8 +421,8 @@
     assert_eq!(reached.count(), CALLS);
 }
 
-/// Guards against calls that a planned stop of one daemon cuts or refuses while another daemon of the service works, and
-/// against a stop that ends before its last response is written.
+/// Guards against calls that a planned stop of one daemon cuts or refuses while another daemon of the service works,
+/// and against a stop that ends before its last response is written.
 #[test]
 fn planned_stop_under_load_costs_no_request() {
     const CALLERS: usize = 6;
--- a/crates/daemon/tests/processes/overload.rs
+++ b/crates/daemon/tests/processes/overload.rs
@@ -19,7 +19,8 @@
     counts
 }
 
-/// Guards against important calls that are shed while less important ones run, and against a refusal of a call that ran.
+/// Guards against important calls that are shed while less important ones run, and against a refusal of a call that
+/// ran.
 #[test]
 fn overload_sheds_the_low_class_only() {
     const CALLS: usize = 60;
--- a/crates/daemon/tests/processes/site.rs
+++ b/crates/daemon/tests/processes/site.rs
@@ -130,8 +130,8 @@
     }
 }
 
-/// Makes calls from several threads, each on a connection of its own and one after the other; `path` gets the numbers of
-/// thread and call.
+/// Makes calls from several threads, each on a connection of its own and one after the other; `path` gets the numbers
+/// of thread and call.
 pub fn call_all(
     entry: net::SocketAddr,
     threads: usize,
--- a/crates/entity/src/admission_level.rs
+++ b/crates/entity/src/admission_level.rs
@@ -12,7 +12,8 @@
 ///
 /// Levels order by importance first and cohort second; a greater level is shed later. The pair follows "Overload
 /// Control for Scaling `WeChat` Microservices" (Zhou et al., `SoCC` 2018).
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct AdmissionLevel {
     /// At most [`MAX_IMPORTANCE`].
     pub importance: u8,
--- a/crates/entity/src/call_context.rs
+++ b/crates/entity/src/call_context.rs
@@ -15,7 +15,8 @@
 pub const MAX_REMAINING: time::Duration = time::Duration::from_hours(24);
 
 /// What every call of one request knows about the request.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct CallContext {
     /// Id of the root request; the same at every depth.
     pub request_id: Bytes,
@@ -38,7 +39,8 @@
 }
 
 /// Why a context header can't be read.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub enum ContextError {
     /// The value is longer than [`MAX_CONTEXT_BYTES`].
     #[display("context header is longer than {MAX_CONTEXT_BYTES} bytes")]
--- a/crates/entity/src/call_outcome.rs
+++ b/crates/entity/src/call_outcome.rs
@@ -5,7 +5,8 @@
 use crate::admission_level;
 
 /// What became of a call, as reported to its caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize, derive_more::Display)]
 pub enum CallOutcome {
     /// The backend server's complete answer was passed on, whatever its status.
     #[display("done")]
@@ -22,7 +23,8 @@
 }
 
 /// Why a call was refused without running.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize, derive_more::Display)]
 pub enum RefusalReason {
     /// The call's level is below the level that the path admits.
     #[display("overloaded")]
@@ -104,7 +106,8 @@
 }
 
 /// Lowest level that a path admits for one class, as an answer reports it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct LevelReport {
     /// Worst level of the callee and of what its backend server met below it for the same class.
     pub level: admission_level::AdmissionLevel,
--- a/crates/entity/src/request_identity.rs
+++ b/crates/entity/src/request_identity.rs
@@ -13,7 +13,8 @@
 /// Authority for a bound request id.
 ///
 /// Only this incarnation of this daemon may authorise the execution of the id. The authority is never transferred.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct RequestOwner {
     /// Daemon that owns the id.
     pub daemon_id: ids::DaemonId,
--- a/crates/entity/src/server_location.rs
+++ b/crates/entity/src/server_location.rs
@@ -3,7 +3,8 @@
 use crate::ids;
 
 /// Region and data centre of a server, as its settings give them.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ServerLocation {
     /// Region; links between regions are slow and billed by volume.
     pub region: ids::RegionName,
@@ -12,7 +13,8 @@
 }
 
 /// Distance between two servers, nearest first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum ServerDistance {
     /// Both run in one data centre.
     SameDataCentre,
--- a/crates/filetests/src/call_world/callers.rs
+++ b/crates/filetests/src/call_world/callers.rs
@@ -60,8 +60,8 @@
             let key = self.view_key(index);
             let view = &mut self.nodes[node].view;
             let check = view.check(&self.services[0], &key, level, now);
-            // A try that was refused before it was sent to a server cost nothing, and the next one needs no grant. While a
-            // service sheds, a retry takes the place of another request, so only critical requests are retried.
+            // A try that was refused before it was sent to a server cost nothing, and the next one needs no grant.
+            // While a service sheds, a retry takes the place of another request, so only critical requests are retried.
             let (importance, critical) = (level.importance, self.scenario.classes[class].critical);
             let sheds = !critical && view.sheds(&self.services[0], &key, importance, now);
             let denied = check == level_view::LevelCheck::Refuse || (was_sent && sheds);
--- a/crates/filetests/src/measure_cases.rs
+++ b/crates/filetests/src/measure_cases.rs
@@ -23,7 +23,8 @@
 const CAPACITY: f64 = 1200.0;
 
 /// One measured figure.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct MeasuredFigure {
     /// Name of the measurement.
     pub scenario: &'static str,
--- a/crates/filetests/src/scenario_file.rs
+++ b/crates/filetests/src/scenario_file.rs
@@ -142,7 +142,8 @@
 }
 
 /// A fault in a scenario file.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 #[display("line {line}: {message}")]
 pub struct ScenarioFinding {
     /// Line, from 1.
--- a/crates/filetests/src/world_tally.rs
+++ b/crates/filetests/src/world_tally.rs
@@ -128,8 +128,8 @@
 
     /// Returns the time after `end` until requests complete and take as long as in a run without the disturbance.
     ///
-    /// Windows of 1 s are compared: the completed share has to be at least 98% of the least one of `calm`, and the p99 at
-    /// most 1.1 times the greatest one, and this has to hold for the rest of the run.
+    /// Windows of 1 s are compared: the completed share has to be at least 98% of the least one of `calm`, and the p99
+    /// at most 1.1 times the greatest one, and this has to hold for the rest of the run.
     #[must_use]
     pub fn recovery(&self, calm: &Self, end: time::Duration, last: time::Duration) -> Option<time::Duration> {
         let (step, width) = (time::Duration::from_millis(100), time::Duration::from_secs(1));
--- a/crates/membership/src/anti_entropy.rs
+++ b/crates/membership/src/anti_entropy.rs
@@ -31,7 +31,8 @@
 }
 
 /// Request of an exchange.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ExchangeRequest {
     /// Asking daemon.
     pub sender: ids::DaemonId,
@@ -40,7 +41,8 @@
 }
 
 /// Answer to an [`ExchangeRequest`].
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum ExchangeReply {
     /// The receiver answers enough exchanges already.
     Busy,
@@ -54,7 +56,8 @@
 }
 
 /// Last message of an exchange: what the asking daemon has newer.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ExchangeReturn {
     /// Members that the answering daemon lacked or had older.
     pub records: Vec<member_record::MemberRecord>,
@@ -121,7 +124,8 @@
     }
 }
 
-/// Encodes a message of an exchange by position. With named fields a table of 760 members takes more than twice as long.
+/// Encodes a message of an exchange by position. With named fields a table of 760 members takes more than twice as
+/// long.
 ///
 /// # Errors
 /// Returns an error if the message can't be encoded.
--- a/crates/membership/src/gossip_merge.rs
+++ b/crates/membership/src/gossip_merge.rs
@@ -40,8 +40,8 @@
     /// Returns the member if a record claims that it is dead while it is live here.
     ///
     /// After a partition each side holds the other's members for dead. If such claims were taken over at once, all
-    /// members would be dead everywhere until each had refuted, so a claim only leads to a probe. Suspects are different:
-    /// their time to refute has begun.
+    /// members would be dead everywhere until each had refuted, so a claim only leads to a probe. Suspects are
+    /// different: their time to refute has begun.
     fn dead_claim(&self, record: &member_record::MemberRecord) -> Option<member_table::MemberKey> {
         if record.state != member_record::MemberState::Dead {
             return None;
--- a/crates/membership/src/gossip_message.rs
+++ b/crates/membership/src/gossip_message.rs
@@ -12,7 +12,8 @@
 const PROTOCOL_VERSION: u8 = 1;
 
 /// Part of a message that differs by purpose.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum GossipKind {
     /// Asks the receiver to answer.
     #[serde(rename = "P")]
@@ -43,7 +44,8 @@
 }
 
 /// A gossip datagram.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct GossipMessage {
     /// Sending daemon.
     pub sender: ids::DaemonId,
@@ -58,7 +60,8 @@
 }
 
 /// Why a datagram can't be read or written.
-#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
 pub enum GossipError {
     /// The message can't be encoded.
     #[display("gossip message can't be encoded: {_0}")]
--- a/crates/membership/src/member_record.rs
+++ b/crates/membership/src/member_record.rs
@@ -9,7 +9,8 @@
 use xxhash_rust::xxh3;
 
 /// State of a member. Of two records with one version the one with the greater state wins.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum MemberState {
     /// Starts and takes no calls yet.
     #[serde(rename = "J")]
@@ -43,7 +44,8 @@
 ///
 /// Records order by start and incarnation, then by version, then by state. Only the member itself raises its version.
 /// `leaving` never returns to false within an incarnation, so a suspicion can't hide that the server is leaving.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct MemberRecord {
     /// The daemon.
     pub daemon_id: ids::DaemonId,
--- a/crates/membership/src/member_row.rs
+++ b/crates/membership/src/member_row.rs
@@ -12,7 +12,8 @@
 pub const MEMBERS_TABLE: &str = "members";
 
 /// JSON form of a member's record, readable for operators. A row is written by its own daemon only.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct MemberRow {
     /// See [`member_record::MemberRecord`], also for the other fields.
     pub daemon_id: String,
--- a/crates/node/src/api_documents.rs
+++ b/crates/node/src/api_documents.rs
@@ -15,7 +15,8 @@
 ];
 
 /// Finding as the API reports it.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct DocumentFinding {
     /// Where.
     pub place: String,
--- a/crates/node/src/call_hedge.rs
+++ b/crates/node/src/call_hedge.rs
@@ -1,7 +1,7 @@
 //! Second copy of a slow idempotent call, on a thread of its own.
 //!
-//! The thread of the call looks at the copy whenever it waits for the first attempt. The attempt whose head arrives first
-//! answers the caller, and the other one is cancelled.
+//! The thread of the call looks at the copy whenever it waits for the first attempt. The attempt whose head arrives
+//! first answers the caller, and the other one is cancelled.
 
 use std::sync;
 use std::sync::atomic;
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -22,8 +22,8 @@
 
 /// Interval of the reads of the head; 760 daemons make 25 reads/s of them.
 const HEAD_INTERVAL: time::Duration = time::Duration::from_secs(30);
-/// Interval of the questions to one random peer, for changes that neither a push nor the revision in a probe brought, for
-/// example where UDP is blocked.
+/// Interval of the questions to one random peer, for changes that neither a push nor the revision in a probe brought,
+/// for example where UDP is blocked.
 const PEER_INTERVAL: time::Duration = time::Duration::from_secs(30);
 /// Pauses between two tries to find a configuration at the start.
 const START_PAUSE_MIN: time::Duration = time::Duration::from_millis(100);
@@ -34,7 +34,8 @@
 const CHANGE_PAGE: usize = 500;
 
 /// Changes that a peer pushes.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct PushRequest {
     /// Peer server of the sender, from which missing changes can be fetched.
     pub sender: net::SocketAddr,
@@ -45,7 +46,8 @@
 }
 
 /// Answer to a [`peer_message::ConfigRequest`].
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ConfigReply {
     /// Revision in force at the peer.
     pub revision: ids::Revision,
--- a/crates/node/src/core_config.rs
+++ b/crates/node/src/core_config.rs
@@ -61,7 +61,8 @@
 }
 
 /// Calls of a class at this daemon as entry or owner, since its start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct ClassEffect {
     /// Calls that were sent to a backend server and not refused by it.
     pub admitted: u64,
@@ -72,7 +73,8 @@
 }
 
 /// Whether the daemon is ready.
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 pub struct ReadyReport {
     /// The daemon may take calls.
     pub ready: bool,
--- a/crates/node/src/entry_body.rs
+++ b/crates/node/src/entry_body.rs
@@ -27,7 +27,8 @@
 }
 
 /// The response broke off; the caller's connection is aborted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 #[display("the response broke off")]
 pub struct BodyTruncated;
 
--- a/crates/node/src/graceful_shutdown.rs
+++ b/crates/node/src/graceful_shutdown.rs
@@ -40,8 +40,8 @@
         let calls = count(shared).is_none_or(|counts| counts.calls == 0 && counts.work == 0);
         calls && entry.connections() == 0 && shared.peer_requests.load(atomic::Ordering::Relaxed) == 0
     });
-    // Told last, since a member that has left answers nobody; the row goes after it, so that no daemon reads a member that
-    // is gone already.
+    // Told last, since a member that has left answers nobody; the row goes after it, so that no daemon reads a member
+    // that is gone already.
     let _stopped = shared
         .core
         .ask(|reply| core_command::CoreCommand::Member(member_sync::MemberCommand::Leave(reply)));
--- a/crates/node/src/http_listener.rs
+++ b/crates/node/src/http_listener.rs
@@ -20,11 +20,11 @@
 
 /// A `tiny_http` server.
 ///
-/// `tiny_http` 0.12 queues a new connection whenever its count of idle threads is above zero, and lowers that count only
-/// when a thread wakes up. Connections that arrive in a burst can thus be queued behind one thread, which takes the first
-/// of them; the others wait until some connection ends. Two measures bound that: connections of the process to itself
-/// occupy the idle threads that the library keeps, so that nearly every connection gets a thread of its own, and a
-/// connection that is opened and closed at intervals makes a thread look at the queue.
+/// `tiny_http` 0.12 queues a new connection whenever its count of idle threads is above zero, and lowers that count
+/// only when a thread wakes up. Connections that arrive in a burst can thus be queued behind one thread, which takes
+/// the first of them; the others wait until some connection ends. Two measures bound that: connections of the process
+/// to itself occupy the idle threads that the library keeps, so that nearly every connection gets a thread of its own,
+/// and a connection that is opened and closed at intervals makes a thread look at the queue.
 pub struct HttpServer {
     server: tiny_http::Server,
     /// Each was served once, so none of the library's threads counts as idle any more.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,8 +1,8 @@
 //! The daemon as a library: actor, servers, clients, metrics, logs and shutdown.
 //!
 //! [`node_run::run`] starts a daemon. Decisions live in [`call_class`], [`admission_control`], [`core_routes`],
-//! [`request_owner`], [`member_sync`] and [`peer_directory`]; only [`node_core`] calls them, on the one thread of [`core_thread`]. All
-//! other modules move bytes.
+//! [`request_owner`], [`member_sync`] and [`peer_directory`]; only [`node_core`] calls them, on the one thread of
+//! [`core_thread`]. All other modules move bytes.
 
 pub mod admission_control;
 pub mod api_changes;
--- a/crates/node/src/member_jobs.rs
+++ b/crates/node/src/member_jobs.rs
@@ -27,7 +27,8 @@
 const REMOVAL_WAIT: time::Duration = time::Duration::from_secs(2);
 
 /// Message of an exchange as it is posted to a peer.
-#[derive(Debug, serde::Serialize, serde::Deserialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
 enum ExchangeMessage {
     /// Asks for the members in which the tables differ.
     Ask(anti_entropy::ExchangeRequest),
--- a/crates/node/src/member_sync.rs
+++ b/crates/node/src/member_sync.rs
@@ -84,8 +84,8 @@
     Exchange(net::SocketAddr, anti_entropy::ExchangeRequest),
 }
 
-/// What this daemon has learned of the members since its start. It only grows, since members that join later are learned
-/// by gossip.
+/// What this daemon has learned of the members since its start. It only grows, since members that join later are
+/// learned by gossip.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum MemberKnowledge {
     /// Nothing yet.
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -44,7 +44,8 @@
 }
 
 /// Why the instruments can't be created.
-#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
 #[display("metrics can't be set up: {_0}")]
 pub struct MetricsError(opentelemetry_sdk::error::OTelSdkError);
 
--- a/crates/node/src/node_run.rs
+++ b/crates/node/src/node_run.rs
@@ -45,7 +45,8 @@
 }
 
 /// Why a daemon can't run.
-#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
 pub enum NodeError {
     /// A listener, thread or signal handler can't be set up.
     #[display("{_0}")]
--- a/crates/node/src/peer_client.rs
+++ b/crates/node/src/peer_client.rs
@@ -40,7 +40,8 @@
 }
 
 /// Why a message got no answer.
-#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
 pub enum MessageError {
     /// The peer can't be reached or did not answer.
     #[display("peer did not answer: {_0}")]
@@ -57,8 +58,8 @@
     Codec(codec::CodecError),
 }
 
-/// Clients by peer and lane. Each peer has a pool of its own, since a pool search is linear in its connections. Long work
-/// has other connections than short work, so that downloads can't hold those of short calls.
+/// Clients by peer and lane. Each peer has a pool of its own, since a pool search is linear in its connections. Long
+/// work has other connections than short work, so that downloads can't hold those of short calls.
 #[derive(Debug)]
 pub struct PeerClient {
     agents: sync::RwLock<collections::HashMap<(net::SocketAddr, call_class::CallLane), PeerAgent>>,
@@ -162,8 +163,8 @@
         &self.config_bytes
     }
 
-    /// Drops the pools that were not used since the last call of this function. A pool closes its idle connections only when
-    /// it is used, and each of them takes a thread at the peer.
+    /// Drops the pools that were not used since the last call of this function. A pool closes its idle connections only
+    /// when it is used, and each of them takes a thread at the peer.
     pub fn drop_unused(&self) {
         let mut agents = self.agents.write().unwrap_or_else(sync::PoisonError::into_inner);
         agents.retain(|_key, peer| peer.used.swap(false, atomic::Ordering::Relaxed));
@@ -230,7 +231,8 @@
     }
 }
 
-#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
 enum ExchangeError {
     #[display("{_0}")]
     Http(ureq::Error),
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -250,7 +250,8 @@
     body: Bytes,
 }
 
-#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
 enum PeerCallError {
     #[display("{_0}")]
     Frame(frame_reader::FrameError),
--- a/crates/node/src/store_client.rs
+++ b/crates/node/src/store_client.rs
@@ -37,7 +37,8 @@
 }
 
 /// Rows of a listing in key order.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 pub struct RowList {
     /// Rows.
     pub rows: Vec<ListedRow>,
@@ -46,7 +47,8 @@
 }
 
 /// Row of a listing.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 pub struct ListedRow {
     /// Key.
     pub key: String,
--- a/crates/ownership/src/action_step.rs
+++ b/crates/ownership/src/action_step.rs
@@ -116,7 +116,8 @@
 }
 
 /// Why an outcome is unknown.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(derive_more::Display)]
 pub enum UnknownReason {
     /// The incarnation that owned the id has ended.
     #[display("owner_gone")]
--- a/crates/ownership/src/answer_archive.rs
+++ b/crates/ownership/src/answer_archive.rs
@@ -14,8 +14,8 @@
 pub struct ArchiveLimits {
     /// Most writes per second of one daemon.
     pub writes_per_second: f64,
-    /// Writes per second of all daemons together, which [`AnswerArchive::share`] divides among them. The store takes several
-    /// hundred writes per second for everything.
+    /// Writes per second of all daemons together, which [`AnswerArchive::share`] divides among them. The store takes
+    /// several hundred writes per second for everything.
     pub writes_of_all_per_second: f64,
     /// Writes that may be made at once after a pause.
     pub burst: f64,
@@ -32,7 +32,8 @@
 }
 
 /// Object in the store.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ArchivedAnswer {
     /// Digest of the action's whole key; a read under a wrong key is not taken for an answer.
     #[serde(with = "serde_bytes")]
@@ -59,7 +60,8 @@
 }
 
 /// Why an answer is not archived.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(derive_more::Display)]
 pub enum SkipReason {
     /// A bound id can't be asked for after its owner's end.
     #[display("bound_id")]
--- a/crates/ownership/src/answer_cache.rs
+++ b/crates/ownership/src/answer_cache.rs
@@ -10,7 +10,8 @@
 const ANSWER_OVERHEAD: usize = 256;
 
 /// Complete answer of a backend server.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct StoredAnswer {
     /// HTTP status.
     pub status: u16,
--- a/crates/ownership/src/claim_plan.rs
+++ b/crates/ownership/src/claim_plan.rs
@@ -18,7 +18,8 @@
 pub type ClaimToken = u64;
 
 /// Value of a row in [`CLAIM_TABLE`]. A row is never changed after its insert.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ClaimRow {
     /// Daemon that owns the id.
--- a/crates/ownership/src/claim_progress.rs
+++ b/crates/ownership/src/claim_progress.rs
@@ -204,7 +204,8 @@
                 replies.push(action_step::WaiterReply { waiter: id, step });
             }
         }
-        // Only now is it known whether a later call runs the action, which would make a refusal of an earlier one false.
+        // Only now is it known whether a later call runs the action, which would make a refusal of an earlier one
+        // false.
         for (call, waiter) in expired {
             let action = self.table.get(key).and_then(|request| request.action(&call));
             let idle = action.is_some_and(action_entry::ActionEntry::is_settled);
--- a/crates/ownership/src/retry_ledger.rs
+++ b/crates/ownership/src/retry_ledger.rs
@@ -51,7 +51,8 @@
 }
 
 /// Why an attempt is denied.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(derive_more::Display)]
 pub enum DenialReason {
     /// The request spent its allowance.
     #[display("allowance_spent")]
--- a/crates/ownership/tests/action_fuzz.rs
+++ b/crates/ownership/tests/action_fuzz.rs
@@ -13,7 +13,8 @@
     case_runner::run(&name, cases, 120, |operations| check(fault, operations, coverage))
 }
 
-/// Guards against a second execution, a refusal of an action that ran, a wrong answer, a lost waiter and growing memory.
+/// Guards against a second execution, a refusal of an action that ran, a wrong answer, a lost waiter and growing
+/// memory.
 #[test]
 fn actions_run_at_most_once_and_refusals_are_true() {
     let mut coverage = Coverage::default();
--- a/crates/resource/src/change_log.rs
+++ b/crates/resource/src/change_log.rs
@@ -10,7 +10,8 @@
 pub type ResourceVersion = ids::Revision;
 
 /// New state of one resource.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ResourceEdit {
     /// Resource.
@@ -20,7 +21,8 @@
 }
 
 /// Accepted change.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfigChange {
     /// Revision that the change makes, one more than that before it.
@@ -34,7 +36,8 @@
 }
 
 /// Resource with its version.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct VersionedResource {
     /// Revision that wrote the resource.
@@ -44,7 +47,8 @@
 }
 
 /// Whole configuration at a revision.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfigSnapshot {
     /// Revision.
--- a/crates/resource/src/change_plan.rs
+++ b/crates/resource/src/change_plan.rs
@@ -20,7 +20,8 @@
 pub const MAX_EDITS: usize = 256;
 
 /// Version that the operator expects a resource to have.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum ExpectedVersion {
     /// Any version, also none (apply).
     Any,
@@ -31,7 +32,8 @@
 }
 
 /// Edit that an operator asks for.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct RequestedEdit {
     /// New state.
     pub edit: change_log::ResourceEdit,
@@ -40,7 +42,8 @@
 }
 
 /// Change that an operator asks for.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ChangeRequest {
     /// Id that the operator's client chose, or one that the API made.
     pub change_id: String,
@@ -98,7 +101,8 @@
 }
 
 /// Resource with another version than the operator expected.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct VersionConflict {
     /// Resource.
     pub key: resource_document::ResourceKey,
--- a/crates/resource/src/change_status.rs
+++ b/crates/resource/src/change_status.rs
@@ -21,7 +21,8 @@
 }
 
 /// Spread of a revision over one data centre.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct LocationStatus {
     /// Reachable members that have the revision in force.
     pub in_force: usize,
@@ -32,7 +33,8 @@
 }
 
 /// Member that lacks a revision.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct LaggingMember {
     /// Member.
     #[serde(with = "text_field")]
@@ -44,7 +46,8 @@
 }
 
 /// Spread of a revision.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct ChangeStatus {
     /// Revision that is asked for.
     pub revision: ids::Revision,
--- a/crates/resource/src/operator_access.rs
+++ b/crates/resource/src/operator_access.rs
@@ -6,7 +6,8 @@
 use subtle::ConstantTimeEq as _;
 
 /// What an operator may do; each role may do all that those before it may.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum OperatorRole {
     /// Reads resources, changes, status and daemons.
--- a/crates/resource/src/resource_document.rs
+++ b/crates/resource/src/resource_document.rs
@@ -10,7 +10,8 @@
 pub const ANY_METHOD: &str = "*";
 
 /// Service: a group of backend servers that run the same software.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceSpec {
     /// Unique name; the first path segment of the caller's URL.
@@ -24,7 +25,8 @@
 }
 
 /// Lane of a class at the callee.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ClassLane {
     /// Work that is over in well under a second.
@@ -35,7 +37,8 @@
 }
 
 /// Calls that belong to a class.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RouteSpec {
     /// Called service.
@@ -50,7 +53,8 @@
 }
 
 /// Class of requests.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ClassSpec {
     /// Unique name.
@@ -77,7 +81,8 @@
 }
 
 /// Limits that the calls of one request share.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ChainSpec {
     /// Unique name.
@@ -93,7 +98,8 @@
 }
 
 /// Tenant with its share of each server.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TenantSpec {
     /// Unique name, as in the header `Damasktrack-Tenant`.
@@ -104,7 +110,8 @@
 }
 
 /// Declared resource.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize, derive_more::From)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize, derive_more::From)]
 #[serde(tag = "kind")]
 pub enum Resource {
     /// Service.
@@ -118,9 +125,8 @@
 }
 
 /// Kind of a resource.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize, derive_more::Display,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize, derive_more::Display)]
 pub enum ResourceKind {
     /// Service.
     Service,
@@ -133,9 +139,8 @@
 }
 
 /// Kind and name, unique in a configuration.
-#[derive(
-    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize, derive_more::Display,
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize, derive_more::Display)]
 #[display("{kind}/{}", ids::text(name))]
 #[serde(deny_unknown_fields)]
 pub struct ResourceKey {
--- a/crates/resource/src/resource_set.rs
+++ b/crates/resource/src/resource_set.rs
@@ -23,7 +23,8 @@
     revision: ids::Revision,
     /// Each resource's version is at most `revision`.
     resources: collections::BTreeMap<resource_document::ResourceKey, change_log::VersionedResource>,
-    /// Routes of all classes by service, longest prefix first and named methods before [`resource_document::ANY_METHOD`].
+    /// Routes of all classes by service, longest prefix first and named methods before
+    /// [`resource_document::ANY_METHOD`].
     routes: collections::HashMap<ids::ServiceName, Vec<RouteEntry>>,
 }
 
@@ -42,7 +43,8 @@
         set
     }
 
-    /// Makes the edits at a revision, whatever the revision before. `ConfigLog` decides whether a change may be applied.
+    /// Makes the edits at a revision, whatever the revision before. `ConfigLog` decides whether a change may be
+    /// applied.
     pub fn edit(&mut self, revision: ids::Revision, edits: &[change_log::ResourceEdit]) {
         self.revision = revision;
         for edit in edits {
--- a/crates/resource/src/resource_verifier.rs
+++ b/crates/resource/src/resource_verifier.rs
@@ -23,7 +23,8 @@
 pub const MAX_WEIGHT: u32 = 10_000;
 
 /// Fault in a configuration.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, derive_more::Display)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, derive_more::Display)]
 #[display("{place}: {message}")]
 pub struct Finding {
     /// Resource and field, for example `Class/filing.routes[1].method`.
--- a/crates/resource/src/store_rows.rs
+++ b/crates/resource/src/store_rows.rs
@@ -20,7 +20,8 @@
 pub type RowVersion = u64;
 
 /// Row as the table service returns it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct StoredRow<T> {
     /// Document.
     pub value: T,
@@ -29,7 +30,8 @@
 }
 
 /// Last accepted revision.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct HeadRow {
     /// Revision.
@@ -37,7 +39,8 @@
 }
 
 /// Change that a change id made.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ChangeIdRow {
     /// Revision that the change made.
@@ -47,7 +50,8 @@
 }
 
 /// Condition of a commit.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RowCondition {
     /// Table.
@@ -59,7 +63,8 @@
 }
 
 /// Write of a commit.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RowWrite {
     /// Table.
@@ -71,7 +76,8 @@
 }
 
 /// Body of `POST /table/commit`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TableCommit {
     /// All must hold.
--- a/crates/routing/src/hedge_policy.rs
+++ b/crates/routing/src/hedge_policy.rs
@@ -7,8 +7,9 @@
 
 /// Time after which samples are set aside and those before them dropped.
 const WINDOW: time::Duration = time::Duration::from_secs(10);
-/// Least length of the windows that find the end of a slow time. After 30 s at a fifth of the speed, windows of 10 s alone
-/// kept the hedge delay of the slow time for 10 to 20 s, and the p99 stayed 8% above that of a calm run for as long.
+/// Least length of the windows that find the end of a slow time. After 30 s at a fifth of the speed, windows of 10 s
+/// alone kept the hedge delay of the slow time for 10 to 20 s, and the p99 stayed 8% above that of a calm run for as
+/// long.
 const SHORT_WINDOW: time::Duration = time::Duration::from_secs(1);
 /// A short window sets the delay if its 95th percentile is below this part of it, and so do lower ones right after it,
 /// since the first still holds some latencies of the slow time. Short windows alone hedge more calls
--- a/crates/settings/src/daemon_settings.rs
+++ b/crates/settings/src/daemon_settings.rs
@@ -8,7 +8,8 @@
 use damasktrack_entity::server_location;
 
 /// Settings of a daemon; [`crate::settings_table::DAEMON_ROWS`] gives their meaning.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[expect(missing_docs, reason = "the settings table gives the meaning of each field")]
 pub struct DaemonSettings {
     #[serde(deserialize_with = "name")]
@@ -47,7 +48,8 @@
 }
 
 /// Settings of the backend server beside the daemon.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[expect(missing_docs, reason = "the settings table gives the meaning of each field")]
 pub struct BackendServerSettings {
     pub address: net::SocketAddr,
@@ -61,7 +63,8 @@
 }
 
 /// Key of an operator.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 pub struct OperatorSettings {
     /// Name in logs and in the change log.
     pub name: String,
@@ -72,7 +75,8 @@
 }
 
 /// What an operator may do; each role includes those before it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OperatorRole {
     /// Reads resources and status.
--- a/crates/settings/src/settings_finding.rs
+++ b/crates/settings/src/settings_finding.rs
@@ -1,7 +1,8 @@
 //! Findings of the settings verifier.
 
 /// One fault of a settings document, with its place.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 #[display("{file}: {path}: {expected}")]
 pub struct Finding {
     /// Name of the file, as the caller gave it.
--- a/crates/standins/src/backend_faults.rs
+++ b/crates/standins/src/backend_faults.rs
@@ -5,7 +5,8 @@
 use rand::{RngExt, SeedableRng};
 
 /// What goes wrong.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum BackendFaultKind {
     /// Ends all faults.
@@ -29,7 +30,8 @@
 }
 
 /// Body of `POST /control/fault`: adds one rule, or ends all with `{"kind": "clear"}`.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct BackendFault {
     /// What goes wrong.
--- a/crates/standins/src/backend_state.rs
+++ b/crates/standins/src/backend_state.rs
@@ -116,7 +116,8 @@
 }
 
 /// Other counts since the start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct BackendCounts {
     /// Calls answered with a whole answer.
     pub completed: u64,
--- a/crates/standins/src/demo_plan.rs
+++ b/crates/standins/src/demo_plan.rs
@@ -9,7 +9,8 @@
 use crate::load_mix;
 
 /// A server: a daemon with its backend server.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DemoServer {
     /// Service of the backend server.
@@ -34,7 +35,8 @@
 }
 
 /// Rate and length of the load.
-#[derive(Clone, Copy, Debug, serde::Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DemoLoad {
     /// Requests per second.
@@ -44,7 +46,8 @@
 }
 
 /// A demonstration, as `examples/*-demo.json` describe them.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DemoPlan {
     /// The servers.
--- a/crates/standins/src/load_mix.rs
+++ b/crates/standins/src/load_mix.rs
@@ -9,7 +9,8 @@
 const MAX_REQUESTS: usize = 20_000_000;
 
 /// Where the request id of an entry's requests comes from.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum KeyMode {
     /// No `Idempotency-Key`; the daemon issues an id for each attempt.
@@ -22,7 +23,8 @@
 }
 
 /// How much of an answer is checked.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum BodyCheck {
     /// Each byte, against the body that belongs to the request id and the path.
@@ -33,7 +35,8 @@
 }
 
 /// One kind of request.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct MixEntry {
     /// Name in the summary.
@@ -86,7 +89,8 @@
 }
 
 /// A mix of requests.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LoadMix {
     /// The kinds of requests.
--- a/crates/standins/src/load_summary.rs
+++ b/crates/standins/src/load_summary.rs
@@ -6,7 +6,8 @@
 use serde_json::json;
 
 /// How a request ended for its caller, after its last attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RequestEnd {
     /// A complete and correct answer with a status below 400.
@@ -28,7 +29,8 @@
 }
 
 /// One request.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct RequestRecord {
     /// Name of the mix entry.
     pub entry: String,
--- a/crates/standins/src/store_faults.rs
+++ b/crates/standins/src/store_faults.rs
@@ -6,7 +6,8 @@
 use rand::{RngExt, SeedableRng};
 
 /// What goes wrong with a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FaultKind {
     /// Ends all faults.
@@ -26,7 +27,8 @@
 }
 
 /// Requests to which a rule applies.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FaultScope {
     /// Reads and writes.
@@ -39,7 +41,8 @@
 }
 
 /// Body of `POST /control/fault`: adds one rule, or ends all with `{"kind": "up"}`.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FaultRule {
     /// What goes wrong.
--- a/crates/standins/src/store_server.rs
+++ b/crates/standins/src/store_server.rs
@@ -41,7 +41,8 @@
 }
 
 /// Counts of requests since the start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct StoreStats {
     /// Reads that were answered from the state.
     pub reads: u64,
--- a/crates/standins/src/table_store.rs
+++ b/crates/standins/src/table_store.rs
@@ -15,7 +15,8 @@
 type RowKey = (String, String);
 
 /// A row must have this version when the commit takes effect; 0 means that it must not exist.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct RowCondition {
     /// Table of the row.
     pub table: String,
@@ -26,7 +27,8 @@
 }
 
 /// A row to write.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct RowWrite {
     /// Table of the row.
     pub table: String,
@@ -37,7 +39,8 @@
 }
 
 /// A transaction: all writes take effect if all conditions hold, otherwise none does.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct CommitRequest {
     /// Versions that the rows must have.
     #[serde(default)]
@@ -59,7 +62,8 @@
 }
 
 /// A row as a read returns it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct StoredRow {
     /// Key of the row in its table.
     pub key: String,
@@ -83,7 +87,8 @@
 }
 
 /// A page of a listing.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ListPage {
     /// Rows in key order.
     pub rows: Vec<StoredRow>,
--- a/crates/wire/src/call_frame.rs
+++ b/crates/wire/src/call_frame.rs
@@ -15,7 +15,8 @@
 pub type HeaderPair = (Bytes, Bytes);
 
 /// Part of the path that the receiver of a call plays.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum CallStage {
     /// The receiver owns the request id, keeps its ledger and routes the call on.
     Owner,
@@ -24,7 +25,8 @@
 }
 
 /// Start of a forwarded call.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct CallHead {
     /// Part that the receiver plays.
     pub stage: CallStage,
@@ -45,7 +47,8 @@
 }
 
 /// Piece of a forwarded call or of its answer.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum CallFrame {
     /// Start of a call; the first frame of a request.
     Call(Box<CallHead>),
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -4,7 +4,8 @@
 pub const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
 /// Why a message can't be written or read.
-#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
 pub enum CodecError {
     /// The message can't be encoded.
     #[display("message can't be encoded: {_0}")]
--- a/crates/wire/src/frame_reader.rs
+++ b/crates/wire/src/frame_reader.rs
@@ -6,7 +6,8 @@
 use crate::codec;
 
 /// Why no frame could be read.
-#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
 pub enum FrameError {
     /// The stream failed or ended inside a frame.
     #[display("stream of frames failed: {_0}")]
--- a/crates/wire/src/peer_message.rs
+++ b/crates/wire/src/peer_message.rs
@@ -5,7 +5,8 @@
 use damasktrack_entity::request_identity;
 
 /// Tells the receiver that the sender no longer waits for a call.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct CancelRequest {
     /// Daemon that forwarded the call.
     pub sender: request_identity::RequestOwner,
@@ -14,7 +15,8 @@
 }
 
 /// Asks the owner of a request for one more attempt of one of its calls.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct GrantRequest {
     /// Id of the root request.
     pub request_id: Bytes,
@@ -28,7 +30,8 @@
 }
 
 /// Answer to a [`GrantRequest`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum GrantReply {
     /// One more attempt may be made.
     Granted {
@@ -40,7 +43,8 @@
 }
 
 /// Asks a peer for configuration after a revision.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ConfigRequest {
     /// Revision in force at the sender.
     pub after: ids::Revision,
