--- a/crates/node/src/call_runner.rs
+++ b/crates/node/src/call_runner.rs
@@ -375,7 +375,8 @@
     attempt: &core_command::AttemptPlan,
     request: &OutgoingRequest,
 ) -> Result<Vec<u8>, codec::CodecError> {
-    let mut bytes = call_frame::encode_frame(&call_frame::CallFrame::Call(Box::new(call_frame::CallHead {
+    let mut bytes = Vec::new();
+    let head = call_frame::CallFrame::Call(Box::new(call_frame::CallHead {
         stage: attempt.stage,
         sender: shared.identity.clone(),
         sender_call: call,
@@ -384,12 +385,13 @@
         method: request.method.clone(),
         path: request.path.clone(),
         headers: request.headers.clone(),
-    })))?;
+    }));
+    call_frame::encode_frame(&head, &mut bytes)?;
     let mut rest = request.body.clone();
     while !rest.is_empty() {
         let piece = rest.split_to(rest.len().min(call_frame::MAX_DATA_BYTES));
-        bytes.extend(call_frame::encode_frame(&call_frame::CallFrame::Data(piece))?);
+        call_frame::encode_frame(&call_frame::CallFrame::Data(piece), &mut bytes)?;
     }
-    bytes.extend(call_frame::encode_frame(&call_frame::CallFrame::End { report: None })?);
+    call_frame::encode_frame(&call_frame::CallFrame::End { report: None }, &mut bytes)?;
     Ok(bytes)
 }
--- a/crates/node/src/frame_writer.rs
+++ b/crates/node/src/frame_writer.rs
@@ -5,7 +5,6 @@
 use std::io::Write;
 
 use damasktrack_wire::call_frame;
-use damasktrack_wire::codec;
 
 use crate::frame_sink;
 use crate::header_filter;
@@ -17,8 +16,6 @@
 const CHUNK_BYTES: usize = 32 << 10;
 /// Bytes that are gathered for one write; chunks of this size and above are written as they are.
 const GATHERED_BYTES: usize = 16 << 10;
-/// Length of the prefix of a frame.
-const PREFIX_BYTES: usize = 4;
 
 thread_local! {
     /// Encoded form of the current frame.
@@ -97,7 +94,8 @@
             self.head_written = true;
         }
         ENCODED.with_borrow_mut(|encoded| {
-            encode(frame, encoded)?;
+            encoded.clear();
+            call_frame::encode_frame(frame, encoded).map_err(io::Error::other)?;
             encoder.write_all(encoded)
         })?;
         match frame {
@@ -131,17 +129,3 @@
     encoder.flush()?;
     encoder.get_mut().flush()
 }
-
-/// Encodes a frame as [`call_frame::encode_frame`] does, into a reused buffer.
-fn encode(frame: &call_frame::CallFrame, encoded: &mut Vec<u8>) -> io::Result<()> {
-    encoded.clear();
-    encoded.extend_from_slice(&[0; PREFIX_BYTES]);
-    rmp_serde::encode::write_named(encoded, frame).map_err(io::Error::other)?;
-    let length = encoded.len() - PREFIX_BYTES;
-    let prefix = u32::try_from(length)
-        .ok()
-        .filter(|_prefix| length <= codec::MAX_MESSAGE_BYTES);
-    let prefix = prefix.ok_or_else(|| io::Error::other(codec::CodecError::TooLarge { length }))?;
-    encoded[..PREFIX_BYTES].copy_from_slice(&prefix.to_be_bytes());
-    Ok(())
-}
--- a/crates/wire/src/call_frame.rs
+++ b/crates/wire/src/call_frame.rs
@@ -82,15 +82,21 @@
     },
 }
 
-/// Writes a frame: its length as four bytes, big endian, and its MessagePack form.
+/// Length of the prefix of a frame, in bytes.
+const PREFIX_BYTES: usize = 4;
+
+/// Appends a frame to a buffer: its length as four bytes, big endian, and its MessagePack form.
 ///
 /// # Errors
-/// Returns an error if the frame can't be encoded or is too large.
-pub fn encode_frame(frame: &CallFrame) -> Result<Vec<u8>, codec::CodecError> {
-    let body = codec::encode(frame)?;
-    let length = u32::try_from(body.len()).map_err(|_error| codec::CodecError::TooLarge { length: body.len() })?;
-    let mut bytes = Vec::with_capacity(body.len() + 4);
-    bytes.extend_from_slice(&length.to_be_bytes());
-    bytes.extend_from_slice(&body);
-    Ok(bytes)
+/// Returns an error if the frame can't be encoded or is too large; the buffer then ends in a part of the frame.
+pub fn encode_frame(frame: &CallFrame, buffer: &mut Vec<u8>) -> Result<(), codec::CodecError> {
+    let start = buffer.len();
+    buffer.extend_from_slice(&[0; PREFIX_BYTES]);
+    rmp_serde::encode::write_named(buffer, frame)?;
+    let length = buffer.len() - start - PREFIX_BYTES;
+    let prefix = u32::try_from(length).ok();
+    let prefix = prefix.filter(|_prefix| length <= codec::MAX_MESSAGE_BYTES);
+    let prefix = prefix.ok_or(codec::CodecError::TooLarge { length })?;
+    buffer[start..start + PREFIX_BYTES].copy_from_slice(&prefix.to_be_bytes());
+    Ok(())
 }
