Use one runner for the fuzz cases of all crates

Cause: the tests of admission held a second copy of the runner that the ownership and resource tests share. Change: one file serves all three.

--- a/crates/admission/tests/gate_fuzz.rs
+++ b/crates/admission/tests/gate_fuzz.rs
@@ -1,6 +1,6 @@
 //! Fuzz tests of the admission gate against an oracle.
 
-#[path = "support/case_runner.rs"]
+#[path = "../../ownership/tests/support/case_runner.rs"]
 mod case_runner;
 #[path = "support/gate_world.rs"]
 mod gate_world;
