--- a/crates/admission/src/admission_gate.rs
+++ b/crates/admission/src/admission_gate.rs
@@ -280,15 +280,19 @@
                 };
                 lane.service.add(own, now);
                 let ratio = class.baseline.add(own, now);
-                if ended.lane == gate_report::CallLane::Short {
+                if self.policy.adaptive && ended.lane == gate_report::CallLane::Short {
                     self.limit.add(ratio, ended.started, now);
                 }
             }
-            gate_report::FinishResult::ShedByBackendServer => self.limit.shed(running, now),
+            gate_report::FinishResult::ShedByBackendServer => {
+                if self.policy.adaptive {
+                    self.limit.shed(running, now);
+                }
+            }
             gate_report::FinishResult::Failed | gate_report::FinishResult::Cancelled => {
                 // The full service time is not known, but it is at least this long.
                 let ratio = class.baseline.ratio(own);
-                if ended.lane == gate_report::CallLane::Short && ratio > 1.0 {
+                if self.policy.adaptive && ended.lane == gate_report::CallLane::Short && ratio > 1.0 {
                     self.limit.add(ratio, ended.started, now);
                 }
             }
--- a/crates/admission/src/admission_policy.rs
+++ b/crates/admission/src/admission_policy.rs
@@ -9,6 +9,9 @@
     pub slots: u32,
     /// Greatest concurrency limit, as a multiple of `slots`.
     pub limit_factor: f64,
+    /// Whether the limit follows the service time. Otherwise it stays at `slots`, for backend servers whose calls to
+    /// other services can't be told from their own work.
+    pub adaptive: bool,
     /// Share of the limit that calls of the long lane may hold.
     pub long_share: f64,
     /// Longest wait of a non-critical call while a queue has been standing for `standing_after`.
@@ -33,6 +36,7 @@
         Self {
             slots,
             limit_factor: 1.5,
+            adaptive: true,
             long_share: 0.3,
             queue_target: time::Duration::from_millis(20),
             queue_burst: time::Duration::from_millis(100),
--- /dev/null
+++ b/crates/forward/src/callee_call.rs
@@ -0,0 +1,252 @@
+//! A call at the daemon beside its backend server: admission, the backend server's response, and what it proves.
+
+use std::rc;
+use std::time;
+
+use bytes::Bytes;
+use damasktrack_admission::gate_report;
+use damasktrack_entity::call_outcome;
+use damasktrack_entity::ids;
+use hyper::header;
+
+use crate::forward_core;
+use crate::http_link;
+use crate::message_body;
+use crate::node_context;
+use crate::peer_call;
+
+/// Time past the deadline until a backend server that does not answer is given up. It answers 504 at the deadline.
+const DEADLINE_SLACK: time::Duration = time::Duration::from_millis(100);
+/// Longest idle time of a connection that carries a request which must not run twice. A backend server may close an idle
+/// connection while the request is on its way, and then nobody knows whether it ran.
+const FRESH_IDLE: time::Duration = time::Duration::from_secs(1);
+
+/// Request on its way to a backend server.
+#[derive(Clone, Debug)]
+pub struct CallRequest {
+    /// Method.
+    pub method: hyper::Method,
+    /// Path and query as the caller sent them.
+    pub uri: hyper::Uri,
+    /// Headers that concern the message.
+    pub headers: header::HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// What became of a call.
+#[derive(Debug)]
+pub enum CallResult {
+    /// The backend server's response.
+    Answered(hyper::Response<message_body::ReplyBody>),
+    /// The request did not run and never will.
+    NotRun(call_outcome::RefusalReason),
+    /// The request was sent, and no usable response came back.
+    MayHaveRun,
+}
+
+/// Counts a call's end when it is dropped, which also covers a caller that went away.
+struct WorkGuard {
+    node: rc::Rc<node_context::NodeContext>,
+    call: ids::CallId,
+    result: gate_report::FinishResult,
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        let (call, result) = (self.call, self.result);
+        self.node.core.ask(|core, now| core.end_work(call, result, now));
+    }
+}
+
+/// Runs a call at the backend server beside this daemon.
+pub async fn run(
+    node: &rc::Rc<node_context::NodeContext>,
+    head: &peer_call::CallHead,
+    request: CallRequest,
+) -> CallResult {
+    let deadline = time::Instant::now() + head.left;
+    let decision = node.core.ask(|core, now| core.offer_work(head, deadline, now));
+    let guard = |call| WorkGuard {
+        node: rc::Rc::clone(node),
+        call,
+        result: gate_report::FinishResult::Cancelled,
+    };
+    let (order, guard) = match decision {
+        forward_core::WorkDecision::Refuse(reason) => return refuse(node, reason),
+        forward_core::WorkDecision::Start(order) => {
+            let guard = guard(order.call);
+            (order, guard)
+        }
+        forward_core::WorkDecision::Wait(call, receiver) => {
+            let guard = guard(call);
+            match receiver.await {
+                Ok(Ok(order)) => (order, guard),
+                Ok(Err(reason)) => return refuse(node, reason),
+                Err(_dropped) => return refuse(node, call_outcome::RefusalReason::Cancelled),
+            }
+        }
+    };
+    let result = send(node, head, &order, request, deadline, guard).await;
+    let outcome = match &result {
+        CallResult::Answered(response) => response.status().as_str().to_owned(),
+        CallResult::NotRun(reason) => reason.to_string(),
+        CallResult::MayHaveRun => "may have run".to_owned(),
+    };
+    node.metrics.count_work(outcome);
+    result
+}
+
+fn refuse(node: &node_context::NodeContext, reason: call_outcome::RefusalReason) -> CallResult {
+    node.metrics.count_work(reason.to_string());
+    CallResult::NotRun(reason)
+}
+
+async fn send(
+    node: &rc::Rc<node_context::NodeContext>,
+    head: &peer_call::CallHead,
+    order: &forward_core::WorkOrder,
+    request: CallRequest,
+    deadline: time::Instant,
+    mut guard: WorkGuard,
+) -> CallResult {
+    let left = deadline.saturating_duration_since(time::Instant::now());
+    let attempt_id = request.headers.get(&node.settings.headers.attempt_id).cloned();
+    let Some(outgoing) = server_request(node, head, order, request, left) else {
+        return CallResult::NotRun(call_outcome::RefusalReason::NotDeclared);
+    };
+    let max_idle = if head.repeatable { time::Duration::MAX } else { FRESH_IDLE };
+    let exchange = async {
+        let (response, lease) = node.server.send(outgoing, max_idle).await?;
+        if let Err(fault) = check_response(node, response.headers(), response.status(), attempt_id.as_ref()) {
+            return Ok(Err(fault));
+        }
+        match message_body::receive(response, lease).await {
+            Ok(received) => Ok(Ok(received)),
+            Err(error) => Err(http_link::LinkError::NoResponse(error.to_string())),
+        }
+    };
+    let sent = tokio::time::timeout(left + DEADLINE_SLACK, exchange).await;
+    let (fault, result) = match sent {
+        Ok(Ok(Ok((parts, mut body)))) => {
+            node.core.ask(forward_core::ForwardCore::server_reached);
+            guard.result = gate_report::FinishResult::Completed;
+            body.at_end(Box::new(move |complete| {
+                if !complete {
+                    guard.result = gate_report::FinishResult::Cancelled;
+                }
+                drop(guard);
+            }));
+            return CallResult::Answered(passed_response(&parts, body));
+        }
+        Ok(Ok(Err(ResponseFault::NotExecuted))) => {
+            guard.result = gate_report::FinishResult::ShedByBackendServer;
+            let reason = call_outcome::RefusalReason::ShedByBackendServer;
+            ("not executed".to_owned(), CallResult::NotRun(reason))
+        }
+        Ok(Ok(Err(ResponseFault::Unusable(fault)))) => {
+            guard.result = gate_report::FinishResult::Failed;
+            (fault.to_owned(), CallResult::MayHaveRun)
+        }
+        Ok(Err(http_link::LinkError::NotSent(error))) => {
+            node.core.ask(forward_core::ForwardCore::server_refused);
+            let reason = call_outcome::RefusalReason::BackendServerDown;
+            (error, CallResult::NotRun(reason))
+        }
+        Ok(Err(http_link::LinkError::NoResponse(error))) => {
+            guard.result = gate_report::FinishResult::Failed;
+            (error, CallResult::MayHaveRun)
+        }
+        Err(_elapsed) => {
+            guard.result = gate_report::FinishResult::Failed;
+            ("no response by the deadline".to_owned(), CallResult::MayHaveRun)
+        }
+    };
+    node.log_request("call at the backend server failed", attempt_id.as_ref(), &head.class, &fault);
+    result
+}
+
+/// Returns the request for the backend server; `None` if a header can't be formed.
+fn server_request(
+    node: &node_context::NodeContext,
+    head: &peer_call::CallHead,
+    order: &forward_core::WorkOrder,
+    request: CallRequest,
+    left: time::Duration,
+) -> Option<hyper::Request<http_link::LinkBody>> {
+    let names = &node.settings.headers;
+    let mut headers = request.headers;
+    let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(names.deadline_ms.clone(), header::HeaderValue::from(left_ms));
+    headers.insert(
+        names.target_instance.clone(),
+        header::HeaderValue::from_bytes(&order.instance).ok()?,
+    );
+    headers.insert(
+        names.caller_service.clone(),
+        header::HeaderValue::from_bytes(&head.caller_service).ok()?,
+    );
+    Some(request_of(request.method, request.uri, headers, request.body))
+}
+
+/// Builds a request from its parts.
+#[must_use]
+pub fn request_of(
+    method: hyper::Method,
+    uri: hyper::Uri,
+    headers: header::HeaderMap,
+    body: Bytes,
+) -> hyper::Request<http_link::LinkBody> {
+    let mut request = hyper::Request::new(http_link::LinkBody::new(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = uri;
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Why a response is not passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ResponseFault {
+    /// The backend server says that the request did not run.
+    NotExecuted,
+    /// The response is not the backend server's response to this request.
+    Unusable(&'static str),
+}
+
+fn check_response(
+    node: &node_context::NodeContext,
+    headers: &header::HeaderMap,
+    status: hyper::StatusCode,
+    attempt_id: Option<&header::HeaderValue>,
+) -> Result<(), ResponseFault> {
+    let names = &node.settings.headers;
+    let echoed = headers.get(&names.attempt_id);
+    if echoed.is_some() && echoed != attempt_id {
+        return Err(ResponseFault::Unusable("response to another request"));
+    }
+    if headers.contains_key(&names.not_executed) || status == hyper::StatusCode::MISDIRECTED_REQUEST {
+        return Err(ResponseFault::NotExecuted);
+    }
+    if !headers.contains_key(&names.response_seal) || echoed.is_none() {
+        return Err(ResponseFault::Unusable("response without signature or request id"));
+    }
+    if headers.contains_key(header::CONTENT_ENCODING) {
+        return Err(ResponseFault::Unusable("response with a content encoding"));
+    }
+    Ok(())
+}
+
+/// Returns a response to pass on, without the headers of its connection.
+pub fn passed_response(
+    parts: &hyper::http::response::Parts,
+    body: message_body::ReplyBody,
+) -> hyper::Response<message_body::ReplyBody> {
+    let mut headers = message_body::message_headers(&parts.headers);
+    if body.is_whole() {
+        headers.remove(header::CONTENT_LENGTH);
+    }
+    let mut response = hyper::Response::new(body);
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = headers;
+    response
+}
--- /dev/null
+++ b/crates/forward/src/entry_call.rs
@@ -0,0 +1,358 @@
+//! A caller's request at its entry daemon: route, attempts, and the response to the caller.
+
+use std::rc;
+use std::time;
+
+use bytes::Bytes;
+use damasktrack_entity::call_outcome;
+use damasktrack_entity::ids;
+use damasktrack_routing::retry_budget;
+use damasktrack_routing::route_candidate;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header;
+use rand::RngExt;
+
+use crate::callee_call;
+use crate::forward_core;
+use crate::http_link;
+use crate::message_body;
+use crate::node_context;
+use crate::peer_call;
+use crate::route_config;
+
+/// Most daemons that are asked for one request. Those that refuse cost a message each, and after four refusals a fifth
+/// acceptance is unlikely.
+const MAX_DAEMONS: usize = 4;
+/// Time that must be left for another attempt.
+const MIN_ATTEMPT: time::Duration = time::Duration::from_millis(50);
+/// Longest wait of a caller that names no deadline and whose route has no timeout.
+const DEFAULT_DEADLINE: time::Duration = time::Duration::from_secs(10);
+/// Times after which refused callers come back; spread, so that they don't come back together.
+const RETRY_AFTER_SECONDS: std::ops::Range<f64> = 0.3..0.9;
+
+/// What a caller is told when no backend server's response can be passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OwnAnswer {
+    BadRequest,
+    NoRoute,
+    TooLarge,
+    NotRun(call_outcome::RefusalReason),
+    MayHaveRun,
+    Timeout,
+}
+
+impl OwnAnswer {
+    fn status(self) -> hyper::StatusCode {
+        match self {
+            Self::BadRequest => hyper::StatusCode::BAD_REQUEST,
+            Self::NoRoute => hyper::StatusCode::NOT_FOUND,
+            Self::TooLarge => hyper::StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NotRun(_reason) => hyper::StatusCode::SERVICE_UNAVAILABLE,
+            Self::MayHaveRun => hyper::StatusCode::BAD_GATEWAY,
+            Self::Timeout => hyper::StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    fn text(self) -> String {
+        match self {
+            Self::BadRequest => "malformed request".to_owned(),
+            Self::NoRoute => "no route".to_owned(),
+            Self::TooLarge => "body too large".to_owned(),
+            Self::NotRun(reason) => reason.to_string(),
+            Self::MayHaveRun => "no usable response".to_owned(),
+            Self::Timeout => "timeout".to_owned(),
+        }
+    }
+}
+
+/// A request with all that its attempts need.
+struct EntryRequest {
+    rule: rc::Rc<route_config::RouteRule>,
+    service: ids::ServiceName,
+    request: callee_call::CallRequest,
+    /// When the caller is answered at the latest.
+    end: time::Instant,
+}
+
+/// Counts a request as in progress.
+struct FlightGuard(rc::Rc<node_context::NodeContext>);
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+/// Serves one request of a caller.
+pub async fn serve(
+    node: rc::Rc<node_context::NodeContext>,
+    request: hyper::Request<Incoming>,
+) -> hyper::Response<message_body::ReplyBody> {
+    let arrived = time::Instant::now();
+    node.in_flight.set(node.in_flight.get() + 1);
+    let _flight = FlightGuard(rc::Rc::clone(&node));
+    let attempt_id = request.headers().get(&node.settings.headers.attempt_id).cloned();
+    let mut class = Bytes::from_static(b"none");
+    let answer = match accept(&node, request, arrived, &mut class).await {
+        Ok(entry) => attempt(&node, &entry).await,
+        Err(answer) => Err(answer),
+    };
+    let mut response = match answer {
+        Ok(response) => {
+            node.metrics.record_request(&class, "answered", arrived.elapsed());
+            response
+        }
+        Err(answer) => {
+            let outcome = answer.status();
+            node.metrics.record_request(&class, outcome_label(answer), arrived.elapsed());
+            let text = format!("{} {}", outcome.as_str(), answer.text());
+            node.log_request("request not served", attempt_id.as_ref(), &class, &text);
+            own_response(answer)
+        }
+    };
+    if node.core.ask(|core, _now| core.phase()) == forward_core::LifePhase::Stopping {
+        response
+            .headers_mut()
+            .insert(header::CONNECTION, header::HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Reads a request and finds its route.
+async fn accept(
+    node: &rc::Rc<node_context::NodeContext>,
+    request: hyper::Request<Incoming>,
+    arrived: time::Instant,
+    class: &mut ids::ClassName,
+) -> Result<EntryRequest, OwnAnswer> {
+    let (parts, incoming) = request.into_parts();
+    let names = &node.settings.headers;
+    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).ok_or(OwnAnswer::BadRequest)?;
+    let decision = node.core.ask(|core, _now| core.enter(host, parts.uri.path()));
+    let (rule, service, max_body_bytes) = match decision {
+        forward_core::EntryDecision::Route {
+            rule,
+            service,
+            max_body_bytes,
+        } => (rule, service, max_body_bytes),
+        forward_core::EntryDecision::NoRoute => return Err(OwnAnswer::NoRoute),
+        forward_core::EntryDecision::NoConfig => {
+            return Err(OwnAnswer::NotRun(call_outcome::RefusalReason::Starting));
+        }
+    };
+    class.clone_from(&rule.name);
+    let mut headers = message_body::message_headers(&parts.headers);
+    let deadline_ms = headers.get(&names.deadline_ms).and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    let deadline = deadline_ms.map(time::Duration::from_millis);
+    let bound = [deadline, rule.timeout].into_iter().flatten().min().unwrap_or(DEFAULT_DEADLINE);
+    for name in [&names.target_instance, &names.caller_service, &names.not_executed, &names.response_seal] {
+        headers.remove(name);
+    }
+    headers.remove(peer_call::CALL_HEADER);
+    headers.remove(header::EXPECT);
+    let end = arrived + bound;
+    let limited = http_body_util::Limited::new(incoming, max_body_bytes);
+    let body = match tokio::time::timeout_at(end.into(), limited.collect()).await {
+        Ok(Ok(collected)) => collected.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => return Err(OwnAnswer::TooLarge),
+        Ok(Err(_broken)) => return Err(OwnAnswer::BadRequest),
+        Err(_elapsed) => return Err(OwnAnswer::Timeout),
+    };
+    if body.is_empty() && !parts.headers.contains_key(header::CONTENT_LENGTH) {
+        headers.remove(header::CONTENT_LENGTH);
+    } else {
+        headers.insert(header::CONTENT_LENGTH, header::HeaderValue::from(body.len()));
+    }
+    let uri = parts.uri.path_and_query().map_or_else(|| parts.uri.clone(), |path| path.clone().into());
+    Ok(EntryRequest {
+        rule,
+        service,
+        request: callee_call::CallRequest {
+            method: parts.method,
+            uri,
+            headers,
+            body,
+        },
+        end,
+    })
+}
+
+/// Sends a request to servers until one answers or nothing more may be tried.
+async fn attempt(
+    node: &rc::Rc<node_context::NodeContext>,
+    entry: &EntryRequest,
+) -> Result<hyper::Response<message_body::ReplyBody>, OwnAnswer> {
+    node.core.ask(|core, now| core.count_request(&entry.service, now));
+    let mut tried: Vec<route_candidate::ServerKey> = Vec::new();
+    let mut sent = 0;
+    let mut last = OwnAnswer::NotRun(call_outcome::RefusalReason::NoCandidate);
+    while tried.len() < MAX_DAEMONS {
+        let choice = node
+            .core
+            .ask(|core, now| core.begin_attempt(&entry.rule, &entry.service, &tried, now));
+        let (server, result) = match choice {
+            forward_core::AttemptChoice::None => return Err(last),
+            forward_core::AttemptChoice::Local { server, call } => {
+                let guard = AttemptGuard::new(node, call);
+                let head = head_of(node, entry);
+                let work = callee_call::run(node, &head, entry.request.clone());
+                (server, bounded(work, entry.end, guard).await)
+            }
+            forward_core::AttemptChoice::Peer { server, call, address } => {
+                let guard = AttemptGuard::new(node, call);
+                let work = call_peer(node, entry, address);
+                (server, bounded(work, entry.end, guard).await)
+            }
+        };
+        tried.push(server);
+        let repeat = match result {
+            None => return Err(OwnAnswer::Timeout),
+            Some(callee_call::CallResult::Answered(response)) => return Ok(response),
+            Some(callee_call::CallResult::NotRun(reason)) => {
+                // After a request may have run, a later refusal does not make that untrue.
+                if last != OwnAnswer::MayHaveRun {
+                    last = OwnAnswer::NotRun(reason);
+                }
+                sent += u32::from(reason == call_outcome::RefusalReason::ShedByBackendServer);
+                reason != call_outcome::RefusalReason::DeadlineTooShort
+            }
+            Some(callee_call::CallResult::MayHaveRun) => {
+                last = OwnAnswer::MayHaveRun;
+                sent += 1;
+                entry.rule.is_repeatable() && sent < entry.rule.max_attempts && repeat_allowed(node, entry)
+            }
+        };
+        let left = entry.end.saturating_duration_since(time::Instant::now());
+        if !repeat || sent >= entry.rule.max_attempts || left < MIN_ATTEMPT {
+            return Err(last);
+        }
+    }
+    Err(last)
+}
+
+fn repeat_allowed(node: &node_context::NodeContext, entry: &EntryRequest) -> bool {
+    let decision = node.core.ask(|core, now| core.may_repeat(&entry.service, now));
+    if decision == retry_budget::RetryDecision::Allowed {
+        node.metrics.count_repeat(&entry.rule.name);
+    }
+    decision == retry_budget::RetryDecision::Allowed
+}
+
+/// Counts an attempt's end when it is dropped, which also covers a caller that went away.
+struct AttemptGuard<'a> {
+    node: &'a node_context::NodeContext,
+    call: route_candidate::CallKey,
+    result: route_candidate::RouteResult,
+}
+
+impl<'a> AttemptGuard<'a> {
+    fn new(node: &'a node_context::NodeContext, call: route_candidate::CallKey) -> Self {
+        Self {
+            node,
+            call,
+            result: route_candidate::RouteResult::Cancelled,
+        }
+    }
+}
+
+impl Drop for AttemptGuard<'_> {
+    fn drop(&mut self) {
+        let (call, result) = (self.call, self.result);
+        self.node.core.ask(|core, now| core.end_attempt(call, result, now));
+    }
+}
+
+/// Awaits an attempt until the request's end; `None` if it takes longer.
+async fn bounded(
+    work: impl Future<Output = callee_call::CallResult>,
+    end: time::Instant,
+    mut guard: AttemptGuard<'_>,
+) -> Option<callee_call::CallResult> {
+    let result = tokio::time::timeout_at(end.into(), work).await.ok()?;
+    guard.result = match &result {
+        callee_call::CallResult::Answered(_response) => route_candidate::RouteResult::Completed,
+        callee_call::CallResult::NotRun(reason) => route_candidate::RouteResult::Refused(*reason),
+        callee_call::CallResult::MayHaveRun => route_candidate::RouteResult::Failed,
+    };
+    Some(result)
+}
+
+fn head_of(node: &node_context::NodeContext, entry: &EntryRequest) -> peer_call::CallHead {
+    peer_call::CallHead {
+        service: entry.service.clone(),
+        class: entry.rule.name.clone(),
+        priority: entry.rule.priority,
+        repeatable: entry.rule.is_repeatable(),
+        left: entry.end.saturating_duration_since(time::Instant::now()),
+        caller_service: node.settings.service.clone(),
+    }
+}
+
+async fn call_peer(
+    node: &rc::Rc<node_context::NodeContext>,
+    entry: &EntryRequest,
+    address: std::net::SocketAddr,
+) -> callee_call::CallResult {
+    let head = peer_call::encode(&head_of(node, entry)).ok();
+    let Some(value) = head.and_then(|text| header::HeaderValue::try_from(text).ok()) else {
+        return callee_call::CallResult::NotRun(call_outcome::RefusalReason::NotDeclared);
+    };
+    let mut headers = entry.request.headers.clone();
+    headers.insert(peer_call::CALL_HEADER, value);
+    let request = callee_call::request_of(
+        entry.request.method.clone(),
+        entry.request.uri.clone(),
+        headers,
+        entry.request.body.clone(),
+    );
+    let (response, lease) = match node.peer(address).send(request, time::Duration::MAX).await {
+        Ok(answer) => answer,
+        Err(http_link::LinkError::NotSent(_error)) => {
+            return callee_call::CallResult::NotRun(call_outcome::RefusalReason::BackendServerDown);
+        }
+        Err(http_link::LinkError::NoResponse(error)) => {
+            let id = entry.request.headers.get(&node.settings.headers.attempt_id);
+            node.log_request("daemon gave no response", id, &entry.rule.name, &format!("{address}: {error}"));
+            return callee_call::CallResult::MayHaveRun;
+        }
+    };
+    let reply = response
+        .headers()
+        .get(peer_call::REPLY_HEADER)
+        .and_then(|value| peer_call::decode::<peer_call::CallReply>(value.as_bytes()));
+    let Ok((mut parts, body)) = message_body::receive(response, lease).await else {
+        return callee_call::CallResult::MayHaveRun;
+    };
+    parts.headers.remove(peer_call::REPLY_HEADER);
+    match reply {
+        Some(peer_call::CallReply::Answered) => {
+            callee_call::CallResult::Answered(callee_call::passed_response(&parts, body))
+        }
+        Some(peer_call::CallReply::NotRun(reason)) => callee_call::CallResult::NotRun(reason),
+        Some(peer_call::CallReply::MayHaveRun) | None => callee_call::CallResult::MayHaveRun,
+    }
+}
+
+fn outcome_label(answer: OwnAnswer) -> &'static str {
+    match answer {
+        OwnAnswer::BadRequest | OwnAnswer::TooLarge => "rejected",
+        OwnAnswer::NoRoute => "no_route",
+        OwnAnswer::NotRun(_reason) => "refused",
+        OwnAnswer::MayHaveRun => "failed",
+        OwnAnswer::Timeout => "timeout",
+    }
+}
+
+fn own_response(answer: OwnAnswer) -> hyper::Response<message_body::ReplyBody> {
+    let mut response = hyper::Response::new(message_body::ReplyBody::whole(Bytes::new()));
+    *response.status_mut() = answer.status();
+    if matches!(answer, OwnAnswer::NotRun(_)) {
+        let seconds = rand::rng().random_range(RETRY_AFTER_SECONDS);
+        if let Ok(value) = header::HeaderValue::try_from(format!("{seconds:.2}")) {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/forward/src/forward_metrics.rs
@@ -0,0 +1,121 @@
+//! Instruments of a daemon.
+
+use std::time;
+
+use damasktrack_entity::ids;
+use opentelemetry::metrics;
+use opentelemetry::metrics::MeterProvider;
+use prometheus::Encoder;
+
+/// Upper bounds of the latency histogram, in seconds.
+const LATENCY_BOUNDS: &[f64] = &[0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
+
+/// Instruments and the registry that they are read from.
+#[derive(Clone, Debug)]
+pub struct ForwardMetrics {
+    registry: prometheus::Registry,
+    /// Keeps the instruments alive.
+    _provider: opentelemetry_sdk::metrics::SdkMeterProvider,
+    duration: metrics::Histogram<f64>,
+    work: metrics::Counter<u64>,
+    repeats: metrics::Counter<u64>,
+    running: metrics::Gauge<u64>,
+    queued: metrics::Gauge<u64>,
+    config_version: metrics::Gauge<u64>,
+}
+
+/// Why the instruments can't be created.
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
+#[display("metrics can't be set up: {_0}")]
+pub struct MetricsError(opentelemetry_sdk::error::OTelSdkError);
+
+/// Commands.
+impl ForwardMetrics {
+    /// Creates the instruments.
+    ///
+    /// # Errors
+    /// Returns an error if the exporter can't be built.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = prometheus::Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()?;
+        let provider = opentelemetry_sdk::metrics::SdkMeterProvider::builder()
+            .with_reader(exporter)
+            .build();
+        let meter = provider.meter("damasktrack");
+        Ok(Self {
+            registry,
+            duration: meter
+                .f64_histogram("damasktrack_request_duration")
+                .with_unit("s")
+                .with_description("Time from the head of a caller's request to its response, by class and outcome")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+            work: meter
+                .u64_counter("damasktrack_work")
+                .with_description("Calls that reached this daemon's backend server or were refused before it, by outcome")
+                .build(),
+            repeats: meter
+                .u64_counter("damasktrack_repeats")
+                .with_description("Requests sent to another server after they may have run, by class")
+                .build(),
+            running: meter
+                .u64_gauge("damasktrack_work_running")
+                .with_description("Calls that the backend server runs")
+                .build(),
+            queued: meter
+                .u64_gauge("damasktrack_work_queued")
+                .with_description("Calls that wait for the backend server")
+                .build(),
+            config_version: meter
+                .u64_gauge("damasktrack_config_version")
+                .with_description("Version of the configuration in force")
+                .build(),
+            _provider: provider,
+        })
+    }
+
+    /// Records the end of a caller's request.
+    pub fn record_request(&self, class: &ids::ClassName, outcome: &'static str, duration: time::Duration) {
+        let labels = [
+            opentelemetry::KeyValue::new("class", ids::text(class).into_owned()),
+            opentelemetry::KeyValue::new("outcome", outcome),
+        ];
+        self.duration.record(duration.as_secs_f64(), &labels);
+    }
+
+    /// Counts a call at this daemon's backend server.
+    pub fn count_work(&self, outcome: String) {
+        self.work.add(1, &[opentelemetry::KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a request that was sent again.
+    pub fn count_repeat(&self, class: &ids::ClassName) {
+        let class = ids::text(class).into_owned();
+        self.repeats.add(1, &[opentelemetry::KeyValue::new("class", class)]);
+    }
+
+    /// Records the state of the gate and of the configuration.
+    pub fn record_state(&self, running: u32, queued: usize, config_version: ids::Revision) {
+        self.running.record(u64::from(running), &[]);
+        self.queued.record(queued as u64, &[]);
+        self.config_version.record(config_version, &[]);
+    }
+}
+
+/// Queries.
+impl ForwardMetrics {
+    /// Returns all values in the text format of Prometheus.
+    ///
+    /// # Errors
+    /// Returns an error if a value can't be written as text.
+    pub fn text(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut text = Vec::new();
+        prometheus::TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/forward/src/http_link.rs
@@ -0,0 +1,228 @@
+//! Reused HTTP/1.1 connections to one address.
+//!
+//! A request that fails is classed by whether it may have reached the other side, since only a request that did not may
+//! be refused truthfully.
+
+use std::cell;
+use std::net;
+use std::rc;
+use std::time;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::task;
+
+/// Time after which unacknowledged data ends a connection. Connections may go silent for good; the longest delay
+/// between regions and back is 60 ms.
+const SILENCE_LIMIT: time::Duration = time::Duration::from_millis(1500);
+/// Idle time after which a connection is probed, and time between two probes; the least that the socket options allow.
+const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Unanswered probes that end a connection.
+const PROBE_COUNT: u32 = 2;
+/// Longest wait for a reused connection to finish its last response.
+const READY_TIMEOUT: time::Duration = time::Duration::from_millis(20);
+
+/// Body of a request on a link.
+pub type LinkBody = Full<Bytes>;
+
+/// Limits of the connections to one address.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkPolicy {
+    /// Longest wait for a new connection.
+    pub connect_timeout: time::Duration,
+    /// Idle time after which a connection is not used again.
+    pub idle_limit: time::Duration,
+}
+
+/// Why a request has no response.
+#[derive(Debug)]
+#[derive(derive_more::Display)]
+pub enum LinkError {
+    /// The request did not leave this process.
+    #[display("not sent: {_0}")]
+    NotSent(String),
+    /// The request was sent, wholly or in part.
+    #[display("no response: {_0}")]
+    NoResponse(String),
+}
+
+/// Connection task that ends with its handle, which closes the connection.
+#[derive(Debug)]
+struct ConnectionTask(task::JoinHandle<()>);
+
+impl Drop for ConnectionTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+#[derive(Debug)]
+struct OpenLink {
+    sender: http1::SendRequest<LinkBody>,
+    _task: ConnectionTask,
+    idle_since: time::Instant,
+    /// Time after which the other side may close the idle connection, if it says so.
+    idle_limit: time::Duration,
+}
+
+/// Connections to one address.
+#[derive(Debug)]
+pub struct LinkPool {
+    address: net::SocketAddr,
+    policy: LinkPolicy,
+    idle: cell::RefCell<Vec<OpenLink>>,
+    opened: cell::Cell<u64>,
+}
+
+/// Connection that is in use by one request. Dropping it closes the connection, which cancels the request.
+#[derive(Debug)]
+pub struct LinkLease {
+    link: OpenLink,
+    pool: rc::Rc<LinkPool>,
+}
+
+impl LinkLease {
+    /// Keeps the connection for later requests, once its response was read to the end.
+    ///
+    /// `idle_limit` is the time for which the other side keeps it open.
+    pub fn release(mut self, idle_limit: Option<time::Duration>, now: time::Instant) {
+        self.link.idle_since = now;
+        self.link.idle_limit = idle_limit.unwrap_or(self.pool.policy.idle_limit).min(self.pool.policy.idle_limit);
+        let pool = rc::Rc::clone(&self.pool);
+        pool.idle.borrow_mut().push(self.link);
+    }
+}
+
+impl LinkPool {
+    /// Creates a pool without connections.
+    #[must_use]
+    pub fn new(address: net::SocketAddr, policy: LinkPolicy) -> rc::Rc<Self> {
+        rc::Rc::new(Self {
+            address,
+            policy,
+            idle: cell::RefCell::default(),
+            opened: cell::Cell::new(0),
+        })
+    }
+
+    /// Sends a request on a connection that has been idle for at most `max_idle`, or on a new one.
+    ///
+    /// # Errors
+    /// Returns an error that says whether the request may have reached the other side.
+    pub async fn send(
+        self: &rc::Rc<Self>,
+        request: hyper::Request<LinkBody>,
+        max_idle: time::Duration,
+    ) -> Result<(hyper::Response<Incoming>, LinkLease), LinkError> {
+        let mut request = request;
+        while let Some(mut link) = self.take_idle(max_idle) {
+            let ready = tokio::time::timeout(READY_TIMEOUT, link.sender.ready()).await;
+            if !matches!(ready, Ok(Ok(()))) {
+                continue;
+            }
+            match link.sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, self.lease(link))),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(LinkError::NoResponse(error.into_error().to_string())),
+                },
+            }
+        }
+        let mut link = self.connect().await?;
+        match link.sender.try_send_request(request).await {
+            Ok(response) => Ok((response, self.lease(link))),
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                let text = error.into_error().to_string();
+                Err(if unsent { LinkError::NotSent(text) } else { LinkError::NoResponse(text) })
+            }
+        }
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn trim(&self, now: time::Instant) {
+        self.idle.borrow_mut().retain(|link| {
+            !link.sender.is_closed() && now.saturating_duration_since(link.idle_since) < link.idle_limit
+        });
+    }
+
+    fn take_idle(&self, max_idle: time::Duration) -> Option<OpenLink> {
+        let now = time::Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        while let Some(link) = idle.pop() {
+            let age = now.saturating_duration_since(link.idle_since);
+            if !link.sender.is_closed() && age < link.idle_limit && age <= max_idle {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    fn lease(self: &rc::Rc<Self>, link: OpenLink) -> LinkLease {
+        LinkLease {
+            link,
+            pool: rc::Rc::clone(self),
+        }
+    }
+
+    async fn connect(&self) -> Result<OpenLink, LinkError> {
+        let connect = tokio::time::timeout(self.policy.connect_timeout, tokio::net::TcpStream::connect(self.address));
+        let stream = match connect.await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(LinkError::NotSent(error.to_string())),
+            Err(_elapsed) => return Err(LinkError::NotSent("connect timeout".to_owned())),
+        };
+        self.opened.set(self.opened.get() + 1);
+        watch_silence(&stream);
+        let (sender, connection) = http1::Builder::new()
+            .handshake::<_, LinkBody>(TokioIo::new(stream))
+            .await
+            .map_err(|error| LinkError::NotSent(error.to_string()))?;
+        let task = task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!(error:% = error; "connection ended");
+            }
+        });
+        Ok(OpenLink {
+            sender,
+            _task: ConnectionTask(task),
+            idle_since: time::Instant::now(),
+            idle_limit: self.policy.idle_limit,
+        })
+    }
+}
+
+/// Queries.
+impl LinkPool {
+    /// Returns the address.
+    #[must_use]
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Returns the number of connections opened since the start.
+    #[must_use]
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+}
+
+/// Sets the socket options that end a connection which went silent.
+pub fn watch_silence(stream: &tokio::net::TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    let keepalive = socket2::TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBE_COUNT);
+    let options = [
+        socket.set_tcp_nodelay(true),
+        socket.set_tcp_user_timeout(Some(SILENCE_LIMIT)),
+        socket.set_tcp_keepalive(&keepalive),
+    ];
+    for error in options.into_iter().filter_map(Result::err) {
+        log::warn!(error:% = error; "socket option can't be set");
+    }
+}
--- /dev/null
+++ b/crates/forward/src/member_tasks.rs
@@ -0,0 +1,140 @@
+//! Tasks that carry out what the core asks for: datagrams, member exchanges, and configurations of peers.
+
+use std::net;
+use std::rc;
+use std::time;
+
+use bytes::Bytes;
+use damasktrack_membership::anti_entropy;
+use damasktrack_membership::gossip_context;
+use damasktrack_membership::gossip_message;
+use http_body_util::BodyExt;
+use tokio::sync::mpsc;
+use tokio::task;
+
+use crate::callee_call;
+use crate::forward_core;
+use crate::node_context;
+use crate::peer_server;
+use crate::store_port;
+
+/// Longest time for an exchange or for the configuration of a peer.
+const PEER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+/// Time until the configuration of a peer is fetched. The store brings most changes sooner, to every daemon.
+const CONFIG_WAIT: time::Duration = time::Duration::from_millis(300);
+
+/// Hands received datagrams to the core; never returns.
+pub async fn receive_gossip(node: rc::Rc<node_context::NodeContext>, socket: rc::Rc<tokio::net::UdpSocket>) {
+    // One byte more than allowed, so that a longer datagram is not taken for a whole one.
+    let mut buffer = vec![0; gossip_message::MAX_DATAGRAM_BYTES + 1];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => node.core.ask(|core, now| core.receive_gossip(from, &buffer[..length], now)),
+            Err(error) => log::debug!(error:% = error; "datagram can't be received"),
+        }
+    }
+}
+
+/// Carries out the effects that the core asks for, until the process is superseded.
+pub async fn carry_out(
+    node: rc::Rc<node_context::NodeContext>,
+    socket: rc::Rc<tokio::net::UdpSocket>,
+    port: rc::Rc<store_port::StorePort>,
+    mut effects: mpsc::UnboundedReceiver<forward_core::CoreEffect>,
+) {
+    while let Some(effect) = effects.recv().await {
+        match effect {
+            forward_core::CoreEffect::Send(send) => {
+                // One that can't be sent counts as lost, which the gossip repairs.
+                if let Err(error) = socket.try_send_to(&send.datagram, send.to) {
+                    log::debug!(to:% = send.to, error:% = error; "datagram can't be sent");
+                }
+            }
+            forward_core::CoreEffect::Exchange(address) => {
+                task::spawn_local(exchange(rc::Rc::clone(&node), address));
+            }
+            forward_core::CoreEffect::FetchConfig(address) => {
+                task::spawn_local(fetch_config(rc::Rc::clone(&node), rc::Rc::clone(&port), address));
+            }
+            forward_core::CoreEffect::Unlink(address) => node.unlink(address),
+            forward_core::CoreEffect::Superseded => {
+                log::error!("another process with this daemon's id started later; this one stops");
+                return;
+            }
+        }
+    }
+}
+
+async fn exchange(node: rc::Rc<node_context::NodeContext>, address: net::SocketAddr) {
+    let request = node.core.ask(|core, now| {
+        core.exchange(now, |gossip| (gossip.exchange_request(), gossip_context::GossipOutput::default()))
+    });
+    let Ok(body) = anti_entropy::encode(&request) else {
+        return;
+    };
+    let Some(reply) = post(&node, address, peer_server::EXCHANGE_PATH, body).await else {
+        return;
+    };
+    let Ok(reply) = anti_entropy::decode::<anti_entropy::ExchangeReply>(&reply) else {
+        log::warn!(peer:% = address; "member exchange can't be decoded");
+        return;
+    };
+    let returned = node
+        .core
+        .ask(|core, now| core.exchange(now, |gossip| gossip.exchange_finish(&reply, now)));
+    if !returned.records.is_empty()
+        && let Ok(body) = anti_entropy::encode(&returned)
+    {
+        post(&node, address, peer_server::RETURN_PATH, body).await;
+    }
+}
+
+async fn fetch_config(
+    node: rc::Rc<node_context::NodeContext>,
+    port: rc::Rc<store_port::StorePort>,
+    address: net::SocketAddr,
+) {
+    let version = |node: &node_context::NodeContext| {
+        node.core.ask(|core, _now| core.config().map(|config| config.version))
+    };
+    let before = version(&node);
+    if before.is_some() {
+        tokio::time::sleep(CONFIG_WAIT).await;
+        if version(&node) != before {
+            return;
+        }
+    }
+    if let Some(text) = post(&node, address, peer_server::CONFIG_PATH, Vec::new()).await {
+        store_port::adopt(&node, &port, text, "peer");
+    }
+}
+
+/// Returns the body of a peer's response; `None` if it failed.
+async fn post(
+    node: &node_context::NodeContext,
+    address: net::SocketAddr,
+    path: &'static str,
+    body: Vec<u8>,
+) -> Option<Bytes> {
+    let uri = hyper::Uri::from_static(path);
+    let mut headers = hyper::header::HeaderMap::new();
+    headers.insert(
+        hyper::header::HOST,
+        hyper::header::HeaderValue::try_from(address.to_string()).ok()?,
+    );
+    let request = callee_call::request_of(hyper::Method::POST, uri, headers, Bytes::from(body));
+    let work = async {
+        let (response, lease) = node.peer(address).send(request, time::Duration::MAX).await.ok()?;
+        if response.status() != hyper::StatusCode::OK {
+            return None;
+        }
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        lease.release(None, time::Instant::now());
+        Some(body)
+    };
+    let answer = tokio::time::timeout(PEER_TIMEOUT, work).await.ok().flatten();
+    if answer.is_none() {
+        log::debug!(peer:% = address, path = path; "peer did not answer");
+    }
+    answer
+}
--- /dev/null
+++ b/crates/forward/src/node_logs.rs
@@ -0,0 +1,16 @@
+//! Structured logs on standard output, one JSON object a line.
+
+use std::str::FromStr;
+
+/// Sets up logging for the process. A second call has no effect, since a process has one logger.
+pub fn start(level: &str) {
+    let level = log::LevelFilter::from_str(level).unwrap_or(log::LevelFilter::Info);
+    let logger = logforth::core::builder()
+        .dispatch(|dispatch| {
+            dispatch.append(logforth::append::Stdout::default().with_layout(logforth::layout::JsonLayout::default()))
+        })
+        .build();
+    if log::set_boxed_logger(Box::new(logforth::bridge::log::LogBridge::new(logger))).is_ok() {
+        log::set_max_level(level);
+    }
+}
--- /dev/null
+++ b/crates/forward/src/node_run.rs
@@ -0,0 +1,192 @@
+//! Start, run and graceful stop of a daemon.
+
+use std::io;
+use std::rc;
+use std::time;
+
+use bytes::Bytes;
+use rand::RngExt;
+use tokio::signal::unix;
+use tokio::sync::mpsc;
+use tokio::task;
+
+use crate::core_handle;
+use crate::entry_call;
+use crate::forward_core;
+use crate::forward_metrics;
+use crate::forward_settings;
+use crate::http_server;
+use crate::member_tasks;
+use crate::message_body;
+use crate::node_context;
+use crate::peer_server;
+use crate::store_port;
+
+/// Time after SIGTERM for which callers are still served: readiness is asked once a second, and two misses are needed.
+const STOP_SERVE: time::Duration = time::Duration::from_millis(3200);
+/// Time before the kill at which a stop ends, whatever still runs.
+const STOP_MARGIN: time::Duration = time::Duration::from_millis(300);
+/// Interval at which a stopping daemon checks whether all requests have ended.
+const STOP_CHECK: time::Duration = time::Duration::from_millis(50);
+/// Interval of the upkeep of connections and gauges.
+const UPKEEP_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Why a daemon can't run.
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
+pub enum RunError {
+    /// A socket or signal handler can't be set up.
+    #[display("daemon can't start: {_0}")]
+    Io(io::Error),
+    /// The instruments can't be created.
+    #[display("{_0}")]
+    Metrics(forward_metrics::MetricsError),
+}
+
+/// Runs a daemon until it is told to stop. `serve_platform` starts further tasks, such as the listener for heartbeats.
+///
+/// # Errors
+/// Returns an error if a socket can't be opened.
+pub fn run(
+    settings: forward_settings::ForwardSettings,
+    port: store_port::StorePort,
+    serve_platform: impl FnOnce(&rc::Rc<node_context::NodeContext>) -> io::Result<()>,
+) -> Result<(), RunError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = task::LocalSet::new();
+    local.block_on(&runtime, start(settings, port, serve_platform))
+}
+
+async fn start(
+    settings: forward_settings::ForwardSettings,
+    port: store_port::StorePort,
+    serve_platform: impl FnOnce(&rc::Rc<node_context::NodeContext>) -> io::Result<()>,
+) -> Result<(), RunError> {
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut hangup = unix::signal(unix::SignalKind::hangup())?;
+    let settings = rc::Rc::new(settings);
+    let started_ms = time::SystemTime::now()
+        .duration_since(time::UNIX_EPOCH)
+        .map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0));
+    let (effects, effect_queue) = mpsc::unbounded_channel();
+    let incarnation = rand::rng().random();
+    let now = time::Instant::now();
+    let core = forward_core::ForwardCore::new(rc::Rc::clone(&settings), effects, started_ms, incarnation, now);
+    let core = core_handle::start(core);
+    let metrics = forward_metrics::ForwardMetrics::new()?;
+    let node = node_context::NodeContext::new(rc::Rc::clone(&settings), core, metrics);
+    let socket = rc::Rc::new(tokio::net::UdpSocket::bind(settings.peer_listen).await?);
+    let stop = http_server::ServerStop::default();
+    serve_callers(&node, &stop)?;
+    serve_peers(&node)?;
+    serve_status(&node)?;
+    serve_platform(&node)?;
+    let port = rc::Rc::new(port);
+    let core = node.core.clone();
+    task::spawn_local(async move { core.drive().await });
+    task::spawn_local(member_tasks::receive_gossip(rc::Rc::clone(&node), rc::Rc::clone(&socket)));
+    task::spawn_local(store_port::follow_config(rc::Rc::clone(&node), rc::Rc::clone(&port)));
+    task::spawn_local(store_port::keep_members(rc::Rc::clone(&node), rc::Rc::clone(&port)));
+    task::spawn_local(keep_up(rc::Rc::clone(&node)));
+    node.core.ask(|core, now| core.contact(&settings.seeds, now));
+    log::info!(entry:% = settings.entry_listen, peer:% = settings.peer_listen; "daemon started");
+    let mut superseded = task::spawn_local(member_tasks::carry_out(rc::Rc::clone(&node), socket, port, effect_queue));
+    loop {
+        tokio::select! {
+            _signal = terminate.recv() => break,
+            _signal = hangup.recv() => log::info!("settings are fixed for the life of the process; SIGHUP ignored"),
+            _ended = &mut superseded => return Ok(()),
+        }
+    }
+    finish(&node, &stop).await;
+    Ok(())
+}
+
+fn serve_callers(node: &rc::Rc<node_context::NodeContext>, stop: &http_server::ServerStop) -> io::Result<()> {
+    let listener = http_server::listen(node.settings.entry_listen)?;
+    let core = node.core.clone();
+    let limits = move || {
+        let configured = core.ask(|core, _now| core.config().map(|config| config.limits));
+        configured.map_or_else(http_server::ServerLimits::default, |limits| http_server::ServerLimits {
+            idle_timeout: limits.idle_timeout,
+            max_header_bytes: limits.max_header_bytes,
+        })
+    };
+    let node = rc::Rc::clone(node);
+    let handler = move |request| entry_call::serve(rc::Rc::clone(&node), request);
+    task::spawn_local(http_server::accept(listener, limits, stop.clone(), handler));
+    Ok(())
+}
+
+fn serve_peers(node: &rc::Rc<node_context::NodeContext>) -> io::Result<()> {
+    let listener = http_server::listen(node.settings.peer_listen)?;
+    let node = rc::Rc::clone(node);
+    let handler = move |request| peer_server::serve(rc::Rc::clone(&node), request);
+    let limits = http_server::ServerLimits::default;
+    task::spawn_local(http_server::accept(listener, limits, http_server::ServerStop::default(), handler));
+    Ok(())
+}
+
+/// Serves readiness, and the metrics if the settings name an address for them.
+fn serve_status(node: &rc::Rc<node_context::NodeContext>) -> io::Result<()> {
+    let limits = http_server::ServerLimits::default;
+    let listener = http_server::listen(node.settings.ready_listen)?;
+    let core = node.core.clone();
+    let ready = move |_request| {
+        let ready = core.ask(|core, now| core.is_ready(now));
+        let code = if ready { hyper::StatusCode::OK } else { hyper::StatusCode::SERVICE_UNAVAILABLE };
+        std::future::ready(peer_server::status(code))
+    };
+    task::spawn_local(http_server::accept(listener, limits, http_server::ServerStop::default(), ready));
+    let Some(address) = node.settings.metrics_listen else {
+        return Ok(());
+    };
+    let listener = http_server::listen(address)?;
+    let metrics = node.metrics.clone();
+    let scrape = move |_request| {
+        let response = match metrics.text() {
+            Ok(text) => hyper::Response::new(message_body::ReplyBody::whole(Bytes::from(text))),
+            Err(error) => {
+                log::warn!(error:% = error; "metrics can't be written");
+                peer_server::status(hyper::StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        };
+        std::future::ready(response)
+    };
+    task::spawn_local(http_server::accept(listener, limits, http_server::ServerStop::default(), scrape));
+    Ok(())
+}
+
+async fn keep_up(node: rc::Rc<node_context::NodeContext>) {
+    loop {
+        tokio::time::sleep(UPKEEP_INTERVAL).await;
+        node.trim_links(time::Instant::now());
+        let (counts, version) = node.core.ask(|core, _now| {
+            let version = core.config().map_or(0, |config| config.version);
+            (core.gate_counts(), version)
+        });
+        node.metrics.record_state(counts.running, counts.queued, version);
+    }
+}
+
+/// Serves until callers have been sent elsewhere, finishes what runs, and leaves.
+async fn finish(node: &node_context::NodeContext, stop: &http_server::ServerStop) {
+    let began = time::Instant::now();
+    let last = began + node.settings.stop_grace.saturating_sub(STOP_MARGIN);
+    log::info!("stopping: no new work for the backend server");
+    node.core.ask(forward_core::ForwardCore::stop);
+    tokio::time::sleep_until((began + STOP_SERVE).min(last).into()).await;
+    stop.finish_connections();
+    loop {
+        let running = node.core.ask(|core, _now| core.gate_counts().running);
+        let idle = running == 0 && node.in_flight.get() == 0;
+        if idle || time::Instant::now() >= last {
+            log::info!(requests = node.in_flight.get(), work = running; "stopped");
+            break;
+        }
+        tokio::time::sleep(STOP_CHECK).await;
+    }
+    node.core.ask(forward_core::ForwardCore::leave);
+    // One turn for the last responses and datagrams.
+    tokio::time::sleep(STOP_CHECK).await;
+}
--- /dev/null
+++ b/crates/forward/src/peer_server.rs
@@ -0,0 +1,120 @@
+//! Requests of other daemons: forwarded calls, member exchanges, and the configuration.
+
+use std::rc;
+
+use bytes::Bytes;
+use damasktrack_membership::anti_entropy;
+use damasktrack_membership::gossip_context;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header;
+
+use crate::callee_call;
+use crate::http_server;
+use crate::message_body;
+use crate::node_context;
+use crate::peer_call;
+
+/// Path of an exchange of members.
+pub const EXCHANGE_PATH: &str = "/members/exchange";
+/// Path of the last message of an exchange.
+pub const RETURN_PATH: &str = "/members/return";
+/// Path of the configuration text.
+pub const CONFIG_PATH: &str = "/config";
+/// Largest body of a request between daemons, in bytes: the largest body that callers may send.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// Serves one request of another daemon.
+pub async fn serve(
+    node: rc::Rc<node_context::NodeContext>,
+    request: hyper::Request<Incoming>,
+) -> http_server::ServerResponse {
+    let (parts, incoming) = request.into_parts();
+    let Ok(collected) = http_body_util::Limited::new(incoming, MAX_BODY_BYTES).collect().await else {
+        return status(hyper::StatusCode::BAD_REQUEST);
+    };
+    let body = collected.to_bytes();
+    if let Some(value) = parts.headers.get(peer_call::CALL_HEADER) {
+        return match peer_call::decode::<peer_call::CallHead>(value.as_bytes()) {
+            Some(head) => serve_call(&node, &head, &parts, body).await,
+            None => status(hyper::StatusCode::BAD_REQUEST),
+        };
+    }
+    match parts.uri.path() {
+        EXCHANGE_PATH => serve_exchange(&node, &body),
+        RETURN_PATH => {
+            if let Ok(returned) = anti_entropy::decode::<anti_entropy::ExchangeReturn>(&body) {
+                node.core.ask(|core, now| {
+                    core.exchange(now, |gossip| ((), gossip.learn(&returned.records, now)));
+                });
+            }
+            status(hyper::StatusCode::OK)
+        }
+        CONFIG_PATH => {
+            let text = node.core.ask(|core, _now| core.config_text().clone());
+            if text.is_empty() {
+                return status(hyper::StatusCode::NOT_FOUND);
+            }
+            hyper::Response::new(message_body::ReplyBody::whole(text))
+        }
+        _ => status(hyper::StatusCode::NOT_FOUND),
+    }
+}
+
+async fn serve_call(
+    node: &rc::Rc<node_context::NodeContext>,
+    head: &peer_call::CallHead,
+    parts: &hyper::http::request::Parts,
+    body: Bytes,
+) -> http_server::ServerResponse {
+    let mut headers = message_body::message_headers(&parts.headers);
+    headers.remove(peer_call::CALL_HEADER);
+    let request = callee_call::CallRequest {
+        method: parts.method.clone(),
+        uri: parts.uri.clone(),
+        headers,
+        body,
+    };
+    let (reply, mut response) = match callee_call::run(node, head, request).await {
+        callee_call::CallResult::Answered(response) => (peer_call::CallReply::Answered, response),
+        callee_call::CallResult::NotRun(reason) => (
+            peer_call::CallReply::NotRun(reason),
+            status(hyper::StatusCode::SERVICE_UNAVAILABLE),
+        ),
+        callee_call::CallResult::MayHaveRun => {
+            (peer_call::CallReply::MayHaveRun, status(hyper::StatusCode::BAD_GATEWAY))
+        }
+    };
+    let text = peer_call::encode(&reply).ok();
+    // A response without this header counts as one to a request that may have run.
+    if let Some(value) = text.and_then(|text| header::HeaderValue::try_from(text).ok()) {
+        response.headers_mut().insert(peer_call::REPLY_HEADER, value);
+    }
+    response
+}
+
+fn serve_exchange(node: &node_context::NodeContext, body: &[u8]) -> http_server::ServerResponse {
+    let Ok(request) = anti_entropy::decode::<anti_entropy::ExchangeRequest>(body) else {
+        return status(hyper::StatusCode::BAD_REQUEST);
+    };
+    let reply = node.core.ask(|core, now| {
+        core.exchange(now, |gossip| {
+            (gossip.exchange_reply(&request, now), gossip_context::GossipOutput::default())
+        })
+    });
+    match anti_entropy::encode(&reply) {
+        Ok(bytes) => hyper::Response::new(message_body::ReplyBody::whole(Bytes::from(bytes))),
+        Err(error) => {
+            log::warn!(error:% = error; "exchange reply can't be encoded");
+            status(hyper::StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+/// Returns a response without a body.
+#[must_use]
+pub fn status(code: hyper::StatusCode) -> http_server::ServerResponse {
+    let mut response = hyper::Response::new(message_body::ReplyBody::whole(Bytes::new()));
+    *response.status_mut() = code;
+    response
+}
--- a/crates/membership/src/gossip_context.rs
+++ b/crates/membership/src/gossip_context.rs
@@ -177,10 +177,18 @@
     pub fn set_waiting(&mut self, now: time::Instant) -> GossipOutput {
         if self.own_record().state == member_record::MemberState::Up {
             self.change_own(now, |record| record.state = member_record::MemberState::Joining);
+            self.tell_some(now);
         }
         self.take_output()
     }
 
+    /// Announces another number of slots of the backend server.
+    pub fn set_slots(&mut self, slots: u32, now: time::Instant) {
+        if self.own_record().slots != slots {
+            self.change_own(now, |record| record.slots = slots);
+        }
+    }
+
     /// Announces that this daemon takes no new calls. Final for the incarnation.
     pub fn drain(&mut self, now: time::Instant) -> GossipOutput {
         if !self.own_record().leaving {
--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -20,10 +20,35 @@
     Denied,
 }
 
+/// How a budget fills.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryPolicy {
+    /// Retries per first attempt.
+    pub retry_share: f64,
+    /// Most tokens kept.
+    pub max_tokens: f64,
+    /// Tokens that an idle daemon regains.
+    pub idle_reserve: f64,
+    /// Time in which an idle daemon regains one token.
+    pub reserve_interval: time::Duration,
+}
+
+impl Default for RetryPolicy {
+    fn default() -> Self {
+        Self {
+            retry_share: RETRY_SHARE,
+            max_tokens: MAX_TOKENS,
+            idle_reserve: IDLE_RESERVE,
+            reserve_interval: RESERVE_INTERVAL,
+        }
+    }
+}
+
 /// Token bucket filled by first attempts. It limits the daemon's average; the request's owner limits each request.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    /// In 0..=[`MAX_TOKENS`].
+    policy: RetryPolicy,
+    /// In 0..=`policy.max_tokens`.
     tokens: f64,
     refilled: time::Instant,
 }
@@ -32,15 +57,28 @@
     /// Creates a budget that holds the idle reserve.
     #[must_use]
     pub fn new(now: time::Instant) -> Self {
+        Self::with_policy(RetryPolicy::default(), now)
+    }
+
+    /// Creates a budget that fills by a policy and holds its idle reserve.
+    #[must_use]
+    pub fn with_policy(policy: RetryPolicy, now: time::Instant) -> Self {
         Self {
-            tokens: IDLE_RESERVE,
+            policy,
+            tokens: policy.idle_reserve,
             refilled: now,
         }
     }
 
+    /// Takes another policy; tokens beyond its maximum are lost.
+    pub fn set_policy(&mut self, policy: RetryPolicy) {
+        self.policy = policy;
+        self.tokens = self.tokens.min(policy.max_tokens);
+    }
+
     /// Counts a first attempt.
     pub fn first_attempt(&mut self) {
-        self.tokens = (self.tokens + RETRY_SHARE).min(MAX_TOKENS);
+        self.tokens = (self.tokens + self.policy.retry_share).min(self.policy.max_tokens);
     }
 
     /// Takes a token for a retry or a hedge.
@@ -56,15 +94,15 @@
 
     /// Returns a token whose retry was not sent, for example because the owner denied the grant.
     pub fn give_back(&mut self) {
-        self.tokens = (self.tokens + 1.0).min(MAX_TOKENS);
+        self.tokens = (self.tokens + 1.0).min(self.policy.max_tokens);
     }
 
     fn refill(&mut self, now: time::Instant) {
         let elapsed = now.saturating_duration_since(self.refilled).as_secs_f64();
         self.refilled = self.refilled.max(now);
-        if self.tokens < IDLE_RESERVE {
-            let gained = elapsed / RESERVE_INTERVAL.as_secs_f64();
-            self.tokens = (self.tokens + gained).min(IDLE_RESERVE);
+        if self.tokens < self.policy.idle_reserve {
+            let gained = elapsed / self.policy.reserve_interval.as_secs_f64();
+            self.tokens = (self.tokens + gained).min(self.policy.idle_reserve);
         }
     }
 }
