Close the listener of a stopping daemon, and pay for repeats after a shed

Ruled out: processes that ignore SIGTERM (all logged their stop).

Conclusion: the listener closes 2.9 s after SIGTERM, so a refused caller knows that nothing was read.

--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -215,8 +215,15 @@
                 if last != OwnAnswer::MayHaveRun {
                     last = OwnAnswer::NotRun(reason);
                 }
-                sent += u32::from(reason == call_outcome::RefusalReason::ShedByBackendServer);
-                reason != call_outcome::RefusalReason::DeadlineTooShort
+                match reason {
+                    call_outcome::RefusalReason::DeadlineTooShort => false,
+                    // It reached a backend server, so another one costs a repeat although it did not run.
+                    call_outcome::RefusalReason::ShedByBackendServer => {
+                        sent += 1;
+                        sent < entry.rule.max_attempts && repeat_allowed(node, entry)
+                    }
+                    _ => true,
+                }
             }
             Some(callee_call::CallResult::MayHaveRun) => {
                 last = OwnAnswer::MayHaveRun;
@@ -225,7 +232,7 @@
             }
         };
         let left = entry.end.saturating_duration_since(time::Instant::now());
-        if !repeat || sent >= entry.rule.max_attempts || left < MIN_ATTEMPT {
+        if !repeat || left < MIN_ATTEMPT {
             return Err(last);
         }
     }
--- a/crates/forward/src/http_server.rs
+++ b/crates/forward/src/http_server.rs
@@ -45,7 +45,7 @@
     }
 }
 
-/// Tells the connections of a listener to finish.
+/// Ends a listener and tells its connections to finish.
 #[derive(Clone, Debug, Default)]
 pub struct ServerStop {
     stopped: rc::Rc<cell::Cell<bool>>,
@@ -53,7 +53,9 @@
 }
 
 impl ServerStop {
-    /// Closes idle connections, and the others after their response. New connections are still accepted.
+    /// Closes the listening socket and idle connections, and the other connections after their response.
+    ///
+    /// A caller whose connection is refused knows that its request was not read, and may send it again.
     pub fn finish_connections(&self) {
         self.stopped.set(true);
         self.notify.notify_waiters();
@@ -78,7 +80,7 @@
     socket.listen(ACCEPT_QUEUE)
 }
 
-/// Accepts connections and serves their requests; never returns.
+/// Accepts connections and serves their requests until `stop` ends it.
 ///
 /// `limits` is asked for each connection, since the configuration may change them.
 pub async fn accept<H, F>(
@@ -91,7 +93,11 @@
     F: Future<Output = ServerResponse> + 'static,
 {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.wait() => return,
+        };
+        match accepted {
             Ok((stream, _from)) => {
                 http_link::watch_silence(&stream);
                 task::spawn_local(serve(stream, limits(), stop.clone(), handler.clone()));
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -22,8 +22,9 @@
 use crate::peer_server;
 use crate::store_port;
 
-/// Time after SIGTERM for which callers are still served: readiness is asked once a second, and two misses are needed.
-const STOP_SERVE: time::Duration = time::Duration::from_millis(3200);
+/// Time after SIGTERM for which callers are still served. Readiness is asked once a second, and two misses are needed; a
+/// request that is taken later than 3 s might still run when the process is killed.
+const STOP_SERVE: time::Duration = time::Duration::from_millis(2900);
 /// Time before the kill at which a stop ends, whatever still runs.
 const STOP_MARGIN: time::Duration = time::Duration::from_millis(300);
 /// Interval at which a stopping daemon checks whether all requests have ended.
