--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -38,7 +38,7 @@
 #[derive(Debug)]
 pub enum CallResult {
     /// The backend server's response.
-    Answered(hyper::Response<message_body::ReplyBody>),
+    Answered(Box<hyper::Response<message_body::ReplyBody>>),
     /// The request did not run and never will.
     NotRun(call_outcome::RefusalReason),
     /// The request was sent, and no usable response came back.
@@ -115,7 +115,11 @@
     let Some(outgoing) = server_request(node, head, order, request, left) else {
         return CallResult::NotRun(call_outcome::RefusalReason::NotDeclared);
     };
-    let max_idle = if head.repeatable { time::Duration::MAX } else { FRESH_IDLE };
+    let max_idle = if head.repeatable {
+        time::Duration::MAX
+    } else {
+        FRESH_IDLE
+    };
     let exchange = async {
         let (response, lease) = node.server.send(outgoing, max_idle).await?;
         if let Err(fault) = check_response(node, response.headers(), response.status(), attempt_id.as_ref()) {
@@ -137,7 +141,7 @@
                 }
                 drop(guard);
             }));
-            return CallResult::Answered(passed_response(&parts, body));
+            return CallResult::Answered(Box::new(passed_response(&parts, body)));
         }
         Ok(Ok(Err(ResponseFault::NotExecuted))) => {
             guard.result = gate_report::FinishResult::ShedByBackendServer;
@@ -162,7 +166,12 @@
             ("no response by the deadline".to_owned(), CallResult::MayHaveRun)
         }
     };
-    node.log_request("call at the backend server failed", attempt_id.as_ref(), &head.class, &fault);
+    node.log_request(
+        "call at the backend server failed",
+        attempt_id.as_ref(),
+        &head.class,
+        &fault,
+    );
     result
 }
 
--- a/crates/forward/src/core_handle.rs
+++ b/crates/forward/src/core_handle.rs
@@ -23,7 +23,10 @@
 }
 
 impl CoreActor {
-    #[expect(clippy::unnecessary_wraps, reason = "stakker expects an option from the start of an actor")]
+    #[expect(
+        clippy::unnecessary_wraps,
+        reason = "stakker expects an option from the start of an actor"
+    )]
     fn init(cx: stakker::CX![], core: forward_core::ForwardCore) -> Option<Self> {
         stakker::after!(TICK_INTERVAL, [cx], tick());
         stakker::after!(MIN_GOSSIP_SLEEP, [cx], gossip());
--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -105,7 +105,8 @@
         }
         Err(answer) => {
             let outcome = answer.status();
-            node.metrics.record_request(&class, outcome_label(answer), arrived.elapsed());
+            node.metrics
+                .record_request(&class, outcome_label(answer), arrived.elapsed());
             let text = format!("{} {}", outcome.as_str(), answer.text());
             node.log_request("request not served", attempt_id.as_ref(), &class, &text);
             own_response(answer)
@@ -144,10 +145,21 @@
     };
     class.clone_from(&rule.name);
     let mut headers = message_body::message_headers(&parts.headers);
-    let deadline_ms = headers.get(&names.deadline_ms).and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    let deadline_ms = headers
+        .get(&names.deadline_ms)
+        .and_then(|value| value.to_str().ok()?.trim().parse().ok());
     let deadline = deadline_ms.map(time::Duration::from_millis);
-    let bound = [deadline, rule.timeout].into_iter().flatten().min().unwrap_or(DEFAULT_DEADLINE);
-    for name in [&names.target_instance, &names.caller_service, &names.not_executed, &names.response_seal] {
+    let bound = [deadline, rule.timeout]
+        .into_iter()
+        .flatten()
+        .min()
+        .unwrap_or(DEFAULT_DEADLINE);
+    for name in [
+        &names.target_instance,
+        &names.caller_service,
+        &names.not_executed,
+        &names.response_seal,
+    ] {
         headers.remove(name);
     }
     headers.remove(peer_call::CALL_HEADER);
@@ -165,7 +177,10 @@
     } else {
         headers.insert(header::CONTENT_LENGTH, header::HeaderValue::from(body.len()));
     }
-    let uri = parts.uri.path_and_query().map_or_else(|| parts.uri.clone(), |path| path.clone().into());
+    let uri = parts
+        .uri
+        .path_and_query()
+        .map_or_else(|| parts.uri.clone(), |path| path.clone().into());
     Ok(EntryRequest {
         rule,
         service,
@@ -209,7 +224,7 @@
         tried.push(server);
         let repeat = match result {
             None => return Err(OwnAnswer::Timeout),
-            Some(callee_call::CallResult::Answered(response)) => return Ok(response),
+            Some(callee_call::CallResult::Answered(response)) => return Ok(*response),
             Some(callee_call::CallResult::NotRun(reason)) => {
                 // After a request may have run, a later refusal does not make that untrue.
                 if last != OwnAnswer::MayHaveRun {
@@ -321,7 +336,12 @@
         }
         Err(http_link::LinkError::NoResponse(error)) => {
             let id = entry.request.headers.get(&node.settings.headers.attempt_id);
-            node.log_request("daemon gave no response", id, &entry.rule.name, &format!("{address}: {error}"));
+            node.log_request(
+                "daemon gave no response",
+                id,
+                &entry.rule.name,
+                &format!("{address}: {error}"),
+            );
             return callee_call::CallResult::MayHaveRun;
         }
     };
@@ -335,7 +355,7 @@
     parts.headers.remove(peer_call::REPLY_HEADER);
     match reply {
         Some(peer_call::CallReply::Answered) => {
-            callee_call::CallResult::Answered(callee_call::passed_response(&parts, body))
+            callee_call::CallResult::Answered(Box::new(callee_call::passed_response(&parts, body)))
         }
         Some(peer_call::CallReply::NotRun(reason)) => callee_call::CallResult::NotRun(reason),
         Some(peer_call::CallReply::MayHaveRun) | None => callee_call::CallResult::MayHaveRun,
--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -105,7 +105,10 @@
     /// Send it to the backend server now.
     Start(WorkOrder),
     /// Wait for the receiver, then send it to the backend server or refuse it.
-    Wait(ids::CallId, oneshot::Receiver<Result<WorkOrder, call_outcome::RefusalReason>>),
+    Wait(
+        ids::CallId,
+        oneshot::Receiver<Result<WorkOrder, call_outcome::RefusalReason>>,
+    ),
     /// Refuse it; it did not run.
     Refuse(call_outcome::RefusalReason),
 }
@@ -225,7 +228,10 @@
         let route_candidate::RouteChoice::Use { key: server, .. } = choice else {
             return AttemptChoice::None;
         };
-        let Some(call) = self.routes.begin(server, &rule.name, route_candidate::RouteLane::Short, now) else {
+        let Some(call) = self
+            .routes
+            .begin(server, &rule.name, route_candidate::RouteLane::Short, now)
+        else {
             return AttemptChoice::None;
         };
         match self.routes.candidate(server) {
@@ -260,7 +266,12 @@
     }
 
     /// Decides on a call that reached the daemon of its server.
-    pub fn offer_work(&mut self, head: &peer_call::CallHead, deadline: time::Instant, now: time::Instant) -> WorkDecision {
+    pub fn offer_work(
+        &mut self,
+        head: &peer_call::CallHead,
+        deadline: time::Instant,
+        now: time::Instant,
+    ) -> WorkDecision {
         if self.phase == LifePhase::Stopping {
             return WorkDecision::Refuse(call_outcome::RefusalReason::Leaving);
         }
@@ -281,7 +292,10 @@
             importance,
             critical: head.priority == 0,
             lane: gate_report::CallLane::Short,
-            level: admission_level::AdmissionLevel::of_request(importance, &Bytes::copy_from_slice(&call.to_le_bytes())),
+            level: admission_level::AdmissionLevel::of_request(
+                importance,
+                &Bytes::copy_from_slice(&call.to_le_bytes()),
+            ),
             deadline,
         };
         match self.gate.offer(&arrival, now) {
@@ -630,9 +644,9 @@
         member_record::MemberState::Joining => route_candidate::CandidateState::Starting,
         member_record::MemberState::Up => route_candidate::CandidateState::Ready,
         member_record::MemberState::Suspect => route_candidate::CandidateState::Suspect,
-        member_record::MemberState::Draining
-        | member_record::MemberState::Dead
-        | member_record::MemberState::Left => route_candidate::CandidateState::Leaving,
+        member_record::MemberState::Draining | member_record::MemberState::Dead | member_record::MemberState::Left => {
+            route_candidate::CandidateState::Leaving
+        }
     };
     let location: server_location::ServerLocation = record.location.clone();
     route_candidate::RouteCandidate {
--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -57,7 +57,9 @@
                 .build(),
             work: meter
                 .u64_counter("damasktrack_work")
-                .with_description("Calls that reached this daemon's backend server or were refused before it, by outcome")
+                .with_description(
+                    "Calls that reached this daemon's backend server or were refused before it, by outcome",
+                )
                 .build(),
             repeats: meter
                 .u64_counter("damasktrack_repeats")
--- a/crates/forward/src/http_link.rs
+++ b/crates/forward/src/http_link.rs
@@ -90,7 +90,9 @@
     /// `idle_limit` is the time for which the other side keeps it open.
     pub fn release(mut self, idle_limit: Option<time::Duration>, now: time::Instant) {
         self.link.idle_since = now;
-        self.link.idle_limit = idle_limit.unwrap_or(self.pool.policy.idle_limit).min(self.pool.policy.idle_limit);
+        self.link.idle_limit = idle_limit
+            .unwrap_or(self.pool.policy.idle_limit)
+            .min(self.pool.policy.idle_limit);
         let pool = rc::Rc::clone(&self.pool);
         pool.idle.borrow_mut().push(self.link);
     }
@@ -137,7 +139,11 @@
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let text = error.into_error().to_string();
-                Err(if unsent { LinkError::NotSent(text) } else { LinkError::NoResponse(text) })
+                Err(if unsent {
+                    LinkError::NotSent(text)
+                } else {
+                    LinkError::NoResponse(text)
+                })
             }
         }
     }
@@ -169,7 +175,10 @@
     }
 
     async fn connect(&self) -> Result<OpenLink, LinkError> {
-        let connect = tokio::time::timeout(self.policy.connect_timeout, tokio::net::TcpStream::connect(self.address));
+        let connect = tokio::time::timeout(
+            self.policy.connect_timeout,
+            tokio::net::TcpStream::connect(self.address),
+        );
         let stream = match connect.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(LinkError::NotSent(error.to_string())),
--- a/crates/forward/src/http_server.rs
+++ b/crates/forward/src/http_server.rs
@@ -39,7 +39,7 @@
 impl Default for ServerLimits {
     fn default() -> Self {
         Self {
-            idle_timeout: time::Duration::from_secs(60),
+            idle_timeout: time::Duration::from_mins(1),
             max_header_bytes: 64 * 1024,
         }
     }
--- a/crates/forward/src/member_tasks.rs
+++ b/crates/forward/src/member_tasks.rs
@@ -29,7 +29,9 @@
     let mut buffer = vec![0; gossip_message::MAX_DATAGRAM_BYTES + 1];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, from)) => node.core.ask(|core, now| core.receive_gossip(from, &buffer[..length], now)),
+            Ok((length, from)) => node
+                .core
+                .ask(|core, now| core.receive_gossip(from, &buffer[..length], now)),
             Err(error) => log::debug!(error:% = error; "datagram can't be received"),
         }
     }
@@ -67,7 +69,9 @@
 
 async fn exchange(node: rc::Rc<node_context::NodeContext>, address: net::SocketAddr) {
     let request = node.core.ask(|core, now| {
-        core.exchange(now, |gossip| (gossip.exchange_request(), gossip_context::GossipOutput::default()))
+        core.exchange(now, |gossip| {
+            (gossip.exchange_request(), gossip_context::GossipOutput::default())
+        })
     });
     let Ok(body) = anti_entropy::encode(&request) else {
         return;
@@ -94,9 +98,8 @@
     port: rc::Rc<store_port::StorePort>,
     address: net::SocketAddr,
 ) {
-    let version = |node: &node_context::NodeContext| {
-        node.core.ask(|core, _now| core.config().map(|config| config.version))
-    };
+    let version =
+        |node: &node_context::NodeContext| node.core.ask(|core, _now| core.config().map(|config| config.version));
     let before = version(&node);
     if before.is_some() {
         tokio::time::sleep(CONFIG_WAIT).await;
--- a/crates/forward/src/message_body.rs
+++ b/crates/forward/src/message_body.rs
@@ -48,7 +48,9 @@
 
 impl std::fmt::Debug for ReplyBody {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("ReplyBody").field("held", &self.held).finish_non_exhaustive()
+        f.debug_struct("ReplyBody")
+            .field("held", &self.held)
+            .finish_non_exhaustive()
     }
 }
 
--- a/crates/forward/src/node_context.rs
+++ b/crates/forward/src/node_context.rs
@@ -74,7 +74,9 @@
             idle_limit: PEER_IDLE,
         };
         let mut peers = self.peers.borrow_mut();
-        let pool = peers.entry(address).or_insert_with(|| http_link::LinkPool::new(address, policy));
+        let pool = peers
+            .entry(address)
+            .or_insert_with(|| http_link::LinkPool::new(address, policy));
         rc::Rc::clone(pool)
     }
 
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -85,13 +85,21 @@
     let port = rc::Rc::new(port);
     let core = node.core.clone();
     task::spawn_local(async move { core.drive().await });
-    task::spawn_local(member_tasks::receive_gossip(rc::Rc::clone(&node), rc::Rc::clone(&socket)));
+    task::spawn_local(member_tasks::receive_gossip(
+        rc::Rc::clone(&node),
+        rc::Rc::clone(&socket),
+    ));
     task::spawn_local(store_port::follow_config(rc::Rc::clone(&node), rc::Rc::clone(&port)));
     task::spawn_local(store_port::keep_members(rc::Rc::clone(&node), rc::Rc::clone(&port)));
     task::spawn_local(keep_up(rc::Rc::clone(&node)));
     node.core.ask(|core, now| core.contact(&settings.seeds, now));
     log::info!(entry:% = settings.entry_listen, peer:% = settings.peer_listen; "daemon started");
-    let mut superseded = task::spawn_local(member_tasks::carry_out(rc::Rc::clone(&node), socket, port, effect_queue));
+    let mut superseded = task::spawn_local(member_tasks::carry_out(
+        rc::Rc::clone(&node),
+        socket,
+        port,
+        effect_queue,
+    ));
     loop {
         tokio::select! {
             _signal = terminate.recv() => break,
@@ -124,7 +132,12 @@
     let node = rc::Rc::clone(node);
     let handler = move |request| peer_server::serve(rc::Rc::clone(&node), request);
     let limits = http_server::ServerLimits::default;
-    task::spawn_local(http_server::accept(listener, limits, http_server::ServerStop::default(), handler));
+    task::spawn_local(http_server::accept(
+        listener,
+        limits,
+        http_server::ServerStop::default(),
+        handler,
+    ));
     Ok(())
 }
 
@@ -133,12 +146,21 @@
     let limits = http_server::ServerLimits::default;
     let listener = http_server::listen(node.settings.ready_listen)?;
     let core = node.core.clone();
-    let ready = move |_request| {
+    let answer = move |_request| {
         let ready = core.ask(|core, now| core.is_ready(now));
-        let code = if ready { hyper::StatusCode::OK } else { hyper::StatusCode::SERVICE_UNAVAILABLE };
-        std::future::ready(peer_server::status(code))
+        let status = if ready {
+            hyper::StatusCode::OK
+        } else {
+            hyper::StatusCode::SERVICE_UNAVAILABLE
+        };
+        std::future::ready(peer_server::status(status))
     };
-    task::spawn_local(http_server::accept(listener, limits, http_server::ServerStop::default(), ready));
+    task::spawn_local(http_server::accept(
+        listener,
+        limits,
+        http_server::ServerStop::default(),
+        answer,
+    ));
     let Some(address) = node.settings.metrics_listen else {
         return Ok(());
     };
@@ -154,7 +176,12 @@
         };
         std::future::ready(response)
     };
-    task::spawn_local(http_server::accept(listener, limits, http_server::ServerStop::default(), scrape));
+    task::spawn_local(http_server::accept(
+        listener,
+        limits,
+        http_server::ServerStop::default(),
+        scrape,
+    ));
     Ok(())
 }
 
--- a/crates/forward/src/peer_server.rs
+++ b/crates/forward/src/peer_server.rs
@@ -76,7 +76,7 @@
         body,
     };
     let (reply, mut response) = match callee_call::run(node, head, request).await {
-        callee_call::CallResult::Answered(response) => (peer_call::CallReply::Answered, response),
+        callee_call::CallResult::Answered(response) => (peer_call::CallReply::Answered, *response),
         callee_call::CallResult::NotRun(reason) => (
             peer_call::CallReply::NotRun(reason),
             status(hyper::StatusCode::SERVICE_UNAVAILABLE),
@@ -99,7 +99,10 @@
     };
     let reply = node.core.ask(|core, now| {
         core.exchange(now, |gossip| {
-            (gossip.exchange_reply(&request, now), gossip_context::GossipOutput::default())
+            (
+                gossip.exchange_reply(&request, now),
+                gossip_context::GossipOutput::default(),
+            )
         })
     });
     match anti_entropy::encode(&reply) {
--- a/crates/forward/src/server_report.rs
+++ b/crates/forward/src/server_report.rs
@@ -83,7 +83,11 @@
         self.departed = self.departed && same_start;
         self.unreachable = false;
         self.report = Some(report);
-        if changed { ReportEffect::Changed } else { ReportEffect::Unchanged }
+        if changed {
+            ReportEffect::Changed
+        } else {
+            ReportEffect::Unchanged
+        }
     }
 
     /// Notes that an instance has left; `started_ms` is `None` if the message does not say.
--- /dev/null
+++ b/crates/standins/src/platform_backend.rs
@@ -0,0 +1,244 @@
+//! Stand-in for an application server of the platform, with the faults that its pages name.
+
+use std::io;
+use std::io::BufReader;
+use std::io::Write;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+use serde_json::json;
+
+use crate::http_exchange;
+
+/// Header names of the platform.
+pub const ATTEMPT_ID: &str = "Damasktrack-Attempt-Id";
+/// See [`ATTEMPT_ID`].
+pub const DEADLINE_MS: &str = "Damasktrack-Deadline-Ms";
+/// See [`ATTEMPT_ID`].
+pub const RESPONSE_SEAL: &str = "Damasktrack-Response-Seal";
+const TARGET_INSTANCE: &str = "Damasktrack-Target-Instance";
+const CALLER_SERVICE: &str = "Damasktrack-Caller-Service";
+const NOT_EXECUTED: &str = "Damasktrack-Not-Executed";
+/// Longest wait for the acknowledgement of a heartbeat.
+const BEAT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+/// What the server does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendStep {
+    /// Runs it for this time and answers.
+    Serve(time::Duration),
+    /// Answers 503 and does not run it.
+    Shed,
+    /// Runs it and closes the connection without an answer.
+    LoseAnswer,
+    /// Runs it and breaks off in the body of the answer.
+    CutBody,
+    /// Runs it and answers under another request's id.
+    AnswerOther,
+    /// Runs it and answers without a signature.
+    OmitSeal,
+    /// Runs it, answers, and sends a second answer on the same connection.
+    AnswerTwice,
+    /// Answers 500 after it ran.
+    Fail,
+}
+
+/// A request that reached the server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackendArrival {
+    /// Id of the caller's attempt.
+    pub id: String,
+    /// Whether the server ran it.
+    pub ran: bool,
+    /// Service beside the daemon that took the request in.
+    pub caller_service: String,
+    /// Time that the server was given.
+    pub deadline_ms: u64,
+    /// Body as it arrived.
+    pub body: Vec<u8>,
+}
+
+/// Decides what the server does with the request of this number, which counts from 0.
+pub type BackendScript = dyn Fn(usize) -> BackendStep + Send + Sync;
+
+#[derive(Debug, Default)]
+struct BackendLog {
+    arrivals: sync::Mutex<Vec<BackendArrival>>,
+    running: atomic::AtomicUsize,
+    most_running: atomic::AtomicUsize,
+}
+
+/// Running server.
+#[derive(Clone)]
+pub struct PlatformBackend {
+    instance: String,
+    service: String,
+    address: net::SocketAddr,
+    log: sync::Arc<BackendLog>,
+    script: sync::Arc<BackendScript>,
+}
+
+impl std::fmt::Debug for PlatformBackend {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PlatformBackend")
+            .field("instance", &self.instance)
+            .field("service", &self.service)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Commands.
+impl PlatformBackend {
+    /// Starts a server at this address.
+    ///
+    /// # Errors
+    /// Returns an error if the address is in use.
+    pub fn start(
+        address: net::SocketAddr,
+        service: &str,
+        instance: &str,
+        script: sync::Arc<BackendScript>,
+    ) -> io::Result<Self> {
+        let listener = net::TcpListener::bind(address)?;
+        let server = Self {
+            instance: instance.to_owned(),
+            service: service.to_owned(),
+            address,
+            log: sync::Arc::default(),
+            script,
+        };
+        let acceptor = server.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = acceptor.clone();
+                thread::spawn(move || server.serve(&stream));
+            }
+        });
+        Ok(server)
+    }
+
+    /// Sends a heartbeat and returns the status of its acknowledgement; `None` without an answer.
+    #[must_use]
+    pub fn beat(&self, control: net::SocketAddr, state: &str, sequence: u64, slots: u32) -> Option<u16> {
+        let body = json!({
+            "Service": self.service, "Address": self.address.to_string(), "Zone": "a", "Version": "v1",
+            "Slots": slots, "State": state, "ColdLeft": "0ms", "Seq": sequence, "born": 1_000,
+        });
+        let call = format!("instances.heartbeat&of={}", self.instance);
+        call_control(control, &call, &body.to_string())
+    }
+
+    /// Says that the server leaves.
+    #[must_use]
+    pub fn deregister(&self, control: net::SocketAddr) -> Option<u16> {
+        call_control(control, &format!("instances.deregister&of={}", self.instance), "")
+    }
+
+    fn serve(&self, stream: &net::TcpStream) {
+        let mut reader = BufReader::new(stream);
+        let mut writer = stream;
+        while let Ok(Some(request)) = http_exchange::read_request(&mut reader) {
+            if self.answer(&request, &mut writer).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Answers a request; an error ends the connection.
+    fn answer(&self, request: &http_exchange::HttpRequest, writer: &mut impl Write) -> io::Result<()> {
+        let id = request.header(ATTEMPT_ID).unwrap_or("").to_owned();
+        if request
+            .header(TARGET_INSTANCE)
+            .is_some_and(|instance| instance != self.instance)
+        {
+            return write!(
+                writer,
+                "HTTP/1.1 421 -\r\n{NOT_EXECUTED}: 1\r\nContent-Length: 0\r\n\r\n"
+            );
+        }
+        let mut arrivals = self.log.arrivals.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let step = (self.script)(arrivals.len());
+        arrivals.push(BackendArrival {
+            id: id.clone(),
+            ran: step != BackendStep::Shed,
+            caller_service: request.header(CALLER_SERVICE).unwrap_or("").to_owned(),
+            deadline_ms: request
+                .header(DEADLINE_MS)
+                .and_then(|text| text.parse().ok())
+                .unwrap_or(0),
+            body: request.body.clone(),
+        });
+        drop(arrivals);
+        let running = self.log.running.fetch_add(1, atomic::Ordering::SeqCst) + 1;
+        self.log.most_running.fetch_max(running, atomic::Ordering::SeqCst);
+        if let BackendStep::Serve(duration) = step {
+            thread::sleep(duration);
+        }
+        self.log.running.fetch_sub(1, atomic::Ordering::SeqCst);
+        let body = format!("{} {id}", self.service);
+        let whole = |id: &str| {
+            format!(
+                "HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: {id}\r\n{RESPONSE_SEAL}: seal\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            )
+        };
+        let broken = io::Error::other("the script ends the connection");
+        match step {
+            BackendStep::Serve(_duration) => writer.write_all(whole(&id).as_bytes()),
+            BackendStep::Shed => {
+                write!(
+                    writer,
+                    "HTTP/1.1 503 -\r\n{NOT_EXECUTED}: 1\r\nContent-Length: 0\r\n\r\n"
+                )
+            }
+            BackendStep::LoseAnswer => Err(broken),
+            BackendStep::CutBody => {
+                let text = whole(&id);
+                writer.write_all(&text.as_bytes()[..text.len() - 2])?;
+                Err(broken)
+            }
+            BackendStep::AnswerOther => writer.write_all(whole("another").as_bytes()),
+            BackendStep::OmitSeal => write!(
+                writer,
+                "HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: {id}\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            ),
+            BackendStep::AnswerTwice => writer.write_all(format!("{}{}", whole(&id), whole(&id)).as_bytes()),
+            BackendStep::Fail => write!(
+                writer,
+                "HTTP/1.1 500 -\r\n{ATTEMPT_ID}: {id}\r\n{RESPONSE_SEAL}: seal\r\nContent-Length: 0\r\n\r\n"
+            ),
+        }
+    }
+}
+
+/// Queries.
+impl PlatformBackend {
+    /// Returns all requests that reached the server.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<BackendArrival> {
+        let arrivals = self.log.arrivals.lock();
+        arrivals.unwrap_or_else(sync::PoisonError::into_inner).clone()
+    }
+
+    /// Returns the most requests that ran at once.
+    #[must_use]
+    pub fn most_running(&self) -> usize {
+        self.log.most_running.load(atomic::Ordering::SeqCst)
+    }
+}
+
+fn call_control(control: net::SocketAddr, call: &str, body: &str) -> Option<u16> {
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .timeout_global(Some(BEAT_TIMEOUT))
+        .http_status_as_error(false)
+        .build()
+        .into();
+    let answer = agent
+        .post(format!("http://{control}/rpc?call={call}"))
+        .send(body.as_bytes());
+    Some(answer.ok()?.status().as_u16())
+}
--- /dev/null
+++ b/crates/standins/src/platform_store.rs
@@ -0,0 +1,258 @@
+//! Stand-in for the platform's store: rows in tables with parts, conditional transactions, and a feed of changes.
+
+use std::collections;
+use std::io;
+use std::io::BufReader;
+use std::net;
+use std::sync;
+use std::thread;
+use std::time;
+
+use base64::Engine;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::http_exchange;
+use crate::http_query;
+
+/// Rows of one response.
+const MAX_ROWS: usize = 500;
+
+/// Table, part and key of a row.
+type RowId = (String, String, String);
+
+/// How the store answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreCondition {
+    /// It serves.
+    #[default]
+    Serving,
+    /// It answers 503 and does nothing.
+    Busy,
+    /// It closes connections without an answer.
+    Closing,
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    rows: collections::BTreeMap<RowId, (String, u64)>,
+    /// Row and version of each change, oldest first; `None` as value is a dropped row.
+    history: Vec<(RowId, Option<String>, u64)>,
+    /// Changes up to this version are no longer in `history`.
+    compacted: u64,
+    version: u64,
+    condition: StoreCondition,
+    calls: u64,
+}
+
+/// Running store.
+#[derive(Clone, Debug)]
+pub struct PlatformStore {
+    address: net::SocketAddr,
+    shared: sync::Arc<(sync::Mutex<StoreState>, sync::Condvar)>,
+}
+
+/// Commands.
+impl PlatformStore {
+    /// Starts a store at this address.
+    ///
+    /// # Errors
+    /// Returns an error if the address is in use.
+    pub fn start(address: net::SocketAddr) -> io::Result<Self> {
+        let listener = net::TcpListener::bind(address)?;
+        let store = Self {
+            address: listener.local_addr()?,
+            shared: sync::Arc::default(),
+        };
+        let acceptor = store.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = acceptor.clone();
+                thread::spawn(move || server.serve(&stream));
+            }
+        });
+        Ok(store)
+    }
+
+    /// Writes a row as the operator does.
+    pub fn put(&self, table: &str, key: &str, text: &str) {
+        let value = base64::engine::general_purpose::STANDARD.encode(text);
+        let mut state = self.lock();
+        state.write((table.to_owned(), String::new(), key.to_owned()), Some(value));
+        drop(state);
+        self.shared.1.notify_all();
+    }
+
+    /// Sets how the store answers; open calls that wait for changes end.
+    pub fn set_condition(&self, condition: StoreCondition) {
+        self.lock().condition = condition;
+        self.shared.1.notify_all();
+    }
+
+    /// Forgets the history; later calls that ask for it get 410.
+    pub fn compact(&self) {
+        let mut state = self.lock();
+        state.compacted = state.version;
+        state.history.clear();
+    }
+
+    fn serve(&self, stream: &net::TcpStream) {
+        let mut reader = BufReader::new(stream);
+        let mut writer = stream;
+        while let Ok(Some(request)) = http_exchange::read_request(&mut reader) {
+            let Some(answer) = self.answer(&request) else {
+                return;
+            };
+            if http_exchange::write_answer(&mut writer, &answer).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, request: &http_exchange::HttpRequest) -> Option<http_exchange::HttpAnswer> {
+        let mut state = self.lock();
+        state.calls += 1;
+        let condition = state.condition;
+        drop(state);
+        match condition {
+            StoreCondition::Serving => {}
+            StoreCondition::Busy => return Some(http_exchange::HttpAnswer::json(503, &json!({}))),
+            StoreCondition::Closing => return None,
+        }
+        let (path, query) = http_query::split(&request.target);
+        Some(match path {
+            "/rows-tx" => self.transact(&request.body),
+            "/rows-get" => self.get(query),
+            "/rows-feed" => self.feed(query),
+            _ => http_exchange::HttpAnswer::json(404, &json!({})),
+        })
+    }
+
+    fn transact(&self, body: &[u8]) -> http_exchange::HttpAnswer {
+        let Ok(transaction) = serde_json::from_slice::<Value>(body) else {
+            return http_exchange::HttpAnswer::json(400, &json!({}));
+        };
+        let entries = |name: &str| transaction[name].as_array().cloned().unwrap_or_default();
+        let mut state = self.lock();
+        let conflicts: Vec<Value> = entries("ExpectedRev")
+            .iter()
+            .filter(|row| state.rows.get(&row_id(row)).map_or(0, |found| found.1) != row["Ver"].as_u64().unwrap_or(0))
+            .cloned()
+            .collect();
+        if !conflicts.is_empty() {
+            return http_exchange::HttpAnswer::json(412, &json!({"Rows": conflicts}));
+        }
+        if entries("Writes")
+            .iter()
+            .any(|row| matches!(row["Table"].as_str(), Some("op" | "servers")))
+        {
+            return http_exchange::HttpAnswer::json(403, &json!({}));
+        }
+        for row in entries("Writes") {
+            let value = row["Value"].as_str().unwrap_or("").to_owned();
+            state.write(row_id(&row), Some(value));
+        }
+        for row in entries("Remove") {
+            state.write(row_id(&row), None);
+        }
+        let version = state.version;
+        drop(state);
+        self.shared.1.notify_all();
+        http_exchange::HttpAnswer::json(200, &json!({"Ver": version, "Now": "0ms"}))
+    }
+
+    fn get(&self, query: &str) -> http_exchange::HttpAnswer {
+        let text = |name: &str| http_query::value(query, name).unwrap_or_default();
+        let (table, part, from, to) = (text("Table"), text("part"), text("From"), text("To"));
+        let limit = text("Limit").parse().unwrap_or(MAX_ROWS).min(MAX_ROWS);
+        let state = self.lock();
+        let found: Vec<Value> = state
+            .rows
+            .iter()
+            .filter(|(id, _row)| id.0 == table && id.1 == part && id.2 >= from && (to.is_empty() || id.2 < to))
+            .map(|(id, (value, version))| row_json(id, Some(value), *version))
+            .collect();
+        let more = found.len() > limit;
+        let rows: Vec<Value> = found.into_iter().take(limit).collect();
+        let answer = json!({"Rows": rows, "HasMore": more, "Ver": state.version, "Now": "0ms"});
+        http_exchange::HttpAnswer::json(200, &answer)
+    }
+
+    fn feed(&self, query: &str) -> http_exchange::HttpAnswer {
+        let number = |name: &str| http_query::value(query, name).and_then(|text| text.parse::<u64>().ok());
+        let table = http_query::value(query, "Table").unwrap_or_default();
+        let after = number("after").unwrap_or(0);
+        let end = time::Instant::now() + time::Duration::from_millis(number("WaitMs").unwrap_or(0));
+        let mut state = self.lock();
+        loop {
+            if after < state.compacted {
+                return http_exchange::HttpAnswer::json(410, &json!({}));
+            }
+            let rows: Vec<Value> = state
+                .history
+                .iter()
+                .filter(|(id, _value, version)| id.0 == table && *version > after)
+                .map(|(id, value, version)| row_json(id, value.as_deref(), *version))
+                .collect();
+            let left = end.saturating_duration_since(time::Instant::now());
+            if !rows.is_empty() || left.is_zero() || state.condition != StoreCondition::Serving {
+                let answer = json!({"Rows": rows, "Ver": state.version, "Now": "0ms"});
+                return http_exchange::HttpAnswer::json(200, &answer);
+            }
+            let waited = self.shared.1.wait_timeout(state, left);
+            state = waited.unwrap_or_else(sync::PoisonError::into_inner).0;
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, StoreState> {
+        self.shared.0.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+/// Queries.
+impl PlatformStore {
+    /// Returns the address.
+    #[must_use]
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Returns the number of calls since the start.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// Returns the number of rows of a table.
+    #[must_use]
+    pub fn count(&self, table: &str) -> usize {
+        self.lock().rows.keys().filter(|id| id.0 == table).count()
+    }
+}
+
+impl StoreState {
+    fn write(&mut self, id: RowId, value: Option<String>) {
+        self.version += 1;
+        match &value {
+            Some(value) => {
+                self.rows.insert(id.clone(), (value.clone(), self.version));
+            }
+            None => {
+                self.rows.remove(&id);
+            }
+        }
+        self.history.push((id, value, self.version));
+    }
+}
+
+fn row_id(row: &Value) -> RowId {
+    let text = |name: &str| row[name].as_str().unwrap_or("").to_owned();
+    (text("Table"), text("part"), text("Key"))
+}
+
+fn row_json(id: &RowId, value: Option<&str>, version: u64) -> Value {
+    match value {
+        Some(value) => json!({"Table": id.0, "part": id.1, "Key": id.2, "Value": value, "Ver": version}),
+        None => json!({"Table": id.0, "part": id.1, "Key": id.2, "Tombstone": true, "Ver": version}),
+    }
+}
