--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod gate_report;
 pub mod level_controller;
 pub mod level_view;
+pub mod pressure_throttle;
 pub mod service_estimate;
 pub mod tenant_share;
--- a/crates/entity/src/call_outcome.rs
+++ b/crates/entity/src/call_outcome.rs
@@ -71,6 +71,9 @@
     /// Another request body was sent under the same request id.
     #[display("request id reused with another body")]
     BodyMismatch,
+    /// Calls that the backend server makes for requests of this class fail too often.
+    #[display("calls below fail")]
+    CallsBelowFail,
 }
 
 /// What a caller does after a refusal.
@@ -100,7 +103,8 @@
             | Self::AllowanceSpent
             | Self::TooDeep
             | Self::NotDeclared
-            | Self::BodyMismatch => RefusalAdvice::GiveUp,
+            | Self::BodyMismatch
+            | Self::CallsBelowFail => RefusalAdvice::GiveUp,
         }
     }
 }
--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use damasktrack_admission::gate_report;
+use damasktrack_admission::pressure_throttle;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
 use hyper::header;
@@ -17,6 +18,8 @@
 
 /// Time past the deadline until a backend server that does not answer is given up. It answers 504 at the deadline.
 const DEADLINE_SLACK: time::Duration = time::Duration::from_millis(100);
+/// Share of its time after which a call whose caller went away counts as failed.
+const LONG_WAIT_SHARE: f64 = 0.9;
 /// Longest idle time of a connection that carries a request which must not run twice. A backend server may close an idle
 /// connection while the request is on its way, and then nobody knows whether it ran.
 const FRESH_IDLE: time::Duration = time::Duration::from_secs(1);
@@ -48,14 +51,43 @@
 /// Counts a call's end when it is dropped, which also covers a caller that went away.
 struct WorkGuard {
     node: rc::Rc<node_context::NodeContext>,
+    class: ids::ClassName,
     call: ids::CallId,
+    /// When the call was sent to the backend server, and until when an answer was of use.
+    sent: Option<(time::Instant, time::Instant)>,
     result: gate_report::FinishResult,
+    outcome: pressure_throttle::PressureOutcome,
+}
+
+impl WorkGuard {
+    /// A caller that is gone when most of its time is used has given up waiting, which is a failure.
+    fn ran_out(&self, now: time::Instant) -> bool {
+        self.sent.is_some_and(|(sent, deadline)| {
+            let (used, whole) = (
+                now.saturating_duration_since(sent),
+                deadline.saturating_duration_since(sent),
+            );
+            used >= whole.mul_f64(LONG_WAIT_SHARE)
+        })
+    }
 }
 
 impl Drop for WorkGuard {
     fn drop(&mut self) {
         let (call, result) = (self.call, self.result);
-        self.node.core.ask(|core, now| core.end_work(call, result, now));
+        let cancelled = result == gate_report::FinishResult::Cancelled;
+        let ran_out = cancelled && self.ran_out(time::Instant::now());
+        let outcome = if ran_out {
+            pressure_throttle::PressureOutcome::Failed
+        } else {
+            self.outcome
+        };
+        self.node.core.ask(|core, now| {
+            if let Some((started, _deadline)) = self.sent {
+                core.note_outcome(&self.class, outcome, started, now);
+            }
+            core.end_work(call, result, now);
+        });
     }
 }
 
@@ -69,8 +101,11 @@
     let decision = node.core.ask(|core, now| core.offer_work(head, deadline, now));
     let guard = |call| WorkGuard {
         node: rc::Rc::clone(node),
+        class: head.class.clone(),
         call,
+        sent: None,
         result: gate_report::FinishResult::Cancelled,
+        outcome: pressure_throttle::PressureOutcome::Unknown,
     };
     let (order, guard) = match decision {
         forward_core::WorkDecision::Refuse(reason) => return refuse(node, reason),
@@ -110,7 +145,9 @@
     deadline: time::Instant,
     mut guard: WorkGuard,
 ) -> CallResult {
-    let left = deadline.saturating_duration_since(time::Instant::now());
+    let now = time::Instant::now();
+    guard.sent = Some((now, deadline));
+    let left = deadline.saturating_duration_since(now);
     let attempt_id = request.headers.get(&node.settings.headers.attempt_id).cloned();
     let Some(outgoing) = server_request(node, head, order, request, left) else {
         return CallResult::NotRun(call_outcome::RefusalReason::NotDeclared);
@@ -135,6 +172,11 @@
         Ok(Ok(Ok((parts, mut body)))) => {
             node.core.ask(forward_core::ForwardCore::server_reached);
             guard.result = gate_report::FinishResult::Completed;
+            guard.outcome = if parts.status.is_server_error() {
+                pressure_throttle::PressureOutcome::Failed
+            } else {
+                pressure_throttle::PressureOutcome::Completed
+            };
             body.at_end(Box::new(move |complete| {
                 if !complete {
                     guard.result = gate_report::FinishResult::Cancelled;
@@ -163,6 +205,7 @@
         }
         Err(_elapsed) => {
             guard.result = gate_report::FinishResult::Failed;
+            guard.outcome = pressure_throttle::PressureOutcome::Failed;
             ("no response by the deadline".to_owned(), CallResult::MayHaveRun)
         }
     };
--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -9,6 +9,7 @@
 use damasktrack_admission::admission_gate;
 use damasktrack_admission::admission_policy;
 use damasktrack_admission::gate_report;
+use damasktrack_admission::pressure_throttle;
 use damasktrack_entity::admission_level;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
@@ -18,6 +19,7 @@
 use damasktrack_routing::retry_budget;
 use damasktrack_routing::route_candidate;
 use damasktrack_routing::route_table;
+use rand::RngExt;
 use rand::SeedableRng;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -31,6 +33,11 @@
 
 /// Slots assumed until the backend server has reported its own.
 const DEFAULT_SLOTS: u32 = 16;
+/// Longest wait in a standing queue. A refused call inside of a chain fails its whole request, so calls wait longer here
+/// than where the chain is known; four waits in a row stay within the shortest objective of a chain, 1.5 s.
+const QUEUE_TARGET: time::Duration = time::Duration::from_millis(80);
+/// Longest wait in a queue that was empty lately.
+const QUEUE_BURST: time::Duration = time::Duration::from_millis(250);
 /// Time for which a starting daemon waits for the list of members before it reports ready.
 const LIST_WAIT: time::Duration = time::Duration::from_secs(3);
 
@@ -141,6 +148,7 @@
     gossip: gossip_context::GossipContext,
     server: server_report::ServerState,
     gate: admission_gate::AdmissionGate,
+    throttle: pressure_throttle::PressureThrottle,
     next_call: ids::CallId,
     waiters: collections::HashMap<ids::CallId, WorkWaiter>,
     rng: rand::rngs::StdRng,
@@ -183,6 +191,7 @@
             choices: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
             server: server_report::ServerState::default(),
+            throttle: pressure_throttle::PressureThrottle::default(),
             next_call: 1,
             waiters: collections::HashMap::new(),
             rng: rand::rngs::StdRng::seed_from_u64(incarnation),
@@ -282,6 +291,9 @@
             return WorkDecision::Refuse(call_outcome::RefusalReason::Starting);
         }
         let instance = report.instance.clone();
+        if self.is_throttled(head, now) {
+            return WorkDecision::Refuse(call_outcome::RefusalReason::CallsBelowFail);
+        }
         let call = self.next_call;
         self.next_call += 1;
         let importance = admission_level::MAX_IMPORTANCE.saturating_sub(head.priority);
@@ -313,6 +325,17 @@
         }
     }
 
+    /// Counts how a call that was sent to the backend server ended there.
+    pub fn note_outcome(
+        &mut self,
+        class: &ids::ClassName,
+        outcome: pressure_throttle::PressureOutcome,
+        started: time::Instant,
+        now: time::Instant,
+    ) {
+        self.throttle.end(class, outcome, started, now);
+    }
+
     /// Counts the end of a call that was started or waits.
     pub fn end_work(&mut self, call: ids::CallId, result: gate_report::FinishResult, now: time::Instant) {
         self.waiters.remove(&call);
@@ -448,6 +471,13 @@
         budget
     }
 
+    /// Decides whether a call is refused because calls below it fail. Critical classes never are.
+    fn is_throttled(&mut self, head: &peer_call::CallHead, now: time::Instant) -> bool {
+        let draw = self.rng.random::<f64>();
+        let decision = self.throttle.arrive(&head.class, &head.caller_service, draw, now);
+        decision == pressure_throttle::PressureDecision::Refuse && head.priority > 0
+    }
+
     /// Starts or refuses waiting calls as far as the gate allows.
     fn start_waiting(&mut self, now: time::Instant) {
         loop {
@@ -631,6 +661,8 @@
     admission_policy::AdmissionPolicy {
         limit_factor: 1.0,
         adaptive: false,
+        queue_target: QUEUE_TARGET,
+        queue_burst: QUEUE_BURST,
         ..admission_policy::AdmissionPolicy::for_slots(slots)
     }
 }
