Write logs on a thread of their own, and say more of each request

Cause: a reader that does not read standard output would have stopped the event loop, and lines named no configuration or load. Ruled out: a non-blocking standard output, which changes the terminal of a shell.

--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -10,6 +10,7 @@
 use damasktrack_entity::ids;
 use hyper::header;
 
+use crate::decision_log;
 use crate::forward_core;
 use crate::http_link;
 use crate::message_body;
@@ -97,7 +98,10 @@
     head: &peer_call::CallHead,
     request: CallRequest,
 ) -> CallResult {
-    let deadline = time::Instant::now() + head.left;
+    let arrived = time::Instant::now();
+    let deadline = arrived + head.left;
+    let attempt_id = request.headers.get(&node.settings.headers.attempt_id).cloned();
+    let refuse = |reason| refuse(node, head, attempt_id.as_ref(), arrived, reason);
     let decision = node.core.ask(|core, now| core.offer_work(head, deadline, now));
     let guard = |call| WorkGuard {
         node: rc::Rc::clone(node),
@@ -108,7 +112,7 @@
         outcome: pressure_throttle::PressureOutcome::Unknown,
     };
     let (order, guard) = match decision {
-        forward_core::WorkDecision::Refuse(reason) => return refuse(node, reason),
+        forward_core::WorkDecision::Refuse(reason) => return refuse(reason),
         forward_core::WorkDecision::Start(order) => {
             let guard = guard(order.call);
             (order, guard)
@@ -117,8 +121,8 @@
             let guard = guard(call);
             match receiver.await {
                 Ok(Ok(order)) => (order, guard),
-                Ok(Err(reason)) => return refuse(node, reason),
-                Err(_dropped) => return refuse(node, call_outcome::RefusalReason::Cancelled),
+                Ok(Err(reason)) => return refuse(reason),
+                Err(_dropped) => return refuse(call_outcome::RefusalReason::Cancelled),
             }
         }
     };
@@ -132,8 +136,23 @@
     result
 }
 
-fn refuse(node: &node_context::NodeContext, reason: call_outcome::RefusalReason) -> CallResult {
-    node.metrics.count_work(reason.to_string());
+fn refuse(
+    node: &node_context::NodeContext,
+    head: &peer_call::CallHead,
+    attempt_id: Option<&header::HeaderValue>,
+    arrived: time::Instant,
+    reason: call_outcome::RefusalReason,
+) -> CallResult {
+    let outcome = reason.to_string();
+    let line = node_context::RequestLine {
+        event: "call refused before the backend server",
+        attempt_id,
+        class: &head.class,
+        outcome: &outcome,
+        elapsed: arrived.elapsed(),
+    };
+    node.log_request(decision_log::LogSubject::Failure, &line);
+    node.metrics.count_work(outcome);
     CallResult::NotRun(reason)
 }
 
@@ -209,12 +228,14 @@
             ("no response by the deadline".to_owned(), CallResult::MayHaveRun)
         }
     };
-    node.log_request(
-        "call at the backend server failed",
-        attempt_id.as_ref(),
-        &head.class,
-        &fault,
-    );
+    let line = node_context::RequestLine {
+        event: "call at the backend server failed",
+        attempt_id: attempt_id.as_ref(),
+        class: &head.class,
+        outcome: &fault,
+        elapsed: now.elapsed(),
+    };
+    node.log_request(decision_log::LogSubject::Failure, &line);
     result
 }
 
--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -14,6 +14,7 @@
 use rand::RngExt;
 
 use crate::callee_call;
+use crate::decision_log;
 use crate::forward_core;
 use crate::http_link;
 use crate::message_body;
@@ -101,6 +102,21 @@
     let mut response = match answer {
         Ok(response) => {
             node.metrics.record_request(&class, "answered", arrived.elapsed());
+            let outcome = response.status().as_str().to_owned();
+            let subject = if response.status().is_server_error() {
+                decision_log::LogSubject::Failure
+            } else {
+                decision_log::LogSubject::Success
+            };
+            log_end(
+                &node,
+                subject,
+                "request answered",
+                attempt_id.as_ref(),
+                &class,
+                &outcome,
+                arrived,
+            );
             response
         }
         Err(answer) => {
@@ -108,7 +124,16 @@
             node.metrics
                 .record_request(&class, outcome_label(answer), arrived.elapsed());
             let text = format!("{} {}", outcome.as_str(), answer.text());
-            node.log_request("request not served", attempt_id.as_ref(), &class, &text);
+            let subject = decision_log::LogSubject::Failure;
+            log_end(
+                &node,
+                subject,
+                "request not served",
+                attempt_id.as_ref(),
+                &class,
+                &text,
+                arrived,
+            );
             own_response(answer)
         }
     };
@@ -120,6 +145,25 @@
     response
 }
 
+fn log_end(
+    node: &node_context::NodeContext,
+    subject: decision_log::LogSubject,
+    event: &str,
+    attempt_id: Option<&header::HeaderValue>,
+    class: &ids::ClassName,
+    outcome: &str,
+    arrived: time::Instant,
+) {
+    let line = node_context::RequestLine {
+        event,
+        attempt_id,
+        class,
+        outcome,
+        elapsed: arrived.elapsed(),
+    };
+    node.log_request(subject, &line);
+}
+
 /// Reads a request and finds its route.
 async fn accept(
     node: &rc::Rc<node_context::NodeContext>,
@@ -335,6 +379,7 @@
         headers,
         entry.request.body.clone(),
     );
+    let began = time::Instant::now();
     let (response, lease) = match node.peer(address).send(request, time::Duration::MAX).await {
         Ok(answer) => answer,
         Err(http_link::LinkError::NotSent(_error)) => {
@@ -342,12 +387,9 @@
         }
         Err(http_link::LinkError::NoResponse(error)) => {
             let id = entry.request.headers.get(&node.settings.headers.attempt_id);
-            node.log_request(
-                "daemon gave no response",
-                id,
-                &entry.rule.name,
-                &format!("{address}: {error}"),
-            );
+            let (class, outcome) = (&entry.rule.name, format!("{address}: {error}"));
+            let subject = decision_log::LogSubject::Failure;
+            log_end(node, subject, "daemon gave no response", id, class, &outcome, began);
             return callee_call::CallResult::MayHaveRun;
         }
     };
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod header_names;
 pub mod http_link;
 pub mod http_server;
+pub mod log_output;
 pub mod member_tasks;
 pub mod message_body;
 pub mod node_context;
--- a/crates/forward/src/node_context.rs
+++ b/crates/forward/src/node_context.rs
@@ -93,18 +93,40 @@
         }
     }
 
-    /// Logs the end of a request unless too many lines were written lately.
-    pub fn log_request(
-        &self,
-        event: &str,
-        attempt_id: Option<&header::HeaderValue>,
-        class: &ids::ClassName,
-        outcome: &str,
-    ) {
-        if let decision_log::LogDecision::Write { left_out } = self.log.decide(time::Instant::now()) {
-            let id = attempt_id.and_then(|id| id.to_str().ok()).unwrap_or("");
-            let class = ids::text(class);
-            log::info!(request = id, class:% = class, outcome = outcome, left_out = left_out; "{event}");
-        }
+    /// Logs what became of a request, unless too many such lines were written lately.
+    pub fn log_request(&self, subject: decision_log::LogSubject, line: &RequestLine<'_>) {
+        let decision_log::LogDecision::Write { left_out } = self.log.decide(subject, time::Instant::now()) else {
+            return;
+        };
+        let id = line.attempt_id.and_then(|id| id.to_str().ok()).unwrap_or("");
+        let (class, elapsed) = (ids::text(line.class), line.elapsed.as_millis());
+        let (version, running, queued) = self.core.ask(|core, _now| {
+            let counts = core.gate_counts();
+            (
+                core.config().map_or(0, |config| config.version),
+                counts.running,
+                counts.queued,
+            )
+        });
+        log::info!(
+            request = id, class:% = class, outcome = line.outcome, elapsed_ms = elapsed, config = version,
+            running = running, queued = queued, left_out = left_out;
+            "{}", line.event
+        );
     }
 }
+
+/// What a log line says of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestLine<'a> {
+    /// What happened.
+    pub event: &'a str,
+    /// Id of the caller's attempt.
+    pub attempt_id: Option<&'a header::HeaderValue>,
+    /// Route of the request.
+    pub class: &'a ids::ClassName,
+    /// Result and its cause.
+    pub outcome: &'a str,
+    /// Time since the request arrived at this daemon.
+    pub elapsed: time::Duration,
+}
--- a/crates/forward/src/node_logs.rs
+++ b/crates/forward/src/node_logs.rs
@@ -1,16 +1,22 @@
 //! Structured logs on standard output, one JSON object a line.
 
+use std::io;
 use std::str::FromStr;
 
+use crate::log_output;
+
 /// Sets up logging for the process. A second call has no effect, since a process has one logger.
-pub fn start(level: &str) {
+///
+/// # Errors
+/// Returns an error if the thread of the output can't be started.
+pub fn start(level: &str) -> io::Result<()> {
     let level = log::LevelFilter::from_str(level).unwrap_or(log::LevelFilter::Info);
+    let output = log_output::LogOutput::start(io::stdout())?;
     let logger = logforth::core::builder()
-        .dispatch(|dispatch| {
-            dispatch.append(logforth::append::Stdout::default().with_layout(logforth::layout::JsonLayout::default()))
-        })
+        .dispatch(|dispatch| dispatch.append(output))
         .build();
     if log::set_boxed_logger(Box::new(logforth::bridge::log::LogBridge::new(logger))).is_ok() {
         log::set_max_level(level);
     }
+    Ok(())
 }
--- a/crates/node/src/entry_response.rs
+++ b/crates/node/src/entry_response.rs
@@ -236,6 +236,7 @@
         call_outcome::RefusalReason::BodyMismatch => 422,
         call_outcome::RefusalReason::NotDeclared => 404,
         call_outcome::RefusalReason::Overloaded
+        | call_outcome::RefusalReason::CallsBelowFail
         | call_outcome::RefusalReason::QueueFull
         | call_outcome::RefusalReason::DeadlineTooShort
         | call_outcome::RefusalReason::Cancelled
