Refuse early only what is sent from outside of chains

Ruled out: reading the chain from the ids of inner calls, which the platform does not promise.

Callers outside of chains sit on machines of all services; a class is taken for one of theirs only if machines of the server's own service send it.

--- a/crates/admission/src/pressure_throttle.rs
+++ b/crates/admission/src/pressure_throttle.rs
@@ -26,8 +26,8 @@
 const WINDOW: time::Duration = time::Duration::from_millis(400);
 /// Least number of requests in a window.
 const MIN_REQUESTS: u32 = 5;
-/// Time for which a calling service is remembered.
-const CALLER_MEMORY: time::Duration = time::Duration::from_secs(20);
+/// Time for which it counts that a class was sent from outside of chains.
+const OUTSIDE_MEMORY: time::Duration = time::Duration::from_secs(20);
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +49,15 @@
     Refuse,
 }
 
+/// Where a request was sent from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallOrigin {
+    /// A machine of the service that it goes to.
+    OwnService,
+    /// A machine of another service.
+    OtherService,
+}
+
 /// Outcomes of one class.
 #[derive(Clone, Debug)]
 struct ClassPressure {
@@ -58,8 +67,8 @@
     window_start: time::Instant,
     ended: u32,
     failed: u32,
-    /// Services whose machines sent the class, and when they did so last.
-    callers: collections::HashMap<ids::ServiceName, time::Instant>,
+    /// When a machine of the server's own service sent the class last.
+    outside: Option<time::Instant>,
 }
 
 /// Early refusals of one server's daemon.
@@ -72,22 +81,23 @@
 impl PressureThrottle {
     /// Decides on an arriving request; `draw` is a random number from 0 to 1.
     ///
-    /// Classes that only one service calls are calls inside of a chain: work was already spent on their request, so they
-    /// are never refused here. The caller leaves out critical classes, which are shed last.
+    /// `origin` tells whether the machine that sent it belongs to the server's own service. Callers outside of chains sit
+    /// on machines of all services, while calls inside of a chain come from other services than the one that they go
+    /// to. Those are never refused here, since work was already spent on their request. The caller leaves out critical
+    /// classes, which are shed last.
     pub fn arrive(
         &mut self,
         class: &ids::ClassName,
-        caller: &ids::ServiceName,
+        origin: CallOrigin,
         draw: f64,
         now: time::Instant,
     ) -> PressureDecision {
         let pressure = self.class(class, now);
-        pressure.callers.insert(caller.clone(), now);
-        if pressure.callers.len() > 1 {
-            let recent = |at: &time::Instant| now.saturating_duration_since(*at) < CALLER_MEMORY;
-            pressure.callers.retain(|_caller, at| recent(at));
+        if origin == CallOrigin::OwnService {
+            pressure.outside = Some(now);
         }
-        if pressure.callers.len() < 2 || draw < pressure.share {
+        let recent = |at: time::Instant| now.saturating_duration_since(at) < OUTSIDE_MEMORY;
+        if draw < pressure.share || !pressure.outside.is_some_and(recent) {
             PressureDecision::Admit
         } else {
             PressureDecision::Refuse
@@ -129,7 +139,7 @@
             window_start: now,
             ended: 0,
             failed: 0,
-            callers: collections::HashMap::new(),
+            outside: None,
         })
     }
 }
--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -485,7 +485,12 @@
     /// Decides whether a call is refused because calls below it fail. Critical classes never are.
     fn is_throttled(&mut self, head: &peer_call::CallHead, now: time::Instant) -> bool {
         let draw = self.rng.random::<f64>();
-        let decision = self.throttle.arrive(&head.class, &head.caller_service, draw, now);
+        let origin = if head.caller_service == head.service {
+            pressure_throttle::CallOrigin::OwnService
+        } else {
+            pressure_throttle::CallOrigin::OtherService
+        };
+        let decision = self.throttle.arrive(&head.class, origin, draw, now);
         decision == pressure_throttle::PressureDecision::Refuse && head.priority > 0
     }
 
