Keep calls in their region while near servers may take them

Cause: a server that refused once counted as full for 100 ms, and calls went to another region meanwhile.

Ruled out: gossip, configuration and store (8 MB remain when no call may cross); refusals in other regions (nine in ten calls that crossed were answered).

Now two near servers are asked before another region, the calls of a service and class at other regions are bounded by a window that refusals halve, and the last server of a region that is left is not ejected as a straggler. The default policy of the route table stays as it was; the daemon beside a platform's servers sets the sparing one.

Conclusion: crossing earns less than its price while the own region still takes calls.

--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -17,6 +17,7 @@
 use damasktrack_entity::server_location;
 use damasktrack_membership::gossip_context;
 use damasktrack_membership::member_record;
+use damasktrack_routing::region_window;
 use damasktrack_routing::retry_budget;
 use damasktrack_routing::route_candidate;
 use damasktrack_routing::route_table;
@@ -187,6 +188,7 @@
         };
         let mut routes = route_table::RouteTable::new(settings.location.clone());
         routes.set_ejection_ratio(EJECTION_RATIO);
+        routes.set_region_policy(region_window::RegionPolicy::Sparing);
         Self {
             routes,
             gossip: gossip_context::GossipContext::new(record, incarnation, now),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod hedge_policy;
 pub mod latency_estimate;
 pub mod region_budget;
+pub mod region_window;
 pub mod retry_budget;
 pub mod route_candidate;
 mod route_queries;
--- a/crates/routing/src/route_queries.rs
+++ b/crates/routing/src/route_queries.rs
@@ -154,7 +154,7 @@
             let Some(ejection) = &server.ejection else {
                 return false;
             };
-            if request.exclude.contains(key) || server.preference(request, now).is_none() {
+            if request.exclude.contains(key) || server.preference(request, self.region_policy, now).is_none() {
                 return false;
             }
             match ejection.probe_due(state.calls, now) {
@@ -173,12 +173,14 @@
         pool: &mut Vec<route_candidate::ServerKey>,
     ) {
         pool.clear();
+        let stays_near = self.stays_near(request, now);
         let mut best: Option<server_state::Preference> = None;
         for key in self.server_keys(request.service) {
-            if request.exclude.contains(key) {
+            let server = &self.servers[*key];
+            if request.exclude.contains(key) || stays_near && !server.is_near() {
                 continue;
             }
-            let Some(preference) = self.servers[*key].preference(request, now) else {
+            let Some(preference) = server.preference(request, self.region_policy, now) else {
                 continue;
             };
             if best.is_none_or(|best| preference < best) {
@@ -191,6 +193,32 @@
         }
     }
 
+    /// Returns whether a call may not cross regions now. A region without servers of its own is not held back.
+    fn stays_near(&self, request: &route_candidate::RouteRequest<'_>, now: time::Instant) -> bool {
+        let Some(state) = self.services.get(request.service) else {
+            return false;
+        };
+        let shut = state
+            .windows
+            .get(request.class)
+            .is_some_and(|window| !window.is_open(now));
+        shut && state.servers.iter().any(|key| {
+            let server = &self.servers[*key];
+            server.is_near() && server.preference(request, self.region_policy, now).is_some()
+        })
+    }
+
+    /// Returns whether a server is in the region and all others there, one at least, are ejected.
+    pub(crate) fn is_last_near(&self, service: &ids::ServiceName, key: route_candidate::ServerKey) -> bool {
+        let takes_near = |key: &route_candidate::ServerKey| {
+            let server = &self.servers[*key];
+            server.is_near() && server.takes_calls()
+        };
+        let keys = self.server_keys(service).iter().copied();
+        let mut others = keys.filter(|other| *other != key && takes_near(other)).peekable();
+        takes_near(&key) && others.peek().is_some() && others.all(|other| self.servers[other].ejection.is_some())
+    }
+
     /// Drops cold servers from the pool with the probability that their ramp leaves.
     pub(crate) fn thin_cold<R: rand::Rng + ?Sized>(
         &self,
--- a/crates/routing/src/route_table.rs
+++ b/crates/routing/src/route_table.rs
@@ -8,6 +8,7 @@
 use damasktrack_entity::server_location;
 
 use crate::latency_estimate;
+use crate::region_window;
 use crate::route_candidate;
 use crate::server_state;
 use crate::straggler_ejection;
@@ -28,6 +29,7 @@
     local: server_location::ServerLocation,
     /// Multiple of the median beyond which a server is a straggler.
     ejection_ratio: f64,
+    pub(crate) region_policy: region_window::RegionPolicy,
     pub(crate) servers: slotmap::SlotMap<route_candidate::ServerKey, server_state::ServerState>,
     calls: slotmap::SlotMap<route_candidate::CallKey, server_state::RunningCall>,
     /// Ordered, so that one sequence of events always leads to one sequence of choices.
@@ -46,6 +48,8 @@
     reviewed: Option<time::Instant>,
     /// By class: slow mean of the median, the measure while fewer than three servers were observed.
     pub(crate) baselines: collections::BTreeMap<ids::ClassName, f64>,
+    /// By class; empty unless the policy is [`region_window::RegionPolicy::Sparing`].
+    pub(crate) windows: collections::BTreeMap<ids::ClassName, region_window::RegionWindow>,
 }
 
 /// Commands.
@@ -56,6 +60,7 @@
         Self {
             local,
             ejection_ratio: straggler_ejection::EJECTION_RATIO,
+            region_policy: region_window::RegionPolicy::default(),
             servers: slotmap::SlotMap::with_key(),
             calls: slotmap::SlotMap::with_key(),
             services: collections::BTreeMap::new(),
@@ -72,6 +77,11 @@
         self.ejection_ratio = ratio;
     }
 
+    /// Sets which servers are asked before those of other regions.
+    pub fn set_region_policy(&mut self, policy: region_window::RegionPolicy) {
+        self.region_policy = policy;
+    }
+
     /// Adds a server or updates it. A new incarnation, service or location is a new server with a new key.
     pub fn upsert(&mut self, candidate: route_candidate::RouteCandidate) -> route_candidate::ServerKey {
         let known = self.by_daemon.get(&candidate.daemon_id).copied();
@@ -146,8 +156,13 @@
         now: time::Instant,
     ) -> Option<route_candidate::CallKey> {
         let server = self.servers.get_mut(key)?;
+        let sparing = self.region_policy == region_window::RegionPolicy::Sparing;
+        let crosses = (sparing && !server.is_near()).then(|| server.candidate.service.clone());
         let calls = self.services.get_mut(&server.candidate.service).map_or(0, |state| {
             state.calls += 1;
+            if crosses.is_some() {
+                state.windows.entry(class.clone()).or_default().begin();
+            }
             state.calls
         });
         server.lane_count(lane, 1);
@@ -161,6 +176,7 @@
         Some(self.calls.insert(server_state::RunningCall {
             server: key,
             class: class.clone(),
+            crosses,
             lane,
             started: now,
             probe: server.ejection.is_some(),
@@ -172,6 +188,12 @@
         let Some(call) = self.calls.remove(key) else {
             return;
         };
+        if let Some(service) = &call.crosses
+            && let Some(state) = self.services.get_mut(service)
+            && let Some(window) = state.windows.get_mut(&call.class)
+        {
+            window.end(result, now);
+        }
         let Some(server) = self.servers.get_mut(call.server) else {
             return;
         };
@@ -255,6 +277,10 @@
             if ejected >= limit {
                 break;
             }
+            // All near servers at once are slow by what they call, and calls to other regions would not end that.
+            if self.region_policy == region_window::RegionPolicy::Sparing && self.is_last_near(service, key) {
+                continue;
+            }
             self.eject(key, straggler_ejection::EjectionCause::Straggler, now);
         }
         self.return_surplus(&keys, limit, now);
@@ -384,6 +410,7 @@
             calls: 0,
             reviewed: None,
             baselines: collections::BTreeMap::new(),
+            windows: collections::BTreeMap::new(),
         }
     }
 }
--- a/crates/routing/src/server_state.rs
+++ b/crates/routing/src/server_state.rs
@@ -9,6 +9,7 @@
 
 use crate::cold_ramp;
 use crate::latency_estimate;
+use crate::region_window;
 use crate::route_candidate;
 use crate::straggler_ejection;
 
@@ -18,6 +19,9 @@
 const START_PAUSE: time::Duration = time::Duration::from_millis(500);
 /// Share of a server's slots that long work may use.
 const LONG_SHARE: f64 = 0.3;
+/// Servers tried for a call after which servers of other regions go before near ones that refused lately, under
+/// [`region_window::RegionPolicy::Sparing`].
+const NEAR_TRIES: usize = 2;
 /// Multiple of its slots up to which a server's own limit may rise.
 const SLOT_HEADROOM: f64 = 1.5;
 
@@ -41,6 +45,8 @@
 pub(crate) struct RunningCall {
     pub(crate) server: route_candidate::ServerKey,
     pub(crate) class: ids::ClassName,
+    /// Service, if the call counts in its [`region_window::RegionWindow`]; the server may be gone when the call ends.
+    pub(crate) crosses: Option<ids::ServiceName>,
     pub(crate) lane: route_candidate::RouteLane,
     pub(crate) started: time::Instant,
     pub(crate) probe: bool,
@@ -51,6 +57,12 @@
 pub(crate) enum Preference {
     Room(server_location::ServerDistance),
     Full(server_location::ServerDistance),
+    /// Of another region with room, once near servers that refused lately go first.
+    FarRoom,
+    /// See [`Preference::FarRoom`].
+    FarFull,
+    /// Near, after enough near servers were tried for this call.
+    NearTried(server_location::ServerDistance),
     Suspect(server_location::ServerDistance),
     Ejected(server_location::ServerDistance),
 }
@@ -156,6 +168,7 @@
     pub(crate) fn preference(
         &self,
         request: &route_candidate::RouteRequest<'_>,
+        policy: region_window::RegionPolicy,
         now: time::Instant,
     ) -> Option<Preference> {
         let distance = self.distance;
@@ -169,13 +182,32 @@
             route_candidate::CandidateState::Leaving | route_candidate::CandidateState::Starting => None,
             _ if self.ejection.is_some() => Some(Preference::Ejected(distance)),
             route_candidate::CandidateState::Suspect => Some(Preference::Suspect(distance)),
-            route_candidate::CandidateState::Ready if self.has_room(request.lane, now) => {
-                Some(Preference::Room(distance))
+            route_candidate::CandidateState::Ready => {
+                let room = self.has_room(request.lane, now);
+                Some(match policy {
+                    region_window::RegionPolicy::Room if room => Preference::Room(distance),
+                    region_window::RegionPolicy::Room => Preference::Full(distance),
+                    region_window::RegionPolicy::Sparing => self.sparing_preference(request, room),
+                })
             }
-            route_candidate::CandidateState::Ready => Some(Preference::Full(distance)),
         }
     }
 
+    fn sparing_preference(&self, request: &route_candidate::RouteRequest<'_>, room: bool) -> Preference {
+        match (self.is_near(), room) {
+            (true, true) => Preference::Room(self.distance),
+            (true, false) if request.exclude.len() < NEAR_TRIES => Preference::Full(self.distance),
+            (true, false) => Preference::NearTried(self.distance),
+            (false, true) => Preference::FarRoom,
+            (false, false) => Preference::FarFull,
+        }
+    }
+
+    /// Returns whether the server is in the caller's region.
+    pub(crate) fn is_near(&self) -> bool {
+        self.distance != server_location::ServerDistance::CrossRegion
+    }
+
     fn has_room(&self, lane: route_candidate::RouteLane, now: time::Instant) -> bool {
         if self.full_until.is_some_and(|until| now < until) {
             return false;
