Give the modules of the node crate folders that depend one way

Cause: 57 files lay in one folder, and fifteen of them imported each other around node_core, core_command and node_shared, so nothing said which way a request takes.

Ruled out: splitting the decision state itself. Its modules share one owner on one thread, and commands to it name their replies; they stay together in `core`.

Before: circles across core, sockets, members and configuration. The gossip socket hands datagrams to a closure instead of naming the core, and the messages about the configuration have a module of their own under `peer`. No decision changed; tests are as they were.

--- a/crates/node/src/api_changes.rs
+++ b/crates/node/src/api/api_changes.rs
@@ -11,11 +11,11 @@
 use rand::RngExt;
 use serde_json::json;
 
-use crate::api_documents;
-use crate::api_response;
-use crate::config_sync;
-use crate::node_shared;
-use crate::store_client;
+use crate::api::api_documents;
+use crate::api::api_response;
+use crate::members::config_sync;
+use crate::shared::node_shared;
+use crate::store::store_client;
 
 /// Time for a change with all its reads and commits; an operator's client waits longer.
 const CHANGE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
--- a/crates/node/src/api_queries.rs
+++ b/crates/node/src/api/api_queries.rs
@@ -13,14 +13,15 @@
 use damasktrack_wire::peer_message;
 use serde_json::json;
 
-use crate::api_documents;
-use crate::api_response;
-use crate::config_sync;
-use crate::core_command;
-use crate::core_config;
-use crate::member_jobs;
-use crate::node_shared;
-use crate::peer_directory;
+use crate::api::api_documents;
+use crate::api::api_response;
+use crate::core::core_command;
+use crate::core::core_config;
+use crate::core::peer_directory;
+use crate::members::config_sync;
+use crate::members::member_jobs;
+use crate::peer::config_message;
+use crate::shared::node_shared;
 
 /// Longest long poll.
 pub const MAX_WATCH: time::Duration = time::Duration::from_secs(30);
@@ -236,7 +237,7 @@
     };
     let reply = shared
         .peers
-        .message::<_, config_sync::ConfigReply>(peer.address, "/peer/config", &request);
+        .message::<_, config_message::ConfigReply>(peer.address, "/peer/config", &request);
     reply.ok().map(|reply| reply.revision)
 }
 
--- a/crates/node/src/api_server.rs
+++ b/crates/node/src/api/api_server.rs
@@ -16,15 +16,15 @@
 use damasktrack_settings::daemon_settings;
 use serde_json::json;
 
-use crate::api_changes;
-use crate::api_documents;
-use crate::api_queries;
-use crate::api_response;
-use crate::core_command;
-use crate::core_config;
-use crate::http_listener;
-use crate::node_shared;
-use crate::worker_pool;
+use crate::api::api_changes;
+use crate::api::api_documents;
+use crate::api::api_queries;
+use crate::api::api_response;
+use crate::core::core_command;
+use crate::core::core_config;
+use crate::shared::node_shared;
+use crate::transport::http_listener;
+use crate::transport::worker_pool;
 
 /// Threads that receive and answer health, readiness and metrics.
 const THREADS: usize = 2;
--- /dev/null
+++ b/crates/node/src/backend.rs
@@ -0,0 +1,3 @@
+//! Client of the backend server.
+
+pub mod backend_client;
--- a/crates/node/src/backend_client.rs
+++ b/crates/node/src/backend/backend_client.rs
@@ -9,11 +9,11 @@
 use damasktrack_settings::daemon_settings;
 use damasktrack_wire::call_frame;
 
-use crate::call_class;
-use crate::call_watch;
-use crate::frame_sink;
-use crate::header_filter;
-use crate::http_agent;
+use crate::call::call_class;
+use crate::call::call_watch;
+use crate::transport::frame_sink;
+use crate::transport::header_filter;
+use crate::transport::http_agent;
 
 /// Time for cancellations, drain announcements and health checks.
 const MESSAGE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
--- a/crates/node/src/control_traffic.rs
+++ b/crates/node/src/call/control_traffic.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::sync;
 
-use crate::byte_count;
+use crate::call::byte_count;
 
 /// Unit of the processor times in `/proc/self/stat`; Linux reports them in hundredths of a second everywhere.
 const TICKS_PER_SECOND: f64 = 100.0;
--- a/crates/node/src/admission_control.rs
+++ b/crates/node/src/core/admission_control.rs
@@ -11,7 +11,7 @@
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
 
-use crate::call_class;
+use crate::call::call_class;
 
 /// Admission to the backend server of this daemon.
 #[derive(Debug)]
--- a/crates/node/src/call_table.rs
+++ b/crates/node/src/core/call_table.rs
@@ -8,12 +8,12 @@
 use damasktrack_entity::request_identity;
 use damasktrack_routing::route_candidate;
 
-use crate::call_class;
-use crate::call_watch;
-use crate::core_command;
-use crate::core_hedges;
-use crate::core_routes;
-use crate::request_owner;
+use crate::call::call_class;
+use crate::call::call_watch;
+use crate::core::core_command;
+use crate::core::core_hedges;
+use crate::core::core_routes;
+use crate::core::request_owner;
 
 /// Daemon and call that wait for a call of this daemon.
 pub type SenderCall = (request_identity::RequestOwner, ids::CallId);
--- a/crates/node/src/core_calls.rs
+++ b/crates/node/src/core/core_calls.rs
@@ -13,13 +13,13 @@
 use damasktrack_wire::call_frame;
 use damasktrack_wire::peer_message;
 
-use crate::call_class;
-use crate::call_table;
-use crate::core_command;
-use crate::core_owner;
-use crate::core_routes;
-use crate::node_core;
-use crate::request_owner;
+use crate::call::call_class;
+use crate::core::call_table;
+use crate::core::core_command;
+use crate::core::core_owner;
+use crate::core::core_routes;
+use crate::core::node_core;
+use crate::core::request_owner;
 
 /// Commands.
 impl node_core::NodeCore {
--- a/crates/node/src/core_command.rs
+++ b/crates/node/src/core/core_command.rs
@@ -16,13 +16,13 @@
 use damasktrack_wire::call_frame;
 use damasktrack_wire::peer_message;
 
-use crate::call_class;
-use crate::call_watch;
-use crate::core_config;
-use crate::core_hedges;
-use crate::core_routes;
-use crate::member_sync;
-use crate::request_owner;
+use crate::call::call_class;
+use crate::call::call_watch;
+use crate::core::core_config;
+use crate::core::core_hedges;
+use crate::core::core_routes;
+use crate::core::member_sync;
+use crate::core::request_owner;
 
 /// Receiver of one reply. It runs on the core's thread, so it hands the reply over and never waits.
 pub struct ReplySender<T>(Box<dyn FnOnce(T) -> ReplyStep + Send>);
--- a/crates/node/src/core_config.rs
+++ b/crates/node/src/core/core_config.rs
@@ -10,9 +10,9 @@
 use damasktrack_resource::resource_document;
 use damasktrack_resource::resource_set;
 
-use crate::core_command;
-use crate::node_core;
-use crate::peer_directory;
+use crate::core::core_command;
+use crate::core::node_core;
+use crate::core::peer_directory;
 
 /// Command about the configuration.
 #[derive(Debug)]
--- a/crates/node/src/core_hedges.rs
+++ b/crates/node/src/core/core_hedges.rs
@@ -10,13 +10,13 @@
 use damasktrack_wire::call_frame;
 use damasktrack_wire::peer_message;
 
-use crate::call_class;
-use crate::call_table;
-use crate::call_watch;
-use crate::core_command;
-use crate::core_owner;
-use crate::core_routes;
-use crate::node_core;
+use crate::call::call_class;
+use crate::call::call_watch;
+use crate::core::call_table;
+use crate::core::core_command;
+use crate::core::core_owner;
+use crate::core::core_routes;
+use crate::core::node_core;
 
 /// Command about the copy of a call.
 #[derive(Debug)]
--- a/crates/node/src/core_members.rs
+++ b/crates/node/src/core/core_members.rs
@@ -7,9 +7,9 @@
 use damasktrack_membership::member_record;
 use damasktrack_membership::member_table;
 
-use crate::member_sync;
-use crate::node_core;
-use crate::peer_directory;
+use crate::core::member_sync;
+use crate::core::node_core;
+use crate::core::peer_directory;
 
 /// Commands.
 impl node_core::NodeCore {
--- a/crates/node/src/core_owner.rs
+++ b/crates/node/src/core/core_owner.rs
@@ -16,10 +16,10 @@
 use damasktrack_routing::retry_budget;
 use damasktrack_wire::peer_message;
 
-use crate::core_calls;
-use crate::core_command;
-use crate::node_core;
-use crate::request_owner;
+use crate::core::core_calls;
+use crate::core::core_command;
+use crate::core::node_core;
+use crate::core::request_owner;
 
 /// Daemon that keeps the retry ledger of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -250,7 +250,7 @@
     }
 
     /// Returns the waiting call that a peer forwarded, if there is one.
-    pub(crate) fn find_pending(&self, sender: &crate::call_table::SenderCall) -> Option<ids::CallId> {
+    pub(crate) fn find_pending(&self, sender: &crate::core::call_table::SenderCall) -> Option<ids::CallId> {
         let mut pending = self.owner.pending.iter();
         let found = pending.find(|entry| entry.1.root.sender.as_ref() == Some(sender));
         found.map(|entry| *entry.0)
--- a/crates/node/src/core_routes.rs
+++ b/crates/node/src/core/core_routes.rs
@@ -17,10 +17,10 @@
 use damasktrack_routing::straggler_ejection;
 use damasktrack_settings::daemon_settings;
 
-use crate::call_class;
-use crate::core_command;
-use crate::node_core;
-use crate::peer_directory;
+use crate::call::call_class;
+use crate::core::core_command;
+use crate::core::node_core;
+use crate::core::peer_directory;
 
 /// How a server is reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/node/src/core_thread.rs
+++ b/crates/node/src/core/core_thread.rs
@@ -7,8 +7,8 @@
 // The `after!` macro of stakker names `Duration` without a path.
 use std::time::Duration;
 
-use crate::core_command;
-use crate::node_core;
+use crate::core::core_command;
+use crate::core::node_core;
 
 /// Longest sleep of the thread; timers and commands end it earlier.
 const MAX_SLEEP: Duration = Duration::from_mins(1);
--- a/crates/node/src/core_work.rs
+++ b/crates/node/src/core/core_work.rs
@@ -9,12 +9,12 @@
 use damasktrack_entity::ids;
 use damasktrack_wire::peer_message;
 
-use crate::admission_control;
-use crate::call_class;
-use crate::call_table;
-use crate::core_command;
-use crate::core_routes;
-use crate::node_core;
+use crate::call::call_class;
+use crate::core::admission_control;
+use crate::core::call_table;
+use crate::core::core_command;
+use crate::core::core_routes;
+use crate::core::node_core;
 
 /// Commands.
 impl node_core::NodeCore {
--- a/crates/node/src/member_sync.rs
+++ b/crates/node/src/core/member_sync.rs
@@ -1,6 +1,6 @@
 //! Membership of this daemon: its gossip, and the plan by which it joins through the store and the seeds.
 //!
-//! The core owns it. What blocks, that is calls to the store and exchanges with peers, runs in [`crate::member_jobs`].
+//! The core owns it. What blocks, that is calls to the store and exchanges with peers, runs in [`crate::members::member_jobs`].
 
 use std::net;
 use std::sync::mpsc;
@@ -17,9 +17,9 @@
 use damasktrack_settings::daemon_settings;
 use rand::seq::IteratorRandom;
 
-use crate::core_command;
-use crate::gossip_socket;
-use crate::peer_directory;
+use crate::core::core_command;
+use crate::core::peer_directory;
+use crate::transport::gossip_socket;
 
 /// Members that are contacted at once until one has answered with its members.
 const CONTACTS: usize = 3;
--- a/crates/node/src/node_core.rs
+++ b/crates/node/src/core/node_core.rs
@@ -9,17 +9,17 @@
 use damasktrack_entity::request_identity;
 use damasktrack_settings::daemon_settings;
 
-use crate::admission_control;
-use crate::call_class;
-use crate::call_table;
-use crate::core_command;
-use crate::core_config;
-use crate::core_routes;
-use crate::member_sync;
-use crate::node_effects;
-use crate::node_metrics;
-use crate::peer_directory;
-use crate::request_owner;
+use crate::call::call_class;
+use crate::core::admission_control;
+use crate::core::call_table;
+use crate::core::core_command;
+use crate::core::core_config;
+use crate::core::core_routes;
+use crate::core::member_sync;
+use crate::core::node_effects;
+use crate::core::node_metrics;
+use crate::core::peer_directory;
+use crate::core::request_owner;
 
 /// Interval of [`admission_control::AdmissionControl::tick`].
 pub const TICK_INTERVAL: time::Duration = time::Duration::from_millis(100);
--- a/crates/node/src/node_effects.rs
+++ b/crates/node/src/core/node_effects.rs
@@ -7,11 +7,11 @@
 use damasktrack_entity::request_identity;
 use damasktrack_wire::peer_message;
 
-use crate::backend_client;
-use crate::config_signal;
-use crate::config_sync;
-use crate::peer_client;
-use crate::worker_pool;
+use crate::backend::backend_client;
+use crate::core::config_signal;
+use crate::peer::config_message;
+use crate::peer::peer_client;
+use crate::transport::worker_pool;
 
 /// Threads for messages; each message is bounded by a timeout, so a few are enough.
 const MAX_MESSAGE_WORKERS: usize = 16;
@@ -72,7 +72,7 @@
     }
 
     /// Pushes changes of the configuration to a peer.
-    pub fn push_config(&self, address: net::SocketAddr, request: config_sync::PushRequest) {
+    pub fn push_config(&self, address: net::SocketAddr, request: config_message::PushRequest) {
         let peers = sync::Arc::clone(&self.peers);
         self.submit(move || {
             if let Err(error) = peers.message::<_, ids::Revision>(address, "/peer/push", &request) {
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/core/node_metrics.rs
@@ -10,8 +10,8 @@
 use opentelemetry::metrics::MeterProvider;
 use prometheus::Encoder;
 
-use crate::call_class;
-use crate::control_traffic;
+use crate::call::call_class;
+use crate::call::control_traffic;
 
 /// Upper bounds of the latency histogram, in seconds: about three for each factor of ten, from half a millisecond to a
 /// minute.
--- a/crates/node/src/request_owner.rs
+++ b/crates/node/src/core/request_owner.rs
@@ -17,8 +17,8 @@
 use damasktrack_ownership::claim_plan;
 use damasktrack_ownership::retry_ledger;
 
-use crate::core_calls;
-use crate::core_command;
+use crate::core::core_calls;
+use crate::core::core_command;
 
 /// Calls to the store that wait for a worker; beyond them a claim counts as not sent.
 const MAX_STORE_JOBS: usize = 1024;
--- a/crates/node/src/entry_body.rs
+++ b/crates/node/src/entry/entry_body.rs
@@ -10,9 +10,9 @@
 use damasktrack_entity::ids;
 use tokio::sync::mpsc;
 
-use crate::call_watch;
-use crate::core_command;
-use crate::node_shared;
+use crate::call::call_watch;
+use crate::core::core_command;
+use crate::shared::node_shared;
 
 /// Frames that wait for a slow caller; with frames of 64 KiB this bounds the memory of one response.
 pub const PIECES_IN_FLIGHT: usize = 4;
--- a/crates/node/src/entry_request.rs
+++ b/crates/node/src/entry/entry_request.rs
@@ -18,16 +18,16 @@
 use damasktrack_wire::peer_message;
 use tokio::sync::oneshot;
 
-use crate::call_begin;
-use crate::call_runner;
-use crate::call_watch;
-use crate::core_command;
-use crate::entry_response;
-use crate::frame_sink;
-use crate::header_filter;
-use crate::node_shared;
-use crate::request_owner;
-use crate::worker_pool;
+use crate::call::call_watch;
+use crate::core::core_command;
+use crate::core::request_owner;
+use crate::entry::entry_response;
+use crate::run::call_begin;
+use crate::run::call_runner;
+use crate::shared::node_shared;
+use crate::transport::frame_sink;
+use crate::transport::header_filter;
+use crate::transport::worker_pool;
 
 /// Request of a caller, ready to run.
 #[derive(Debug)]
--- a/crates/node/src/entry_response.rs
+++ b/crates/node/src/entry/entry_response.rs
@@ -9,10 +9,10 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
-use crate::call_watch;
-use crate::entry_body;
-use crate::frame_sink;
-use crate::header_filter;
+use crate::call::call_watch;
+use crate::entry::entry_body;
+use crate::transport::frame_sink;
+use crate::transport::header_filter;
 
 /// Start of a response, as the worker hands it to the listener.
 #[derive(Debug)]
--- a/crates/node/src/entry_server.rs
+++ b/crates/node/src/entry/entry_server.rs
@@ -19,15 +19,15 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-use crate::call_runner;
-use crate::call_watch;
-use crate::core_command;
-use crate::entry_body;
-use crate::entry_request;
-use crate::entry_response;
-use crate::header_filter;
-use crate::http_listener;
-use crate::node_shared;
+use crate::call::call_watch;
+use crate::core::core_command;
+use crate::entry::entry_body;
+use crate::entry::entry_request;
+use crate::entry::entry_response;
+use crate::run::call_runner;
+use crate::shared::node_shared;
+use crate::transport::header_filter;
+use crate::transport::http_listener;
 
 /// Path under which callers get request ids.
 const ISSUE_PATH: &str = "/damasktrack/v1/request-ids";
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/entry/peer_server.rs
@@ -17,20 +17,21 @@
 use damasktrack_wire::frame_reader;
 use damasktrack_wire::peer_message;
 
-use crate::call_begin;
-use crate::call_runner;
-use crate::call_watch;
-use crate::callee_runner;
-use crate::config_sync;
-use crate::core_command;
-use crate::frame_sink;
-use crate::frame_writer;
-use crate::http_listener;
-use crate::member_jobs;
-use crate::node_shared;
-use crate::peer_connector;
-use crate::request_owner;
-use crate::worker_pool;
+use crate::call::call_watch;
+use crate::core::core_command;
+use crate::core::request_owner;
+use crate::members::config_sync;
+use crate::members::member_jobs;
+use crate::peer::config_message;
+use crate::run::call_begin;
+use crate::run::call_runner;
+use crate::run::callee_runner;
+use crate::shared::node_shared;
+use crate::transport::frame_sink;
+use crate::transport::frame_writer;
+use crate::transport::http_listener;
+use crate::transport::peer_connector;
+use crate::transport::worker_pool;
 
 /// Idle threads that stay; further ones end after [`IDLE_TIME`].
 const MIN_IDLE_THREADS: usize = 4;
@@ -146,7 +147,7 @@
         "/peer/config" => answer_counted(request, shared, |message: peer_message::ConfigRequest| {
             config_sync::answer_request(shared, &message)
         }),
-        "/peer/push" => answer_counted(request, shared, |message: config_sync::PushRequest| {
+        "/peer/push" => answer_counted(request, shared, |message: config_message::PushRequest| {
             config_sync::take_push(shared, message)
         }),
         "/peer/members" => answer_bytes(request, |message| member_jobs::answer(shared, message)),
--- a/crates/node/src/background_checks.rs
+++ b/crates/node/src/members/background_checks.rs
@@ -5,8 +5,8 @@
 use std::thread;
 use std::time;
 
-use crate::core_command;
-use crate::node_shared;
+use crate::core::core_command;
+use crate::shared::node_shared;
 
 /// Failed health checks in a row before the backend server counts as down; one slow answer under load is not enough.
 const FAILURES_UNTIL_DOWN: u32 = 3;
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/members/config_sync.rs
@@ -15,10 +15,11 @@
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 
-use crate::core_command;
-use crate::core_config;
-use crate::node_shared;
-use crate::store_client;
+use crate::core::core_command;
+use crate::core::core_config;
+use crate::peer::config_message;
+use crate::shared::node_shared;
+use crate::store::store_client;
 
 /// Interval of the reads of the head; 760 daemons make 25 reads/s of them.
 const HEAD_INTERVAL: time::Duration = time::Duration::from_secs(30);
@@ -33,32 +34,6 @@
 /// Changes read from the store at once.
 const CHANGE_PAGE: usize = 500;
 
-/// Changes that a peer pushes.
-#[derive(Clone, Debug)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub struct PushRequest {
-    /// Peer server of the sender, from which missing changes can be fetched.
-    pub sender: net::SocketAddr,
-    /// Changes in order.
-    pub changes: Vec<sync::Arc<change_log::ConfigChange>>,
-    /// Whether the receiver pushes them on once.
-    pub spread: bool,
-}
-
-/// Answer to a [`peer_message::ConfigRequest`].
-#[derive(Clone, Debug)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub struct ConfigReply {
-    /// Revision in force at the peer.
-    pub revision: ids::Revision,
-    /// Whether the revision counts for a daemon that starts: the peer found a configuration, or has no store to ask.
-    pub settled: bool,
-    /// Changes after the requested revision, in order.
-    pub changes: Vec<sync::Arc<change_log::ConfigChange>>,
-    /// Whole configuration, if the changes are no longer kept.
-    pub snapshot: Option<change_log::ConfigSnapshot>,
-}
-
 /// Result of a look at a source.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SyncStep {
@@ -153,12 +128,12 @@
 }
 
 /// Fetches the changes that a peer has and this daemon lacks.
-fn fetch_from_peer(shared: &node_shared::NodeShared, peer: net::SocketAddr) -> Option<ConfigReply> {
+fn fetch_from_peer(shared: &node_shared::NodeShared, peer: net::SocketAddr) -> Option<config_message::ConfigReply> {
     let after = view(shared)?.set.revision();
     let request = peer_message::ConfigRequest { after };
     let reply = shared
         .peers
-        .message::<_, ConfigReply>(peer, "/peer/config", &request)
+        .message::<_, config_message::ConfigReply>(peer, "/peer/config", &request)
         .inspect_err(|error| log::debug!(peer:% = peer, error:% = error; "peer gave no configuration"))
         .ok()?;
     if let Some(snapshot) = &reply.snapshot {
@@ -256,7 +231,7 @@
 }
 
 /// Takes changes that a peer pushed; returns the revision in force.
-pub fn take_push(shared: &node_shared::NodeShared, push: PushRequest) -> Option<ids::Revision> {
+pub fn take_push(shared: &node_shared::NodeShared, push: config_message::PushRequest) -> Option<ids::Revision> {
     let report = apply(shared, push.changes)?;
     if report.behind {
         shared.effects.config_signal().report_ahead(push.sender);
@@ -269,7 +244,10 @@
 
 /// Answers a peer that asks for changes.
 #[must_use]
-pub fn answer_request(shared: &node_shared::NodeShared, request: &peer_message::ConfigRequest) -> Option<ConfigReply> {
+pub fn answer_request(
+    shared: &node_shared::NodeShared,
+    request: &peer_message::ConfigRequest,
+) -> Option<config_message::ConfigReply> {
     let feed = shared
         .core
         .ask(|reply| core_command::CoreCommand::Config(core_config::ConfigCommand::Feed(request.after, reply)))?;
@@ -279,7 +257,7 @@
         config_log::ChangeFeed::Changes(changes) => (changes, None),
         config_log::ChangeFeed::Snapshot(snapshot) => (Vec::new(), Some(snapshot)),
     };
-    Some(ConfigReply {
+    Some(config_message::ConfigReply {
         revision: view.set.revision(),
         settled: view.settled || shared.store.is_none(),
         changes,
@@ -294,7 +272,7 @@
     changes: Vec<sync::Arc<change_log::ConfigChange>>,
     onwards: bool,
 ) {
-    let request = PushRequest {
+    let request = config_message::PushRequest {
         sender: shared.peer_address,
         changes,
         spread: onwards,
--- a/crates/node/src/member_jobs.rs
+++ b/crates/node/src/members/member_jobs.rs
@@ -12,12 +12,12 @@
 use damasktrack_membership::member_row;
 use damasktrack_resource::store_rows;
 
-use crate::core_command;
-use crate::member_sync;
-use crate::node_shared;
-use crate::peer_directory;
-use crate::store_client;
-use crate::worker_pool;
+use crate::core::core_command;
+use crate::core::member_sync;
+use crate::core::peer_directory;
+use crate::shared::node_shared;
+use crate::store::store_client;
+use crate::transport::worker_pool;
 
 /// Jobs at the same time: one call to the store and a few exchanges.
 const MAX_JOBS: usize = 4;
--- a/crates/node/src/store_worker.rs
+++ b/crates/node/src/members/store_worker.rs
@@ -9,10 +9,10 @@
 use damasktrack_resource::store_rows;
 use serde_json::json;
 
-use crate::core_command;
-use crate::node_shared;
-use crate::request_owner;
-use crate::store_client;
+use crate::core::core_command;
+use crate::core::request_owner;
+use crate::shared::node_shared;
+use crate::store::store_client;
 
 /// Threads; twice the calls that the client has in flight, so that a free place is taken at once.
 const THREADS: usize = 8;
--- a/crates/node/src/peer_client.rs
+++ b/crates/node/src/peer/peer_client.rs
@@ -11,11 +11,11 @@
 use damasktrack_wire::codec;
 use damasktrack_wire::frame_reader;
 
-use crate::byte_count;
-use crate::call_class;
-use crate::call_watch;
-use crate::frame_sink;
-use crate::http_agent;
+use crate::call::byte_count;
+use crate::call::call_class;
+use crate::call::call_watch;
+use crate::transport::frame_sink;
+use crate::transport::http_agent;
 
 /// Idle connections that are kept for each peer.
 const MAX_IDLE_CONNECTIONS: usize = 64;
--- a/crates/node/src/graceful_shutdown.rs
+++ b/crates/node/src/process/graceful_shutdown.rs
@@ -5,11 +5,11 @@
 use std::thread;
 use std::time;
 
-use crate::core_command;
-use crate::entry_server;
-use crate::member_jobs;
-use crate::member_sync;
-use crate::node_shared;
+use crate::core::core_command;
+use crate::core::member_sync;
+use crate::entry::entry_server;
+use crate::members::member_jobs;
+use crate::shared::node_shared;
 
 /// Interval in which the remaining work is counted.
 const COUNT_INTERVAL: time::Duration = time::Duration::from_millis(20);
--- a/crates/node/src/node_run.rs
+++ b/crates/node/src/process/node_run.rs
@@ -10,28 +10,29 @@
 use damasktrack_entity::request_identity;
 use damasktrack_settings::daemon_settings;
 
-use crate::api_server;
-use crate::backend_client;
-use crate::background_checks;
-use crate::config_sync;
-use crate::control_traffic;
-use crate::core_thread;
-use crate::entry_server;
-use crate::gossip_socket;
-use crate::graceful_shutdown;
-use crate::member_jobs;
-use crate::member_sync;
-use crate::node_core;
-use crate::node_effects;
-use crate::node_logs;
-use crate::node_metrics;
-use crate::node_shared;
-use crate::peer_client;
-use crate::peer_server;
-use crate::request_owner;
-use crate::store_client;
-use crate::store_worker;
-use crate::worker_pool;
+use crate::api::api_server;
+use crate::backend::backend_client;
+use crate::call::control_traffic;
+use crate::core::core_command;
+use crate::core::core_thread;
+use crate::core::member_sync;
+use crate::core::node_core;
+use crate::core::node_effects;
+use crate::core::node_metrics;
+use crate::core::request_owner;
+use crate::entry::entry_server;
+use crate::entry::peer_server;
+use crate::members::background_checks;
+use crate::members::config_sync;
+use crate::members::member_jobs;
+use crate::members::store_worker;
+use crate::peer::peer_client;
+use crate::process::graceful_shutdown;
+use crate::process::node_logs;
+use crate::shared::node_shared;
+use crate::store::store_client;
+use crate::transport::gossip_socket;
+use crate::transport::worker_pool;
 
 /// Addresses in use; they differ from the settings where those name port 0.
 #[derive(Clone, Copy, Debug)]
@@ -101,7 +102,11 @@
     let (shared, store_jobs) = build(settings, peer_server.address(), members)?;
     store_worker::start(&shared, &store_jobs)?;
     member_jobs::start(&shared, member_work)?;
-    gossip.start(&shared.core)?;
+    let core = shared.core.clone();
+    gossip.start(move |datagram| {
+        let command = member_sync::MemberCommand::Datagram(datagram);
+        core.send(core_command::CoreCommand::Member(command));
+    })?;
     peer_server.start(&shared);
     api_server.start(&shared)?;
     let entry = entry_server::EntryServer::start(entry_listener, sync::Arc::clone(&shared))?;
--- a/crates/node/src/call_begin.rs
+++ b/crates/node/src/run/call_begin.rs
@@ -12,13 +12,13 @@
 use damasktrack_wire::call_frame;
 use damasktrack_wire::peer_message;
 
-use crate::call_runner;
-use crate::call_watch;
-use crate::core_command;
-use crate::frame_sink;
-use crate::node_shared;
-use crate::request_owner;
-use crate::store_client;
+use crate::call::call_watch;
+use crate::core::core_command;
+use crate::core::request_owner;
+use crate::run::call_runner;
+use crate::shared::node_shared;
+use crate::store::store_client;
+use crate::transport::frame_sink;
 
 /// Waits for the decision about a call; `on_wait` runs at the interval of `Working` frames. `None` if the core stopped.
 pub fn begin(
--- a/crates/node/src/call_hedge.rs
+++ b/crates/node/src/run/call_hedge.rs
@@ -12,16 +12,16 @@
 use damasktrack_wire::call_frame;
 use damasktrack_wire::peer_message;
 
-use crate::call_class;
-use crate::call_runner;
-use crate::call_watch;
-use crate::core_command;
-use crate::core_hedges;
-use crate::core_routes;
-use crate::frame_sink;
-use crate::node_shared;
-use crate::peer_client;
-use crate::worker_pool;
+use crate::call::call_class;
+use crate::call::call_watch;
+use crate::core::core_command;
+use crate::core::core_hedges;
+use crate::core::core_routes;
+use crate::peer::peer_client;
+use crate::run::call_runner;
+use crate::shared::node_shared;
+use crate::transport::frame_sink;
+use crate::transport::worker_pool;
 
 /// Interval in which the thread of the call looks at a running copy.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(5);
--- a/crates/node/src/call_runner.rs
+++ b/crates/node/src/run/call_runner.rs
@@ -15,17 +15,17 @@
 use damasktrack_wire::codec;
 use damasktrack_wire::peer_message;
 
-use crate::call_begin;
-use crate::call_hedge;
-use crate::call_watch;
-use crate::callee_runner;
-use crate::core_command;
-use crate::core_routes;
-use crate::frame_sink;
-use crate::node_core;
-use crate::node_shared;
-use crate::peer_client;
-use crate::request_owner;
+use crate::call::call_watch;
+use crate::core::core_command;
+use crate::core::core_routes;
+use crate::core::node_core;
+use crate::core::request_owner;
+use crate::peer::peer_client;
+use crate::run::call_begin;
+use crate::run::call_hedge;
+use crate::run::callee_runner;
+use crate::shared::node_shared;
+use crate::transport::frame_sink;
 
 /// Time past the deadline in which the callee's own report of it is awaited.
 pub(crate) const DEADLINE_GRACE: time::Duration = time::Duration::from_millis(100);
--- a/crates/node/src/callee_runner.rs
+++ b/crates/node/src/run/callee_runner.rs
@@ -13,14 +13,14 @@
 use damasktrack_wire::call_frame;
 use damasktrack_wire::peer_message;
 
-use crate::backend_client;
-use crate::call_class;
-use crate::call_table;
-use crate::call_watch;
-use crate::core_command;
-use crate::frame_sink;
-use crate::node_core;
-use crate::node_shared;
+use crate::backend::backend_client;
+use crate::call::call_class;
+use crate::call::call_watch;
+use crate::core::call_table;
+use crate::core::core_command;
+use crate::core::node_core;
+use crate::shared::node_shared;
+use crate::transport::frame_sink;
 
 /// Call as it reaches its callee daemon.
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/crates/node/src/shared.rs
@@ -0,0 +1,3 @@
+//! What the threads around the core share.
+
+pub mod node_shared;
--- a/crates/node/src/node_shared.rs
+++ b/crates/node/src/shared/node_shared.rs
@@ -8,14 +8,14 @@
 use damasktrack_entity::request_identity;
 use damasktrack_settings::daemon_settings;
 
-use crate::backend_client;
-use crate::control_traffic;
-use crate::core_thread;
-use crate::node_effects;
-use crate::node_metrics;
-use crate::peer_client;
-use crate::store_client;
-use crate::worker_pool;
+use crate::backend::backend_client;
+use crate::call::control_traffic;
+use crate::core::core_thread;
+use crate::core::node_effects;
+use crate::core::node_metrics;
+use crate::peer::peer_client;
+use crate::store::store_client;
+use crate::transport::worker_pool;
 
 /// Shared parts of a daemon; none of them decides anything.
 #[derive(Debug)]
--- a/crates/node/src/store_client.rs
+++ b/crates/node/src/store/store_client.rs
@@ -9,10 +9,10 @@
 use bytes::Bytes;
 use damasktrack_resource::store_rows;
 
-use crate::byte_count;
-use crate::call_watch;
-use crate::http_agent;
-use crate::store_circuit;
+use crate::call::byte_count;
+use crate::call::call_watch;
+use crate::store::store_circuit;
+use crate::transport::http_agent;
 
 /// Calls in flight; 760 daemons share a store that does about 2,000 reads/s.
 const MAX_IN_FLIGHT: usize = 4;
--- a/crates/node/src/frame_writer.rs
+++ b/crates/node/src/transport/frame_writer.rs
@@ -6,8 +6,8 @@
 
 use damasktrack_wire::call_frame;
 
-use crate::frame_sink;
-use crate::header_filter;
+use crate::transport::frame_sink;
+use crate::transport::header_filter;
 
 /// Head of every frame stream.
 const STREAM_HEAD: &[u8] =
--- a/crates/node/src/gossip_socket.rs
+++ b/crates/node/src/transport/gossip_socket.rs
@@ -11,10 +11,7 @@
 use damasktrack_membership::gossip_message;
 use damasktrack_membership::traffic_count;
 
-use crate::byte_count;
-use crate::core_command;
-use crate::core_thread;
-use crate::member_sync;
+use crate::call::byte_count;
 
 /// Datagrams that wait for the core; later ones are dropped, so that a flood takes no memory.
 const MAX_QUEUED: usize = 1024;
@@ -70,16 +67,15 @@
         }
     }
 
-    /// Starts the thread that hands received datagrams to the core.
+    /// Starts the thread that hands received datagrams on.
     ///
     /// # Errors
     /// Returns an error if the thread can't be started.
-    pub fn start(&self, core: &core_thread::CoreHandle) -> io::Result<()> {
+    pub fn start(&self, take: impl Fn(ReceivedDatagram) + Send + 'static) -> io::Result<()> {
         let socket = self.clone();
-        let core = core.clone();
         thread::Builder::new()
             .name("gossip".to_owned())
-            .spawn(move || socket.receive(&core))
+            .spawn(move || socket.receive(&take))
             .map(|_thread| ())
     }
 
@@ -89,7 +85,7 @@
         &self.bytes
     }
 
-    fn receive(&self, core: &core_thread::CoreHandle) {
+    fn receive(&self, take: &impl Fn(ReceivedDatagram)) {
         // One byte more than allowed, so that a longer datagram is not taken for a whole one.
         let mut buffer = [0; gossip_message::MAX_DATAGRAM_BYTES + 1];
         loop {
@@ -107,13 +103,11 @@
                 continue;
             }
             self.queued.fetch_add(1, atomic::Ordering::Relaxed);
-            let datagram = ReceivedDatagram {
+            take(ReceivedDatagram {
                 from,
                 content: Bytes::copy_from_slice(&buffer[..length]),
                 queued: sync::Arc::clone(&self.queued),
-            };
-            let command = member_sync::MemberCommand::Datagram(datagram);
-            core.send(core_command::CoreCommand::Member(command));
+            });
         }
     }
 }
--- a/crates/node/src/http_agent.rs
+++ b/crates/node/src/transport/http_agent.rs
@@ -7,8 +7,8 @@
 use ureq::unversioned::transport;
 use ureq::unversioned::transport::Connector;
 
-use crate::call_watch;
-use crate::peer_connector;
+use crate::call::call_watch;
+use crate::transport::peer_connector;
 
 /// Time for a connection to open; half of the silence bound, so that a dead VM is noticed within it.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
