--- a/crates/standins/src/platform_site.rs
+++ b/crates/standins/src/platform_site.rs
@@ -86,6 +86,12 @@
     }
 }
 
+/// Addresses at which the daemons take requests of callers.
+#[derive(Clone, Debug)]
+pub struct SiteCaller {
+    entries: Vec<net::SocketAddr>,
+}
+
 /// Answer of a daemon to a caller.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SiteAnswer {
@@ -164,9 +170,20 @@
     /// # Errors
     /// Returns an error if the signal can't be sent.
     pub fn terminate_daemon(&self, machine: usize) -> io::Result<()> {
-        let id = self.machines[machine].daemon.as_ref().map_or(0, process::Child::id);
+        self.signal_daemon(machine, "TERM")
+    }
+
+    /// Sends a signal, by its name without `SIG`, to the daemon of a machine.
+    ///
+    /// # Errors
+    /// Returns an error if no daemon runs there or the signal can't be sent.
+    pub fn signal_daemon(&self, machine: usize, signal: &str) -> io::Result<()> {
+        let daemon = self.machines[machine].daemon.as_ref();
+        let id = daemon
+            .map(process::Child::id)
+            .ok_or_else(|| io::Error::other("no daemon runs"))?;
         let status = process::Command::new("kill")
-            .arg("-TERM")
+            .arg(format!("-{signal}"))
             .arg(id.to_string())
             .status()?;
         if status.success() {
@@ -219,7 +236,37 @@
     /// Sends a request to the daemon of a machine; `None` if there is no answer.
     #[must_use]
     pub fn call(&self, machine: usize, method: &str, host: &str, path: &str, id: &str) -> Option<SiteAnswer> {
-        let address = self.machines[machine].socket(ENTRY_PORT);
+        self.caller().call(machine, method, host, path, id)
+    }
+
+    /// Returns a caller that lives on while machines are stopped and started.
+    #[must_use]
+    pub fn caller(&self) -> SiteCaller {
+        SiteCaller {
+            entries: self.machines.iter().map(SiteMachine::entry).collect(),
+        }
+    }
+
+    /// Returns the log of a machine's daemon.
+    ///
+    /// # Errors
+    /// Returns an error if the file can't be read.
+    pub fn log(&self, machine: usize) -> io::Result<String> {
+        fs::read_to_string(self.machines[machine].settings.with_extension("log"))
+    }
+
+    /// Returns where settings and logs lie.
+    #[must_use]
+    pub fn folder(&self) -> &path::Path {
+        &self.folder
+    }
+}
+
+impl SiteCaller {
+    /// Sends a request to the daemon of a machine; `None` if there is no answer.
+    #[must_use]
+    pub fn call(&self, machine: usize, method: &str, host: &str, path: &str, id: &str) -> Option<SiteAnswer> {
+        let address = self.entries[machine];
         let request = ureq::http::Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
@@ -240,14 +287,6 @@
             body: answer.body_mut().read_to_string().ok()?,
         })
     }
-
-    /// Returns the log of a machine's daemon.
-    ///
-    /// # Errors
-    /// Returns an error if the file can't be read.
-    pub fn log(&self, machine: usize) -> io::Result<String> {
-        fs::read_to_string(self.machines[machine].settings.with_extension("log"))
-    }
 }
 
 impl Drop for PlatformSite {
