Remove the member rows of daemons that are gone

Ruled out: removal without the row's version, since the store may carry out a write seconds later and would then drop the row of the next process; a rule of its own for rows of killed daemons, since `join_plan::may_remove_row` is what damasktrackd uses.

A planned stop removes the own row. A daemon that misses its own row in a list writes it again.

Before: two rows after a stop of one of two daemons; after: one, and two again after its start (platform/tests/site/leaving.rs).

--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -90,14 +90,16 @@
         rc::Rc::clone(&socket),
     ));
     task::spawn_local(store_port::follow_config(rc::Rc::clone(&node), rc::Rc::clone(&port)));
-    task::spawn_local(store_port::keep_members(rc::Rc::clone(&node), rc::Rc::clone(&port)));
+    let own_row = store_port::OwnRow::default();
+    let members = store_port::keep_members(rc::Rc::clone(&node), rc::Rc::clone(&port), rc::Rc::clone(&own_row));
+    let members = task::spawn_local(members);
     task::spawn_local(keep_up(rc::Rc::clone(&node)));
     node.core.ask(|core, now| core.contact(&settings.seeds, now));
     log::info!(entry:% = settings.entry_listen, peer:% = settings.peer_listen; "daemon started");
     let mut superseded = task::spawn_local(member_tasks::carry_out(
         rc::Rc::clone(&node),
         socket,
-        port,
+        rc::Rc::clone(&port),
         effect_queue,
     ));
     loop {
@@ -108,6 +110,9 @@
         }
     }
     finish(&node, &stop).await;
+    // A list that is awaited could write the row again.
+    members.abort();
+    store_port::remove_own(&node, &port, &own_row).await;
     Ok(())
 }
 
--- a/crates/forward/src/store_port.rs
+++ b/crates/forward/src/store_port.rs
@@ -3,11 +3,15 @@
 //! The store keeps the configuration and one row for each daemon. Calls go on while it is away: the configuration then
 //! comes from peers, and members from the gossip.
 
+use std::cell;
 use std::pin;
 use std::rc;
 use std::time;
 
 use bytes::Bytes;
+use damasktrack_entity::ids;
+use damasktrack_membership::join_plan;
+use damasktrack_membership::member_record;
 use damasktrack_membership::member_row;
 use rand::RngExt;
 
@@ -23,6 +27,9 @@
 /// Time between two lists afterwards; the gossip brings changes sooner.
 const LIST_INTERVAL: time::Duration = time::Duration::from_mins(2);
 
+/// Longest wait for the removal of the own row at a stop; others remove it later if that fails.
+const REMOVE_TIMEOUT: time::Duration = time::Duration::from_millis(150);
+
 /// Future of a call to the store.
 pub type StoreFuture<T> = pin::Pin<Box<dyn Future<Output = Result<T, StoreFailure>>>>;
 
@@ -50,16 +57,27 @@
     pub version: StoreVersion,
 }
 
+/// Row of a daemon with the version that the store gave it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredMember {
+    /// The row.
+    pub row: member_row::MemberRow,
+    /// Its version.
+    pub version: StoreVersion,
+}
+
 /// Calls to the store, and the decoding of what operators write.
 pub struct StorePort {
     /// Reads the configuration.
     pub read_config: Box<dyn Fn() -> StoreFuture<StoredConfig>>,
     /// Waits until the configuration is newer than a version, or for some seconds.
     pub await_config: Box<dyn Fn(StoreVersion) -> StoreFuture<StoredConfig>>,
-    /// Writes the row of this daemon.
-    pub write_member: Box<dyn Fn(member_row::MemberRow) -> StoreFuture<()>>,
+    /// Writes the row of this daemon and returns its version.
+    pub write_member: Box<dyn Fn(member_row::MemberRow) -> StoreFuture<StoreVersion>>,
+    /// Removes a daemon's row if it still has this version.
+    pub remove_member: Box<dyn Fn(ids::DaemonId, StoreVersion) -> StoreFuture<()>>,
     /// Lists the rows of all daemons.
-    pub list_members: Box<dyn Fn() -> StoreFuture<Vec<member_row::MemberRow>>>,
+    pub list_members: Box<dyn Fn() -> StoreFuture<Vec<StoredMember>>>,
     /// Decodes a configuration, or returns every finding with its place.
     pub decode_config: fn(&[u8]) -> Result<route_config::RouteConfig, Vec<String>>,
 }
@@ -138,28 +156,38 @@
     }
 }
 
-/// Writes the row of this daemon and lists those of the others; never returns.
-pub async fn keep_members(node: rc::Rc<node_context::NodeContext>, port: rc::Rc<StorePort>) {
+/// Version of this daemon's row; `None` while it has none.
+pub type OwnRow = rc::Rc<cell::Cell<Option<StoreVersion>>>;
+
+/// Writes the row of this daemon, lists those of the others and removes those of daemons that are gone; never returns.
+pub async fn keep_members(node: rc::Rc<node_context::NodeContext>, port: rc::Rc<StorePort>, own: OwnRow) {
     let mut pause = RetryPause::new();
-    let mut written = false;
     let mut wait = SECOND_LIST;
     loop {
-        let record = node.core.ask(|core, _now| core.gossip().own_record().clone());
-        if !written {
-            let row = member_row::MemberRow::from_record(&record);
-            if let Err(failure) = (port.write_member)(row).await {
-                log::warn!(failure:% = failure; "member row not written");
-                pause.wait().await;
-                continue;
+        if own.get().is_none() {
+            let record = node.core.ask(|core, _now| core.gossip().own_record().clone());
+            match (port.write_member)(member_row::MemberRow::from_record(&record)).await {
+                Ok(version) => own.set(Some(version)),
+                Err(failure) => {
+                    log::warn!(failure:% = failure; "member row not written");
+                    pause.wait().await;
+                    continue;
+                }
             }
-            written = true;
         }
         match (port.list_members)().await {
-            Ok(rows) => {
+            Ok(members) => {
                 pause = RetryPause::new();
-                let records: Vec<_> = rows.iter().filter_map(member_row::MemberRow::to_record).collect();
-                log::info!(members = records.len(); "members listed");
-                node.core.ask(|core, now| core.learn_members(&records, now));
+                let records: Vec<_> = members.iter().filter_map(ListedRow::of).collect();
+                learn(&node, &records);
+                if !records
+                    .iter()
+                    .any(|listed| listed.record.daemon_id == node.settings.daemon_id)
+                {
+                    log::info!("own member row is gone; writing it again");
+                    own.set(None);
+                }
+                remove_gone(&node, &port, records).await;
                 tokio::time::sleep(wait).await;
                 wait = LIST_INTERVAL;
             }
@@ -170,3 +198,54 @@
         }
     }
 }
+
+/// Row that could be decoded.
+struct ListedRow {
+    record: member_record::MemberRecord,
+    version: StoreVersion,
+}
+
+impl ListedRow {
+    fn of(member: &StoredMember) -> Option<Self> {
+        let version = member.version;
+        Some(Self {
+            record: member.row.to_record()?,
+            version,
+        })
+    }
+}
+
+fn learn(node: &node_context::NodeContext, rows: &[ListedRow]) {
+    let records: Vec<_> = rows.iter().map(|row| row.record.clone()).collect();
+    log::info!(members = records.len(); "members listed");
+    node.core.ask(|core, now| core.learn_members(&records, now));
+}
+
+/// Removes rows of daemons that have been dead or gone for long; few daemons of all try the same row.
+async fn remove_gone(node: &node_context::NodeContext, port: &StorePort, mut rows: Vec<ListedRow>) {
+    node.core.ask(|core, now| {
+        let table = core.gossip().table();
+        rows.retain(|row| join_plan::may_remove_row(&row.record, table, now, &mut rand::rng()));
+    });
+    for row in rows {
+        let name = ids::text(&row.record.daemon_id).into_owned();
+        match (port.remove_member)(row.record.daemon_id, row.version).await {
+            Ok(()) => log::info!(peer = name; "row of a daemon that is gone removed"),
+            // Another daemon may have removed it first.
+            Err(failure) => log::info!(peer = name, failure:% = failure; "row of a daemon that is gone not removed"),
+        }
+    }
+}
+
+/// Removes the row of this daemon, which ends.
+pub async fn remove_own(node: &node_context::NodeContext, port: &StorePort, own: &OwnRow) {
+    let Some(version) = own.get() else {
+        return;
+    };
+    let removal = (port.remove_member)(node.settings.daemon_id.clone(), version);
+    match tokio::time::timeout(REMOVE_TIMEOUT, removal).await {
+        Ok(Ok(())) => {}
+        Ok(Err(failure)) => log::info!(failure:% = failure; "own member row not removed"),
+        Err(_elapsed) => log::info!("own member row not removed in time"),
+    }
+}
