--- a/crates/standins/src/platform_site.rs
+++ b/crates/standins/src/platform_site.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::io;
+use std::io::Write;
 use std::net;
 use std::path;
 use std::process;
@@ -25,6 +26,9 @@
 /// Longest wait for a state that a test needs.
 const STATE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
+/// Bytes that a pipe holds on Linux unless it was told otherwise.
+const PIPE_BYTES: usize = 65_536;
+
 /// Distinguishes the sites of one process.
 static NEXT_SITE: atomic::AtomicU8 = atomic::AtomicU8::new(1);
 
@@ -156,6 +160,25 @@
         Ok(())
     }
 
+    /// Starts the daemon of a machine with a standard output that is full already; nobody reads it while the returned
+    /// end is kept.
+    ///
+    /// # Errors
+    /// Returns an error if the pipe or the process can't be created.
+    pub fn start_daemon_unread(&mut self, machine: usize) -> io::Result<io::PipeReader> {
+        let (reader, mut writer) = io::pipe()?;
+        writer.write_all(&vec![b'\n'; PIPE_BYTES])?;
+        let machine = &mut self.machines[machine];
+        let child = process::Command::new(&self.program)
+            .env("DAMASKTRACK_CONFIG", &machine.settings)
+            .stdin(process::Stdio::null())
+            .stdout(writer)
+            .stderr(process::Stdio::null())
+            .spawn()?;
+        machine.daemon = Some(child);
+        Ok(reader)
+    }
+
     /// Kills the daemon of a machine.
     pub fn kill_daemon(&mut self, machine: usize) {
         if let Some(mut daemon) = self.machines[machine].daemon.take() {
@@ -255,6 +278,21 @@
         fs::read_to_string(self.machines[machine].settings.with_extension("log"))
     }
 
+    /// Returns the resident memory of a machine's daemon in KB.
+    ///
+    /// # Errors
+    /// Returns an error if no daemon runs there or its state can't be read.
+    pub fn resident_kb(&self, machine: usize) -> io::Result<u64> {
+        let daemon = self.machines[machine].daemon.as_ref();
+        let id = daemon
+            .map(process::Child::id)
+            .ok_or_else(|| io::Error::other("no daemon runs"))?;
+        let status = fs::read_to_string(format!("/proc/{id}/status"))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|text| text.split_whitespace().next()?.parse().ok());
+        number.ok_or_else(|| io::Error::other("no VmRSS"))
+    }
+
     /// Returns where settings and logs lie.
     #[must_use]
     pub fn folder(&self) -> &path::Path {
