--- a/crates/forward/src/forward_core/core_members.rs
+++ b/crates/forward/src/forward_core/core_members.rs
@@ -14,8 +14,8 @@
 use super::ForwardCore;
 use crate::server_report;
 
-/// Daemons that are contacted after a list of members; the gossip reaches the others. In a sweep of the users' bench all
-/// of 312 daemons contacted all others twice, which made 40 KB/s a daemon.
+/// Daemons that are contacted after a list of members; the gossip reaches the others. In a sweep of the users' bench
+/// with 312 daemons the middle one moved 95 KB/s while each contacted all others, and 39 KB/s with this sample.
 const MAX_CONTACTS: usize = 24;
 
 /// Commands.
--- a/crates/routing/src/region_window.rs
+++ b/crates/routing/src/region_window.rs
@@ -9,9 +9,9 @@
 
 use crate::route_candidate;
 
-/// Calls that may cross before anything was learned; so many keep a region without servers of its own going.
+/// Calls that may cross before anything was learned. The value was not varied in a run.
 const FIRST_WINDOW: f64 = 4.0;
-/// More than the slots of any deployment's service, so that the window can't grow without use.
+/// Far above what one daemon has in flight, so that a long calm can't let the window grow without bound.
 const MAX_WINDOW: f64 = 1000.0;
 /// Pause after a refusal. Refusals of one moment tell one thing and halve the window once. On trinfast-mesh a mean worth
 /// of 0.694 was seen with twice these pauses and of 0.699 with these.
