Add a server connection that runs pipelined requests concurrently

Cause: hyper's server takes one request at a time from a connection. Two pipelined requests of 800 ms end at 808 and 1,611 ms, and a caller's disconnect goes unnoticed while a second request is buffered.

Change: crate pipeline. request_reader frames requests over httparse, request_order decides which request starts and which response closes the connection, server_connection drives both on a socket, and connection_close ends connections without destroying the last response. Ruled out: hyper per request over an in-memory pipe, which needs the same framing and a second parse.

--- /dev/null
+++ b/crates/pipeline/src/server_connection.rs
@@ -0,0 +1,597 @@
+//! Serving of one connection: reading ahead, concurrent requests, and responses in order.
+
+use std::collections;
+use std::future;
+use std::io;
+use std::pin;
+use std::time;
+
+use bytes::Buf;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream;
+use http_body_util::BodyExt;
+use hyper::body;
+use hyper::header;
+use hyper::http::request;
+use tokio::sync::watch;
+
+use crate::connection_close;
+use crate::output_queue;
+use crate::request_fault;
+use crate::request_head;
+use crate::request_order;
+use crate::request_reader;
+use crate::response_head;
+
+/// Bytes that are read ahead of the request that is read next. Beyond them, reading pauses until a request starts.
+const READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Free space of the input buffer before each read.
+const READ_BYTES: usize = 8 * 1024;
+/// Bytes of a response that may wait to be written before its body is read on.
+const MAX_OUTPUT_BYTES: usize = 64 * 1024;
+/// Interval at which a connection is checked for a disconnect while reading is paused.
+const DISCONNECT_POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
+/// Time for which an idle connection stays open in the phase `Closed`, for a request that is already on its way.
+const CLOSED_IDLE_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+
+/// Limits of a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
+    /// Longest time without a request, or without progress in sending a response.
+    pub idle_timeout: time::Duration,
+    /// Longest time from the first byte of a request head to its last.
+    pub header_timeout: time::Duration,
+    /// Largest request head in bytes.
+    pub max_header_bytes: usize,
+}
+
+/// How a request is read and started, decided from its head.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestPlan<T> {
+    /// Largest body in bytes.
+    pub max_body_bytes: usize,
+    /// Longest time from the end of the head to the end of the body.
+    pub body_timeout: time::Duration,
+    /// When the request may start.
+    pub order: request_order::StartOrder,
+    /// Passed on to the handler.
+    pub route: T,
+}
+
+/// Request that was read completely.
+#[derive(Debug)]
+pub struct CallerRequest<T> {
+    /// Method, URI, version and headers.
+    pub parts: request::Parts,
+    /// Complete body.
+    pub body: Bytes,
+    /// When the head was read.
+    pub arrived: time::Instant,
+    /// From the [`RequestPlan`].
+    pub route: T,
+}
+
+/// Functions that decide about requests and answer them.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionHandlers<P, S, R> {
+    /// Plans a request from its head.
+    pub plan: P,
+    /// Serves a request. Dropping the future cancels the request.
+    pub serve: S,
+    /// Returns the response to a request that is rejected before it is served.
+    pub reject: R,
+}
+
+/// A head whose body is being read.
+struct PlannedRequest<T> {
+    parts: request::Parts,
+    closes: bool,
+    /// Whether `100 Continue` has to be sent before the body arrives.
+    continue_due: bool,
+    arrived: time::Instant,
+    body_deadline: time::Instant,
+    order: request_order::StartOrder,
+    route: T,
+}
+
+/// Properties of a started request that its response depends on.
+struct StartedRequest {
+    answered: response_head::AnsweredRequest,
+    /// Whether the request asks for the connection to be closed.
+    closes: bool,
+}
+
+/// Response that is being sent.
+struct SendingResponse<B> {
+    body: B,
+    framing: response_head::ResponseFraming,
+}
+
+/// What happened to a connection.
+enum ConnectionEvent<B> {
+    Read(io::Result<usize>),
+    Written(io::Result<usize>),
+    Response(hyper::Response<B>),
+    Frame(Option<Result<body::Frame<Bytes>, ()>>),
+    PhaseChanged(request_order::ConnectionPhase),
+    Timer,
+    DisconnectPoll,
+}
+
+/// How a connection goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionStep {
+    Continue,
+    /// All responses are sent: close the connection after reading what the caller still sends.
+    Finish,
+    /// Drop the connection with all its work.
+    Abort,
+    /// Reset the connection, since its end would mark the end of a truncated response.
+    Reset,
+}
+
+struct Connection<'a, T, P, S, R, F: Future, B> {
+    handlers: &'a ConnectionHandlers<P, S, R>,
+    limits: ConnectionLimits,
+    phase: request_order::ConnectionPhase,
+    reader: request_reader::RequestReader,
+    planned: Option<PlannedRequest<T>>,
+    /// Request that was read and not started.
+    waiting: Option<(CallerRequest<T>, request_order::StartOrder, StartedRequest)>,
+    /// Fault of the request behind all that were read.
+    fault: Option<request_fault::RequestFault>,
+    running: stream::FuturesOrdered<F>,
+    /// Responses whose turn has not come, in order; the first ones of `started` belong to them.
+    ready: collections::VecDeque<hyper::Response<B>>,
+    /// Started requests whose response has not begun, in order.
+    started: collections::VecDeque<StartedRequest>,
+    last_order: request_order::StartOrder,
+    sending: Option<SendingResponse<B>>,
+    closing: bool,
+    /// Whether the caller has shut down its sending side.
+    disconnected: bool,
+    out: output_queue::OutputQueue,
+    /// Start of the current wait: for a request, for the end of a head, or for progress in sending.
+    waiting_since: time::Instant,
+    head_since: Option<time::Instant>,
+}
+
+/// Serves the requests of a connection until its end. A caller that disconnects or shuts down its sending side cancels
+/// all its requests.
+pub async fn serve<T, P, S, F, R, B>(
+    mut stream: tokio::net::TcpStream,
+    limits: ConnectionLimits,
+    mut phases: watch::Receiver<request_order::ConnectionPhase>,
+    handlers: ConnectionHandlers<P, S, R>,
+) where
+    P: Fn(&request::Parts) -> RequestPlan<T>,
+    S: Fn(CallerRequest<T>) -> F,
+    F: Future<Output = hyper::Response<B>>,
+    R: Fn(request_fault::RequestFault) -> hyper::Response<B>,
+    B: body::Body<Data = Bytes> + Unpin,
+{
+    let now = time::Instant::now();
+    let mut connection = Connection {
+        handlers: &handlers,
+        limits,
+        phase: *phases.borrow_and_update(),
+        reader: request_reader::RequestReader::new(limits.max_header_bytes),
+        planned: None,
+        waiting: None,
+        fault: None,
+        running: stream::FuturesOrdered::new(),
+        ready: collections::VecDeque::new(),
+        started: collections::VecDeque::new(),
+        last_order: request_order::StartOrder::Ahead,
+        sending: None,
+        closing: false,
+        disconnected: false,
+        out: output_queue::OutputQueue::default(),
+        waiting_since: now,
+        head_since: None,
+    };
+    let step = connection.run(&mut stream, &mut phases).await;
+    // Cancels the requests before the wait for the end of the input.
+    drop(connection);
+    match step {
+        ConnectionStep::Continue | ConnectionStep::Finish => connection_close::linger(stream).await,
+        ConnectionStep::Abort => drop(stream),
+        ConnectionStep::Reset => connection_close::reset(stream),
+    }
+}
+
+impl<T, P, S, F, R, B> Connection<'_, T, P, S, R, F, B>
+where
+    P: Fn(&request::Parts) -> RequestPlan<T>,
+    S: Fn(CallerRequest<T>) -> F,
+    F: Future<Output = hyper::Response<B>>,
+    R: Fn(request_fault::RequestFault) -> hyper::Response<B>,
+    B: body::Body<Data = Bytes> + Unpin,
+{
+    async fn run(
+        &mut self,
+        stream: &mut tokio::net::TcpStream,
+        phases: &mut watch::Receiver<request_order::ConnectionPhase>,
+    ) -> ConnectionStep {
+        let mut timer = pin::pin!(tokio::time::sleep_until(self.deadline().into()));
+        loop {
+            let deadline = self.deadline().into();
+            if deadline < timer.deadline() {
+                timer.as_mut().reset(deadline);
+            }
+            let step = match self.next_event(stream, phases, timer.as_mut()).await {
+                ConnectionEvent::Read(Ok(0)) => self.handle_disconnect(),
+                ConnectionEvent::Read(Ok(_count)) => {
+                    self.read_requests();
+                    ConnectionStep::Continue
+                }
+                ConnectionEvent::Written(Ok(_count)) => {
+                    self.waiting_since = time::Instant::now();
+                    ConnectionStep::Continue
+                }
+                ConnectionEvent::Read(Err(error)) | ConnectionEvent::Written(Err(error)) => {
+                    log::debug!(error:% = error; "inbound connection failed");
+                    ConnectionStep::Abort
+                }
+                ConnectionEvent::Response(response) => {
+                    self.ready.push_back(response);
+                    ConnectionStep::Continue
+                }
+                ConnectionEvent::Frame(frame) => self.handle_frame(frame),
+                ConnectionEvent::PhaseChanged(phase) => {
+                    self.phase = phase;
+                    self.waiting_since = time::Instant::now();
+                    ConnectionStep::Continue
+                }
+                ConnectionEvent::Timer => {
+                    let step = self.handle_timer();
+                    timer.as_mut().reset(self.deadline().into());
+                    step
+                }
+                ConnectionEvent::DisconnectPoll => self.check_disconnect(stream).await,
+            };
+            if step != ConnectionStep::Continue {
+                return step;
+            }
+            self.advance();
+            if self.is_finished() {
+                return ConnectionStep::Finish;
+            }
+        }
+    }
+
+    /// Waits for the next event.
+    async fn next_event(
+        &mut self,
+        stream: &mut tokio::net::TcpStream,
+        phases: &mut watch::Receiver<request_order::ConnectionPhase>,
+        timer: pin::Pin<&mut tokio::time::Sleep>,
+    ) -> ConnectionEvent<B> {
+        let wants_input = self.wants_input();
+        let reads_body = self.sending.is_some() && self.out.remaining() < MAX_OUTPUT_BYTES;
+        let closed = self.phase == request_order::ConnectionPhase::Closed;
+        let (mut input, mut output) = stream.split();
+        if wants_input {
+            self.reader.input().reserve(READ_BYTES);
+        }
+        tokio::select! {
+            biased;
+            Some(response) = self.running.next(), if !self.running.is_empty() => ConnectionEvent::Response(response),
+            frame = next_frame(&mut self.sending), if reads_body => ConnectionEvent::Frame(frame),
+            written = write(&mut output, &mut self.out), if self.out.has_remaining() => {
+                ConnectionEvent::Written(written)
+            }
+            read = read(&mut input, self.reader.input()), if wants_input => ConnectionEvent::Read(read),
+            phase = next_phase(phases), if !closed => ConnectionEvent::PhaseChanged(phase),
+            () = timer => ConnectionEvent::Timer,
+            () = tokio::time::sleep(DISCONNECT_POLL_INTERVAL), if !wants_input && !self.disconnected => {
+                ConnectionEvent::DisconnectPoll
+            }
+        }
+    }
+
+    /// Starts requests and begins responses as far as possible.
+    fn advance(&mut self) {
+        loop {
+            self.send_continue();
+            let began = self.begin_response();
+            let started = self.start_request();
+            if !began && !started {
+                return;
+            }
+        }
+    }
+
+    /// Reads from the input up to the end of the next request, which then waits for its start.
+    fn read_requests(&mut self) {
+        while self.waiting.is_none() && self.fault.is_none() && !self.closing {
+            match self.reader.read_next() {
+                request_reader::ReadStep::NeedInput => break,
+                request_reader::ReadStep::Head(head) => self.plan_request(*head),
+                request_reader::ReadStep::Body(body) => self.accept_request(body),
+                request_reader::ReadStep::Fault(fault) => self.reject_request(fault),
+            }
+        }
+        if self.closing || self.reader.has_ended() {
+            self.reader.end();
+        }
+        let is_in_head = self.waiting.is_none() && self.reader.is_in_head();
+        self.head_since = is_in_head.then(|| self.head_since.unwrap_or_else(time::Instant::now));
+    }
+
+    fn plan_request(&mut self, head: request_head::RequestHead) {
+        let plan = (self.handlers.plan)(&head.parts);
+        self.reader.read_body(plan.max_body_bytes);
+        let arrived = time::Instant::now();
+        self.planned = Some(PlannedRequest {
+            continue_due: head.expects_continue && head.parts.version == hyper::Version::HTTP_11,
+            parts: head.parts,
+            closes: head.closes,
+            arrived,
+            body_deadline: arrived + plan.body_timeout,
+            order: plan.order,
+            route: plan.route,
+        });
+    }
+
+    fn accept_request(&mut self, body: Bytes) {
+        let Some(planned) = self.planned.take() else {
+            return;
+        };
+        let started = StartedRequest {
+            answered: response_head::AnsweredRequest {
+                is_head: planned.parts.method == hyper::Method::HEAD,
+                is_http10: planned.parts.version == hyper::Version::HTTP_10,
+            },
+            closes: planned.closes,
+        };
+        let request = CallerRequest {
+            parts: planned.parts,
+            body,
+            arrived: planned.arrived,
+            route: planned.route,
+        };
+        self.waiting = Some((request, planned.order, started));
+    }
+
+    fn reject_request(&mut self, fault: request_fault::RequestFault) {
+        self.planned = None;
+        self.fault = Some(fault);
+        self.reader.end();
+    }
+
+    fn start_decision(&self) -> Option<request_order::StartDecision> {
+        let (_request, order, _started) = self.waiting.as_ref()?;
+        let work = request_order::PendingWork {
+            started: self.started.len(),
+            last_order: self.last_order,
+            sending: self.sending.is_some() || self.out.has_remaining(),
+            closing: self.closing,
+        };
+        Some(request_order::decide_start(*order, self.phase, work))
+    }
+
+    /// Starts the waiting request if it may start, and reads the next one. Returns whether one was started.
+    fn start_request(&mut self) -> bool {
+        match self.start_decision() {
+            None | Some(request_order::StartDecision::Wait) => false,
+            Some(request_order::StartDecision::Discard) => {
+                self.waiting = None;
+                false
+            }
+            Some(request_order::StartDecision::Start) => {
+                let Some((request, order, started)) = self.waiting.take() else {
+                    return false;
+                };
+                self.last_order = order;
+                self.started.push_back(started);
+                self.running.push_back((self.handlers.serve)(request));
+                self.read_requests();
+                true
+            }
+        }
+    }
+
+    /// Begins the next response if the previous one is complete. Returns whether one was begun.
+    fn begin_response(&mut self) -> bool {
+        if self.sending.is_some() || self.closing {
+            return false;
+        }
+        let (response, started) = match (self.ready.pop_front(), self.fault) {
+            (Some(response), _) => {
+                let Some(started) = self.started.pop_front() else {
+                    return false;
+                };
+                (response, started)
+            }
+            (None, Some(fault)) if self.started.is_empty() && self.waiting.is_none() => {
+                let answered = response_head::AnsweredRequest {
+                    is_head: false,
+                    is_http10: false,
+                };
+                let started = StartedRequest { answered, closes: true };
+                ((self.handlers.reject)(fault), started)
+            }
+            _ => return false,
+        };
+        let (parts, body) = response.into_parts();
+        let wanted = started.closes || request_head::has_token(&parts.headers, &header::CONNECTION, "close");
+        let persistence = request_order::decide_close(wanted, self.started.len(), self.phase);
+        let size = body.size_hint();
+        let framing = response_head::framing(parts.status, &size, started.answered);
+        self.note_output();
+        response_head::encode(&mut self.out, &parts, &size, framing, persistence);
+        self.sending = (framing != response_head::ResponseFraming::Empty && size.exact() != Some(0))
+            .then_some(SendingResponse { body, framing });
+        if persistence == request_order::Persistence::Close {
+            self.close();
+        }
+        true
+    }
+
+    /// Discards all that was not started.
+    fn close(&mut self) {
+        self.closing = true;
+        self.planned = None;
+        self.waiting = None;
+        self.fault = None;
+        self.reader.end();
+    }
+
+    /// Sends `100 Continue` for the request that is being read once all earlier ones are answered.
+    fn send_continue(&mut self) {
+        let in_turn = self.started.is_empty() && self.sending.is_none();
+        if let Some(planned) = &mut self.planned
+            && planned.continue_due
+            && in_turn
+        {
+            planned.continue_due = false;
+            self.note_output();
+            self.out.copy(b"HTTP/1.1 100 Continue\r\n\r\n");
+        }
+    }
+
+    /// Starts the wait for progress in sending, before output is queued.
+    fn note_output(&mut self) {
+        if !self.out.has_remaining() {
+            self.waiting_since = time::Instant::now();
+        }
+    }
+
+    fn handle_frame(&mut self, frame: Option<Result<body::Frame<Bytes>, ()>>) -> ConnectionStep {
+        self.note_output();
+        let Some(sending) = &mut self.sending else {
+            return ConnectionStep::Continue;
+        };
+        match frame {
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    response_head::encode_data(&mut self.out, sending.framing, data);
+                }
+                ConnectionStep::Continue
+            }
+            Some(Err(())) if sending.framing == response_head::ResponseFraming::Close => ConnectionStep::Reset,
+            // The missing end shows that the response is truncated. What was queued before it is still sent.
+            Some(Err(())) => {
+                self.sending = None;
+                self.close();
+                ConnectionStep::Continue
+            }
+            None => {
+                response_head::encode_end(&mut self.out, sending.framing);
+                self.sending = None;
+                ConnectionStep::Continue
+            }
+        }
+    }
+
+    /// Cancels all work, since a shut-down sending side can't be told from a disconnect. Bytes of complete responses
+    /// are still sent.
+    fn handle_disconnect(&mut self) -> ConnectionStep {
+        self.disconnected = true;
+        if self.sending.is_some() || !self.started.is_empty() || !self.out.has_remaining() {
+            return ConnectionStep::Abort;
+        }
+        self.close();
+        ConnectionStep::Continue
+    }
+
+    /// Detects a disconnect behind input that is not read. On platforms that don't report one, this does nothing.
+    async fn check_disconnect(&mut self, stream: &tokio::net::TcpStream) -> ConnectionStep {
+        let mut ready = pin::pin!(stream.ready(tokio::io::Interest::READABLE));
+        let ready = future::poll_fn(|cx| std::task::Poll::Ready(ready.as_mut().poll(cx))).await;
+        match ready {
+            std::task::Poll::Ready(Ok(ready)) if ready.is_read_closed() => self.handle_disconnect(),
+            _ => ConnectionStep::Continue,
+        }
+    }
+
+    fn handle_timer(&mut self) -> ConnectionStep {
+        let now = time::Instant::now();
+        if now < self.deadline() {
+            return ConnectionStep::Continue;
+        }
+        if self.out.has_remaining() {
+            log::debug!("inbound connection closed, since the caller does not read its response");
+            return ConnectionStep::Abort;
+        }
+        if self.is_idle() {
+            return ConnectionStep::Finish;
+        }
+        let fault = if self.planned.is_some() {
+            request_fault::RequestFault::BodyTimeout
+        } else {
+            request_fault::RequestFault::HeadTimeout
+        };
+        self.reject_request(fault);
+        self.head_since = None;
+        ConnectionStep::Continue
+    }
+
+    /// Returns the time of the next timeout, or a late time if there is none.
+    fn deadline(&self) -> time::Instant {
+        let idle_timeout = match self.phase {
+            request_order::ConnectionPhase::Closed => self.limits.idle_timeout.min(CLOSED_IDLE_TIMEOUT),
+            _ => self.limits.idle_timeout,
+        };
+        if self.is_idle() {
+            return self.waiting_since + idle_timeout;
+        }
+        if self.out.has_remaining() {
+            return self.waiting_since + self.limits.idle_timeout;
+        }
+        let body = self.planned.as_ref().map(|planned| planned.body_deadline);
+        let head = self.head_since.map(|since| since + self.limits.header_timeout);
+        let pending = body.or(head).filter(|_deadline| self.wants_input());
+        pending.unwrap_or_else(|| time::Instant::now() + self.limits.idle_timeout)
+    }
+}
+
+/// Queries.
+impl<T, P, S, F: Future, R, B> Connection<'_, T, P, S, R, F, B> {
+    /// Returns whether the connection waits for the start of a request and has nothing to send.
+    fn is_idle(&self) -> bool {
+        let reading = self.planned.is_some() || self.waiting.is_some() || self.fault.is_some();
+        let answering = !self.started.is_empty() || self.sending.is_some() || self.out.has_remaining();
+        !reading && !answering && self.reader.buffered() == 0
+    }
+
+    /// Returns whether the last response was sent.
+    fn is_finished(&self) -> bool {
+        self.closing && self.sending.is_none() && !self.out.has_remaining()
+    }
+
+    /// Returns whether more input is to be read. A connection that discards its input is read as well, so that a
+    /// disconnect is noticed.
+    fn wants_input(&self) -> bool {
+        !self.disconnected && (self.waiting.is_none() || self.reader.buffered() < READ_AHEAD_BYTES)
+    }
+}
+
+async fn next_frame<B: body::Body<Data = Bytes> + Unpin>(
+    sending: &mut Option<SendingResponse<B>>,
+) -> Option<Result<body::Frame<Bytes>, ()>> {
+    let frame = sending.as_mut()?.body.frame().await?;
+    Some(frame.map_err(|_truncated| log::debug!("response of an inbound connection is truncated")))
+}
+
+/// Waits for a change of the phase. A listener that is gone has closed its connections.
+async fn next_phase(phases: &mut watch::Receiver<request_order::ConnectionPhase>) -> request_order::ConnectionPhase {
+    match phases.changed().await {
+        Ok(()) => *phases.borrow_and_update(),
+        Err(_closed) => request_order::ConnectionPhase::Closed,
+    }
+}
+
+async fn read(input: &mut tokio::net::tcp::ReadHalf<'_>, buffer: &mut bytes::BytesMut) -> io::Result<usize> {
+    tokio::io::AsyncReadExt::read_buf(input, buffer).await
+}
+
+async fn write(
+    output: &mut tokio::net::tcp::WriteHalf<'_>,
+    queue: &mut output_queue::OutputQueue,
+) -> io::Result<usize> {
+    tokio::io::AsyncWriteExt::write_buf(output, queue).await
+}
