Serve callers of the sidecar by the pipelining connection

Besides, the process ended while a response was still being sent to a slow caller, and TCP_USER_TIMEOUT of 1.5 s reset connections whose caller, or whose other daemon, did not read for that long: the kernel counts a closed window as unacknowledged data. HeaderTimeout was never applied.

Change: entry_call plans a request from its head (route, limits, order) and serves it once it was read; the listener drains its accept queue at the end of a stop; the stop waits for callers' connections; accepted connections have a limit of 10 s for unread data.

--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -6,11 +6,13 @@
 use bytes::Bytes;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
+use damasktrack_pipeline::request_fault;
+use damasktrack_pipeline::request_order;
+use damasktrack_pipeline::server_connection;
 use damasktrack_routing::retry_budget;
 use damasktrack_routing::route_candidate;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use hyper::header;
+use hyper::http::request;
 use rand::RngExt;
 
 use crate::callee_call;
@@ -27,8 +29,12 @@
 const MAX_DAEMONS: usize = 4;
 /// Minimum time left until the deadline for another attempt.
 const MIN_ATTEMPT_TIME: time::Duration = time::Duration::from_millis(50);
+/// Class in metrics and logs of a request that no route matches.
+const UNMATCHED_CLASS: &[u8] = b"none";
 /// Time limit of a request without a deadline header on a route without a timeout.
 const DEFAULT_DEADLINE: time::Duration = time::Duration::from_secs(10);
+/// Largest request body while no configuration is in force, in bytes.
+const DEFAULT_MAX_BODY_BYTES: usize = 8 << 20;
 /// Range of the `Retry-After` values, from which each is drawn at random to spread the retries of refused callers.
 const RETRY_AFTER_SECONDS: std::ops::Range<f64> = 0.3..0.9;
 
@@ -37,7 +43,7 @@
 enum LocalReply {
     BadRequest,
     NoRoute,
-    TooLarge,
+    Rejected(request_fault::RequestFault),
     NotRun(call_outcome::RefusalReason),
     MayHaveRun,
     Timeout,
@@ -48,7 +54,7 @@
         match self {
             Self::BadRequest => hyper::StatusCode::BAD_REQUEST,
             Self::NoRoute => hyper::StatusCode::NOT_FOUND,
-            Self::TooLarge => hyper::StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Rejected(fault) => fault.status(),
             Self::NotRun(_reason) => hyper::StatusCode::SERVICE_UNAVAILABLE,
             Self::MayHaveRun => hyper::StatusCode::BAD_GATEWAY,
             Self::Timeout => hyper::StatusCode::GATEWAY_TIMEOUT,
@@ -59,7 +65,7 @@
         match self {
             Self::BadRequest => "malformed request".to_owned(),
             Self::NoRoute => "no route".to_owned(),
-            Self::TooLarge => "body too large".to_owned(),
+            Self::Rejected(fault) => fault.to_string(),
             Self::NotRun(reason) => reason.to_string(),
             Self::MayHaveRun => "no usable response".to_owned(),
             Self::Timeout => "timeout".to_owned(),
@@ -67,6 +73,20 @@
     }
 }
 
+/// Route of a request, decided from its head.
+#[derive(Debug)]
+pub struct EntryRoute {
+    matched: Result<MatchedRoute, LocalReply>,
+    /// Time from the arrival of the head to the latest time of the response.
+    timeout: time::Duration,
+}
+
+#[derive(Debug)]
+struct MatchedRoute {
+    rule: rc::Rc<route_config::RouteRule>,
+    service: ids::ServiceName,
+}
+
 /// Request that was read completely, with its route.
 struct EntryRequest {
     rule: rc::Rc<route_config::RouteRule>,
@@ -85,66 +105,105 @@
     }
 }
 
+/// Matches the route of a request and plans how it is read.
+pub fn plan(node: &node_context::NodeContext, parts: &request::Parts) -> server_connection::RequestPlan<EntryRoute> {
+    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host());
+    let (decision, max_body_bytes) = node.core.ask(|core, _now| {
+        let limits = core.config().map(|config| config.limits);
+        let max_body_bytes = limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.max_body_bytes);
+        let decision = host.map(|host| core.route_request(host, parts.uri.path()));
+        (decision, max_body_bytes)
+    });
+    let matched = match decision {
+        Some(forward_core::EntryDecision::Route { rule, service }) => Ok(MatchedRoute { rule, service }),
+        Some(forward_core::EntryDecision::NoRoute) => Err(LocalReply::NoRoute),
+        Some(forward_core::EntryDecision::NoConfig) => Err(LocalReply::NotRun(call_outcome::RefusalReason::Starting)),
+        None => Err(LocalReply::BadRequest),
+    };
+    let requested = parts.headers.get(&node.settings.headers.deadline_ms);
+    let requested = requested.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    let route_timeout = matched.as_ref().ok().and_then(|matched| matched.rule.timeout);
+    let timeouts = [requested.map(time::Duration::from_millis), route_timeout];
+    let timeout = timeouts.into_iter().flatten().min().unwrap_or(DEFAULT_DEADLINE);
+    let order = match &matched {
+        Ok(matched) if !matched.rule.is_repeatable() => request_order::StartOrder::InTurn,
+        _ => request_order::StartOrder::Ahead,
+    };
+    server_connection::RequestPlan {
+        max_body_bytes,
+        body_timeout: timeout,
+        order,
+        route: EntryRoute { matched, timeout },
+    }
+}
+
+/// Returns the response to a request that was not read completely.
+pub fn reject(
+    node: &node_context::NodeContext,
+    fault: request_fault::RequestFault,
+) -> hyper::Response<message_body::ReplyBody> {
+    let class = Bytes::from_static(UNMATCHED_CLASS);
+    finish_locally(node, LocalReply::Rejected(fault), None, &class, time::Instant::now())
+}
+
 /// Serves one request of a caller.
 pub async fn serve(
     node: rc::Rc<node_context::NodeContext>,
-    request: hyper::Request<Incoming>,
+    request: server_connection::CallerRequest<EntryRoute>,
 ) -> hyper::Response<message_body::ReplyBody> {
-    let arrived = time::Instant::now();
+    let arrived = request.arrived;
     node.in_flight.set(node.in_flight.get() + 1);
     let _in_flight = InFlightGuard(rc::Rc::clone(&node));
-    let attempt_id = request.headers().get(&node.settings.headers.attempt_id).cloned();
-    let mut class = Bytes::from_static(b"none");
-    let result = match accept(&node, request, arrived, &mut class).await {
-        Ok(entry) => attempt(&node, &entry).await,
-        Err(reply) => Err(reply),
-    };
-    let mut response = match result {
-        Ok(response) => {
-            node.metrics.record_request(&class, "answered", arrived.elapsed());
-            let outcome = response.status().as_str().to_owned();
-            let category = if response.status().is_server_error() {
-                log_limiter::LogCategory::Failure
-            } else {
-                log_limiter::LogCategory::Success
-            };
-            log_end(
-                &node,
-                category,
-                "request answered",
-                attempt_id.as_ref(),
-                &class,
-                &outcome,
-                arrived,
-            );
-            response
-        }
-        Err(reply) => {
-            let status = reply.status();
-            node.metrics
-                .record_request(&class, outcome_label(reply), arrived.elapsed());
-            let text = format!("{} {}", status.as_str(), reply.text());
-            let category = log_limiter::LogCategory::Failure;
-            log_end(
-                &node,
-                category,
-                "request not served",
-                attempt_id.as_ref(),
-                &class,
-                &text,
-                arrived,
-            );
-            local_response(reply)
+    let attempt_id = request.parts.headers.get(&node.settings.headers.attempt_id).cloned();
+    let deadline = arrived + request.route.timeout;
+    let (class, result) = match request.route.matched {
+        Ok(matched) => {
+            let class = matched.rule.name.clone();
+            let entry = entry_request(&node, matched, &request.parts, request.body, deadline);
+            (class, attempt(&node, &entry).await)
         }
+        Err(reply) => (Bytes::from_static(UNMATCHED_CLASS), Err(reply)),
     };
-    if node.core.ask(|core, _now| core.phase()) == forward_core::LifePhase::Stopping {
-        response
-            .headers_mut()
-            .insert(header::CONNECTION, header::HeaderValue::from_static("close"));
-    }
+    let response = match result {
+        Ok(response) => response,
+        Err(reply) => return finish_locally(&node, reply, attempt_id.as_ref(), &class, arrived),
+    };
+    node.metrics.record_request(&class, "answered", arrived.elapsed());
+    let outcome = response.status().as_str().to_owned();
+    let category = if response.status().is_server_error() {
+        log_limiter::LogCategory::Failure
+    } else {
+        log_limiter::LogCategory::Success
+    };
+    log_end(
+        &node,
+        category,
+        "request answered",
+        attempt_id.as_ref(),
+        &class,
+        &outcome,
+        arrived,
+    );
     response
 }
 
+/// Records a request that gets no backend server's response, and returns the response of this daemon.
+fn finish_locally(
+    node: &node_context::NodeContext,
+    reply: LocalReply,
+    attempt_id: Option<&header::HeaderValue>,
+    class: &ids::ClassName,
+    arrived: time::Instant,
+) -> hyper::Response<message_body::ReplyBody> {
+    node.metrics
+        .record_request(class, outcome_label(reply), arrived.elapsed());
+    let text = format!("{} {}", reply.status().as_str(), reply.text());
+    let category = log_limiter::LogCategory::Failure;
+    log_end(node, category, "request not served", attempt_id, class, &text, arrived);
+    local_response(reply)
+}
+
 fn log_end(
     node: &node_context::NodeContext,
     category: log_limiter::LogCategory,
@@ -164,40 +223,16 @@
     node.log_request(category, &line);
 }
 
-/// Matches the route of a request and reads its body.
-async fn accept(
-    node: &rc::Rc<node_context::NodeContext>,
-    request: hyper::Request<Incoming>,
-    arrived: time::Instant,
-    class: &mut ids::ClassName,
-) -> Result<EntryRequest, LocalReply> {
-    let (parts, incoming) = request.into_parts();
+/// Builds the request for the backend server from that of a caller.
+fn entry_request(
+    node: &node_context::NodeContext,
+    matched: MatchedRoute,
+    parts: &request::Parts,
+    body: Bytes,
+    deadline: time::Instant,
+) -> EntryRequest {
     let names = &node.settings.headers;
-    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| parts.uri.host()).ok_or(LocalReply::BadRequest)?;
-    let decision = node.core.ask(|core, _now| core.route_request(host, parts.uri.path()));
-    let (rule, service, max_body_bytes) = match decision {
-        forward_core::EntryDecision::Route {
-            rule,
-            service,
-            max_body_bytes,
-        } => (rule, service, max_body_bytes),
-        forward_core::EntryDecision::NoRoute => return Err(LocalReply::NoRoute),
-        forward_core::EntryDecision::NoConfig => {
-            return Err(LocalReply::NotRun(call_outcome::RefusalReason::Starting));
-        }
-    };
-    class.clone_from(&rule.name);
     let mut headers = message_body::end_to_end_headers(&parts.headers);
-    let deadline_ms = headers
-        .get(&names.deadline_ms)
-        .and_then(|value| value.to_str().ok()?.trim().parse().ok());
-    let requested = deadline_ms.map(time::Duration::from_millis);
-    let timeout = [requested, rule.timeout]
-        .into_iter()
-        .flatten()
-        .min()
-        .unwrap_or(DEFAULT_DEADLINE);
     for name in [
         &names.target_instance,
         &names.caller_service,
@@ -208,14 +243,6 @@
     }
     headers.remove(peer_call::CALL_HEADER);
     headers.remove(header::EXPECT);
-    let deadline = arrived + timeout;
-    let limited = http_body_util::Limited::new(incoming, max_body_bytes);
-    let body = match tokio::time::timeout_at(deadline.into(), limited.collect()).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => return Err(LocalReply::TooLarge),
-        Ok(Err(_failed)) => return Err(LocalReply::BadRequest),
-        Err(_elapsed) => return Err(LocalReply::Timeout),
-    };
     if body.is_empty() && !parts.headers.contains_key(header::CONTENT_LENGTH) {
         headers.remove(header::CONTENT_LENGTH);
     } else {
@@ -225,17 +252,17 @@
         .uri
         .path_and_query()
         .map_or_else(|| parts.uri.clone(), |path| path.clone().into());
-    Ok(EntryRequest {
-        rule,
-        service,
+    EntryRequest {
+        rule: matched.rule,
+        service: matched.service,
         request: callee_call::CallRequest {
-            method: parts.method,
+            method: parts.method.clone(),
             uri,
             headers,
             body,
         },
         deadline,
-    })
+    }
 }
 
 /// Sends a request to one server after the other until one responds or no further attempt is allowed.
@@ -413,7 +440,7 @@
 
 fn outcome_label(reply: LocalReply) -> &'static str {
     match reply {
-        LocalReply::BadRequest | LocalReply::TooLarge => "rejected",
+        LocalReply::BadRequest | LocalReply::Rejected(_) => "rejected",
         LocalReply::NoRoute => "no_route",
         LocalReply::NotRun(_reason) => "refused",
         LocalReply::MayHaveRun => "failed",
--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -83,8 +83,6 @@
         rule: rc::Rc<route_config::RouteRule>,
         /// Service selected from the rule's targets by weight.
         service: ids::ServiceName,
-        /// Largest request body in bytes.
-        max_body_bytes: usize,
     },
     /// No rule matches, or all weights of the matching rule are zero.
     NoRoute,
@@ -227,7 +225,6 @@
         EntryDecision::Route {
             rule: rc::Rc::clone(rule),
             service,
-            max_body_bytes: config.limits.max_body_bytes,
         }
     }
 
--- a/crates/forward/src/http_link.rs
+++ b/crates/forward/src/http_link.rs
@@ -18,6 +18,8 @@
 /// Time after which unacknowledged data closes a connection (`TCP_USER_TIMEOUT`). A peer may become unreachable without
 /// a reset. The longest round trip between regions is 60 ms.
 const UNACKED_TIMEOUT: time::Duration = time::Duration::from_millis(1500);
+/// As [`UNACKED_TIMEOUT`], for accepted connections. A peer that does not read a response for longer has lost it.
+const UNREAD_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Idle time before the first TCP keepalive probe, and time between probes; the minimum that the socket options allow.
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Unanswered keepalive probes after which a connection is closed.
@@ -187,7 +189,7 @@
             Err(_elapsed) => return Err(LinkError::NotSent("connect timeout".to_owned())),
         };
         self.opened.set(self.opened.get() + 1);
-        set_socket_options(&stream);
+        set_client_options(&stream);
         let (sender, connection) = http1::Builder::new()
             .handshake::<_, LinkBody>(TokioIo::new(stream))
             .await
@@ -221,19 +223,37 @@
     }
 }
 
-/// Sets `TCP_NODELAY`, and the options that close a connection whose peer no longer responds.
-pub fn set_socket_options(stream: &tokio::net::TcpStream) {
+/// Sets the options of a connection to a server: no delay, and an end if the server no longer responds.
+fn set_client_options(stream: &tokio::net::TcpStream) {
+    set_common_options(stream);
+    set_unacked_timeout(stream, UNACKED_TIMEOUT);
+}
+
+/// Sets the options of an accepted connection. The kernel applies the time limit of unacknowledged data to a peer that
+/// is alive and does not read for a while as well, and callers may read slowly.
+pub fn set_server_options(stream: &tokio::net::TcpStream) {
+    set_common_options(stream);
+    set_unacked_timeout(stream, UNREAD_TIMEOUT);
+}
+
+fn set_common_options(stream: &tokio::net::TcpStream) {
     let socket = socket2::SockRef::from(stream);
     let keepalive = socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
-    let options = [
-        socket.set_tcp_nodelay(true),
-        socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT)),
-        socket.set_tcp_keepalive(&keepalive),
-    ];
+    let options = [socket.set_tcp_nodelay(true), socket.set_tcp_keepalive(&keepalive)];
     for error in options.into_iter().filter_map(Result::err) {
-        log::warn!(error:% = error; "socket option can't be set");
+        log_option_error(&error);
     }
 }
+
+fn set_unacked_timeout(stream: &tokio::net::TcpStream, timeout: time::Duration) {
+    if let Err(error) = socket2::SockRef::from(stream).set_tcp_user_timeout(Some(timeout)) {
+        log_option_error(&error);
+    }
+}
+
+fn log_option_error(error: &std::io::Error) {
+    log::warn!(error:% = error; "socket option can't be set");
+}
--- a/crates/forward/src/http_server.rs
+++ b/crates/forward/src/http_server.rs
@@ -3,16 +3,16 @@
 use std::cell;
 use std::io;
 use std::net;
-use std::pin;
 use std::rc;
 use std::time;
 
+use damasktrack_pipeline::request_order;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use tokio::sync;
+use tokio::sync::watch;
 use tokio::task;
 
 use crate::http_link;
@@ -22,50 +22,70 @@
 const BACKLOG: u32 = 1024;
 /// Pause after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(10);
+/// Longest time for which a connection of another daemon or of the platform may be idle or send one request head.
+const INTERNAL_IDLE_TIMEOUT: time::Duration = time::Duration::from_mins(1);
+/// Largest request head of another daemon or of the platform, in bytes.
+const INTERNAL_HEADER_BYTES: usize = 64 * 1024;
 
 /// Response of a request handler.
 pub type ServerResponse = hyper::Response<message_body::ReplyBody>;
 
-/// Limits of the connections to a listener.
-#[derive(Clone, Copy, Debug)]
-pub struct ServerLimits {
-    /// Longest time for which a connection may be idle or send one request head. hyper has one timer for both, and a
-    /// caller may reuse a connection up to four fifths of the idle timeout.
-    pub idle_timeout: time::Duration,
-    /// Largest request head in bytes.
-    pub max_header_bytes: usize,
+/// Phase of a listener and its connections, with the number of the connections that are open.
+#[derive(Clone, Debug)]
+pub struct ServerControl {
+    phase: watch::Sender<request_order::ConnectionPhase>,
+    open: rc::Rc<cell::Cell<usize>>,
 }
 
-impl Default for ServerLimits {
+impl Default for ServerControl {
     fn default() -> Self {
         Self {
-            idle_timeout: time::Duration::from_mins(1),
-            max_header_bytes: 64 * 1024,
+            phase: watch::Sender::new(request_order::ConnectionPhase::Serving),
+            open: rc::Rc::default(),
         }
     }
 }
 
-/// Stops a listener and shuts down its connections gracefully.
-#[derive(Clone, Debug, Default)]
-pub struct ServerStop {
-    stopped: rc::Rc<cell::Cell<bool>>,
-    notify: rc::Rc<sync::Notify>,
+impl ServerControl {
+    /// Sets the phase. `Closed` closes the listening socket as well; a refused connection shows the caller that its
+    /// request was not read and is safe to send again.
+    pub fn enter(&self, phase: request_order::ConnectionPhase) {
+        self.phase.send_replace(phase);
+    }
+
+    /// Returns the receiver that follows the phase.
+    #[must_use]
+    pub fn phases(&self) -> watch::Receiver<request_order::ConnectionPhase> {
+        self.phase.subscribe()
+    }
+
+    /// Returns the number of open connections.
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
+        self.open.get()
+    }
+
+    async fn closed(&self) {
+        let mut phases = self.phases();
+        let closed = phases.wait_for(|phase| *phase == request_order::ConnectionPhase::Closed);
+        // The sender is a part of `self`.
+        let _phase = closed.await;
+    }
 }
 
-impl ServerStop {
-    /// Closes the listening socket and idle connections, and the other connections after their response.
-    ///
-    /// A refused connection shows the caller that its request was not read and is safe to send again.
-    pub fn finish_connections(&self) {
-        self.stopped.set(true);
-        self.notify.notify_waiters();
+/// Counts an open connection until it is dropped.
+struct OpenGuard(rc::Rc<cell::Cell<usize>>);
+
+impl OpenGuard {
+    fn new(open: &rc::Rc<cell::Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(rc::Rc::clone(open))
     }
+}
 
-    async fn wait(&self) {
-        let notified = self.notify.notified();
-        if !self.stopped.get() {
-            notified.await;
-        }
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
     }
 }
 
@@ -80,27 +100,30 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections and serves their requests until `stop` is signalled.
-///
-/// `limits` is called for each connection, since the configuration may change them.
-pub async fn accept<H, F>(
+/// Accepts connections and serves each with `serve` until `control` enters the phase `Closed`. Connections that wait to
+/// be accepted then are served as well, since closing the socket would reset them.
+pub async fn accept<F>(
     listener: tokio::net::TcpListener,
-    limits: impl Fn() -> ServerLimits,
-    stop: ServerStop,
-    handler: H,
+    control: ServerControl,
+    serve: impl Fn(tokio::net::TcpStream) -> F,
 ) where
-    H: Fn(hyper::Request<Incoming>) -> F + Clone + 'static,
-    F: Future<Output = ServerResponse> + 'static,
+    F: Future<Output = ()> + 'static,
 {
     loop {
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
-            () = stop.wait() => return,
+            () = control.closed() => return,
         };
         match accepted {
             Ok((stream, _from)) => {
-                http_link::set_socket_options(&stream);
-                task::spawn_local(serve(stream, limits(), stop.clone(), handler.clone()));
+                http_link::set_server_options(&stream);
+                let open = OpenGuard::new(&control.open);
+                let connection = serve(stream);
+                task::spawn_local(async move {
+                    connection.await;
+                    drop(open);
+                });
             }
             Err(error) => {
                 log::warn!(error:% = error; "connection can't be accepted");
@@ -110,7 +133,23 @@
     }
 }
 
-async fn serve<H, F>(stream: tokio::net::TcpStream, limits: ServerLimits, stop: ServerStop, handler: H)
+/// Listens at an address and serves the requests of other daemons or of the platform, which are not pipelined, for the
+/// life of the process.
+///
+/// # Errors
+/// Returns an error if the socket can't be bound.
+pub fn serve_internal<H, F>(address: net::SocketAddr, handler: H) -> io::Result<()>
+where
+    H: Fn(hyper::Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = ServerResponse> + 'static,
+{
+    let listener = listen(address)?;
+    let serve = move |stream| serve_connection(stream, handler.clone());
+    task::spawn_local(accept(listener, ServerControl::default(), serve));
+    Ok(())
+}
+
+async fn serve_connection<H, F>(stream: tokio::net::TcpStream, handler: H)
 where
     H: Fn(hyper::Request<Incoming>) -> F + 'static,
     F: Future<Output = ServerResponse> + 'static,
@@ -122,17 +161,9 @@
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
-        .max_header_size(limits.max_header_bytes);
-    let mut connection = pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = stop.wait() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = ended {
+        .header_read_timeout(INTERNAL_IDLE_TIMEOUT)
+        .max_header_size(INTERNAL_HEADER_BYTES);
+    if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
         log::debug!(error:% = error; "inbound connection ended");
     }
 }
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -5,6 +5,8 @@
 use std::time;
 
 use bytes::Bytes;
+use damasktrack_pipeline::request_order;
+use damasktrack_pipeline::server_connection;
 use rand::RngExt;
 use tokio::signal::unix;
 use tokio::sync::mpsc;
@@ -33,6 +35,13 @@
 /// Interval at which idle connections are closed and gauges are updated.
 const MAINTENANCE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
+/// Limits of callers' connections while no configuration is in force.
+const DEFAULT_LIMITS: server_connection::ConnectionLimits = server_connection::ConnectionLimits {
+    idle_timeout: time::Duration::from_mins(1),
+    header_timeout: time::Duration::from_secs(10),
+    max_header_bytes: 64 * 1024,
+};
+
 /// Why a daemon can't run.
 #[derive(Debug)]
 #[derive(derive_more::Display, derive_more::Error, derive_more::From)]
@@ -79,8 +88,8 @@
     let metrics = forward_metrics::ForwardMetrics::new()?;
     let node = node_context::NodeContext::new(rc::Rc::clone(&settings), core, metrics);
     let socket = rc::Rc::new(tokio::net::UdpSocket::bind(settings.peer_listen).await?);
-    let stop = http_server::ServerStop::default();
-    serve_callers(&node, &stop)?;
+    let callers = http_server::ServerControl::default();
+    serve_callers(&node, &callers)?;
     serve_peers(&node)?;
     serve_status(&node)?;
     serve_platform(&node)?;
@@ -111,49 +120,51 @@
             _ended = &mut superseded => return Ok(()),
         }
     }
-    shut_down(&node, &stop).await;
+    shut_down(&node, &callers).await;
     // `sync_members` writes a missing row again, so it is stopped before the row is removed.
     members.abort();
     store_port::remove_own_row(&node, &port, &own_row).await;
     Ok(())
 }
 
-fn serve_callers(node: &rc::Rc<node_context::NodeContext>, stop: &http_server::ServerStop) -> io::Result<()> {
+fn serve_callers(node: &rc::Rc<node_context::NodeContext>, control: &http_server::ServerControl) -> io::Result<()> {
     let listener = http_server::listen(node.settings.entry_listen)?;
-    let core = node.core.clone();
-    let limits = move || {
-        let configured = core.ask(|core, _now| core.config().map(|config| config.limits));
-        configured.map_or_else(http_server::ServerLimits::default, |limits| http_server::ServerLimits {
-            idle_timeout: limits.idle_timeout,
-            max_header_bytes: limits.max_header_bytes,
-        })
+    let (node, phases) = (rc::Rc::clone(node), control.phases());
+    let serve = move |stream| {
+        let [planning, serving, rejecting] = [&node; 3].map(rc::Rc::clone);
+        let handlers = server_connection::ConnectionHandlers {
+            plan: move |parts: &_| entry_call::plan(&planning, parts),
+            serve: move |request| entry_call::serve(rc::Rc::clone(&serving), request),
+            reject: move |fault| entry_call::reject(&rejecting, fault),
+        };
+        server_connection::serve(stream, caller_limits(&node), phases.clone(), handlers)
     };
-    let node = rc::Rc::clone(node);
-    let handler = move |request| entry_call::serve(rc::Rc::clone(&node), request);
-    task::spawn_local(http_server::accept(listener, limits, stop.clone(), handler));
+    task::spawn_local(http_server::accept(listener, control.clone(), serve));
     Ok(())
 }
 
+/// Returns the limits of a new connection, which the configuration may change.
+fn caller_limits(node: &node_context::NodeContext) -> server_connection::ConnectionLimits {
+    let configured = node.core.ask(|core, _now| core.config().map(|config| config.limits));
+    configured.map_or(DEFAULT_LIMITS, |limits| server_connection::ConnectionLimits {
+        idle_timeout: limits.idle_timeout,
+        header_timeout: limits.header_timeout,
+        max_header_bytes: limits.max_header_bytes,
+    })
+}
+
 fn serve_peers(node: &rc::Rc<node_context::NodeContext>) -> io::Result<()> {
-    let listener = http_server::listen(node.settings.peer_listen)?;
+    let address = node.settings.peer_listen;
     let node = rc::Rc::clone(node);
-    let handler = move |request| peer_server::serve(rc::Rc::clone(&node), request);
-    let limits = http_server::ServerLimits::default;
-    task::spawn_local(http_server::accept(
-        listener,
-        limits,
-        http_server::ServerStop::default(),
-        handler,
-    ));
-    Ok(())
+    http_server::serve_internal(address, move |request| {
+        peer_server::serve(rc::Rc::clone(&node), request)
+    })
 }
 
 /// Starts the readiness listener, and the metrics listener if it is configured.
 fn serve_status(node: &rc::Rc<node_context::NodeContext>) -> io::Result<()> {
-    let limits = http_server::ServerLimits::default;
-    let listener = http_server::listen(node.settings.ready_listen)?;
     let core = node.core.clone();
-    let check_readiness = move |_request| {
+    http_server::serve_internal(node.settings.ready_listen, move |_request| {
         let ready = core.ask(|core, now| core.is_ready(now));
         let status = if ready {
             hyper::StatusCode::OK
@@ -161,19 +172,12 @@
             hyper::StatusCode::SERVICE_UNAVAILABLE
         };
         std::future::ready(peer_server::empty_response(status))
-    };
-    task::spawn_local(http_server::accept(
-        listener,
-        limits,
-        http_server::ServerStop::default(),
-        check_readiness,
-    ));
+    })?;
     let Some(address) = node.settings.metrics_listen else {
         return Ok(());
     };
-    let listener = http_server::listen(address)?;
     let metrics = node.metrics.clone();
-    let scrape = move |_request| {
+    http_server::serve_internal(address, move |_request| {
         let response = match metrics.text() {
             Ok(text) => hyper::Response::new(message_body::ReplyBody::whole(Bytes::from(text))),
             Err(error) => {
@@ -182,14 +186,7 @@
             }
         };
         std::future::ready(response)
-    };
-    task::spawn_local(http_server::accept(
-        listener,
-        limits,
-        http_server::ServerStop::default(),
-        scrape,
-    ));
-    Ok(())
+    })
 }
 
 async fn run_maintenance(node: rc::Rc<node_context::NodeContext>) {
@@ -206,18 +203,20 @@
 
 /// Shuts down gracefully: accepts requests until the platform has stopped routing to this daemon, waits for running
 /// requests, and leaves the membership.
-async fn shut_down(node: &node_context::NodeContext, stop: &http_server::ServerStop) {
+async fn shut_down(node: &node_context::NodeContext, callers: &http_server::ServerControl) {
     let began = time::Instant::now();
     let deadline = began + node.settings.stop_grace.saturating_sub(KILL_MARGIN);
     log::info!("stopping: no new work for the backend server");
     node.core.ask(forward_core::ForwardCore::stop);
+    callers.enter(request_order::ConnectionPhase::Closing);
     tokio::time::sleep_until((began + DRAIN_NOTICE).min(deadline).into()).await;
-    stop.finish_connections();
+    callers.enter(request_order::ConnectionPhase::Closed);
     loop {
         let running = node.core.ask(|core, _now| core.gate_counts().running);
-        let idle = running == 0 && node.in_flight.get() == 0;
+        // A response is sent after its request has left `in_flight`.
+        let idle = running == 0 && node.in_flight.get() == 0 && callers.open_connections() == 0;
         if idle || time::Instant::now() >= deadline {
-            log::info!(requests = node.in_flight.get(), work = running; "stopped");
+            log::info!(requests = node.in_flight.get(), work = running, connections = callers.open_connections(); "stopped");
             break;
         }
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
--- a/crates/forward/src/route_config.rs
+++ b/crates/forward/src/route_config.rs
@@ -64,8 +64,7 @@
     pub max_header_bytes: usize,
     /// Largest request body in bytes.
     pub max_body_bytes: usize,
-    /// Time limit for receiving a request head. Listeners apply `idle_timeout` instead, since hyper has one timer for
-    /// both.
+    /// Time limit for receiving a request head, from its first byte.
     pub header_timeout: time::Duration,
     /// Time after which an idle connection is closed.
     pub idle_timeout: time::Duration,
--- a/crates/standins/src/platform_backend.rs
+++ b/crates/standins/src/platform_backend.rs
@@ -44,6 +44,8 @@
     AnswerTwice,
     /// Runs it and responds 500.
     Fail,
+    /// Runs it and responds 200 with a body of this many bytes `#`.
+    ServeLarge(usize),
 }
 
 /// A request that the server accepted as addressed to its instance.
@@ -211,6 +213,13 @@
             BackendStep::AnswerTwice => {
                 writer.write_all(format!("{}{}", full_response(&id), full_response(&id)).as_bytes())
             }
+            BackendStep::ServeLarge(length) => {
+                write!(
+                    writer,
+                    "HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: {id}\r\n{RESPONSE_SEAL}: seal\r\nContent-Length: {length}\r\n\r\n"
+                )?;
+                writer.write_all(&vec![b'#'; length])
+            }
             BackendStep::Fail => write!(
                 writer,
                 "HTTP/1.1 500 -\r\n{ATTEMPT_ID}: {id}\r\n{RESPONSE_SEAL}: seal\r\nContent-Length: 0\r\n\r\n"
