Serve callers of damasktrackd by the pipelining connection

Change: entry_server keeps its thread, listener and handlers, and its connections are those of the crate pipeline.

Result: crates/daemon/tests/processes/pipelining.rs; on the old code concurrency and disconnect fail.

--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -7,6 +7,7 @@
 mod failures;
 mod members;
 mod overload;
+mod pipelining;
 mod request_path;
 mod routes;
 mod support;
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -3,4 +3,5 @@
 pub mod byte_count;
 pub mod call_class;
 pub mod call_watch;
+pub mod class_snapshot;
 pub mod control_traffic;
--- a/crates/node/src/core/core_config.rs
+++ b/crates/node/src/core/core_config.rs
@@ -149,6 +149,7 @@
         let revision = self.config.log.revision();
         log::info!(revision = revision; "configuration in force changed");
         self.classes.set_resources(sync::Arc::clone(self.config.log.set()));
+        self.effects.class_snapshot().publish(self.classes.clone());
         self.apply_limits();
         self.effects.config_signal().set_revision(revision);
         self.members.set_revision(revision);
--- a/crates/node/src/core/node_core.rs
+++ b/crates/node/src/core/node_core.rs
@@ -60,6 +60,8 @@
     ) -> Self {
         let slots = settings.backend_server.as_ref().map_or(0, |backend| backend.slots);
         let incarnation = identity.incarnation;
+        let classes = call_class::ClassTable::new(settings.default_deadline, settings.store_address.is_some());
+        effects.class_snapshot().publish(classes.clone());
         Self {
             owner: request_owner::OwnerState::new(identity.clone(), store, time::Instant::now()),
             identity,
@@ -68,7 +70,7 @@
             has_backend_server: settings.backend_server.is_some(),
             service: settings.service.clone(),
             members,
-            classes: call_class::ClassTable::new(settings.default_deadline, settings.store_address.is_some()),
+            classes,
             admission: admission_control::AdmissionControl::new(slots),
             levels: level_view::LevelView::default(),
             directory: peer_directory::PeerDirectory::default(),
--- a/crates/node/src/core/node_effects.rs
+++ b/crates/node/src/core/node_effects.rs
@@ -8,6 +8,7 @@
 use damasktrack_wire::peer_message;
 
 use crate::backend::backend_client;
+use crate::call::class_snapshot;
 use crate::core::config_signal;
 use crate::peer::config_message;
 use crate::peer::peer_client;
@@ -23,6 +24,7 @@
     peers: sync::Arc<peer_client::PeerClient>,
     backend: Option<sync::Arc<backend_client::BackendClient>>,
     config: config_signal::ConfigSignal,
+    classes: class_snapshot::ClassSnapshot,
     pool: worker_pool::WorkerPool,
 }
 
@@ -39,6 +41,7 @@
             peers,
             backend,
             config: config_signal::ConfigSignal::default(),
+            classes: class_snapshot::ClassSnapshot::default(),
             pool: worker_pool::WorkerPool::new("message", MAX_MESSAGE_WORKERS),
         }
     }
@@ -94,6 +97,12 @@
         &self.config
     }
 
+    /// Returns the classes for threads that plan requests before the core decides about them.
+    #[must_use]
+    pub fn class_snapshot(&self) -> &class_snapshot::ClassSnapshot {
+        &self.classes
+    }
+
     fn submit(&self, job: impl FnOnce() + Send + 'static) {
         if self.pool.submit(job) == worker_pool::SubmitResult::Full {
             // A dropped cancellation still takes effect at the receiver when the connection of the call closes.
--- a/crates/node/src/entry/entry_server.rs
+++ b/crates/node/src/entry/entry_server.rs
@@ -1,9 +1,7 @@
 //! HTTP server for callers and for the local backend server.
 
-use std::convert;
 use std::io;
 use std::net;
-use std::pin;
 use std::sync;
 use std::sync::atomic;
 use std::thread;
@@ -11,11 +9,10 @@
 
 use bytes::Bytes;
 use damasktrack_ownership::action_step;
-use http_body_util::BodyExt;
-use hyper::server::conn::http1;
-use hyper_util::rt;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
+use damasktrack_pipeline::request_fault;
+use damasktrack_pipeline::request_order;
+use damasktrack_pipeline::server_connection;
+use hyper::http::request;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
@@ -31,31 +28,14 @@
 
 /// Path at which the daemon issues request ids to callers.
 const ISSUE_PATH: &str = "/damasktrack/v1/request-ids";
-/// Bounds on the time and the bytes for which input is read and discarded after an error response. Closing a connection
-/// with unread input resets it, which can destroy the response before the caller has read it.
-const LINGER_TIMEOUT: time::Duration = time::Duration::from_millis(500);
-const MAX_LINGER_BYTES: usize = 8 << 20;
-/// Minimum size of the input buffer of a connection; a larger `max_header_bytes` raises it.
-const MIN_BUFFER_BYTES: usize = 64 << 10;
 /// Delay after a failed accept, for example when no file descriptor is left.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
-/// Phase of the entry server; the later ones belong to a planned stop.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EntryPhase {
-    /// Connections are accepted and kept alive.
-    Serving,
-    /// Connections are accepted, and each response closes its connection.
-    Closing,
-    /// No connection is accepted; idle ones are closed, and others close after their response.
-    Closed,
-}
-
 /// Handle of the entry server, which runs on its own thread.
 #[derive(Debug)]
 pub struct EntryServer {
     address: net::SocketAddr,
-    phase: watch::Sender<EntryPhase>,
+    phase: watch::Sender<request_order::ConnectionPhase>,
     connections: sync::Arc<atomic::AtomicUsize>,
 }
 
@@ -67,7 +47,7 @@
     pub fn start(listener: net::TcpListener, shared: sync::Arc<node_shared::NodeShared>) -> io::Result<Self> {
         let address = listener.local_addr()?;
         listener.set_nonblocking(true)?;
-        let (phase, phases) = watch::channel(EntryPhase::Serving);
+        let (phase, phases) = watch::channel(request_order::ConnectionPhase::Serving);
         let connections = sync::Arc::new(atomic::AtomicUsize::new(0));
         let counter = sync::Arc::clone(&connections);
         let runtime = tokio::runtime::Builder::new_current_thread()
@@ -88,7 +68,7 @@
 /// Commands.
 impl EntryServer {
     /// Sets the phase.
-    pub fn enter(&self, phase: EntryPhase) {
+    pub fn enter(&self, phase: request_order::ConnectionPhase) {
         self.phase.send_replace(phase);
     }
 }
@@ -120,7 +100,7 @@
 async fn accept_all(
     listener: net::TcpListener,
     shared: sync::Arc<node_shared::NodeShared>,
-    mut phases: watch::Receiver<EntryPhase>,
+    mut phases: watch::Receiver<request_order::ConnectionPhase>,
     connections: sync::Arc<atomic::AtomicUsize>,
 ) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
@@ -163,97 +143,70 @@
     std::future::pending::<()>().await;
 }
 
-/// Waits for [`EntryPhase::Closed`], or until the [`EntryServer`] is dropped.
-async fn wait_closed(phases: &mut watch::Receiver<EntryPhase>) {
-    let _phase = phases.wait_for(|phase| *phase == EntryPhase::Closed).await;
+/// Waits for [`request_order::ConnectionPhase::Closed`], or until the [`EntryServer`] is dropped.
+async fn wait_closed(phases: &mut watch::Receiver<request_order::ConnectionPhase>) {
+    let _phase = phases
+        .wait_for(|phase| *phase == request_order::ConnectionPhase::Closed)
+        .await;
 }
 
 async fn serve_connection(
     stream: tokio::net::TcpStream,
     peer: net::SocketAddr,
     shared: sync::Arc<node_shared::NodeShared>,
-    mut phases: watch::Receiver<EntryPhase>,
+    phases: watch::Receiver<request_order::ConnectionPhase>,
 ) {
     let _unsupported = stream.set_nodelay(true);
     let settings = &shared.settings;
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(rt::TokioTimer::new())
-        .header_read_timeout(settings.header_timeout)
-        .max_header_size(settings.max_header_bytes)
-        .max_buf_size(settings.max_header_bytes.max(MIN_BUFFER_BYTES));
-    let loopback = peer.ip().is_loopback();
-    let request_phases = phases.clone();
-    let service = hyper::service::service_fn(|request| {
-        let closing = *request_phases.borrow() != EntryPhase::Serving;
-        handle(sync::Arc::clone(&shared), request, loopback, closing)
-    });
-    let mut connection = builder.serve_connection(rt::TokioIo::new(stream), service);
-    let served = tokio::select! {
-        served = &mut connection => served,
-        () = wait_closed(&mut phases) => {
-            pin::Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
-        }
+    let limits = server_connection::ConnectionLimits {
+        idle_timeout: settings.header_timeout,
+        header_timeout: settings.header_timeout,
+        max_header_bytes: settings.max_header_bytes,
     };
-    let Err(error) = served else {
-        return;
+    let loopback = peer.ip().is_loopback();
+    let handlers = server_connection::ConnectionHandlers {
+        plan: |parts: &_| plan(&shared, parts),
+        serve: |request| serve_request(sync::Arc::clone(&shared), request, loopback),
+        reject: |fault| fault_response(read_fault(fault)),
     };
-    log::debug!(caller:% = peer, error:% = error; "connection of a caller failed");
-    let parts = connection.into_parts();
-    let mut stream = parts.io.into_inner();
-    if error.is_timeout() && !parts.read_buf.is_empty() {
-        let _written = stream
-            .write_all(b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
-            .await;
-    }
-    if error.is_timeout() || error.is_parse() {
-        linger(stream).await;
-    }
+    server_connection::serve(stream, limits, phases, handlers).await;
 }
 
-/// Shuts the sending side down and discards further input within bounds, so that the caller can read its response.
-async fn linger(mut stream: tokio::net::TcpStream) {
-    let _shut_down = stream.shutdown().await;
-    let mut buffer = vec![0; 16 << 10];
-    let discard = async {
-        let mut total = 0;
-        while let Ok(length) = stream.read(&mut buffer).await {
-            total += length;
-            if length == 0 || total > MAX_LINGER_BYTES {
-                return;
-            }
-        }
+/// Plans how a request is read. Only calls that may run more than once start before earlier ones are answered.
+fn plan(shared: &node_shared::NodeShared, parts: &request::Parts) -> server_connection::RequestPlan<()> {
+    let (service, path) = entry_request::split_path(&parts.uri);
+    let method = Bytes::copy_from_slice(parts.method.as_str().as_bytes());
+    let order = if shared.effects.class_snapshot().is_idempotent(&service, &method, &path) {
+        request_order::StartOrder::Ahead
+    } else {
+        request_order::StartOrder::InTurn
     };
-    let _timeout = tokio::time::timeout(LINGER_TIMEOUT, discard).await;
+    server_connection::RequestPlan {
+        max_body_bytes: shared.settings.max_body_bytes,
+        body_timeout: shared.settings.body_timeout,
+        order,
+        route: (),
+    }
 }
 
-async fn handle(
+async fn serve_request(
     shared: sync::Arc<node_shared::NodeShared>,
-    request: hyper::Request<hyper::body::Incoming>,
+    request: server_connection::CallerRequest<()>,
     loopback: bool,
-    closing: bool,
-) -> Result<hyper::Response<entry_body::EntryBody>, convert::Infallible> {
-    let mut response = match answer(&shared, request, loopback).await {
+) -> hyper::Response<entry_body::EntryBody> {
+    match answer(&shared, request, loopback).await {
         Ok(response) => response,
         Err(fault) => fault_response(fault),
-    };
-    if closing {
-        let close = hyper::header::HeaderValue::from_static("close");
-        response.headers_mut().insert(hyper::header::CONNECTION, close);
     }
-    Ok(response)
 }
 
 async fn answer(
     shared: &sync::Arc<node_shared::NodeShared>,
-    request: hyper::Request<hyper::body::Incoming>,
+    request: server_connection::CallerRequest<()>,
     loopback: bool,
 ) -> Result<hyper::Response<entry_body::EntryBody>, entry_request::RequestFault> {
-    let arrived = time::Instant::now();
-    let (parts, body) = request.into_parts();
+    let (arrived, parts, body) = (request.arrived, request.parts, request.body);
     let origin = entry_request::read_origin(&parts.headers, loopback)?;
-    let body = read_body(shared, body).await?;
     if parts.method == hyper::Method::POST && parts.uri.path() == ISSUE_PATH {
         return issue_id(shared).await;
     }
@@ -303,53 +256,21 @@
     })
 }
 
-async fn read_body(
-    shared: &node_shared::NodeShared,
-    body: hyper::body::Incoming,
-) -> Result<Bytes, entry_request::RequestFault> {
-    let max = shared.settings.max_body_bytes;
-    let too_large = entry_request::RequestFault {
-        status: 413,
-        text: "the request body is too large\n",
+fn read_fault(fault: request_fault::RequestFault) -> entry_request::RequestFault {
+    let text = match fault {
+        request_fault::RequestFault::Malformed => "the request is malformed\n",
+        request_fault::RequestFault::HeadTooLarge => "the request head is too large\n",
+        request_fault::RequestFault::BodyTooLarge => "the request body is too large\n",
+        request_fault::RequestFault::UnsupportedCoding => "the transfer coding of the request is not supported\n",
+        request_fault::RequestFault::HeadTimeout => "the request head did not arrive in time\n",
+        request_fault::RequestFault::BodyTimeout => "the request body did not arrive in time\n",
     };
-    if hyper::body::Body::is_end_stream(&body) {
-        return Ok(Bytes::new());
-    }
-    let declared = hyper::body::Body::size_hint(&body).lower();
-    if declared > max as u64 {
-        discard(body).await;
-        return Err(too_large);
-    }
-    let mut limited = http_body_util::Limited::new(body, max);
-    let collected = tokio::time::timeout(shared.settings.body_timeout, (&mut limited).collect()).await;
-    match collected {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large),
-        Ok(Err(_truncated)) => Err(entry_request::RequestFault {
-            status: 400,
-            text: "the request body is incomplete\n",
-        }),
-        Err(_elapsed) => Err(entry_request::RequestFault {
-            status: 408,
-            text: "the request body did not arrive in time\n",
-        }),
+    entry_request::RequestFault {
+        status: fault.status().as_u16(),
+        text,
     }
 }
 
-/// Reads and discards a body that is too large, within bounds, so that the caller can read its response.
-async fn discard(mut body: hyper::body::Incoming) {
-    let discard = async {
-        let mut total = 0;
-        while let Some(Ok(frame)) = body.frame().await {
-            total += frame.data_ref().map_or(0, Bytes::len);
-            if total > MAX_LINGER_BYTES {
-                return;
-            }
-        }
-    };
-    let _timeout = tokio::time::timeout(LINGER_TIMEOUT, discard).await;
-}
-
 async fn issue_id(
     shared: &sync::Arc<node_shared::NodeShared>,
 ) -> Result<hyper::Response<entry_body::EntryBody>, entry_request::RequestFault> {
@@ -447,10 +368,6 @@
         fault.text.as_bytes(),
     )]));
     *response.status_mut() = hyper::StatusCode::from_u16(fault.status).unwrap_or(hyper::StatusCode::BAD_REQUEST);
-    if matches!(fault.status, 408 | 413) {
-        let close = hyper::header::HeaderValue::from_static("close");
-        response.headers_mut().insert(hyper::header::CONNECTION, close);
-    }
     set_outcome_headers(&mut response, &Bytes::new(), "refused");
     response
 }
--- a/crates/node/src/process/graceful_shutdown.rs
+++ b/crates/node/src/process/graceful_shutdown.rs
@@ -5,6 +5,8 @@
 use std::thread;
 use std::time;
 
+use damasktrack_pipeline::request_order;
+
 use crate::core::core_command;
 use crate::core::member_sync;
 use crate::entry::entry_server;
@@ -32,10 +34,10 @@
     log::info!("planned stop started");
     shared.draining.store(true, atomic::Ordering::Relaxed);
     shared.core.send(core_command::CoreCommand::Drain);
-    entry.enter(entry_server::EntryPhase::Closing);
+    entry.enter(request_order::ConnectionPhase::Closing);
     thread::sleep(shared.settings.drain_notice.min(shared.settings.drain_timeout));
     let work_ended = wait_until(deadline, || count(shared).is_none_or(|counts| counts.work == 0));
-    entry.enter(entry_server::EntryPhase::Closed);
+    entry.enter(request_order::ConnectionPhase::Closed);
     let calls_ended = wait_until(deadline, || {
         let idle = count(shared).is_none_or(|counts| counts.calls == 0 && counts.work == 0);
         idle && entry.connections() == 0 && shared.peer_requests.load(atomic::Ordering::Relaxed) == 0
