Restart the backend server with its daemon in the capacity measurement

Cause: a planned stop of a daemon drains its backend server for good. The measurement restarted the daemon alone, so the new process found its backend server down as soon as three health checks had failed. It passed only if both daemons were listed as up before that.

Change: restart() stops the daemon and then the backend server, and starts both again, as docs/OPERATIONS.md says for a replacement.

--- a/crates/standins/src/bench_fleet.rs
+++ b/crates/standins/src/bench_fleet.rs
@@ -126,13 +126,7 @@
     fn start_processes(&mut self) -> Result<(), String> {
         let store = format!("--listen={}", self.store);
         self.processes.start("store", "standin-store", &[store])?;
-        let arguments = [
-            format!("--listen={}", self.backend),
-            "--slots=1000".to_owned(),
-            "--service-ms=0".to_owned(),
-            format!("--class-ms=slow={SLOW_SERVICE_MS}"),
-        ];
-        self.processes.start("backend", "standin-backend", &arguments)?;
+        self.start_backend()?;
         for index in 0..self.options.daemons {
             let settings = self.settings(index).map_err(error_text)?;
             let path = self.directory.join(format!("{index}.json"));
@@ -145,6 +139,16 @@
         .map(|_elapsed| ())
     }
 
+    fn start_backend(&mut self) -> Result<(), String> {
+        let arguments = [
+            format!("--listen={}", self.backend),
+            "--slots=1000".to_owned(),
+            "--service-ms=0".to_owned(),
+            format!("--class-ms=slow={SLOW_SERVICE_MS}"),
+        ];
+        self.processes.start("backend", "standin-backend", &arguments)
+    }
+
     fn start_daemon(&mut self, index: usize) -> Result<(), String> {
         if let Some(sockets) = self.reserved.get_mut(index) {
             sockets.clear();
@@ -248,16 +252,20 @@
         })
     }
 
-    /// Restarts a daemon by a planned stop and waits until it is ready.
+    /// Restarts a daemon by a planned stop, which drains the backend server for good, and then the backend server as
+    /// well. Waits until the daemon is ready.
     ///
     /// # Errors
-    /// Returns an error if the daemon doesn't stop cleanly, can't be started or isn't ready in time.
+    /// Returns an error if a process doesn't stop cleanly or can't be started, or the daemon isn't ready in time.
     pub fn restart(&mut self, index: usize) -> Result<(), String> {
-        let name = format!("daemon-{index}");
-        let findings = self.processes.stop(STOP_TIMEOUT, |other| other == name);
-        if !findings.is_empty() {
-            return Err(findings.join("; "));
+        let daemon = format!("daemon-{index}");
+        for name in [daemon.as_str(), "backend"] {
+            let findings = self.processes.stop(STOP_TIMEOUT, |other| other == name);
+            if !findings.is_empty() {
+                return Err(findings.join("; "));
+            }
         }
+        self.start_backend()?;
         self.start_daemon(index)?;
         self.wait_until("the restarted daemon to be ready", |fleet| fleet.has_converged(index))
             .map(|_elapsed| ())
