End the rest of a large response body at the deadline of its request

Cause: the deadline bounded the wait for a response up to the first 256 KiB of its body. A backend server whose body has no length and no end kept the caller's connection, a slot and both daemons busy for as long as it sent.

Change: the rest of a body carries the deadline, at the entry and at the callee, and ends as truncated there. The stand-in sends responses without end in nine places.

--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -184,7 +184,7 @@
         if let Err(fault) = check_response(node, response.headers(), response.status(), attempt_id.as_ref()) {
             return Ok(Err(fault));
         }
-        match message_body::receive(response, lease).await {
+        match message_body::receive(response, lease, deadline + DEADLINE_SLACK).await {
             Ok(received) => Ok(Ok(received)),
             Err(error) => Err(http_link::LinkError::NoResponse(error.to_string())),
         }
--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -425,7 +425,7 @@
         .headers()
         .get(peer_call::REPLY_HEADER)
         .and_then(|value| peer_call::decode::<peer_call::CallReply>(value.as_bytes()));
-    let Ok((mut parts, body)) = message_body::receive(response, lease).await else {
+    let Ok((mut parts, body)) = message_body::receive(response, lease, entry.deadline).await else {
         return callee_call::CallResult::MayHaveRun;
     };
     parts.headers.remove(peer_call::REPLY_HEADER);
--- a/crates/forward/src/message_body.rs
+++ b/crates/forward/src/message_body.rs
@@ -38,8 +38,23 @@
     rest: Option<RestBody>,
 }
 
+/// Why the rest of a body can't be read to its end.
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
+pub enum BodyError {
+    /// The connection failed, or the body ended before its end was marked.
+    #[display("body truncated: {_0}")]
+    Truncated(hyper::Error),
+    /// The deadline of the request passed.
+    #[display("body not complete by the deadline")]
+    #[from(skip)]
+    Overdue,
+}
+
 struct RestBody {
     incoming: body::Incoming,
+    /// Deadline of the request. A body without length may go on for as long as its sender likes.
+    deadline: pin::Pin<Box<tokio::time::Sleep>>,
     lease: Option<http_link::LinkLease>,
     idle_limit: Option<time::Duration>,
     /// Called when the body ends or is dropped.
@@ -99,18 +114,22 @@
 
 impl body::Body for ReplyBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
-    ) -> task::Poll<Option<Result<body::Frame<Bytes>, hyper::Error>>> {
+    ) -> task::Poll<Option<Result<body::Frame<Bytes>, BodyError>>> {
         if let Some(buffered) = self.buffered.take() {
             return task::Poll::Ready(Some(Ok(body::Frame::data(buffered))));
         }
         let Some(rest) = &mut self.rest else {
             return task::Poll::Ready(None);
         };
+        if rest.deadline.as_mut().poll(cx).is_ready() {
+            rest.end(false);
+            return task::Poll::Ready(Some(Err(BodyError::Overdue)));
+        }
         let polled = task::ready!(pin::Pin::new(&mut rest.incoming).poll_frame(cx));
         match &polled {
             Some(Ok(_frame)) => {}
@@ -120,7 +139,7 @@
                 self.rest = None;
             }
         }
-        task::Poll::Ready(polled)
+        task::Poll::Ready(polled.map(|frame| frame.map_err(BodyError::from)))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -142,14 +161,15 @@
     }
 }
 
-/// Buffers the body of a response, or its beginning if it is large. The connection of a body that was read to its end
-/// returns to the pool.
+/// Buffers the body of a response, or its beginning if it is large; the rest must end by `deadline`. The connection of a
+/// body that was read to its end returns to the pool.
 ///
 /// # Errors
 /// Returns an error if the body is truncated within the bytes that are buffered.
 pub async fn receive(
     response: hyper::Response<body::Incoming>,
     lease: http_link::LinkLease,
+    deadline: time::Instant,
 ) -> Result<(hyper::http::response::Parts, ReplyBody), hyper::Error> {
     let (parts, mut incoming) = response.into_parts();
     let idle_limit = idle_limit(&parts.headers);
@@ -164,6 +184,7 @@
         if length > BUFFERED_BYTES {
             let rest = RestBody {
                 incoming,
+                deadline: Box::pin(tokio::time::sleep_until(deadline.into())),
                 lease: Some(lease),
                 idle_limit,
                 at_end: None,
--- a/crates/standins/src/platform_backend.rs
+++ b/crates/standins/src/platform_backend.rs
@@ -25,6 +25,52 @@
 /// Bound on a heartbeat or deregistration, from connecting to the end of the response.
 const CONTROL_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
+/// Interval between two pieces of [`BackendStep::Endless`].
+const PIECE_INTERVAL: time::Duration = time::Duration::from_millis(2);
+
+/// Part of a response that never ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndlessPart {
+    /// Body whose end would be the end of the connection.
+    Body,
+    /// Chunks of a chunked body.
+    Chunks,
+    /// Extension of a chunk's size line.
+    ChunkExtension,
+    /// Trailers of a chunked body.
+    Trailers,
+    /// Headers.
+    Headers,
+    /// One header line.
+    HeaderLine,
+    /// Informational heads in front of the response.
+    InformationalHeads,
+    /// Bytes that are no response.
+    Noise,
+    /// Body, one byte at a time.
+    SlowBody,
+}
+
+impl EndlessPart {
+    /// Returns the bytes before the endless part, and a piece of it.
+    fn bytes(self, id: &str) -> (String, Vec<u8>) {
+        let head = format!("HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: {id}\r\n{RESPONSE_SEAL}: seal\r\n");
+        let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+        let filler = b"x".repeat(1_000);
+        match self {
+            Self::Body => (format!("{head}\r\n"), filler),
+            Self::SlowBody => (format!("{head}\r\n"), b"x".to_vec()),
+            Self::Chunks => (chunked, [b"3e8\r\n", filler.as_slice(), b"\r\n"].concat()),
+            Self::ChunkExtension => (format!("{chunked}1;"), filler),
+            Self::Trailers => (format!("{chunked}0\r\n"), b"X-Trailer: 1\r\n".repeat(50)),
+            Self::Headers => (head, b"X-Header: 1\r\n".repeat(50)),
+            Self::HeaderLine => (format!("{head}X-Header: "), filler),
+            Self::InformationalHeads => (String::new(), b"HTTP/1.1 102 Processing\r\n\r\n".repeat(20)),
+            Self::Noise => (String::new(), filler),
+        }
+    }
+}
+
 /// What the server does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackendStep {
@@ -44,6 +90,8 @@
     AnswerTwice,
     /// Runs it and responds 500.
     Fail,
+    /// Runs it and sends a part of a response without end, until the connection fails. It runs until then.
+    Endless(EndlessPart),
     /// Runs it and responds 200 with a body of this many bytes `#`.
     ServeLarge(usize),
 }
@@ -178,8 +226,10 @@
         drop(arrivals);
         let running = self.log.running.fetch_add(1, atomic::Ordering::SeqCst) + 1;
         self.log.most_running.fetch_max(running, atomic::Ordering::SeqCst);
-        if let BackendStep::Serve(duration) = step {
-            thread::sleep(duration);
+        match step {
+            BackendStep::Serve(duration) => thread::sleep(duration),
+            BackendStep::Endless(part) => write_endlessly(writer, part, &id),
+            _ => {}
         }
         self.log.running.fetch_sub(1, atomic::Ordering::SeqCst);
         let body = format!("{} {id}", self.service);
@@ -198,7 +248,7 @@
                     "HTTP/1.1 503 -\r\n{NOT_EXECUTED}: 1\r\nContent-Length: 0\r\n\r\n"
                 )
             }
-            BackendStep::LoseAnswer => Err(closed),
+            BackendStep::LoseAnswer | BackendStep::Endless(_) => Err(closed),
             BackendStep::CutBody => {
                 let text = full_response(&id);
                 writer.write_all(&text.as_bytes()[..text.len() - 2])?;
@@ -237,6 +287,12 @@
         arrivals.unwrap_or_else(sync::PoisonError::into_inner).clone()
     }
 
+    /// Returns the number of requests that run now.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.log.running.load(atomic::Ordering::SeqCst)
+    }
+
     /// Returns the largest number of requests that ran at the same time.
     #[must_use]
     pub fn most_running(&self) -> usize {
@@ -244,6 +300,16 @@
     }
 }
 
+/// Writes until the connection fails.
+fn write_endlessly(writer: &mut impl Write, part: EndlessPart, id: &str) {
+    let (start, piece) = part.bytes(id);
+    let mut written = writer.write_all(start.as_bytes());
+    while written.is_ok() {
+        thread::sleep(PIECE_INTERVAL);
+        written = writer.write_all(&piece);
+    }
+}
+
 fn call_control(control: net::SocketAddr, call: &str, body: &str) -> Option<u16> {
     let agent: ureq::Agent = ureq::Agent::config_builder()
         .timeout_global(Some(CONTROL_TIMEOUT))
