Try servers again for a call that all refused for want of capacity

Servers of 20 slots end a call every few milliseconds, and the calls had 400 ms and more left.

Servers reached are counted over all rounds. Timers of idle connections are set less often.

--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -10,6 +10,7 @@
 use damasktrack_pipeline::request_order;
 use damasktrack_pipeline::server_connection;
 use damasktrack_routing::retry_budget;
+use damasktrack_routing::round_policy;
 use damasktrack_routing::route_candidate;
 use hyper::header;
 use hyper::http::request;
@@ -92,6 +93,8 @@
     rule: rc::Rc<route_config::RouteRule>,
     service: ids::ServiceName,
     request: callee_call::CallRequest,
+    /// When the head was read.
+    arrived: time::Instant,
     /// Latest time of the response to the caller.
     deadline: time::Instant,
 }
@@ -160,7 +163,14 @@
     let (class, result) = match request.route.matched {
         Ok(matched) => {
             let class = matched.rule.name.clone();
-            let entry = entry_request(&node, matched, &request.parts, request.body, deadline);
+            let call = call_request(&node, &request.parts, request.body);
+            let entry = EntryRequest {
+                rule: matched.rule,
+                service: matched.service,
+                request: call,
+                arrived,
+                deadline,
+            };
             (class, attempt(&node, &entry).await)
         }
         Err(reply) => (Bytes::from_static(UNMATCHED_CLASS), Err(reply)),
@@ -224,13 +234,7 @@
 }
 
 /// Builds the request for the backend server from that of a caller.
-fn entry_request(
-    node: &node_context::NodeContext,
-    matched: MatchedRoute,
-    parts: &request::Parts,
-    body: Bytes,
-    deadline: time::Instant,
-) -> EntryRequest {
+fn call_request(node: &node_context::NodeContext, parts: &request::Parts, body: Bytes) -> callee_call::CallRequest {
     let names = &node.settings.headers;
     let mut headers = message_body::end_to_end_headers(&parts.headers);
     for name in [
@@ -252,27 +256,47 @@
         .uri
         .path_and_query()
         .map_or_else(|| parts.uri.clone(), |path| path.clone().into());
-    EntryRequest {
-        rule: matched.rule,
-        service: matched.service,
-        request: callee_call::CallRequest {
-            method: parts.method.clone(),
-            uri,
-            headers,
-            body,
-        },
-        deadline,
+    callee_call::CallRequest {
+        method: parts.method.clone(),
+        uri,
+        headers,
+        body,
     }
 }
 
-/// Sends a request to one server after the other until one responds or no further attempt is allowed.
+/// Sends a request in rounds of attempts until a server responds or no further round is allowed.
 async fn attempt(
     node: &rc::Rc<node_context::NodeContext>,
     entry: &EntryRequest,
 ) -> Result<hyper::Response<message_body::ReplyBody>, LocalReply> {
     node.core.ask(|core, now| core.count_request(&entry.service, now));
-    let mut tried: Vec<route_candidate::ServerKey> = Vec::new();
+    let limit = entry.deadline.saturating_duration_since(entry.arrived);
     let mut sent = 0;
+    loop {
+        let reply = match attempt_round(node, entry, &mut sent).await {
+            Ok(response) => return Ok(response),
+            Err(reply) => reply,
+        };
+        let LocalReply::NotRun(reason) = reply else {
+            return Err(reply);
+        };
+        let draw = rand::rng().random();
+        match round_policy::next_round(reason, entry.arrived.elapsed(), limit, draw) {
+            round_policy::RoundStep::Pause(pause) => tokio::time::sleep(pause).await,
+            round_policy::RoundStep::GiveUp => return Err(reply),
+        }
+    }
+}
+
+/// Sends a request to one server after the other until one responds or no further attempt is allowed. A refusal for
+/// want of capacity is returned only if no backend server may have run the request. `sent` counts the backend servers
+/// that got it in all rounds.
+async fn attempt_round(
+    node: &rc::Rc<node_context::NodeContext>,
+    entry: &EntryRequest,
+    sent: &mut u32,
+) -> Result<hyper::Response<message_body::ReplyBody>, LocalReply> {
+    let mut tried: Vec<route_candidate::ServerKey> = Vec::new();
     let mut last = LocalReply::NotRun(call_outcome::RefusalReason::NoCandidate);
     while tried.len() < MAX_DAEMONS {
         let choice = node
@@ -312,16 +336,16 @@
                     // The request reached a backend server, so the next attempt uses the retry budget although the
                     // request did not run.
                     call_outcome::RefusalReason::ShedByBackendServer => {
-                        sent += 1;
-                        sent < entry.rule.max_attempts && repeat_allowed(node, entry)
+                        *sent += 1;
+                        *sent < entry.rule.max_attempts && repeat_allowed(node, entry)
                     }
                     _ => true,
                 }
             }
             Some(callee_call::CallResult::MayHaveRun) => {
                 last = LocalReply::MayHaveRun;
-                sent += 1;
-                entry.rule.is_repeatable() && sent < entry.rule.max_attempts && repeat_allowed(node, entry)
+                *sent += 1;
+                entry.rule.is_repeatable() && *sent < entry.rule.max_attempts && repeat_allowed(node, entry)
             }
         };
         let left = entry.deadline.saturating_duration_since(time::Instant::now());
--- a/crates/pipeline/src/server_connection.rs
+++ b/crates/pipeline/src/server_connection.rs
@@ -215,10 +215,11 @@
         stream: &mut tokio::net::TcpStream,
         phases: &mut watch::Receiver<request_order::ConnectionPhase>,
     ) -> ConnectionStep {
-        let mut timer = pin::pin!(tokio::time::sleep_until(self.deadline().into()));
+        let mut timer = pin::pin!(tokio::time::sleep(self.limits.idle_timeout));
         loop {
-            let deadline = self.deadline().into();
-            if deadline < timer.deadline() {
+            if let Some(deadline) = self.deadline().map(tokio::time::Instant::from)
+                && deadline < timer.deadline()
+            {
                 timer.as_mut().reset(deadline);
             }
             let step = match self.next_event(stream, phases, timer.as_mut()).await {
@@ -247,7 +248,9 @@
                 }
                 ConnectionEvent::Timer => {
                     let step = self.handle_timer();
-                    timer.as_mut().reset(self.deadline().into());
+                    let next = self.deadline().map(tokio::time::Instant::from);
+                    let latest = tokio::time::Instant::now() + self.limits.idle_timeout;
+                    timer.as_mut().reset(next.unwrap_or(latest));
                     step
                 }
                 ConnectionEvent::DisconnectPoll => self.check_disconnect(stream).await,
@@ -286,9 +289,8 @@
             read = read(&mut input, self.reader.input()), if wants_input => ConnectionEvent::Read(read),
             phase = next_phase(phases), if !closed => ConnectionEvent::PhaseChanged(phase),
             () = timer => ConnectionEvent::Timer,
-            () = tokio::time::sleep(DISCONNECT_POLL_INTERVAL), if !wants_input && !self.disconnected => {
-                ConnectionEvent::DisconnectPoll
-            }
+            () = async { tokio::time::sleep(DISCONNECT_POLL_INTERVAL).await },
+                if !wants_input && !self.disconnected => ConnectionEvent::DisconnectPoll,
         }
     }
 
@@ -509,8 +511,7 @@
     }
 
     fn handle_timer(&mut self) -> ConnectionStep {
-        let now = time::Instant::now();
-        if now < self.deadline() {
+        if self.deadline().is_none_or(|deadline| time::Instant::now() < deadline) {
             return ConnectionStep::Continue;
         }
         if self.out.has_remaining() {
@@ -530,22 +531,23 @@
         ConnectionStep::Continue
     }
 
-    /// Returns the time of the next timeout, or a late time if there is none.
-    fn deadline(&self) -> time::Instant {
-        let idle_timeout = match self.phase {
-            request_order::ConnectionPhase::Closed => self.limits.idle_timeout.min(CLOSED_IDLE_TIMEOUT),
-            _ => self.limits.idle_timeout,
-        };
-        if self.is_idle() {
-            return self.waiting_since + idle_timeout;
-        }
+    /// Returns the time of the next timeout, if there is one.
+    fn deadline(&self) -> Option<time::Instant> {
         if self.out.has_remaining() {
-            return self.waiting_since + self.limits.idle_timeout;
+            return Some(self.waiting_since + self.limits.idle_timeout);
+        }
+        if self.is_idle() {
+            let closed = self.phase == request_order::ConnectionPhase::Closed;
+            let timeout = if closed {
+                CLOSED_IDLE_TIMEOUT
+            } else {
+                self.limits.idle_timeout
+            };
+            return Some(self.waiting_since + timeout.min(self.limits.idle_timeout));
         }
         let body = self.planned.as_ref().map(|planned| planned.body_deadline);
         let head = self.head_since.map(|since| since + self.limits.header_timeout);
-        let pending = body.or(head).filter(|_deadline| self.wants_input());
-        pending.unwrap_or_else(|| time::Instant::now() + self.limits.idle_timeout)
+        body.or(head).filter(|_deadline| self.wants_input())
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod region_budget;
 pub mod region_window;
 pub mod retry_budget;
+pub mod round_policy;
 pub mod route_candidate;
 mod route_queries;
 pub mod route_table;
