Count further rounds of attempts, and wait for events in a file of its own

The help of damasktrack_repeats left out repeats after a shed.

Change: damasktrack_rounds by class; connection_events waits for the next event of a connection. No other behaviour changes.

--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -282,7 +282,10 @@
         };
         let draw = rand::rng().random();
         match round_policy::next_round(reason, entry.arrived.elapsed(), limit, draw) {
-            round_policy::RoundStep::Pause(pause) => tokio::time::sleep(pause).await,
+            round_policy::RoundStep::Pause(pause) => {
+                node.metrics.count_round(&entry.rule.name);
+                tokio::time::sleep(pause).await;
+            }
             round_policy::RoundStep::GiveUp => return Err(reply),
         }
     }
--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -21,6 +21,7 @@
     attempts: metrics::Counter<u64>,
     work: metrics::Counter<u64>,
     repeats: metrics::Counter<u64>,
+    rounds: metrics::Counter<u64>,
     running: metrics::Gauge<u64>,
     queued: metrics::Gauge<u64>,
     config_version: metrics::Gauge<u64>,
@@ -69,7 +70,11 @@
                 .build(),
             repeats: meter
                 .u64_counter("damasktrack_repeats")
-                .with_description("Requests sent to another server after they may have run, by class")
+                .with_description("Requests sent to another server after they may have run or were shed, by class")
+                .build(),
+            rounds: meter
+                .u64_counter("damasktrack_rounds")
+                .with_description("Further rounds of attempts after all tried servers lacked capacity, by class")
                 .build(),
             running: meter
                 .u64_gauge("damasktrack_work_running")
@@ -121,6 +126,12 @@
         self.repeats.add(1, &[opentelemetry::KeyValue::new("class", class)]);
     }
 
+    /// Counts a further round of attempts of a request that all tried servers refused for want of capacity.
+    pub fn count_round(&self, class: &ids::ClassName) {
+        let class = ids::text(class).into_owned();
+        self.rounds.add(1, &[opentelemetry::KeyValue::new("class", class)]);
+    }
+
     /// Sets the gauges of the admission gate and of the configuration.
     pub fn record_state(&self, running: u32, queued: usize, config_version: ids::Revision) {
         self.running.record(u64::from(running), &[]);
--- a/crates/pipeline/src/server_connection.rs
+++ b/crates/pipeline/src/server_connection.rs
@@ -1,16 +1,12 @@
 //! Serving of one connection: reading ahead, concurrent requests, and responses in order.
 
 use std::collections;
-use std::future;
-use std::io;
 use std::pin;
 use std::time;
 
 use bytes::Buf;
 use bytes::Bytes;
-use futures_util::StreamExt;
 use futures_util::stream;
-use http_body_util::BodyExt;
 use hyper::body;
 use hyper::header;
 use hyper::http::request;
@@ -24,15 +20,10 @@
 use crate::request_reader;
 use crate::response_head;
 
+mod connection_events;
+
 /// Bytes that are read ahead of the request that is read next. Beyond them, reading pauses until a request starts.
 const READ_AHEAD_BYTES: usize = 64 * 1024;
-/// Free space of the input buffer before each read.
-const READ_BYTES: usize = 8 * 1024;
-/// Bytes of a response that may wait to be written before its body is read on.
-const MAX_OUTPUT_BYTES: usize = 64 * 1024;
-/// Interval at which a connection is checked for a disconnect while reading is paused.
-const DISCONNECT_POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
-
 /// Time for which an idle connection stays open in the phase `Closed`, for a request that is already on its way.
 const CLOSED_IDLE_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
@@ -109,17 +100,6 @@
     framing: response_head::ResponseFraming,
 }
 
-/// What happened to a connection.
-enum ConnectionEvent<B> {
-    Read(io::Result<usize>),
-    Written(io::Result<usize>),
-    Response(hyper::Response<B>),
-    Frame(Option<Result<body::Frame<Bytes>, ()>>),
-    PhaseChanged(request_order::ConnectionPhase),
-    Timer,
-    DisconnectPoll,
-}
-
 /// How a connection goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectionStep {
@@ -223,37 +203,44 @@
                 timer.as_mut().reset(deadline);
             }
             let step = match self.next_event(stream, phases, timer.as_mut()).await {
-                ConnectionEvent::Read(Ok(0)) => self.handle_disconnect(),
-                ConnectionEvent::Read(Ok(_count)) => {
+                connection_events::ConnectionEvent::Read(Ok(0)) => self.handle_disconnect(),
+                connection_events::ConnectionEvent::Read(Ok(_count)) => {
                     self.read_requests();
                     ConnectionStep::Continue
                 }
-                ConnectionEvent::Written(Ok(_count)) => {
+                connection_events::ConnectionEvent::Written(Ok(_count)) => {
                     self.waiting_since = time::Instant::now();
                     ConnectionStep::Continue
                 }
-                ConnectionEvent::Read(Err(error)) | ConnectionEvent::Written(Err(error)) => {
+                connection_events::ConnectionEvent::Read(Err(error))
+                | connection_events::ConnectionEvent::Written(Err(error)) => {
                     log::debug!(error:% = error; "inbound connection failed");
                     ConnectionStep::Abort
                 }
-                ConnectionEvent::Response(response) => {
+                connection_events::ConnectionEvent::Response(response) => {
                     self.ready.push_back(response);
                     ConnectionStep::Continue
                 }
-                ConnectionEvent::Frame(frame) => self.handle_frame(frame),
-                ConnectionEvent::PhaseChanged(phase) => {
+                connection_events::ConnectionEvent::Frame(frame) => self.handle_frame(frame),
+                connection_events::ConnectionEvent::PhaseChanged(phase) => {
                     self.phase = phase;
                     self.waiting_since = time::Instant::now();
                     ConnectionStep::Continue
                 }
-                ConnectionEvent::Timer => {
+                connection_events::ConnectionEvent::Timer => {
                     let step = self.handle_timer();
                     let next = self.deadline().map(tokio::time::Instant::from);
                     let latest = tokio::time::Instant::now() + self.limits.idle_timeout;
                     timer.as_mut().reset(next.unwrap_or(latest));
                     step
                 }
-                ConnectionEvent::DisconnectPoll => self.check_disconnect(stream).await,
+                connection_events::ConnectionEvent::DisconnectPoll => {
+                    if connection_events::has_disconnected(stream).await {
+                        self.handle_disconnect()
+                    } else {
+                        ConnectionStep::Continue
+                    }
+                }
             };
             if step != ConnectionStep::Continue {
                 return step;
@@ -265,35 +252,6 @@
         }
     }
 
-    /// Waits for the next event.
-    async fn next_event(
-        &mut self,
-        stream: &mut tokio::net::TcpStream,
-        phases: &mut watch::Receiver<request_order::ConnectionPhase>,
-        timer: pin::Pin<&mut tokio::time::Sleep>,
-    ) -> ConnectionEvent<B> {
-        let wants_input = self.wants_input();
-        let reads_body = self.sending.is_some() && self.out.remaining() < MAX_OUTPUT_BYTES;
-        let closed = self.phase == request_order::ConnectionPhase::Closed;
-        let (mut input, mut output) = stream.split();
-        if wants_input {
-            self.reader.input().reserve(READ_BYTES);
-        }
-        tokio::select! {
-            biased;
-            Some(response) = self.running.next(), if !self.running.is_empty() => ConnectionEvent::Response(response),
-            frame = next_frame(&mut self.sending), if reads_body => ConnectionEvent::Frame(frame),
-            written = write(&mut output, &mut self.out), if self.out.has_remaining() => {
-                ConnectionEvent::Written(written)
-            }
-            read = read(&mut input, self.reader.input()), if wants_input => ConnectionEvent::Read(read),
-            phase = next_phase(phases), if !closed => ConnectionEvent::PhaseChanged(phase),
-            () = timer => ConnectionEvent::Timer,
-            () = async { tokio::time::sleep(DISCONNECT_POLL_INTERVAL).await },
-                if !wants_input && !self.disconnected => ConnectionEvent::DisconnectPoll,
-        }
-    }
-
     /// Starts requests and begins responses as far as possible.
     fn advance(&mut self) {
         loop {
@@ -500,16 +458,6 @@
         ConnectionStep::Continue
     }
 
-    /// Detects a disconnect behind input that is not read. On platforms that don't report one, this does nothing.
-    async fn check_disconnect(&mut self, stream: &tokio::net::TcpStream) -> ConnectionStep {
-        let mut ready = pin::pin!(stream.ready(tokio::io::Interest::READABLE));
-        let ready = future::poll_fn(|cx| std::task::Poll::Ready(ready.as_mut().poll(cx))).await;
-        match ready {
-            std::task::Poll::Ready(Ok(ready)) if ready.is_read_closed() => self.handle_disconnect(),
-            _ => ConnectionStep::Continue,
-        }
-    }
-
     fn handle_timer(&mut self) -> ConnectionStep {
         if self.deadline().is_none_or(|deadline| time::Instant::now() < deadline) {
             return ConnectionStep::Continue;
@@ -571,29 +519,3 @@
         !self.disconnected && (self.waiting.is_none() || self.reader.buffered() < READ_AHEAD_BYTES)
     }
 }
-
-async fn next_frame<B: body::Body<Data = Bytes> + Unpin>(
-    sending: &mut Option<SendingResponse<B>>,
-) -> Option<Result<body::Frame<Bytes>, ()>> {
-    let frame = sending.as_mut()?.body.frame().await?;
-    Some(frame.map_err(|_truncated| log::debug!("response of an inbound connection is truncated")))
-}
-
-/// Waits for a change of the phase. A listener that is gone has closed its connections.
-async fn next_phase(phases: &mut watch::Receiver<request_order::ConnectionPhase>) -> request_order::ConnectionPhase {
-    match phases.changed().await {
-        Ok(()) => *phases.borrow_and_update(),
-        Err(_closed) => request_order::ConnectionPhase::Closed,
-    }
-}
-
-async fn read(input: &mut tokio::net::tcp::ReadHalf<'_>, buffer: &mut bytes::BytesMut) -> io::Result<usize> {
-    tokio::io::AsyncReadExt::read_buf(input, buffer).await
-}
-
-async fn write(
-    output: &mut tokio::net::tcp::WriteHalf<'_>,
-    queue: &mut output_queue::OutputQueue,
-) -> io::Result<usize> {
-    tokio::io::AsyncWriteExt::write_buf(output, queue).await
-}
--- /dev/null
+++ b/crates/pipeline/src/server_connection/connection_events.rs
@@ -0,0 +1,106 @@
+//! Waiting for the next event of a connection.
+
+use std::future;
+use std::io;
+use std::pin;
+use std::task;
+use std::time;
+
+use bytes::Buf;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http_body_util::BodyExt;
+use hyper::body;
+use tokio::sync::watch;
+
+use super::Connection;
+use super::SendingResponse;
+use crate::output_queue;
+use crate::request_order;
+
+/// Free space of the input buffer before each read.
+const READ_BYTES: usize = 8 * 1024;
+/// Bytes of a response that may wait to be written before its body is read on.
+const MAX_OUTPUT_BYTES: usize = 64 * 1024;
+/// Interval at which a connection is checked for a disconnect while reading is paused.
+const DISCONNECT_POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
+/// What happened to a connection.
+pub(super) enum ConnectionEvent<B> {
+    Read(io::Result<usize>),
+    Written(io::Result<usize>),
+    Response(hyper::Response<B>),
+    Frame(Option<Result<body::Frame<Bytes>, ()>>),
+    PhaseChanged(request_order::ConnectionPhase),
+    Timer,
+    DisconnectPoll,
+}
+
+impl<T, P, S, F, R, B> Connection<'_, T, P, S, R, F, B>
+where
+    F: Future<Output = hyper::Response<B>>,
+    B: body::Body<Data = Bytes> + Unpin,
+{
+    /// Waits for the next event.
+    pub(super) async fn next_event(
+        &mut self,
+        stream: &mut tokio::net::TcpStream,
+        phases: &mut watch::Receiver<request_order::ConnectionPhase>,
+        timer: pin::Pin<&mut tokio::time::Sleep>,
+    ) -> ConnectionEvent<B> {
+        let wants_input = self.wants_input();
+        let reads_body = self.sending.is_some() && self.out.remaining() < MAX_OUTPUT_BYTES;
+        let closed = self.phase == request_order::ConnectionPhase::Closed;
+        let (mut input, mut output) = stream.split();
+        if wants_input {
+            self.reader.input().reserve(READ_BYTES);
+        }
+        tokio::select! {
+            biased;
+            Some(response) = self.running.next(), if !self.running.is_empty() => ConnectionEvent::Response(response),
+            frame = next_frame(&mut self.sending), if reads_body => ConnectionEvent::Frame(frame),
+            written = write(&mut output, &mut self.out), if self.out.has_remaining() => {
+                ConnectionEvent::Written(written)
+            }
+            read = read(&mut input, self.reader.input()), if wants_input => ConnectionEvent::Read(read),
+            phase = next_phase(phases), if !closed => ConnectionEvent::PhaseChanged(phase),
+            () = timer => ConnectionEvent::Timer,
+            () = async { tokio::time::sleep(DISCONNECT_POLL_INTERVAL).await },
+                if !wants_input && !self.disconnected => ConnectionEvent::DisconnectPoll,
+        }
+    }
+}
+
+/// Returns whether the caller has disconnected behind input that is not read. On platforms that don't report it, the
+/// result is false.
+pub(super) async fn has_disconnected(stream: &tokio::net::TcpStream) -> bool {
+    let mut ready = pin::pin!(stream.ready(tokio::io::Interest::READABLE));
+    let ready = future::poll_fn(|cx| task::Poll::Ready(ready.as_mut().poll(cx))).await;
+    matches!(ready, task::Poll::Ready(Ok(ready)) if ready.is_read_closed())
+}
+
+async fn next_frame<B: body::Body<Data = Bytes> + Unpin>(
+    sending: &mut Option<SendingResponse<B>>,
+) -> Option<Result<body::Frame<Bytes>, ()>> {
+    let frame = sending.as_mut()?.body.frame().await?;
+    Some(frame.map_err(|_truncated| log::debug!("response of an inbound connection is truncated")))
+}
+
+/// Waits for a change of the phase. A listener that is gone has closed its connections.
+async fn next_phase(phases: &mut watch::Receiver<request_order::ConnectionPhase>) -> request_order::ConnectionPhase {
+    match phases.changed().await {
+        Ok(()) => *phases.borrow_and_update(),
+        Err(_closed) => request_order::ConnectionPhase::Closed,
+    }
+}
+
+async fn read(input: &mut tokio::net::tcp::ReadHalf<'_>, buffer: &mut bytes::BytesMut) -> io::Result<usize> {
+    tokio::io::AsyncReadExt::read_buf(input, buffer).await
+}
+
+async fn write(
+    output: &mut tokio::net::tcp::WriteHalf<'_>,
+    queue: &mut output_queue::OutputQueue,
+) -> io::Result<usize> {
+    tokio::io::AsyncWriteExt::write_buf(output, queue).await
+}
