Look up idempotency without building a class, and test late copies of responses

Cause: planning a request of damasktrackd built a whole class; and no test sent a copy of a response after a pause, in pieces or cut short, to a connection in use again.

--- a/crates/node/src/call/call_class.rs
+++ b/crates/node/src/call/call_class.rs
@@ -94,7 +94,7 @@
         }
         if let Some(fallback) = &self.fallback {
             return Some(CallClass {
-                idempotent: matches!(method.as_ref(), b"GET" | b"HEAD" | b"OPTIONS"),
+                idempotent: is_safe_method(method),
                 ..fallback.clone()
             });
         }
@@ -122,6 +122,16 @@
         })
     }
 
+    /// Returns whether calls of this kind may run more than once; false for undeclared calls.
+    #[must_use]
+    pub fn is_idempotent(&self, service: &Bytes, method: &Bytes, path: &Bytes) -> bool {
+        if self.fallback.is_some() {
+            return is_safe_method(method);
+        }
+        let class = self.set.class_of(service, method, path);
+        class.is_some_and(|class| class.idempotent)
+    }
+
     /// Returns whether a class is declared as critical, so that its requests are shed last. An undeclared one is not.
     #[must_use]
     pub fn is_critical(&self, class: &ids::ClassName) -> bool {
@@ -145,6 +155,11 @@
     }
 }
 
+/// Returns whether a method is safe, and thus idempotent without a declaration.
+fn is_safe_method(method: &Bytes) -> bool {
+    matches!(method.as_ref(), b"GET" | b"HEAD" | b"OPTIONS")
+}
+
 fn undeclared_class(deadline: time::Duration) -> CallClass {
     CallClass {
         name: Bytes::from_static(b"default"),
--- a/crates/node/src/call/class_snapshot.rs
+++ b/crates/node/src/call/class_snapshot.rs
@@ -24,9 +24,8 @@
     #[must_use]
     pub fn is_idempotent(&self, service: &Bytes, method: &Bytes, path: &Bytes) -> bool {
         let current = self.table.read().unwrap_or_else(sync::PoisonError::into_inner);
-        let class = current
+        current
             .as_ref()
-            .and_then(|table| table.find(service, method, path, None));
-        class.is_some_and(|class| class.idempotent)
+            .is_some_and(|table| table.is_idempotent(service, method, path))
     }
 }
--- a/crates/standins/src/platform_backend.rs
+++ b/crates/standins/src/platform_backend.rs
@@ -88,6 +88,16 @@
     OmitSeal,
     /// Runs it and sends the response twice on the same connection.
     AnswerTwice,
+    /// Runs it and responds, and sends a copy of the response on the same connection in this many pieces, with a pause
+    /// before each.
+    CopyLate {
+        /// Time before each piece.
+        pause: time::Duration,
+        /// Number of pieces; at least 1.
+        pieces: usize,
+        /// Whether the last piece is left out.
+        truncated: bool,
+    },
     /// Runs it and responds 500.
     Fail,
     /// Runs it and sends a part of a response without end, until the connection fails. It runs until then.
@@ -263,6 +273,20 @@
             BackendStep::AnswerTwice => {
                 writer.write_all(format!("{}{}", full_response(&id), full_response(&id)).as_bytes())
             }
+            BackendStep::CopyLate {
+                pause,
+                pieces,
+                truncated,
+            } => {
+                let text = full_response(&id);
+                writer.write_all(text.as_bytes())?;
+                let parts: Vec<_> = text.as_bytes().chunks(text.len().div_ceil(pieces)).collect();
+                for part in &parts[..parts.len() - usize::from(truncated)] {
+                    thread::sleep(pause);
+                    writer.write_all(part)?;
+                }
+                Ok(())
+            }
             BackendStep::ServeLarge(length) => {
                 write!(
                     writer,
