Count the membership threads in the control measurement

Cause: bench_control named a thread "seeds" that no longer exists, so membership work was left out of the busy figures.

Change: the names of the membership threads take its place.

--- a/crates/standins/src/bench_control.rs
+++ b/crates/standins/src/bench_control.rs
@@ -18,7 +18,7 @@
 /// Number of daemons besides the measured one.
 const PEERS: usize = 3;
 /// Names of the threads that do only control work.
-const CONTROL_THREADS: [&str; 5] = ["seeds", "config", "health", "gossip", "api"];
+const CONTROL_THREADS: [&str; 6] = ["members", "member", "config", "health", "gossip", "api"];
 /// Time before each phase that is excluded from the measurement, in which the daemons discover each other.
 const WARM_UP: time::Duration = time::Duration::from_secs(3);
 
