--- a/crates/daemon/tests/processes/pipelining.rs
+++ b/crates/daemon/tests/processes/pipelining.rs
@@ -12,24 +12,35 @@
     format!("{method} {path} HTTP/1.1\r\nHost: test\r\nContent-Length: 0\r\n\r\n")
 }
 
-/// Guards against pipelined calls that run one after the other, and against responses out of the order of their
-/// requests. Each call waits until two are running or a second has passed.
-#[test]
-fn idempotent_calls_run_concurrently_and_are_answered_in_order() {
-    let running = sync::Arc::new(atomic::AtomicUsize::new(0));
+/// Starts a backend server that runs `work` for each request, with the greatest number of requests that ran at the same
+/// time, and responds with the path. Returns that number as well.
+fn start_counting_server(
+    work: impl Fn(&atomic::AtomicUsize) + Send + Sync + 'static,
+) -> (support::BackendServer, sync::Arc<atomic::AtomicUsize>) {
+    let running = atomic::AtomicUsize::new(0);
     let most = sync::Arc::new(atomic::AtomicUsize::new(0));
-    let (counter, maximum) = (sync::Arc::clone(&running), sync::Arc::clone(&most));
+    let maximum = sync::Arc::clone(&most);
     let backend = support::BackendServer::start(move |request, stream| {
         maximum.fetch_max(
-            counter.fetch_add(1, atomic::Ordering::SeqCst) + 1,
+            running.fetch_add(1, atomic::Ordering::SeqCst) + 1,
             atomic::Ordering::SeqCst,
         );
+        work(&maximum);
+        running.fetch_sub(1, atomic::Ordering::SeqCst);
+        support::respond(stream, request.path.as_bytes())
+    });
+    (backend, most)
+}
+
+/// Guards against pipelined calls that run one after the other, and against responses out of the order of their
+/// requests. Each call waits until two are running or a second has passed.
+#[test]
+fn idempotent_calls_run_concurrently_and_are_answered_in_order() {
+    let (backend, most) = start_counting_server(|maximum| {
         let began = time::Instant::now();
         while maximum.load(atomic::Ordering::SeqCst) < 2 && began.elapsed() < time::Duration::from_secs(1) {
             thread::sleep(time::Duration::from_millis(5));
         }
-        counter.fetch_sub(1, atomic::Ordering::SeqCst);
-        support::respond(stream, request.path.as_bytes())
     });
     let callee_daemon = support::Daemon::start_callee(&backend, "");
     let entry = support::Daemon::start_entry(&callee_daemon, "");
@@ -46,18 +57,7 @@
 /// connection, and against a malformed request whose error destroys the responses in front of it.
 #[test]
 fn actions_run_in_their_turn_and_errors_come_last() {
-    let running = sync::Arc::new(atomic::AtomicUsize::new(0));
-    let most = sync::Arc::new(atomic::AtomicUsize::new(0));
-    let (counter, maximum) = (sync::Arc::clone(&running), sync::Arc::clone(&most));
-    let backend = support::BackendServer::start(move |request, stream| {
-        maximum.fetch_max(
-            counter.fetch_add(1, atomic::Ordering::SeqCst) + 1,
-            atomic::Ordering::SeqCst,
-        );
-        thread::sleep(time::Duration::from_millis(100));
-        counter.fetch_sub(1, atomic::Ordering::SeqCst);
-        support::respond(stream, request.path.as_bytes())
-    });
+    let (backend, most) = start_counting_server(|_maximum| thread::sleep(time::Duration::from_millis(100)));
     let callee_daemon = support::Daemon::start_callee(&backend, "");
     let entry = support::Daemon::start_entry(&callee_daemon, "");
     let mut caller = support::Caller::open(entry.entry);
