Make the bound of discarded input private

Cause: its documentation linked to a private constant. Change: visibility only. Result: cargo doc has no warning for the crate; no behaviour changes.

--- a/crates/pipeline/src/connection_close.rs
+++ b/crates/pipeline/src/connection_close.rs
@@ -9,7 +9,7 @@
 /// with unread input resets it, which can destroy the response before the caller has read it.
 const LINGER_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 /// See [`LINGER_TIMEOUT`].
-pub const MAX_LINGER_BYTES: usize = 8 << 20;
+const MAX_LINGER_BYTES: usize = 8 << 20;
 
 /// Shuts the sending side down and discards further input within bounds, so that the caller can read its response.
 pub async fn linger(mut stream: tokio::net::TcpStream) {
