--- a/crates/forward/src/http_server.rs
+++ b/crates/forward/src/http_server.rs
@@ -100,8 +100,9 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections and serves each with `serve` until `control` enters the phase `Closed`. Connections that wait to
-/// be accepted then are served as well, since closing the socket would reset them.
+/// Accepts connections and serves each with `serve` until `control` enters the phase `Closed`. Connections that are known
+/// to wait then are served as well, since closing the socket resets them. One that arrives after the last poll of the
+/// socket is still reset.
 pub async fn accept<F>(
     listener: tokio::net::TcpListener,
     control: ServerControl,
--- a/crates/pipeline/src/request_order.rs
+++ b/crates/pipeline/src/request_order.rs
@@ -24,7 +24,7 @@
     Serving,
     /// The next response that has no started request behind it closes the connection.
     Closing,
-    /// As `Closing`, and an idle connection is closed at once.
+    /// As `Closing`, and an idle connection is closed unless a request arrives within a short time.
     Closed,
 }
 
