--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -18,8 +18,8 @@
 use crate::node_context;
 use crate::peer_call;
 
-/// Time past the deadline after which the request to a backend server, or the rest of its response, times out. The backend server itself responds
-/// with 504 at the deadline.
+/// Time past the deadline after which the request to a backend server, or the rest of its response, times out. The
+/// backend server itself responds with 504 at the deadline.
 const DEADLINE_SLACK: time::Duration = time::Duration::from_millis(100);
 /// Share of the time between sending and deadline after which a call cancelled by its caller counts as failed.
 const TIMED_OUT_SHARE: f64 = 0.9;
