Log and export the notices of a backend server

In the request limit incident neither logs nor metrics showed that a server named a limit. The daemon beside a server now reads the notices in its responses, logs each change with the calls started so far, and exports the limit as a gauge; no decision uses them yet. A 421 is told apart from other refusals, as it comes from another instance.

--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -17,6 +17,7 @@
 use crate::message_body;
 use crate::node_context;
 use crate::peer_call;
+use crate::server_notice;
 
 /// Time past the deadline after which the request to a backend server, or the rest of its response, times out. The
 /// backend server itself responds with 504 at the deadline.
@@ -181,7 +182,12 @@
     };
     let exchange = async {
         let (response, lease) = node.server.send(outgoing, max_idle).await?;
-        if let Err(fault) = check_response(node, response.headers(), response.status(), attempt_id.as_ref()) {
+        let checked = check_response(node, response.headers(), response.status(), attempt_id.as_ref());
+        if checked.is_ok() || checked == Err(ResponseFault::NotExecuted) {
+            let notice = server_notice::ServerNotice::read(&node.settings.headers, response.headers());
+            node.core.ask(|core, _now| core.apply_server_notice(permit, notice));
+        }
+        if let Err(fault) = checked {
             return Ok(Err(fault));
         }
         match message_body::receive(response, lease, deadline + DEADLINE_SLACK).await {
@@ -207,7 +213,7 @@
             }));
             return CallResult::Answered(Box::new(forwarded_response(&parts, body)));
         }
-        Ok(Ok(Err(ResponseFault::NotExecuted))) => {
+        Ok(Ok(Err(ResponseFault::NotExecuted | ResponseFault::OtherInstance))) => {
             guard.result = gate_report::FinishResult::ShedByBackendServer;
             let reason = call_outcome::RefusalReason::ShedByBackendServer;
             ("not executed".to_owned(), CallResult::NotRun(reason))
@@ -285,6 +291,8 @@
 enum ResponseFault {
     /// The backend server states that it did not run the request.
     NotExecuted,
+    /// Another instance runs at the address, which did not run the request.
+    OtherInstance,
     /// The response is not the backend server's response to this request.
     Unusable(&'static str),
 }
@@ -300,7 +308,10 @@
     if echoed.is_some() && echoed != attempt_id {
         return Err(ResponseFault::Unusable("response to another request"));
     }
-    if headers.contains_key(&names.not_executed) || status == hyper::StatusCode::MISDIRECTED_REQUEST {
+    if status == hyper::StatusCode::MISDIRECTED_REQUEST {
+        return Err(ResponseFault::OtherInstance);
+    }
+    if headers.contains_key(&names.not_executed) {
         return Err(ResponseFault::NotExecuted);
     }
     if !headers.contains_key(&names.response_seal) || echoed.is_none() {
--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -136,6 +136,8 @@
     pub call: ids::CallId,
     /// Instance that has to run the call; any other instance rejects it.
     pub instance: server_report::InstanceId,
+    /// Start time of the instance, in milliseconds since 1970.
+    pub started_ms: u64,
 }
 
 type WorkWaiter = oneshot::Sender<Result<WorkPermit, call_outcome::RefusalReason>>;
@@ -305,7 +307,7 @@
         if report.service != head.service {
             return WorkDecision::Refuse(call_outcome::RefusalReason::Starting);
         }
-        let instance = report.instance.clone();
+        let (instance, started_ms) = (report.instance.clone(), report.started_ms);
         if self.is_throttled(head, now) {
             return WorkDecision::Refuse(call_outcome::RefusalReason::CallsBelowFail);
         }
@@ -326,7 +328,11 @@
             deadline,
         };
         match self.gate.offer(&arrival, now) {
-            gate_report::ArrivalDecision::Start => WorkDecision::Start(WorkPermit { call, instance }),
+            gate_report::ArrivalDecision::Start => WorkDecision::Start(WorkPermit {
+                call,
+                instance,
+                started_ms,
+            }),
             gate_report::ArrivalDecision::Refuse(reason) => {
                 self.poll_gate(now);
                 WorkDecision::Refuse(reason)
@@ -439,13 +445,17 @@
     }
 
     fn start_queued(&mut self, call: ids::CallId, now: time::Instant) {
-        let instance = self.server.serving().map(|report| report.instance.clone());
+        let permit = self.server.serving().map(|report| WorkPermit {
+            call,
+            instance: report.instance.clone(),
+            started_ms: report.started_ms,
+        });
         let waiter = self.waiters.remove(&call);
-        let (Some(waiter), Some(instance)) = (waiter, instance) else {
+        let (Some(waiter), Some(permit)) = (waiter, permit) else {
             self.gate.finish(call, gate_report::FinishResult::Cancelled, now);
             return;
         };
-        if waiter.send(Ok(WorkPermit { call, instance })).is_err() {
+        if waiter.send(Ok(permit)).is_err() {
             self.gate.finish(call, gate_report::FinishResult::Cancelled, now);
         }
     }
@@ -515,6 +525,12 @@
         self.gossip.next_wake()
     }
 
+    /// Returns the state of the backend server beside this daemon.
+    #[must_use]
+    pub fn server(&self) -> &server_report::ServerState {
+        &self.server
+    }
+
     /// Returns the counters of the admission gate.
     #[must_use]
     pub fn gate_counts(&self) -> gate_report::GateCounts {
--- a/crates/forward/src/forward_core/core_members.rs
+++ b/crates/forward/src/forward_core/core_members.rs
@@ -12,6 +12,8 @@
 
 use super::CoreEffect;
 use super::ForwardCore;
+use crate::forward_core;
+use crate::server_notice;
 use crate::server_report;
 
 /// Maximum number of daemons that are contacted after a list of members; gossip reaches the others. With 312 daemons
@@ -64,6 +66,18 @@
         }
     }
 
+    /// Applies the notices in a response of the backend server to a call with this permit.
+    pub fn apply_server_notice(&mut self, permit: &forward_core::WorkPermit, notice: server_notice::ServerNotice) {
+        let effect = self.server.apply_notice(&permit.instance, permit.started_ms, notice);
+        if effect == server_report::ReportEffect::Changed {
+            let (instance, started) = (ids::text(&permit.instance), self.gate.counts().started);
+            log::info!(
+                instance:% = instance, limit:? = notice.limit, leaving = notice.leaving, calls_started = started;
+                "notices of the backend server changed"
+            );
+        }
+    }
+
     /// Merges the members that the store lists, and contacts a sample of them.
     pub fn merge_members(&mut self, records: &[member_record::MemberRecord], now: time::Instant) {
         self.members_listed = true;
--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -8,6 +8,8 @@
 use opentelemetry::metrics::MeterProvider;
 use prometheus::Encoder;
 
+use crate::server_notice;
+
 /// Upper bounds of the latency histogram, in seconds.
 const LATENCY_BOUNDS: &[f64] = &[0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
 
@@ -25,6 +27,7 @@
     running: metrics::Gauge<u64>,
     queued: metrics::Gauge<u64>,
     config_version: metrics::Gauge<u64>,
+    request_limit: metrics::Gauge<f64>,
 }
 
 /// Why the instruments can't be created.
@@ -88,6 +91,10 @@
                 .u64_gauge("damasktrack_config_version")
                 .with_description("Version of the configuration in force")
                 .build(),
+            request_limit: meter
+                .f64_gauge("damasktrack_server_request_limit")
+                .with_description("Requests per second that the backend server takes; +Inf without a limit")
+                .build(),
             _provider: provider,
         })
     }
@@ -138,6 +145,11 @@
         self.queued.record(queued as u64, &[]);
         self.config_version.record(config_version, &[]);
     }
+
+    /// Sets the gauge of the backend server's request limit; `None` if it names none.
+    pub fn record_request_limit(&self, limit: Option<server_notice::RequestRate>) {
+        self.request_limit.record(limit.unwrap_or(f64::INFINITY), &[]);
+    }
 }
 
 /// Queries.
--- a/crates/forward/src/header_names.rs
+++ b/crates/forward/src/header_names.rs
@@ -17,4 +17,8 @@
     pub caller_service: header::HeaderName,
     /// Present on responses of a backend server that did not run the request.
     pub not_executed: header::HeaderName,
+    /// Requests per second that a backend server takes from all daemons together, a decimal number.
+    pub request_limit: header::HeaderName,
+    /// `1` in the responses of a backend server that is leaving.
+    pub leaving: header::HeaderName,
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -5,7 +5,7 @@
 //! and sends it to the backend server. All decisions are made by [`forward_core`], whose state is owned by one stakker
 //! actor; tasks call it through [`core_handle`].
 //!
-//! [`store_port`], [`server_report`] and [`header_names`] are the interface to the platform. The platform's names and
+//! [`store_port`], [`server_report`], [`server_notice`] and [`header_names`] are the interface to the platform. The platform's names and
 //! formats are defined outside this crate.
 
 pub mod callee_call;
@@ -28,6 +28,7 @@
 pub mod peer_server;
 pub mod retry_share;
 pub mod route_config;
+pub mod server_notice;
 pub mod server_report;
 pub mod store_port;
 pub mod weighted_choice;
--- a/crates/forward/src/server_report.rs
+++ b/crates/forward/src/server_report.rs
@@ -5,6 +5,8 @@
 
 use damasktrack_entity::ids;
 
+use crate::server_notice;
+
 /// Id of one instance of a backend server. An instance that restarts may keep its id.
 pub type InstanceId = bytes::Bytes;
 
@@ -69,6 +71,8 @@
     departures: collections::VecDeque<Departure>,
     /// Whether the backend server's address refused the last connection.
     unreachable: bool,
+    /// Notices in the newest response of the start that `report` describes.
+    notice: server_notice::ServerNotice,
 }
 
 /// Commands.
@@ -102,6 +106,9 @@
         }
         self.unreachable = false;
         self.report = Some(report);
+        if !same_start {
+            self.notice = server_notice::ServerNotice::default();
+        }
         if changed {
             ReportEffect::Changed
         } else {
@@ -132,6 +139,24 @@
         }
     }
 
+    /// Records the notices in a response of a start. A response of an earlier start is stale.
+    pub fn apply_notice(
+        &mut self,
+        instance: &InstanceId,
+        started_ms: u64,
+        notice: server_notice::ServerNotice,
+    ) -> ReportEffect {
+        let of_start = |report: &ServerReport| report.instance == *instance && report.started_ms == started_ms;
+        if !self.report.as_ref().is_some_and(of_start) {
+            return ReportEffect::Stale;
+        }
+        if self.notice == notice {
+            return ReportEffect::Unchanged;
+        }
+        self.notice = notice;
+        ReportEffect::Changed
+    }
+
     /// Records that the backend server refused a connection. Its next report or response resets this.
     pub fn mark_unreachable(&mut self) -> ReportEffect {
         if self.unreachable {
@@ -159,6 +184,12 @@
         self.report.as_ref()
     }
 
+    /// Returns the notices in the newest response of the start that the newest report describes.
+    #[must_use]
+    pub fn notice(&self) -> server_notice::ServerNotice {
+        self.notice
+    }
+
     /// Returns the newest report if its instance is ready and has not departed.
     #[must_use]
     pub fn serving(&self) -> Option<&ServerReport> {
--- a/crates/forward/tests/contacts.rs
+++ b/crates/forward/tests/contacts.rs
@@ -51,6 +51,8 @@
             target_instance: header("target-instance"),
             caller_service: header("caller-service"),
             not_executed: header("not-executed"),
+            request_limit: header("request-limit"),
+            leaving: header("leaving"),
         },
     }
 }
