--- a/crates/standins/src/platform_backend.rs
+++ b/crates/standins/src/platform_backend.rs
@@ -119,6 +119,8 @@
     pub deadline_ms: u64,
     /// Body, without its framing.
     pub body: Vec<u8>,
+    /// When the request was read.
+    pub at: time::Instant,
 }
 
 /// Returns what the server does with a request, given the number of requests that arrived before it.
@@ -130,6 +132,8 @@
     running: atomic::AtomicUsize,
     /// Largest value of `running` since the start.
     most_running: atomic::AtomicUsize,
+    /// Header lines of all responses, each with its line break.
+    notices: sync::Mutex<String>,
 }
 
 /// A running server; clones share its log. Its threads end with the process.
@@ -181,6 +185,12 @@
         Ok(server)
     }
 
+    /// Sets header lines that the later responses to requests of its instance have, each with its line break.
+    pub fn set_notices(&self, lines: &str) {
+        let mut notices = self.log.notices.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        lines.clone_into(&mut notices);
+    }
+
     /// Sends a heartbeat to the daemon at the address `control`, and returns the status of the response; `None` if
     /// there is none.
     #[must_use]
@@ -232,6 +242,7 @@
                 .and_then(|text| text.parse().ok())
                 .unwrap_or(0),
             body: request.body.clone(),
+            at: time::Instant::now(),
         });
         drop(arrivals);
         let running = self.log.running.fetch_add(1, atomic::Ordering::SeqCst) + 1;
@@ -243,9 +254,11 @@
         }
         self.log.running.fetch_sub(1, atomic::Ordering::SeqCst);
         let body = format!("{} {id}", self.service);
+        let notices = self.log.notices.lock();
+        let notices = notices.unwrap_or_else(sync::PoisonError::into_inner).clone();
         let full_response = |id: &str| {
             format!(
-                "HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: {id}\r\n{RESPONSE_SEAL}: seal\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 200 OK\r\n{notices}{ATTEMPT_ID}: {id}\r\n{RESPONSE_SEAL}: seal\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             )
         };
@@ -255,7 +268,7 @@
             BackendStep::Shed => {
                 write!(
                     writer,
-                    "HTTP/1.1 503 -\r\n{NOT_EXECUTED}: 1\r\nContent-Length: 0\r\n\r\n"
+                    "HTTP/1.1 503 -\r\n{notices}{NOT_EXECUTED}: 1\r\nContent-Length: 0\r\n\r\n"
                 )
             }
             BackendStep::LoseAnswer | BackendStep::Endless(_) => Err(closed),
@@ -267,7 +280,7 @@
             BackendStep::AnswerOther => writer.write_all(full_response("another").as_bytes()),
             BackendStep::OmitSeal => write!(
                 writer,
-                "HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: {id}\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 200 OK\r\n{notices}{ATTEMPT_ID}: {id}\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             ),
             BackendStep::AnswerTwice => {
@@ -290,13 +303,13 @@
             BackendStep::ServeLarge(length) => {
                 write!(
                     writer,
-                    "HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: {id}\r\n{RESPONSE_SEAL}: seal\r\nContent-Length: {length}\r\n\r\n"
+                    "HTTP/1.1 200 OK\r\n{notices}{ATTEMPT_ID}: {id}\r\n{RESPONSE_SEAL}: seal\r\nContent-Length: {length}\r\n\r\n"
                 )?;
                 writer.write_all(&vec![b'#'; length])
             }
             BackendStep::Fail => write!(
                 writer,
-                "HTTP/1.1 500 -\r\n{ATTEMPT_ID}: {id}\r\n{RESPONSE_SEAL}: seal\r\nContent-Length: 0\r\n\r\n"
+                "HTTP/1.1 500 -\r\n{notices}{ATTEMPT_ID}: {id}\r\n{RESPONSE_SEAL}: seal\r\nContent-Length: 0\r\n\r\n"
             ),
         }
     }
