Start calls at the rate that the backend server names

Only the daemon beside a server sends to it, so the limit of all daemons together is enforced there: the admission gate has a token bucket beside its slots. Queued calls start by importance when a token is due. A call that would wait longer than the queue's target is refused at once, since another server may take it.

--- a/crates/admission/src/admission_gate.rs
+++ b/crates/admission/src/admission_gate.rs
@@ -11,6 +11,7 @@
 use crate::gate_report;
 use crate::level_controller;
 use crate::service_estimate;
+use crate::start_rate;
 use crate::tenant_share;
 
 mod gate_queries;
@@ -21,11 +22,14 @@
 /// Admission of calls to one backend server.
 ///
 /// Each offered call has exactly one outcome: it is refused, dropped by `cancel`, or started. A started call is never
-/// refused. When a call starts, the number of running calls, including it, does not exceed the limit.
+/// refused. When a call starts, the number of running calls, including it, does not exceed the limit, and the start rate
+/// has a token for it.
 #[derive(Debug)]
 pub struct AdmissionGate {
     policy: admission_policy::AdmissionPolicy,
     limit: concurrency_limit::ConcurrencyLimit,
+    /// Limit on the starts per second; `None` if the backend server sets none.
+    rate: Option<start_rate::StartRate>,
     short: LaneState,
     long: LaneState,
     classes: Vec<ClassState>,
@@ -105,6 +109,7 @@
     pub fn new(policy: admission_policy::AdmissionPolicy) -> Self {
         Self {
             limit: concurrency_limit::ConcurrencyLimit::new(policy.slots, policy.limit_factor),
+            rate: None,
             short: LaneState::new(&policy),
             long: LaneState::new(&policy),
             classes: Vec::new(),
@@ -133,6 +138,18 @@
         }
     }
 
+    /// Sets the maximum number of starts per second; `None` removes it.
+    pub fn set_start_rate(&mut self, rate: Option<start_rate::CallRate>, now: time::Instant) {
+        self.rate = match (rate, self.rate.take()) {
+            (None, _) => None,
+            (Some(rate), None) => Some(start_rate::StartRate::new(rate, now)),
+            (Some(rate), Some(mut known)) => {
+                known.set_rate(rate, now);
+                Some(known)
+            }
+        };
+    }
+
     /// Decides on an arriving call. If the gate is draining, it refuses every call.
     pub fn offer(&mut self, arrival: &gate_report::CallArrival, now: time::Instant) -> gate_report::ArrivalDecision {
         self.counts.offered += 1;
@@ -143,6 +160,7 @@
         let class = self.get_or_insert_class(&arrival.class, importance, arrival.lane);
         let tenant = self.shares.get_or_insert(&arrival.tenant);
         self.lane_mut(arrival.lane).levels.note_arrival(arrival.level, tenant);
+        self.refill_rate(now);
         self.note_occupancy(now);
         let low = self.classes[class].estimate.low(now);
         let remaining = arrival.deadline.saturating_duration_since(now);
@@ -172,6 +190,13 @@
         if !arrival.critical && !outranks_queued && arrival.level < lane.levels.level(tenant) {
             return self.refuse(call_outcome::RefusalReason::Overloaded);
         }
+        // Another server may run the call sooner than the start rate of this one allows.
+        let rate_wait = self.rate.as_ref().map_or(time::Duration::ZERO, |rate| {
+            rate.wait(lane.queue.count_ahead(importance))
+        });
+        if !outranks_queued && rate_wait > self.policy.queue_target {
+            return self.refuse(call_outcome::RefusalReason::QueueFull);
+        }
         lane.queue.push(class_queue::QueuedCall {
             call: arrival.call,
             class,
@@ -203,6 +228,7 @@
         if let Some((call, reason)) = self.refusals.pop_front() {
             return gate_report::NextStart::Refuse(call, reason);
         }
+        self.refill_rate(now);
         for lane in [&mut self.short, &mut self.long] {
             let bound = lane.wait_bound(&self.policy, now);
             if let Some(shed) = lane.queue.pop_overdue(bound, &self.shares, now) {
@@ -347,6 +373,9 @@
     }
 
     fn begin(&mut self, call: ids::CallId, class: usize, now: time::Instant) {
+        if let Some(rate) = &mut self.rate {
+            rate.take();
+        }
         let lane = self.classes[class].lane;
         self.counts.started += 1;
         self.counts.running += 1;
@@ -406,6 +435,12 @@
         }
     }
 
+    fn refill_rate(&mut self, now: time::Instant) {
+        if let Some(rate) = &mut self.rate {
+            rate.refill(now);
+        }
+    }
+
     fn lane_mut(&mut self, lane: gate_report::CallLane) -> &mut LaneState {
         match lane {
             gate_report::CallLane::Short => &mut self.short,
--- a/crates/admission/src/admission_gate/gate_queries.rs
+++ b/crates/admission/src/admission_gate/gate_queries.rs
@@ -8,6 +8,7 @@
 
 use crate::admission_gate;
 use crate::gate_report;
+use crate::start_rate;
 
 impl admission_gate::AdmissionGate {
     /// Returns the lowest level that this callee admits for a class and tenant, as its responses report it. Levels
@@ -83,7 +84,15 @@
                 .unwrap_or(now + admission_gate::POLL_INTERVAL)
                 .clamp(now, now + admission_gate::POLL_INTERVAL)
         });
-        wakes.min()
+        let queue_wake = wakes.min()?;
+        let token = self.rate.as_ref().filter(|rate| !rate.has_token());
+        Some(token.map_or(queue_wake, |rate| queue_wake.min(rate.next_token().max(now))))
+    }
+
+    /// Returns whether the backend server limits the starts per second.
+    #[must_use]
+    pub fn is_rate_limited(&self) -> bool {
+        self.rate.is_some()
     }
 
     pub(super) fn lane(&self, lane: gate_report::CallLane) -> &admission_gate::LaneState {
@@ -95,7 +104,8 @@
 
     pub(super) fn can_start(&self, lane: gate_report::CallLane) -> bool {
         let slot_free = self.counts.running < self.limit.limit();
-        slot_free && (lane == gate_report::CallLane::Short || self.counts.running_long < self.long_limit())
+        let in_rate = self.rate.as_ref().is_none_or(start_rate::StartRate::has_token);
+        slot_free && in_rate && (lane == gate_report::CallLane::Short || self.counts.running_long < self.long_limit())
     }
 
     /// Returns the lane that starts a call next: the one with the more important call, and the long lane on a tie. The
--- a/crates/admission/src/class_queue.rs
+++ b/crates/admission/src/class_queue.rs
@@ -266,6 +266,13 @@
         time::Duration::from_micros(u64::try_from(work).unwrap_or(0))
     }
 
+    /// Returns the number of calls that are at least as important as `importance`.
+    #[must_use]
+    pub fn count_ahead(&self, importance: u8) -> usize {
+        let bands = self.bands[usize::from(importance)..].iter();
+        bands.map(|band| band.count).sum()
+    }
+
     /// Returns when the oldest non-critical call of the least important nonempty band was queued.
     #[must_use]
     pub fn oldest_queued_at(&self) -> Option<time::Instant> {
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod level_view;
 pub mod pressure_throttle;
 pub mod service_estimate;
+pub mod start_rate;
 pub mod tenant_share;
--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -10,6 +10,7 @@
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
 use hyper::header;
+use tokio::sync::oneshot;
 
 use crate::forward_core;
 use crate::http_link;
@@ -123,10 +124,9 @@
         }
         forward_core::WorkDecision::Wait(call, receiver) => {
             let guard = guard(call);
-            match receiver.await {
-                Ok(Ok(permit)) => (permit, guard),
-                Ok(Err(reason)) => return refuse(reason),
-                Err(_dropped) => return refuse(call_outcome::RefusalReason::Cancelled),
+            match await_permit(node, receiver).await {
+                Ok(permit) => (permit, guard),
+                Err(reason) => return refuse(reason),
             }
         }
     };
@@ -140,6 +140,22 @@
     result
 }
 
+/// Awaits the end of a queued call's wait.
+async fn await_permit(
+    node: &node_context::NodeContext,
+    mut receiver: oneshot::Receiver<Result<forward_core::WorkPermit, call_outcome::RefusalReason>>,
+) -> Result<forward_core::WorkPermit, call_outcome::RefusalReason> {
+    loop {
+        let Some(due) = node.core.ask(|core, now| core.release_due(now)) else {
+            return receiver.await.unwrap_or(Err(call_outcome::RefusalReason::Cancelled));
+        };
+        match tokio::time::timeout_at(due.into(), &mut receiver).await {
+            Ok(result) => return result.unwrap_or(Err(call_outcome::RefusalReason::Cancelled)),
+            Err(_elapsed) => node.core.ask(forward_core::ForwardCore::release_work),
+        }
+    }
+}
+
 fn refuse(
     node: &node_context::NodeContext,
     head: &peer_call::CallHead,
@@ -185,7 +201,7 @@
         let checked = check_response(node, response.headers(), response.status(), attempt_id.as_ref());
         if checked.is_ok() || checked == Err(ResponseFault::NotExecuted) {
             let notice = server_notice::ServerNotice::read(&node.settings.headers, response.headers());
-            node.core.ask(|core, _now| core.apply_server_notice(permit, notice));
+            node.core.ask(|core, now| core.apply_server_notice(permit, notice, now));
         }
         if let Err(fault) = checked {
             return Ok(Err(fault));
--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -357,6 +357,11 @@
         self.throttle.end(class, outcome, started, now);
     }
 
+    /// Starts or refuses the queued calls that are due.
+    pub fn release_work(&mut self, now: time::Instant) {
+        self.poll_gate(now);
+    }
+
     /// Removes a running or queued call from the gate, and starts queued calls as slots allow.
     pub fn end_work(&mut self, call: ids::CallId, result: gate_report::FinishResult, now: time::Instant) {
         self.waiters.remove(&call);
@@ -531,6 +536,14 @@
         &self.server
     }
 
+    /// Returns when [`Self::release_work`] is due for queued calls that wait for the start rate of the backend server;
+    /// `None` if the end of a running call or [`Self::tick`] releases them.
+    #[must_use]
+    pub fn release_due(&self, now: time::Instant) -> Option<time::Instant> {
+        let limited = self.gate.is_rate_limited();
+        limited.then(|| self.gate.next_wake(now)).flatten()
+    }
+
     /// Returns the counters of the admission gate.
     #[must_use]
     pub fn gate_counts(&self) -> gate_report::GateCounts {
--- a/crates/forward/src/forward_core/core_members.rs
+++ b/crates/forward/src/forward_core/core_members.rs
@@ -44,6 +44,7 @@
         match self.server.apply_report(report) {
             server_report::ReportEffect::Changed => {
                 self.gate.set_slots(slots);
+                self.gate.set_start_rate(self.server.request_limit(), now);
                 self.gossip.set_slots(slots, now);
                 self.log_server("heartbeat");
                 self.announce_server(now);
@@ -67,7 +68,12 @@
     }
 
     /// Applies the notices in a response of the backend server to a call with this permit.
-    pub fn apply_server_notice(&mut self, permit: &forward_core::WorkPermit, notice: server_notice::ServerNotice) {
+    pub fn apply_server_notice(
+        &mut self,
+        permit: &forward_core::WorkPermit,
+        notice: server_notice::ServerNotice,
+        now: time::Instant,
+    ) {
         let effect = self.server.apply_notice(&permit.instance, permit.started_ms, notice);
         if effect == server_report::ReportEffect::Changed {
             let (instance, started) = (ids::text(&permit.instance), self.gate.counts().started);
@@ -75,6 +81,8 @@
                 instance:% = instance, limit:? = notice.limit, leaving = notice.leaving, calls_started = started;
                 "notices of the backend server changed"
             );
+            self.gate.set_start_rate(self.server.request_limit(), now);
+            self.poll_gate(now);
         }
     }
 
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -22,7 +22,6 @@
 use crate::message_body;
 use crate::node_context;
 use crate::peer_server;
-use crate::server_notice;
 use crate::store_port;
 
 /// Time after SIGTERM during which new requests of callers are still accepted. The platform checks readiness once a
@@ -194,16 +193,12 @@
     loop {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
         node.close_idle_links(time::Instant::now());
-        let (counts, version, notice) = node.core.ask(|core, _now| {
+        let (counts, version, request_limit) = node.core.ask(|core, _now| {
             let version = core.config().map_or(0, |config| config.version);
-            (core.gate_counts(), version, core.server().notice())
+            (core.gate_counts(), version, core.server().request_limit())
         });
         node.metrics.record_state(counts.running, counts.queued, version);
-        let limit = match notice.limit {
-            server_notice::LimitNotice::Limited(rate) => Some(rate),
-            server_notice::LimitNotice::Unlimited | server_notice::LimitNotice::Malformed => None,
-        };
-        node.metrics.record_request_limit(limit);
+        node.metrics.record_request_limit(request_limit);
     }
 }
 
--- a/crates/forward/src/server_report.rs
+++ b/crates/forward/src/server_report.rs
@@ -73,6 +73,8 @@
     unreachable: bool,
     /// Notices in the newest response of the start that `report` describes.
     notice: server_notice::ServerNotice,
+    /// Limit of requests per second in force for that start.
+    request_limit: Option<server_notice::RequestRate>,
 }
 
 /// Commands.
@@ -108,6 +110,7 @@
         self.report = Some(report);
         if !same_start {
             self.notice = server_notice::ServerNotice::default();
+            self.request_limit = None;
         }
         if changed {
             ReportEffect::Changed
@@ -154,6 +157,11 @@
             return ReportEffect::Unchanged;
         }
         self.notice = notice;
+        match notice.limit {
+            server_notice::LimitNotice::Unlimited => self.request_limit = None,
+            server_notice::LimitNotice::Limited(rate) => self.request_limit = Some(rate),
+            server_notice::LimitNotice::Malformed => {}
+        }
         ReportEffect::Changed
     }
 
@@ -184,10 +192,10 @@
         self.report.as_ref()
     }
 
-    /// Returns the notices in the newest response of the start that the newest report describes.
+    /// Returns the limit of requests per second in force; `None` if there is none.
     #[must_use]
-    pub fn notice(&self) -> server_notice::ServerNotice {
-        self.notice
+    pub fn request_limit(&self) -> Option<server_notice::RequestRate> {
+        self.request_limit
     }
 
     /// Returns the newest report if its instance is ready and has not departed.
