Remember request limits of servers at the daemons that passed them on

A daemon beside a server that restarts has forgotten the server's limit and sends as many calls as there are slots before the first response tells it again.

A reply between daemons now carries the limit of the callee's server, and the entry daemon returns it with its later calls to that daemon. The callee applies it until its server has responded. A hint names instance and start, so that one of an earlier start changes nothing. Rows in the store and gossip were weighed: both cost messages while nothing restarts, and the daemons that have to keep to the limit are just those that passed it on.

--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -24,6 +24,7 @@
 use crate::node_context;
 use crate::peer_call;
 use crate::route_config;
+use crate::server_hint;
 
 /// Maximum number of daemons that are tried for one request. Each refusal costs a message, and after four refusals it
 /// is unlikely that a fifth daemon accepts.
@@ -309,19 +310,20 @@
             forward_core::AttemptChoice::None => return Err(last),
             forward_core::AttemptChoice::Local { server, call } => {
                 let guard = AttemptGuard::new(node, call);
-                let head = call_head(node, entry);
+                let head = call_head(node, entry, None);
                 let work = callee_call::run(node, &head, entry.request.clone());
                 (server, await_attempt(work, entry.deadline, guard).await)
             }
             forward_core::AttemptChoice::Peer {
                 server,
                 call,
+                daemon_id,
                 address,
                 distance,
             } => {
                 node.metrics.count_attempt(&entry.rule.name, distance);
                 let guard = AttemptGuard::new(node, call);
-                let work = call_peer(node, entry, address);
+                let work = call_peer(node, entry, &daemon_id, address);
                 (server, await_attempt(work, entry.deadline, guard).await)
             }
         };
@@ -406,7 +408,11 @@
     Some(result)
 }
 
-fn call_head(node: &node_context::NodeContext, entry: &EntryRequest) -> peer_call::CallHead {
+fn call_head(
+    node: &node_context::NodeContext,
+    entry: &EntryRequest,
+    hint: Option<server_hint::ServerHint>,
+) -> peer_call::CallHead {
     peer_call::CallHead {
         service: entry.service.clone(),
         class: entry.rule.name.clone(),
@@ -414,15 +420,18 @@
         repeatable: entry.rule.is_repeatable(),
         left: entry.deadline.saturating_duration_since(time::Instant::now()),
         caller_service: node.settings.service.clone(),
+        hint,
     }
 }
 
 async fn call_peer(
     node: &rc::Rc<node_context::NodeContext>,
     entry: &EntryRequest,
+    daemon_id: &ids::DaemonId,
     address: std::net::SocketAddr,
 ) -> callee_call::CallResult {
-    let head = peer_call::encode(&call_head(node, entry)).ok();
+    let hint = node.core.ask(|core, _now| core.hint(daemon_id).cloned());
+    let head = peer_call::encode(&call_head(node, entry, hint)).ok();
     let Some(value) = head.and_then(|text| header::HeaderValue::try_from(text).ok()) else {
         return callee_call::CallResult::NotRun(call_outcome::RefusalReason::NotDeclared);
     };
@@ -452,16 +461,19 @@
         .headers()
         .get(peer_call::REPLY_HEADER)
         .and_then(|value| peer_call::decode::<peer_call::CallReply>(value.as_bytes()));
+    if let Some(reply) = &reply {
+        node.core.ask(|core, now| core.note_reply(daemon_id, reply, now));
+    }
     let Ok((mut parts, body)) = message_body::receive(response, lease, entry.deadline).await else {
         return callee_call::CallResult::MayHaveRun;
     };
     parts.headers.remove(peer_call::REPLY_HEADER);
-    match reply {
-        Some(peer_call::CallReply::Answered) => {
+    match reply.map(|reply| reply.verdict) {
+        Some(peer_call::CallVerdict::Answered) => {
             callee_call::CallResult::Answered(Box::new(callee_call::forwarded_response(&parts, body)))
         }
-        Some(peer_call::CallReply::NotRun(reason)) => callee_call::CallResult::NotRun(reason),
-        Some(peer_call::CallReply::MayHaveRun) | None => callee_call::CallResult::MayHaveRun,
+        Some(peer_call::CallVerdict::NotRun(reason)) => callee_call::CallResult::NotRun(reason),
+        Some(peer_call::CallVerdict::MayHaveRun) | None => callee_call::CallResult::MayHaveRun,
     }
 }
 
--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -30,6 +30,7 @@
 use crate::peer_call;
 use crate::retry_share;
 use crate::route_config;
+use crate::server_hint;
 use crate::server_report;
 use crate::weighted_choice;
 
@@ -99,6 +100,8 @@
         server: route_candidate::ServerKey,
         /// Identifies the attempt in [`ForwardCore::end_attempt`].
         call: route_candidate::CallKey,
+        /// Daemon beside the selected server.
+        daemon_id: ids::DaemonId,
         /// Peer address of the daemon.
         address: net::SocketAddr,
         /// Distance of the server from this daemon.
@@ -158,6 +161,8 @@
     budgets: collections::HashMap<ids::ServiceName, retry_budget::RetryBudget>,
     gossip: gossip_context::GossipContext,
     server: server_report::ServerState,
+    /// Notices of the backend servers beside other daemons.
+    hints: server_hint::HintTable,
     gate: admission_gate::AdmissionGate,
     throttle: pressure_throttle::PressureThrottle,
     next_call: ids::CallId,
@@ -205,6 +210,7 @@
             choices: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
             server: server_report::ServerState::default(),
+            hints: server_hint::HintTable::default(),
             throttle: pressure_throttle::PressureThrottle::default(),
             next_call: 1,
             waiters: collections::HashMap::new(),
@@ -264,6 +270,7 @@
             Some(candidate) => AttemptChoice::Peer {
                 server,
                 call,
+                daemon_id: candidate.daemon_id.clone(),
                 address: candidate.address,
                 distance,
             },
@@ -308,6 +315,9 @@
             return WorkDecision::Refuse(call_outcome::RefusalReason::Starting);
         }
         let (instance, started_ms) = (report.instance.clone(), report.started_ms);
+        if let Some(hint) = &head.hint {
+            self.apply_server_hint(hint, now);
+        }
         if self.is_throttled(head, now) {
             return WorkDecision::Refuse(call_outcome::RefusalReason::CallsBelowFail);
         }
@@ -386,6 +396,7 @@
     /// Runs the periodic work: refuses expired queued calls, ejects and reinstates servers, and updates the network
     /// delays of the routes.
     pub fn tick(&mut self, now: time::Instant) {
+        self.hints.prune(now);
         self.gate.tick(now);
         self.poll_gate(now);
         for event in self.routes.tick(now) {
@@ -530,6 +541,12 @@
         self.gossip.next_wake()
     }
 
+    /// Returns what this daemon knows of the backend server beside another daemon.
+    #[must_use]
+    pub fn hint(&self, daemon: &ids::DaemonId) -> Option<&server_hint::ServerHint> {
+        self.hints.get(daemon)
+    }
+
     /// Returns the state of the backend server beside this daemon.
     #[must_use]
     pub fn server(&self) -> &server_report::ServerState {
--- a/crates/forward/src/forward_core/core_members.rs
+++ b/crates/forward/src/forward_core/core_members.rs
@@ -13,6 +13,8 @@
 use super::CoreEffect;
 use super::ForwardCore;
 use crate::forward_core;
+use crate::peer_call;
+use crate::server_hint;
 use crate::server_notice;
 use crate::server_report;
 
@@ -86,6 +88,28 @@
         }
     }
 
+    /// Applies what the entry daemon of a call knows of the backend server.
+    pub(super) fn apply_server_hint(&mut self, hint: &server_hint::ServerHint, now: time::Instant) {
+        if self.server.apply_hint(hint) == server_report::ReportEffect::Changed {
+            let instance = ids::text(&hint.instance);
+            log::info!(
+                instance:% = instance, limit:? = hint.request_limit;
+                "notices of the backend server learned from another daemon"
+            );
+            self.gate.set_start_rate(self.server.request_limit(), now);
+        }
+    }
+
+    /// Records the notices of the backend server beside another daemon in its reply to a call.
+    pub fn note_reply(&mut self, daemon: &ids::DaemonId, reply: &peer_call::CallReply, now: time::Instant) {
+        match reply.verdict {
+            peer_call::CallVerdict::Answered => self.hints.note_response(daemon, reply.hint.clone(), now),
+            peer_call::CallVerdict::NotRun(_) | peer_call::CallVerdict::MayHaveRun => {
+                self.hints.note_refusal(daemon, reply.hint.clone(), now);
+            }
+        }
+    }
+
     /// Merges the members that the store lists, and contacts a sample of them.
     pub fn merge_members(&mut self, records: &[member_record::MemberRecord], now: time::Instant) {
         self.members_listed = true;
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod peer_server;
 pub mod retry_share;
 pub mod route_config;
+pub mod server_hint;
 pub mod server_notice;
 pub mod server_report;
 pub mod store_port;
--- a/crates/forward/src/peer_call.rs
+++ b/crates/forward/src/peer_call.rs
@@ -6,6 +6,8 @@
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
 
+use crate::server_hint;
+
 /// Header of a forwarded request with an encoded [`CallHead`]. The entry daemon removes it from callers' requests.
 pub const CALL_HEADER: &str = "damasktrack-peer-call";
 /// Header of a response between daemons with an encoded [`CallReply`]. It is removed before the response reaches the
@@ -13,7 +15,7 @@
 pub const REPLY_HEADER: &str = "damasktrack-peer-reply";
 
 /// Metadata of a call from the entry daemon to the callee daemon.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct CallHead {
     /// Service that the request is routed to; the callee daemon refuses a call for another service.
@@ -28,12 +30,24 @@
     pub left: time::Duration,
     /// Service beside the entry daemon.
     pub caller_service: ids::ServiceName,
+    /// What the entry daemon knows of the callee's backend server.
+    pub hint: Option<server_hint::ServerHint>,
+}
+
+/// Reply of the callee daemon to a call.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct CallReply {
+    /// What became of the call.
+    pub verdict: CallVerdict,
+    /// Notices of the backend server; `None` if the callee daemon knows none.
+    pub hint: Option<server_hint::ServerHint>,
 }
 
 /// Result of a call at the callee daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
-pub enum CallReply {
+pub enum CallVerdict {
     /// The response is the backend server's.
     Answered,
     /// The request did not run and will not run later.
--- a/crates/forward/src/peer_server.rs
+++ b/crates/forward/src/peer_server.rs
@@ -75,18 +75,19 @@
         headers,
         body,
     };
-    let (reply, mut response) = match callee_call::run(node, head, request).await {
-        callee_call::CallResult::Answered(response) => (peer_call::CallReply::Answered, *response),
+    let (verdict, mut response) = match callee_call::run(node, head, request).await {
+        callee_call::CallResult::Answered(response) => (peer_call::CallVerdict::Answered, *response),
         callee_call::CallResult::NotRun(reason) => (
-            peer_call::CallReply::NotRun(reason),
+            peer_call::CallVerdict::NotRun(reason),
             empty_response(hyper::StatusCode::SERVICE_UNAVAILABLE),
         ),
         callee_call::CallResult::MayHaveRun => (
-            peer_call::CallReply::MayHaveRun,
+            peer_call::CallVerdict::MayHaveRun,
             empty_response(hyper::StatusCode::BAD_GATEWAY),
         ),
     };
-    let text = peer_call::encode(&reply).ok();
+    let hint = node.core.ask(|core, _now| core.server().hint());
+    let text = peer_call::encode(&peer_call::CallReply { verdict, hint }).ok();
     // The entry daemon treats a response without this header as one to a request that may have run.
     if let Some(value) = text.and_then(|text| header::HeaderValue::try_from(text).ok()) {
         response.headers_mut().insert(peer_call::REPLY_HEADER, value);
--- /dev/null
+++ b/crates/forward/src/server_hint.rs
@@ -0,0 +1,71 @@
+//! What daemons tell each other about the notices of backend servers.
+//!
+//! The daemon beside a server enforces its notices, but forgets them when it restarts. The other daemons remember what
+//! the responses that they passed on said, and return it with their calls.
+
+use std::collections;
+use std::time;
+
+use damasktrack_entity::ids;
+
+use crate::server_notice;
+use crate::server_report;
+
+/// Time without a new hint after which one is discarded. Its daemon was replaced or gets no calls.
+const HINT_LIFETIME: time::Duration = time::Duration::from_mins(10);
+
+/// Notices of one start of a backend server.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct ServerHint {
+    /// Instance that the notices are from.
+    pub instance: server_report::InstanceId,
+    /// Start time of the instance, in milliseconds since 1970.
+    pub started_ms: u64,
+    /// Limit of requests per second in force; `None` if there is none.
+    pub request_limit: Option<server_notice::RequestRate>,
+}
+
+/// Newest hint of each daemon's backend server.
+#[derive(Debug, Default)]
+pub struct HintTable {
+    hints: collections::HashMap<ids::DaemonId, (ServerHint, time::Instant)>,
+}
+
+/// Commands.
+impl HintTable {
+    /// Stores the hint of a response that the backend server beside `daemon` sent; `None` if it has no notices.
+    pub fn note_response(&mut self, daemon: &ids::DaemonId, hint: Option<ServerHint>, now: time::Instant) {
+        match hint {
+            Some(hint) => {
+                self.hints.insert(daemon.clone(), (hint, now));
+            }
+            None => {
+                self.hints.remove(daemon);
+            }
+        }
+    }
+
+    /// Stores the hint of a refusal by `daemon`. A refusal without a hint changes nothing, since the daemon may have
+    /// just started.
+    pub fn note_refusal(&mut self, daemon: &ids::DaemonId, hint: Option<ServerHint>, now: time::Instant) {
+        if hint.is_some() {
+            self.note_response(daemon, hint, now);
+        }
+    }
+
+    /// Discards hints that are older than [`HINT_LIFETIME`].
+    pub fn prune(&mut self, now: time::Instant) {
+        self.hints
+            .retain(|_daemon, (_hint, noted)| now.saturating_duration_since(*noted) < HINT_LIFETIME);
+    }
+}
+
+/// Queries.
+impl HintTable {
+    /// Returns the hint of the backend server beside `daemon`.
+    #[must_use]
+    pub fn get(&self, daemon: &ids::DaemonId) -> Option<&ServerHint> {
+        self.hints.get(daemon).map(|(hint, _noted)| hint)
+    }
+}
--- a/crates/forward/src/server_report.rs
+++ b/crates/forward/src/server_report.rs
@@ -5,6 +5,7 @@
 
 use damasktrack_entity::ids;
 
+use crate::server_hint;
 use crate::server_notice;
 
 /// Id of one instance of a backend server. An instance that restarts may keep its id.
@@ -71,8 +72,8 @@
     departures: collections::VecDeque<Departure>,
     /// Whether the backend server's address refused the last connection.
     unreachable: bool,
-    /// Notices in the newest response of the start that `report` describes.
-    notice: server_notice::ServerNotice,
+    /// Notices in the newest response of the start that `report` describes; `None` before its first response.
+    notice: Option<server_notice::ServerNotice>,
     /// Limit of requests per second in force for that start.
     request_limit: Option<server_notice::RequestRate>,
 }
@@ -109,7 +110,7 @@
         self.unreachable = false;
         self.report = Some(report);
         if !same_start {
-            self.notice = server_notice::ServerNotice::default();
+            self.notice = None;
             self.request_limit = None;
         }
         if changed {
@@ -149,14 +150,13 @@
         started_ms: u64,
         notice: server_notice::ServerNotice,
     ) -> ReportEffect {
-        let of_start = |report: &ServerReport| report.instance == *instance && report.started_ms == started_ms;
-        if !self.report.as_ref().is_some_and(of_start) {
+        if !self.is_start(instance, started_ms) {
             return ReportEffect::Stale;
         }
-        if self.notice == notice {
+        if self.notice == Some(notice) {
             return ReportEffect::Unchanged;
         }
-        self.notice = notice;
+        self.notice = Some(notice);
         match notice.limit {
             server_notice::LimitNotice::Unlimited => self.request_limit = None,
             server_notice::LimitNotice::Limited(rate) => self.request_limit = Some(rate),
@@ -165,6 +165,18 @@
         ReportEffect::Changed
     }
 
+    /// Applies what another daemon knows of a start, unless the start has responded since this daemon's start.
+    pub fn apply_hint(&mut self, hint: &server_hint::ServerHint) -> ReportEffect {
+        if self.notice.is_some() || !self.is_start(&hint.instance, hint.started_ms) {
+            return ReportEffect::Stale;
+        }
+        if self.request_limit == hint.request_limit {
+            return ReportEffect::Unchanged;
+        }
+        self.request_limit = hint.request_limit;
+        ReportEffect::Changed
+    }
+
     /// Records that the backend server refused a connection. Its next report or response resets this.
     pub fn mark_unreachable(&mut self) -> ReportEffect {
         if self.unreachable {
@@ -192,6 +204,18 @@
         self.report.as_ref()
     }
 
+    /// Returns the notices for other daemons; `None` if there are none.
+    #[must_use]
+    pub fn hint(&self) -> Option<server_hint::ServerHint> {
+        let report = self.report.as_ref()?;
+        let hint = server_hint::ServerHint {
+            instance: report.instance.clone(),
+            started_ms: report.started_ms,
+            request_limit: self.request_limit,
+        };
+        hint.request_limit.is_some().then_some(hint)
+    }
+
     /// Returns the limit of requests per second in force; `None` if there is none.
     #[must_use]
     pub fn request_limit(&self) -> Option<server_notice::RequestRate> {
@@ -215,4 +239,11 @@
     pub fn is_up(&self) -> bool {
         self.serving().is_some() && !self.unreachable
     }
+
+    /// Returns whether the newest report is of this start.
+    fn is_start(&self, instance: &InstanceId, started_ms: u64) -> bool {
+        self.report
+            .as_ref()
+            .is_some_and(|report| report.instance == *instance && report.started_ms == started_ms)
+    }
 }
--- a/crates/forward/tests/states.rs
+++ b/crates/forward/tests/states.rs
@@ -5,6 +5,8 @@
 use bytes::Bytes;
 use damasktrack_forward::retry_share::RetryBounds;
 use damasktrack_forward::route_config::RouteTarget;
+use damasktrack_forward::server_hint::{HintTable, ServerHint};
+use damasktrack_forward::server_notice::{LimitNotice, ServerNotice};
 use damasktrack_forward::server_report::{ReportEffect, ServerCondition, ServerReport, ServerState};
 use damasktrack_forward::weighted_choice::WeightedChoice;
 
@@ -158,3 +160,79 @@
         assert!(regained <= bounds.extra, "{regained}");
     }
 }
+
+fn limited(rate: f64) -> ServerNotice {
+    ServerNotice {
+        limit: LimitNotice::Limited(rate),
+        leaving: false,
+    }
+}
+
+fn hint(instance: &'static str, started_ms: u64, rate: f64) -> ServerHint {
+    ServerHint {
+        instance: Bytes::from_static(instance.as_bytes()),
+        started_ms,
+        request_limit: Some(rate),
+    }
+}
+
+/// Guards against a limit that outlasts its notice, or a malformed notice that lifts it.
+#[test]
+fn request_limit_follows_the_newest_notice() {
+    let instance = Bytes::from_static(b"i-1");
+    let mut state = ServerState::default();
+    state.apply_report(report("i-1", 10, 1, ServerCondition::Ready));
+    state.apply_notice(&instance, 10, limited(5.0));
+    assert_eq!(state.request_limit(), Some(5.0));
+    let malformed = ServerNotice {
+        limit: LimitNotice::Malformed,
+        leaving: false,
+    };
+    state.apply_notice(&instance, 10, malformed);
+    assert_eq!(state.request_limit(), Some(5.0));
+    state.apply_notice(&instance, 10, ServerNotice::default());
+    assert_eq!(state.request_limit(), None);
+}
+
+/// Guards against a limit of an earlier start that binds a restarted server.
+#[test]
+fn request_limit_ends_with_its_start() {
+    let instance = Bytes::from_static(b"i-1");
+    let mut state = ServerState::default();
+    state.apply_report(report("i-1", 10, 5, ServerCondition::Ready));
+    state.apply_notice(&instance, 10, limited(5.0));
+    state.apply_report(report("i-1", 20, 1, ServerCondition::Ready));
+    assert_eq!(state.request_limit(), None);
+    assert_eq!(state.apply_notice(&instance, 10, limited(5.0)), ReportEffect::Stale);
+    assert_eq!(state.apply_hint(&hint("i-1", 10, 5.0)), ReportEffect::Stale);
+    assert_eq!(state.request_limit(), None);
+}
+
+/// Guards against a hint of another daemon that overrides the server's own responses, and against one that stays in
+/// force after a response without a limit.
+#[test]
+fn hint_is_in_force_until_the_first_response() {
+    let mut state = ServerState::default();
+    state.apply_report(report("i-1", 10, 1, ServerCondition::Ready));
+    state.apply_hint(&hint("i-1", 10, 5.0));
+    assert_eq!(state.request_limit(), Some(5.0));
+    state.apply_notice(&Bytes::from_static(b"i-1"), 10, ServerNotice::default());
+    assert_eq!(state.request_limit(), None);
+    assert_eq!(state.apply_hint(&hint("i-1", 10, 5.0)), ReportEffect::Stale);
+}
+
+/// Guards against a refusal of a restarted daemon that erases what its server said before, and against hints that are
+/// kept for good.
+#[test]
+fn refusal_without_a_hint_keeps_the_known_one() {
+    let (daemon, now) = (Bytes::from_static(b"vm-1"), time::Instant::now());
+    let mut table = HintTable::default();
+    table.note_response(&daemon, Some(hint("i-1", 10, 5.0)), now);
+    table.note_refusal(&daemon, None, now);
+    assert_eq!(table.get(&daemon), Some(&hint("i-1", 10, 5.0)));
+    table.note_response(&daemon, None, now);
+    assert_eq!(table.get(&daemon), None);
+    table.note_refusal(&daemon, Some(hint("i-1", 10, 5.0)), now);
+    table.prune(now + time::Duration::from_hours(1));
+    assert_eq!(table.get(&daemon), None);
+}
