Give no new work to a server that announces its departure in responses

A server that leaves says so in all its responses, while its heartbeat may be seconds late. Daemons ignored the header, so its callers' requests went on reaching it.

The daemon beside the server now takes the notice as a departure of that start, which no later response, heartbeat or hint reverts.

--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -308,6 +308,9 @@
         if self.phase == LifePhase::Stopping {
             return WorkDecision::Refuse(call_outcome::RefusalReason::Leaving);
         }
+        if let Some(hint) = &head.hint {
+            self.apply_server_hint(hint, now);
+        }
         let Some(report) = self.server.serving() else {
             return WorkDecision::Refuse(call_outcome::RefusalReason::Starting);
         };
@@ -315,9 +318,6 @@
             return WorkDecision::Refuse(call_outcome::RefusalReason::Starting);
         }
         let (instance, started_ms) = (report.instance.clone(), report.started_ms);
-        if let Some(hint) = &head.hint {
-            self.apply_server_hint(hint, now);
-        }
         if self.is_throttled(head, now) {
             return WorkDecision::Refuse(call_outcome::RefusalReason::CallsBelowFail);
         }
--- a/crates/forward/src/forward_core/core_members.rs
+++ b/crates/forward/src/forward_core/core_members.rs
@@ -84,6 +84,9 @@
                 "notices of the backend server changed"
             );
             self.gate.set_start_rate(self.server.request_limit(), now);
+            if notice.leaving {
+                self.announce_server(now);
+            }
             self.poll_gate(now);
         }
     }
@@ -93,10 +96,13 @@
         if self.server.apply_hint(hint) == server_report::ReportEffect::Changed {
             let instance = ids::text(&hint.instance);
             log::info!(
-                instance:% = instance, limit:? = hint.request_limit;
+                instance:% = instance, limit:? = hint.request_limit, leaving = hint.leaving;
                 "notices of the backend server learned from another daemon"
             );
             self.gate.set_start_rate(self.server.request_limit(), now);
+            if hint.leaving {
+                self.announce_server(now);
+            }
         }
     }
 
--- a/crates/forward/src/server_hint.rs
+++ b/crates/forward/src/server_hint.rs
@@ -24,6 +24,8 @@
     pub started_ms: u64,
     /// Limit of requests per second in force; `None` if there is none.
     pub request_limit: Option<server_notice::RequestRate>,
+    /// Whether the instance is leaving.
+    pub leaving: bool,
 }
 
 /// Newest hint of each daemon's backend server.
@@ -34,15 +36,21 @@
 
 /// Commands.
 impl HintTable {
-    /// Stores the hint of a response that the backend server beside `daemon` sent; `None` if it has no notices.
+    /// Stores the hint of a response that the backend server beside `daemon` sent; `None` if it has no notices. A
+    /// departure stays known until a later start has notices, since responses may overtake each other.
     pub fn note_response(&mut self, daemon: &ids::DaemonId, hint: Option<ServerHint>, now: time::Instant) {
+        let departed = self
+            .get(daemon)
+            .filter(|known| known.leaving)
+            .map(|known| known.started_ms);
         match hint {
-            Some(hint) => {
+            Some(hint) if departed.is_none_or(|departed| hint.leaving || hint.started_ms > departed) => {
                 self.hints.insert(daemon.clone(), (hint, now));
             }
-            None => {
+            None if departed.is_none() => {
                 self.hints.remove(daemon);
             }
+            _ => {}
         }
     }
 
--- a/crates/forward/src/server_report.rs
+++ b/crates/forward/src/server_report.rs
@@ -157,6 +157,9 @@
             return ReportEffect::Unchanged;
         }
         self.notice = Some(notice);
+        if notice.leaving {
+            self.apply_departure(instance, Some(started_ms));
+        }
         match notice.limit {
             server_notice::LimitNotice::Unlimited => self.request_limit = None,
             server_notice::LimitNotice::Limited(rate) => self.request_limit = Some(rate),
@@ -165,8 +168,12 @@
         ReportEffect::Changed
     }
 
-    /// Applies what another daemon knows of a start, unless the start has responded since this daemon's start.
+    /// Applies what another daemon knows of a start. A departure is final; anything else applies unless the start has
+    /// responded since this daemon's start.
     pub fn apply_hint(&mut self, hint: &server_hint::ServerHint) -> ReportEffect {
+        if hint.leaving && self.is_start(&hint.instance, hint.started_ms) {
+            return self.apply_departure(&hint.instance, Some(hint.started_ms));
+        }
         if self.notice.is_some() || !self.is_start(&hint.instance, hint.started_ms) {
             return ReportEffect::Stale;
         }
@@ -212,8 +219,9 @@
             instance: report.instance.clone(),
             started_ms: report.started_ms,
             request_limit: self.request_limit,
+            leaving: self.serving().is_none(),
         };
-        hint.request_limit.is_some().then_some(hint)
+        (hint.leaving || hint.request_limit.is_some()).then_some(hint)
     }
 
     /// Returns the limit of requests per second in force; `None` if there is none.
--- a/crates/forward/tests/states.rs
+++ b/crates/forward/tests/states.rs
@@ -173,6 +173,7 @@
         instance: Bytes::from_static(instance.as_bytes()),
         started_ms,
         request_limit: Some(rate),
+        leaving: false,
     }
 }
 
@@ -236,3 +237,44 @@
     table.prune(now + time::Duration::from_hours(1));
     assert_eq!(table.get(&daemon), None);
 }
+
+/// Guards against a server that gets work again after a response said that it leaves, by a later response, a heartbeat or
+/// a hint without that notice.
+#[test]
+fn departure_in_a_response_is_final_for_the_start() {
+    let instance = Bytes::from_static(b"i-1");
+    let leaving = ServerNotice {
+        limit: LimitNotice::Unlimited,
+        leaving: true,
+    };
+    let mut state = ServerState::default();
+    state.apply_report(report("i-1", 10, 1, ServerCondition::Ready));
+    state.apply_notice(&instance, 10, leaving);
+    assert!(state.serving().is_none());
+    assert!(state.hint().unwrap().leaving);
+    state.apply_notice(&instance, 10, ServerNotice::default());
+    state.apply_report(report("i-1", 10, 2, ServerCondition::Ready));
+    state.apply_hint(&hint("i-1", 10, 5.0));
+    assert!(state.serving().is_none());
+    assert!(state.hint().unwrap().leaving);
+    state.apply_report(report("i-1", 20, 1, ServerCondition::Ready));
+    assert!(state.serving().is_some());
+    assert_eq!(state.hint(), None);
+}
+
+/// Guards against a departure that is forgotten since an earlier response without it arrives later.
+#[test]
+fn departure_hint_outlasts_other_responses_of_the_start() {
+    let (daemon, now) = (Bytes::from_static(b"vm-1"), time::Instant::now());
+    let leaving = |started_ms| ServerHint {
+        leaving: true,
+        ..hint("i-1", started_ms, 5.0)
+    };
+    let mut table = HintTable::default();
+    table.note_response(&daemon, Some(leaving(10)), now);
+    table.note_response(&daemon, None, now);
+    table.note_response(&daemon, Some(hint("i-1", 10, 5.0)), now);
+    assert_eq!(table.get(&daemon), Some(&leaving(10)));
+    table.note_response(&daemon, Some(hint("i-2", 20, 5.0)), now);
+    assert_eq!(table.get(&daemon), Some(&hint("i-2", 20, 5.0)));
+}
