Prefer other servers to one whose request rate is reached

Such a refusal has a reason of its own, does not shrink the window, and holds its server behind the others for a time that follows from its rate and the number of daemons.

--- a/crates/admission/src/admission_gate.rs
+++ b/crates/admission/src/admission_gate.rs
@@ -195,7 +195,7 @@
             rate.wait(lane.queue.count_ahead(importance))
         });
         if !outranks_queued && rate_wait > self.policy.queue_target {
-            return self.refuse(call_outcome::RefusalReason::QueueFull);
+            return self.refuse(call_outcome::RefusalReason::RateReached);
         }
         lane.queue.push(class_queue::QueuedCall {
             call: arrival.call,
--- a/crates/admission/tests/start_rate.rs
+++ b/crates/admission/tests/start_rate.rs
@@ -134,7 +134,7 @@
 fn call_that_would_wait_for_the_rate_is_refused_at_once() {
     let mut world = RateWorld::new(Some(5.0));
     let call = world.offer(5);
-    assert_eq!(world.refused, [(call, RefusalReason::QueueFull)]);
+    assert_eq!(world.refused, [(call, RefusalReason::RateReached)]);
 }
 
 /// Guards against a less important call that starts before a more important one.
--- a/crates/entity/src/call_outcome.rs
+++ b/crates/entity/src/call_outcome.rs
@@ -74,6 +74,9 @@
     /// Nested calls of the backend server for requests of this class fail too often.
     #[display("calls below fail")]
     CallsBelowFail,
+    /// The backend server has got as many requests per second as it takes.
+    #[display("request rate reached")]
+    RateReached,
 }
 
 /// Whether a refused call is worth sending to another server.
@@ -90,9 +93,11 @@
     #[must_use]
     pub fn advice(self) -> RefusalAdvice {
         match self {
-            Self::Leaving | Self::Starting | Self::BackendServerDown | Self::ShedByBackendServer => {
-                RefusalAdvice::TryElsewhere
-            }
+            Self::Leaving
+            | Self::Starting
+            | Self::BackendServerDown
+            | Self::ShedByBackendServer
+            | Self::RateReached => RefusalAdvice::TryElsewhere,
             Self::Overloaded
             | Self::QueueFull
             | Self::DeadlineTooShort
--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -344,6 +344,10 @@
                         *sent += 1;
                         *sent < entry.rule.max_attempts && repeat_allowed(node, entry)
                     }
+                    call_outcome::RefusalReason::RateReached => {
+                        node.core.ask(|core, now| core.hold_server(server, now));
+                        true
+                    }
                     _ => true,
                 }
             }
--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -18,6 +18,7 @@
 use damasktrack_membership::gossip_context;
 use damasktrack_membership::member_record;
 use damasktrack_routing::region_window;
+use damasktrack_routing::request_hold;
 use damasktrack_routing::retry_budget;
 use damasktrack_routing::route_candidate;
 use damasktrack_routing::route_table;
@@ -288,6 +289,22 @@
         self.routes.finish(call, result, now);
     }
 
+    /// Prefers other servers to one that refused a call since its request rate is reached.
+    pub fn hold_server(&mut self, server: route_candidate::ServerKey, now: time::Instant) {
+        let Some(candidate) = self.routes.candidate(server) else {
+            return;
+        };
+        let rate = if candidate.daemon_id == self.settings.daemon_id {
+            self.server.request_limit()
+        } else {
+            self.hints.get(&candidate.daemon_id).and_then(|hint| hint.request_limit)
+        };
+        if let Some(rate) = rate {
+            let hold = request_hold::duration(rate, self.gossip.table().live_count());
+            self.routes.hold(server, now + hold);
+        }
+    }
+
     /// Counts a new request, which adds a fraction of a token to the service's retry budget.
     pub fn count_request(&mut self, service: &ids::ServiceName, now: time::Instant) {
         self.budget(service, now).first_attempt();
--- a/crates/node/src/entry/entry_response.rs
+++ b/crates/node/src/entry/entry_response.rs
@@ -250,6 +250,7 @@
         | call_outcome::RefusalReason::NoCandidate
         | call_outcome::RefusalReason::StoreUnavailable
         | call_outcome::RefusalReason::AllowanceSpent
-        | call_outcome::RefusalReason::TooDeep => 503,
+        | call_outcome::RefusalReason::TooDeep
+        | call_outcome::RefusalReason::RateReached => 503,
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod latency_estimate;
 pub mod region_budget;
 pub mod region_window;
+pub mod request_hold;
 pub mod retry_budget;
 pub mod round_policy;
 pub mod route_candidate;
--- a/crates/routing/src/round_policy.rs
+++ b/crates/routing/src/round_policy.rs
@@ -36,7 +36,9 @@
 ) -> RoundStep {
     let lacks_capacity = matches!(
         reason,
-        call_outcome::RefusalReason::Overloaded | call_outcome::RefusalReason::QueueFull
+        call_outcome::RefusalReason::Overloaded
+            | call_outcome::RefusalReason::QueueFull
+            | call_outcome::RefusalReason::RateReached
     );
     let pause = MEAN_PAUSE.mul_f64(0.5 + draw);
     if lacks_capacity && elapsed + pause <= limit.mul_f64(MAX_WAIT_SHARE).min(MAX_WAIT) {
--- a/crates/routing/src/route_table.rs
+++ b/crates/routing/src/route_table.rs
@@ -131,6 +131,16 @@
         self.network_delays.insert(location.clone(), delay);
     }
 
+    /// Prefers other servers, of any region, to this one until `until`.
+    ///
+    /// Load pattern: some servers of a service take only a part of the requests that they got before. Calls that find
+    /// their request rate reached are spread over the others, and are not taken for an overload of the region.
+    pub fn hold(&mut self, key: route_candidate::ServerKey, until: time::Instant) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.held_until = Some(until);
+        }
+    }
+
     /// Chooses a server. The call is only counted by [`Self::begin`].
     pub fn choose<R: rand::Rng + ?Sized>(
         &mut self,
--- a/crates/routing/src/server_state.rs
+++ b/crates/routing/src/server_state.rs
@@ -36,6 +36,8 @@
     pub(crate) ramp: Option<cold_ramp::ColdRamp>,
     pub(crate) full_until: Option<time::Instant>,
     pub(crate) paused_until: Option<time::Instant>,
+    /// Until when other servers are preferred, since the request rate of this one is reached.
+    pub(crate) held_until: Option<time::Instant>,
     pub(crate) failures: u32,
     /// Set by a refusal with [`call_outcome::RefusalReason::Leaving`], which may arrive before the gossip about it.
     /// Never reset within an incarnation.
@@ -65,6 +67,8 @@
     CrossRegionFull,
     /// In the region and full, after [`IN_REGION_TRIES`] servers were tried for this call.
     InRegionTried(server_location::ServerDistance),
+    /// Its request rate is reached; see [`crate::route_table::RouteTable::hold`].
+    Held(server_location::ServerDistance),
     Suspect(server_location::ServerDistance),
     Ejected(server_location::ServerDistance),
 }
@@ -82,6 +86,7 @@
             ramp: ready_since.map(|since| cold_ramp::ColdRamp::new(since, cold_ramp::RAMP_DURATION)),
             full_until: None,
             paused_until: None,
+            held_until: None,
             failures: 0,
             refused_leaving: false,
         }
@@ -184,6 +189,9 @@
             route_candidate::CandidateState::Leaving | route_candidate::CandidateState::Starting => None,
             _ if self.ejection.is_some() => Some(Preference::Ejected(distance)),
             route_candidate::CandidateState::Suspect => Some(Preference::Suspect(distance)),
+            route_candidate::CandidateState::Ready if self.held_until.is_some_and(|until| now < until) => {
+                Some(Preference::Held(distance))
+            }
             route_candidate::CandidateState::Ready => {
                 let has_capacity = self.has_capacity(request.lane, now);
                 Some(match policy {
--- a/crates/routing/tests/rounds.rs
+++ b/crates/routing/tests/rounds.rs
@@ -24,7 +24,11 @@
 /// milliseconds, and against rounds that go on until nothing of its time is left.
 #[test]
 fn refused_call_is_tried_again_within_a_share_of_its_time() {
-    for reason in [RefusalReason::Overloaded, RefusalReason::QueueFull] {
+    for reason in [
+        RefusalReason::Overloaded,
+        RefusalReason::QueueFull,
+        RefusalReason::RateReached,
+    ] {
         for limit in [NESTED, REQUEST] {
             let (count, last) = rounds(reason, Duration::from_millis(5), limit);
             assert!((3..=12).contains(&count), "{count}");
