--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -19,6 +19,7 @@
 use crate::node_context;
 use crate::peer_call;
 use crate::server_notice;
+use crate::server_report;
 
 /// Time past the deadline after which the request to a backend server, or the rest of its response, times out. The
 /// backend server itself responds with 504 at the deadline.
@@ -200,8 +201,7 @@
         let (response, lease) = node.server.send(outgoing, max_idle).await?;
         let checked = check_response(node, response.headers(), response.status(), attempt_id.as_ref());
         if checked.is_ok() || checked == Err(ResponseFault::NotExecuted) {
-            let notice = server_notice::ServerNotice::read(&node.settings.headers, response.headers());
-            node.core.ask(|core, now| core.apply_server_notice(permit, notice, now));
+            note_notices(node, permit, response.headers());
         }
         if let Err(fault) = checked {
             return Ok(Err(fault));
@@ -264,6 +264,29 @@
     result
 }
 
+/// Applies the notices of the backend server in the headers of its response to a call.
+fn note_notices(node: &node_context::NodeContext, permit: &forward_core::WorkPermit, headers: &header::HeaderMap) {
+    let notice = server_notice::ServerNotice::read(&node.settings.headers, headers);
+    let (effect, started) = node.core.ask(|core, now| {
+        let effect = core.apply_server_notice(permit, notice, now);
+        (effect, core.gate_counts().started)
+    });
+    if effect != server_report::ReportEffect::Changed {
+        return;
+    }
+    // A server may name another limit in each response.
+    let decision = node
+        .log_limiter
+        .decide(log_limiter::LogCategory::Failure, time::Instant::now());
+    if let log_limiter::LogDecision::Write { left_out } = decision {
+        log::info!(
+            instance:% = ids::text(&permit.instance), limit:? = notice.limit, leaving = notice.leaving,
+            calls_started = started, left_out = left_out;
+            "notices of the backend server changed"
+        );
+    }
+}
+
 /// Returns the request for the backend server; `None` if a header value contains invalid bytes.
 fn server_request(
     node: &node_context::NodeContext,
--- a/crates/forward/src/forward_core/core_members.rs
+++ b/crates/forward/src/forward_core/core_members.rs
@@ -69,26 +69,22 @@
         }
     }
 
-    /// Applies the notices in a response of the backend server to a call with this permit.
+    /// Applies the notices in a response of the backend server to a call with this permit. The caller logs a change.
     pub fn apply_server_notice(
         &mut self,
         permit: &forward_core::WorkPermit,
         notice: server_notice::ServerNotice,
         now: time::Instant,
-    ) {
+    ) -> server_report::ReportEffect {
         let effect = self.server.apply_notice(&permit.instance, permit.started_ms, notice);
         if effect == server_report::ReportEffect::Changed {
-            let (instance, started) = (ids::text(&permit.instance), self.gate.counts().started);
-            log::info!(
-                instance:% = instance, limit:? = notice.limit, leaving = notice.leaving, calls_started = started;
-                "notices of the backend server changed"
-            );
             self.gate.set_start_rate(self.server.request_limit(), now);
             if notice.leaving {
                 self.announce_server(now);
             }
             self.poll_gate(now);
         }
+        effect
     }
 
     /// Applies what the entry daemon of a call knows of the backend server.
