Log restores of the store and the cursor of the configuration

The logs could not tell a store that dropped its history from one that was restored from an older copy, nor whether a daemon's cursor was ahead of it. The client now reads the era in each response and logs a new one, and the line about the regained store has the cursor. No decision uses the era yet.

--- a/crates/forward/src/store_port.rs
+++ b/crates/forward/src/store_port.rs
@@ -14,6 +14,7 @@
 use damasktrack_membership::member_record;
 use damasktrack_membership::member_row;
 use rand::RngExt;
+use tokio::sync::watch;
 
 use crate::node_context;
 use crate::route_config;
@@ -49,6 +50,9 @@
 /// Version number in the store's history of changes.
 pub type StoreVersion = u64;
 
+/// Number of times that the store was restored from an older copy. Versions of different eras can't be compared.
+pub type StoreEra = u64;
+
 /// Configuration as read from the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredConfig {
@@ -79,6 +83,8 @@
     pub remove_member: Box<dyn Fn(ids::DaemonId, StoreVersion) -> StoreFuture<()>>,
     /// Lists the rows of all daemons.
     pub list_members: Box<dyn Fn() -> StoreFuture<Vec<StoredMember>>>,
+    /// Newest era that a response of the store named; `None` before the first.
+    pub era: watch::Receiver<Option<StoreEra>>,
     /// Decodes and validates a configuration. The error lists every finding with its place in the text.
     pub decode_config: fn(&[u8]) -> Result<route_config::RouteConfig, Vec<String>>,
 }
@@ -130,7 +136,7 @@
         match read {
             Ok(stored) => {
                 if lost {
-                    log::info!(version = stored.version; "store regained");
+                    log::info!(version = stored.version, cursor:? = known; "store regained");
                     lost = false;
                 }
                 backoff = RetryBackoff::new();
