--- a/crates/standins/src/platform_store.rs
+++ b/crates/standins/src/platform_store.rs
@@ -18,6 +18,9 @@
 /// Most rows in one response of `/rows-get`.
 const MAX_ROWS: usize = 500;
 
+/// Response header with the number of times that the store was restored from a copy.
+const STORE_ERA: &str = "Store-Era";
+
 /// Table, part and key of a row, which order the rows.
 type RowId = (String, String, String);
 
@@ -45,6 +48,17 @@
     version: u64,
     condition: StoreCondition,
     calls: u64,
+    /// Number of restores, in the header [`STORE_ERA`] of all responses.
+    era: u64,
+}
+
+/// Contents of a store at one moment.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    rows: collections::BTreeMap<RowId, (String, u64)>,
+    history: Vec<(RowId, Option<String>, u64)>,
+    compacted_version: u64,
+    version: u64,
 }
 
 /// A running store; clones share its state. Its threads end with the process.
@@ -86,6 +100,17 @@
         self.shared.1.notify_all();
     }
 
+    /// Removes all rows of a table.
+    pub fn remove(&self, table: &str) {
+        let mut state = self.lock();
+        let ids: Vec<RowId> = state.rows.keys().filter(|id| id.0 == table).cloned().collect();
+        for id in ids {
+            state.write(id, None);
+        }
+        drop(state);
+        self.shared.1.notify_all();
+    }
+
     /// Sets how the store handles requests. If it no longer serves, pending `/rows-feed` requests return at once.
     pub fn set_condition(&self, condition: StoreCondition) {
         self.lock().condition = condition;
@@ -99,13 +124,26 @@
         state.history.clear();
     }
 
+    /// Replaces the contents by those of a copy, as after a loss of the store. Versions since the copy are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.lock();
+        state.rows.clone_from(&copy.rows);
+        state.history.clone_from(&copy.history);
+        state.compacted_version = copy.compacted_version;
+        state.version = copy.version;
+        state.era += 1;
+        drop(state);
+        self.shared.1.notify_all();
+    }
+
     fn serve(&self, stream: &net::TcpStream) {
         let mut reader = BufReader::new(stream);
         let mut writer = stream;
         while let Ok(Some(request)) = http_exchange::read_request(&mut reader) {
-            let Some(response) = self.respond(&request) else {
+            let Some(mut response) = self.respond(&request) else {
                 return;
             };
+            response.headers.push((STORE_ERA, self.lock().era.to_string()));
             if http_exchange::write_response(&mut writer, &response).is_err() {
                 return;
             }
@@ -190,7 +228,7 @@
         let deadline = time::Instant::now() + time::Duration::from_millis(number("WaitMs").unwrap_or(0));
         let mut state = self.lock();
         loop {
-            if after < state.compacted_version {
+            if after < state.compacted_version || after > state.version {
                 return http_exchange::HttpResponse::json(410, &json!({}));
             }
             let rows: Vec<Value> = state
@@ -228,6 +266,18 @@
         self.lock().calls
     }
 
+    /// Returns a copy of the contents for [`Self::restore`].
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.lock();
+        StoreCopy {
+            rows: state.rows.clone(),
+            history: state.history.clone(),
+            compacted_version: state.compacted_version,
+            version: state.version,
+        }
+    }
+
     /// Returns the number of rows of a table in all its parts.
     #[must_use]
     pub fn count(&self, table: &str) -> usize {
