Read the configuration anew after an outage or restore of the store

A change written after the store came back from an older copy was in force nowhere until the next one: daemons waited from their old cursor, the store had passed it by other writes, and the change lay below it.

The cursor is now bound to the era that the response named, and ends with it. It also ends with each failed call, since a wait from the old cursor would show the new era only when the wait ends, after up to 20 s. That costs one read a daemon and outage.

--- a/crates/forward/src/store_port.rs
+++ b/crates/forward/src/store_port.rs
@@ -60,6 +60,8 @@
     pub text: Option<Bytes>,
     /// Version of the store that the read reflects; the next wait starts from it.
     pub version: StoreVersion,
+    /// Era of `version`; `None` if the store names none.
+    pub era: Option<StoreEra>,
 }
 
 /// Member row of a daemon, with the version of its last write.
@@ -123,25 +125,54 @@
     }
 }
 
+/// How the configuration is read next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConfigCursor {
+    /// Read the current configuration.
+    Unknown,
+    /// Wait for a configuration after this version.
+    At {
+        /// Version of the store that the last read reflects.
+        version: StoreVersion,
+        /// Era of `version`.
+        era: Option<StoreEra>,
+    },
+}
+
+impl ConfigCursor {
+    /// Returns the cursor after a response. A restored store gives out versions again, so a wait from a version of an
+    /// earlier era skips what was written below it.
+    #[must_use]
+    pub fn after(self, stored: &StoredConfig) -> Self {
+        match self {
+            Self::At { era, .. } if era != stored.era => Self::Unknown,
+            _ => Self::At {
+                version: stored.version,
+                era: stored.era,
+            },
+        }
+    }
+}
+
 /// Applies the changes of the configuration in the store; never returns.
 pub async fn follow_config(node: rc::Rc<node_context::NodeContext>, port: rc::Rc<StorePort>) {
     let mut backoff = RetryBackoff::new();
-    let mut known: Option<StoreVersion> = None;
+    let mut cursor = ConfigCursor::Unknown;
     let mut lost = false;
     loop {
-        let read = match known {
-            None => (port.read_config)().await,
-            Some(version) => (port.await_config)(version).await,
+        let read = match cursor {
+            ConfigCursor::Unknown => (port.read_config)().await,
+            ConfigCursor::At { version, .. } => (port.await_config)(version).await,
         };
         match read {
             Ok(stored) => {
                 if lost {
-                    log::info!(version = stored.version, cursor:? = known; "store regained");
+                    log::info!(version = stored.version, era = stored.era; "store regained");
                     lost = false;
                 }
                 backoff = RetryBackoff::new();
-                let empty = known.is_none() && stored.text.is_none();
-                known = Some(stored.version);
+                let empty = cursor == ConfigCursor::Unknown && stored.text.is_none();
+                cursor = cursor.after(&stored);
                 if let Some(text) = stored.text {
                     adopt(&node, &port, text, "store");
                 } else if empty {
@@ -149,14 +180,16 @@
                 }
             }
             Err(StoreFailure::HistoryGone) => {
-                log::info!(after = known.unwrap_or(0); "store dropped its history; reading the configuration again");
-                known = None;
+                log::info!(cursor:? = cursor; "store dropped its history; reading the configuration again");
+                cursor = ConfigCursor::Unknown;
             }
             Err(failure) => {
                 if !lost {
-                    log::warn!(failure:% = failure; "store lost");
+                    log::warn!(failure:% = failure, cursor:? = cursor; "store lost");
                     lost = true;
                 }
+                // The store may come back from a copy. A wait from the old cursor would show that only when it ends.
+                cursor = ConfigCursor::Unknown;
                 backoff.wait().await;
             }
         }
--- a/crates/forward/tests/states.rs
+++ b/crates/forward/tests/states.rs
@@ -8,6 +8,7 @@
 use damasktrack_forward::server_hint::{HintTable, ServerHint};
 use damasktrack_forward::server_notice::{LimitNotice, ServerNotice};
 use damasktrack_forward::server_report::{ReportEffect, ServerCondition, ServerReport, ServerState};
+use damasktrack_forward::store_port::{ConfigCursor, StoredConfig};
 use damasktrack_forward::weighted_choice::WeightedChoice;
 
 fn report(instance: &'static str, started_ms: u64, sequence: u64, condition: ServerCondition) -> ServerReport {
@@ -278,3 +279,18 @@
     table.note_response(&daemon, Some(hint("i-2", 20, 5.0)), now);
     assert_eq!(table.get(&daemon), Some(&hint("i-2", 20, 5.0)));
 }
+
+/// Guards against a cursor that outlives a restore of the store, whose versions are given out again.
+#[test]
+fn cursor_ends_with_the_era_of_the_store() {
+    let stored = |version, era| StoredConfig {
+        text: None,
+        version,
+        era,
+    };
+    let at = |version, era| ConfigCursor::At { version, era };
+    assert_eq!(ConfigCursor::Unknown.after(&stored(28, Some(0))), at(28, Some(0)));
+    assert_eq!(at(28, Some(0)).after(&stored(30, Some(0))), at(30, Some(0)));
+    assert_eq!(at(28, Some(0)).after(&stored(40, Some(1))), ConfigCursor::Unknown);
+    assert_eq!(at(28, None).after(&stored(30, None)), at(30, None));
+}
