Write lost member rows again after a restore of the store

A restore takes the rows that daemons wrote since the copy, and each daemon listed the members only every two minutes, so that daemons which start meanwhile don't find it through the store.

A new era wakes the list, with a random delay of up to a second. A row that is missing or of an earlier start is written at once; it used to wait for the next list. The version that a planned stop removes comes from the newest list, since a restore may have changed it.

--- a/crates/forward/src/store_port.rs
+++ b/crates/forward/src/store_port.rs
@@ -4,6 +4,7 @@
 //! the configuration comes from peers and the members from gossip.
 
 use std::cell;
+use std::cmp;
 use std::pin;
 use std::rc;
 use std::time;
@@ -26,6 +27,8 @@
 /// Delay from the first list of members to the second, which includes daemons that started at the same time and wrote
 /// their rows after the first list.
 const SECOND_LIST_DELAY: time::Duration = time::Duration::from_millis(1500);
+/// Longest delay of the list of members after a restore of the store.
+const MAX_RESTORE_DELAY: time::Duration = time::Duration::from_secs(1);
 /// Interval between later lists of members; gossip spreads changes sooner.
 const LIST_INTERVAL: time::Duration = time::Duration::from_mins(2);
 
@@ -199,9 +202,11 @@
 /// Version of this daemon's row in the store; `None` while there is none.
 pub type OwnRow = rc::Rc<cell::Cell<Option<StoreVersion>>>;
 
-/// Writes this daemon's row, lists the rows of all daemons and removes those of departed daemons; never returns.
+/// Writes this daemon's row, lists the rows of all daemons and removes those of departed daemons; never returns. Lists
+/// them at once after a restore of the store, which may have lost the row or brought back one of an earlier start.
 pub async fn sync_members(node: rc::Rc<node_context::NodeContext>, port: rc::Rc<StorePort>, own: OwnRow) {
     let mut backoff = RetryBackoff::new();
+    let mut era = port.era.clone();
     let mut wait = SECOND_LIST_DELAY;
     loop {
         if own.get().is_none() {
@@ -215,20 +220,24 @@
                 }
             }
         }
+        let listed_era = *era.borrow_and_update();
         match (port.list_members)().await {
             Ok(members) => {
                 backoff = RetryBackoff::new();
                 let records: Vec<_> = members.iter().filter_map(ListedRow::of).collect();
                 merge_members(&node, &records);
-                if !records
-                    .iter()
-                    .any(|listed| listed.record.daemon_id == node.settings.daemon_id)
-                {
-                    log::info!("own member row missing from the store; writing it again");
-                    own.set(None);
-                }
+                own.set(own_version(&node, &records));
                 remove_departed(&node, &port, records).await;
-                tokio::time::sleep(wait).await;
+                if own.get().is_none() {
+                    log::info!("own member row missing from the store or outdated; writing it again");
+                    backoff.wait().await;
+                    continue;
+                }
+                let restored = era.wait_for(|newest| listed_era.is_some() && *newest != listed_era);
+                if tokio::time::timeout(wait, restored).await.is_ok() {
+                    // Spreads the calls of all daemons.
+                    tokio::time::sleep(MAX_RESTORE_DELAY.mul_f64(rand::rng().random())).await;
+                }
                 wait = LIST_INTERVAL;
             }
             Err(failure) => {
@@ -239,6 +248,14 @@
     }
 }
 
+/// Returns the version of this daemon's row in a list; `None` if it is missing or of an earlier start.
+fn own_version(node: &node_context::NodeContext, rows: &[ListedRow]) -> Option<StoreVersion> {
+    let own = node.core.ask(|core, _now| core.gossip().own_record().clone());
+    let listed = rows.iter().find(|listed| listed.record.daemon_id == own.daemon_id)?;
+    let outdated = listed.record.compare_incarnation(&own) == cmp::Ordering::Less;
+    (!outdated).then_some(listed.version)
+}
+
 /// Decoded member row with its version.
 struct ListedRow {
     record: member_record::MemberRecord,
