Take the time of a pause from requests that waited meanwhile

A daemon that was stopped or suspended found requests in its socket buffers and counted their time from when it read them: after a pause of 1.5 s a backend server was handed 2,999 ms where 1,500 were left.

A watch notes when the process runs, on the clock that includes suspensions. A request that is read when it has not run for 0.3 s, or within 0.1 s after that, counts as having waited for the whole pause, at the entry and at the callee; no two clocks are compared. A request whose time is over then is refused as not run.

--- a/crates/forward/src/core_handle.rs
+++ b/crates/forward/src/core_handle.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use crate::forward_core;
+use crate::stall_watch;
 
 /// Longest sleep between two runs of the actor runtime.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
@@ -37,6 +38,7 @@
     }
 
     fn tick(&mut self, cx: stakker::CX![]) {
+        self.core.beat(stall_watch::boot_time());
         self.core.tick(cx.now());
         stakker::after!(TICK_INTERVAL, [cx], tick());
     }
--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -25,6 +25,7 @@
 use crate::peer_call;
 use crate::route_config;
 use crate::server_hint;
+use crate::stall_watch;
 
 /// Maximum number of daemons that are tried for one request. Each refusal costs a message, and after four refusals it
 /// is unlikely that a fifth daemon accepts.
@@ -113,11 +114,12 @@
 pub fn plan(node: &node_context::NodeContext, parts: &request::Parts) -> server_connection::RequestPlan<EntryRoute> {
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| parts.uri.host());
-    let (decision, max_body_bytes) = node.core.ask(|core, _now| {
+    let (decision, max_body_bytes, waited) = node.core.ask(|core, _now| {
         let limits = core.config().map(|config| config.limits);
         let max_body_bytes = limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.max_body_bytes);
         let decision = host.map(|host| core.route_request(host, parts.uri.path()));
-        (decision, max_body_bytes)
+        let waited = core.longest_wait(stall_watch::boot_time());
+        (decision, max_body_bytes, waited)
     });
     let matched = match decision {
         Some(forward_core::EntryDecision::Route { rule, service }) => Ok(MatchedRoute { rule, service }),
@@ -138,7 +140,10 @@
         max_body_bytes,
         body_timeout: timeout,
         order,
-        route: EntryRoute { matched, timeout },
+        route: EntryRoute {
+            matched,
+            timeout: timeout.saturating_sub(waited),
+        },
     }
 }
 
@@ -270,6 +275,9 @@
     node: &rc::Rc<node_context::NodeContext>,
     entry: &EntryRequest,
 ) -> Result<hyper::Response<message_body::ReplyBody>, LocalReply> {
+    if time::Instant::now() >= entry.deadline {
+        return Err(LocalReply::NotRun(call_outcome::RefusalReason::DeadlineTooShort));
+    }
     node.core.ask(|core, now| core.count_request(&entry.service, now));
     let limit = entry.deadline.saturating_duration_since(entry.arrived);
     let mut sent = 0;
--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -33,6 +33,7 @@
 use crate::route_config;
 use crate::server_hint;
 use crate::server_report;
+use crate::stall_watch;
 use crate::weighted_choice;
 
 mod core_members;
@@ -166,6 +167,7 @@
     hints: server_hint::HintTable,
     gate: admission_gate::AdmissionGate,
     throttle: pressure_throttle::PressureThrottle,
+    stalls: stall_watch::StallWatch,
     next_call: ids::CallId,
     waiters: collections::HashMap<ids::CallId, WorkWaiter>,
     rng: rand::rngs::StdRng,
@@ -213,6 +215,7 @@
             server: server_report::ServerState::default(),
             hints: server_hint::HintTable::default(),
             throttle: pressure_throttle::PressureThrottle::default(),
+            stalls: stall_watch::StallWatch::new(stall_watch::boot_time()),
             next_call: 1,
             waiters: collections::HashMap::new(),
             rng: rand::rngs::StdRng::seed_from_u64(incarnation),
@@ -424,6 +427,11 @@
         }
     }
 
+    /// Records that the process runs; due every 100 ms.
+    pub fn beat(&mut self, now: stall_watch::BootTime) {
+        self.stalls.beat(now);
+    }
+
     /// Begins a graceful stop, from which on calls to the backend server are refused.
     pub fn stop(&mut self, now: time::Instant) {
         self.phase = LifePhase::Stopping;
@@ -520,6 +528,12 @@
         &self.settings
     }
 
+    /// Returns the longest time for which a request that is read now may have waited in a socket buffer.
+    #[must_use]
+    pub fn longest_wait(&self, now: stall_watch::BootTime) -> time::Duration {
+        self.stalls.longest_wait(now)
+    }
+
     /// Returns the lifecycle phase.
     #[must_use]
     pub fn phase(&self) -> LifePhase {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -31,5 +31,6 @@
 pub mod server_hint;
 pub mod server_notice;
 pub mod server_report;
+pub mod stall_watch;
 pub mod store_port;
 pub mod weighted_choice;
--- a/crates/forward/src/peer_server.rs
+++ b/crates/forward/src/peer_server.rs
@@ -1,6 +1,7 @@
 //! Server for requests of other daemons: forwarded calls, member exchanges, and the configuration.
 
 use std::rc;
+use std::time;
 
 use bytes::Bytes;
 use damasktrack_membership::anti_entropy;
@@ -14,6 +15,7 @@
 use crate::message_body;
 use crate::node_context;
 use crate::peer_call;
+use crate::stall_watch;
 
 /// Path of the first message of a member exchange.
 pub const EXCHANGE_PATH: &str = "/members/exchange";
@@ -29,6 +31,8 @@
     node: rc::Rc<node_context::NodeContext>,
     request: hyper::Request<Incoming>,
 ) -> http_server::ServerResponse {
+    let began = time::Instant::now();
+    let waited = node.core.ask(|core, _now| core.longest_wait(stall_watch::boot_time()));
     let (parts, incoming) = request.into_parts();
     let Ok(collected) = http_body_util::Limited::new(incoming, MAX_BODY_BYTES).collect().await else {
         return empty_response(hyper::StatusCode::BAD_REQUEST);
@@ -36,7 +40,10 @@
     let body = collected.to_bytes();
     if let Some(value) = parts.headers.get(peer_call::CALL_HEADER) {
         return match peer_call::decode::<peer_call::CallHead>(value.as_bytes()) {
-            Some(head) => serve_call(&node, &head, &parts, body).await,
+            Some(mut head) => {
+                head.left = head.left.saturating_sub(waited + began.elapsed());
+                serve_call(&node, &head, &parts, body).await
+            }
             None => empty_response(hyper::StatusCode::BAD_REQUEST),
         };
     }
--- a/crates/forward/tests/states.rs
+++ b/crates/forward/tests/states.rs
@@ -8,6 +8,7 @@
 use damasktrack_forward::server_hint::{HintTable, ServerHint};
 use damasktrack_forward::server_notice::{LimitNotice, ServerNotice};
 use damasktrack_forward::server_report::{ReportEffect, ServerCondition, ServerReport, ServerState};
+use damasktrack_forward::stall_watch::StallWatch;
 use damasktrack_forward::store_port::{ConfigCursor, StoredConfig};
 use damasktrack_forward::weighted_choice::WeightedChoice;
 
@@ -294,3 +295,21 @@
     assert_eq!(at(28, Some(0)).after(&stored(40, Some(1))), ConfigCursor::Unknown);
     assert_eq!(at(28, None).after(&stored(30, None)), at(30, None));
 }
+
+/// Guards against requests that are taken for fresh although they waited while the process was paused, and against time
+/// that is taken from requests of a process that runs.
+#[test]
+fn requests_read_after_a_pause_have_waited_for_its_length() {
+    let at = time::Duration::from_millis;
+    let mut watch = StallWatch::new(at(0));
+    for beat in 1..=10 {
+        watch.beat(at(beat * 110));
+        assert_eq!(watch.longest_wait(at(beat * 110 + 90)), at(0));
+    }
+    // The process is paused from 1,100 ms on, and reads a request before or after its next beat.
+    assert_eq!(watch.longest_wait(at(2_600)), at(1_500));
+    watch.beat(at(2_600));
+    assert_eq!(watch.longest_wait(at(2_650)), at(1_550));
+    watch.beat(at(2_700));
+    assert_eq!(watch.longest_wait(at(2_750)), at(0));
+}
