Keep callers' connections open in the soak

Each request of the soak had a connection of its own, so a stop or kill of a daemon never met an open connection. Each calling thread now keeps its connections until the daemon closes them.

--- a/crates/standins/src/platform_site.rs
+++ b/crates/standins/src/platform_site.rs
@@ -26,6 +26,8 @@
 /// Bound on the wait in [`PlatformSite::wait_for`].
 const STATE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
+/// Bound on a caller's request.
+const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Default capacity of a pipe on Linux.
 const PIPE_CAPACITY_BYTES: usize = 65_536;
 
@@ -96,6 +98,8 @@
 #[derive(Clone, Debug)]
 pub struct SiteCaller {
     entries: Vec<net::SocketAddr>,
+    /// Keeps connections open between requests; if `None`, each request has a connection of its own.
+    agent: Option<ureq::Agent>,
 }
 
 /// Response of a daemon to a caller.
@@ -270,6 +274,7 @@
     pub fn caller(&self) -> SiteCaller {
         SiteCaller {
             entries: self.vms.iter().map(SiteVm::entry).collect(),
+            agent: None,
         }
     }
 
@@ -304,6 +309,15 @@
 }
 
 impl SiteCaller {
+    /// Returns a caller with connections of its own, which stay open between its requests until the daemon closes them.
+    #[must_use]
+    pub fn keeping_connections(&self) -> Self {
+        Self {
+            entries: self.entries.clone(),
+            agent: Some(agent(CALL_TIMEOUT)),
+        }
+    }
+
     /// Sends a request to the daemon of a VM; `None` if there is no response.
     #[must_use]
     pub fn call(&self, vm: usize, method: &str, host: &str, path: &str, id: &str) -> Option<SiteAnswer> {
@@ -316,7 +330,8 @@
             .header(platform_backend::DEADLINE_MS, "5000")
             .body("body")
             .ok()?;
-        let mut response = agent(time::Duration::from_secs(10)).run(request).ok()?;
+        let agent = self.agent.clone().unwrap_or_else(|| agent(CALL_TIMEOUT));
+        let mut response = agent.run(request).ok()?;
         let header = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
         let sealed = header(platform_backend::RESPONSE_SEAL).is_some();
         let retry_after = header("Retry-After").and_then(|text| text.parse().ok());
