Split the queries off the decision state of the daemon

The time since boot is passed in like the other times, so that creating the state reads no clock. No change of behaviour; the tests of the crate pass.

--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -1,5 +1,5 @@
 //! Decision state of a daemon. Its methods take the current time as `now`, return the action to take and never block.
-//! `core_members` contains the methods for members and for the state of the backend server.
+//! `core_members` has the methods for members and for the state of the backend server, `core_queries` the queries.
 
 use std::collections;
 use std::net;
@@ -37,6 +37,7 @@
 use crate::weighted_choice;
 
 mod core_members;
+mod core_queries;
 
 /// Slots assumed until the backend server reports its own number.
 const DEFAULT_SLOTS: u32 = 16;
@@ -175,7 +176,8 @@
 
 /// Commands.
 impl ForwardCore {
-    /// Creates the state of a starting daemon. `started_ms` is the start in milliseconds since 1970.
+    /// Creates the state of a starting daemon. `started_ms` is the start in milliseconds since 1970, and `boot_time` the
+    /// current time on the clock of [`stall_watch`].
     #[must_use]
     pub fn new(
         settings: rc::Rc<forward_settings::ForwardSettings>,
@@ -183,6 +185,7 @@
         started_ms: u64,
         incarnation: ids::Incarnation,
         now: time::Instant,
+        boot_time: stall_watch::BootTime,
     ) -> Self {
         let record = member_record::MemberRecord {
             daemon_id: settings.daemon_id.clone(),
@@ -215,7 +218,7 @@
             server: server_report::ServerState::default(),
             hints: server_hint::HintTable::default(),
             throttle: pressure_throttle::PressureThrottle::default(),
-            stalls: stall_watch::StallWatch::new(stall_watch::boot_time()),
+            stalls: stall_watch::StallWatch::new(boot_time),
             next_call: 1,
             waiters: collections::HashMap::new(),
             rng: rand::rngs::StdRng::seed_from_u64(incarnation),
@@ -520,85 +523,6 @@
     }
 }
 
-/// Queries.
-impl ForwardCore {
-    /// Returns the settings, which are fixed for the lifetime of the process.
-    #[must_use]
-    pub fn settings(&self) -> &rc::Rc<forward_settings::ForwardSettings> {
-        &self.settings
-    }
-
-    /// Returns the longest time for which a request that is read now may have waited in a socket buffer.
-    #[must_use]
-    pub fn longest_wait(&self, now: stall_watch::BootTime) -> time::Duration {
-        self.stalls.longest_wait(now)
-    }
-
-    /// Returns the lifecycle phase.
-    #[must_use]
-    pub fn phase(&self) -> LifePhase {
-        self.phase
-    }
-
-    /// Returns whether this daemon is ready for callers: running, with a configuration, and with the list of members or
-    /// after the timeout of the wait for it.
-    #[must_use]
-    pub fn is_ready(&self, now: time::Instant) -> bool {
-        let joined = self.members_listed || now.saturating_duration_since(self.started) >= MEMBER_LIST_TIMEOUT;
-        self.phase == LifePhase::Running && self.config.is_some() && joined
-    }
-
-    /// Returns the configuration in force, if any.
-    #[must_use]
-    pub fn config(&self) -> Option<&rc::Rc<route_config::RouteConfig>> {
-        self.config.as_ref()
-    }
-
-    /// Returns the source text of the configuration in force; empty if there is none.
-    #[must_use]
-    pub fn config_text(&self) -> &Bytes {
-        &self.config_text
-    }
-
-    /// Returns the state of the gossip protocol.
-    #[must_use]
-    pub fn gossip(&self) -> &gossip_context::GossipContext {
-        &self.gossip
-    }
-
-    /// Returns when [`ForwardCore::gossip_tick`] is due next.
-    #[must_use]
-    pub fn gossip_due(&self) -> time::Instant {
-        self.gossip.next_wake()
-    }
-
-    /// Returns what this daemon knows of the backend server beside another daemon.
-    #[must_use]
-    pub fn hint(&self, daemon: &ids::DaemonId) -> Option<&server_hint::ServerHint> {
-        self.hints.get(daemon)
-    }
-
-    /// Returns the state of the backend server beside this daemon.
-    #[must_use]
-    pub fn server(&self) -> &server_report::ServerState {
-        &self.server
-    }
-
-    /// Returns when [`Self::release_work`] is due for queued calls that wait for the start rate of the backend server;
-    /// `None` if the end of a running call or [`Self::tick`] releases them.
-    #[must_use]
-    pub fn release_due(&self, now: time::Instant) -> Option<time::Instant> {
-        let limited = self.gate.is_rate_limited();
-        limited.then(|| self.gate.next_wake(now)).flatten()
-    }
-
-    /// Returns the counters of the admission gate.
-    #[must_use]
-    pub fn gate_counts(&self) -> gate_report::GateCounts {
-        self.gate.counts()
-    }
-}
-
 fn gate_policy(slots: u32) -> admission_policy::AdmissionPolicy {
     admission_policy::AdmissionPolicy {
         limit_factor: 1.0,
--- /dev/null
+++ b/crates/forward/src/forward_core/core_queries.rs
@@ -0,0 +1,97 @@
+//! Queries of the decision state.
+
+use std::rc;
+use std::time;
+
+use bytes::Bytes;
+use damasktrack_admission::gate_report;
+use damasktrack_entity::ids;
+use damasktrack_membership::gossip_context;
+
+use super::ForwardCore;
+use super::LifePhase;
+use super::MEMBER_LIST_TIMEOUT;
+use crate::forward_settings;
+use crate::route_config;
+use crate::server_hint;
+use crate::server_report;
+use crate::stall_watch;
+
+/// Queries.
+impl ForwardCore {
+    /// Returns the settings, which are fixed for the lifetime of the process.
+    #[must_use]
+    pub fn settings(&self) -> &rc::Rc<forward_settings::ForwardSettings> {
+        &self.settings
+    }
+
+    /// Returns the longest time for which a request that is read now may have waited in a socket buffer.
+    #[must_use]
+    pub fn longest_wait(&self, now: stall_watch::BootTime) -> time::Duration {
+        self.stalls.longest_wait(now)
+    }
+
+    /// Returns the lifecycle phase.
+    #[must_use]
+    pub fn phase(&self) -> LifePhase {
+        self.phase
+    }
+
+    /// Returns whether this daemon is ready for callers: running, with a configuration, and with the list of members or
+    /// after the timeout of the wait for it.
+    #[must_use]
+    pub fn is_ready(&self, now: time::Instant) -> bool {
+        let joined = self.members_listed || now.saturating_duration_since(self.started) >= MEMBER_LIST_TIMEOUT;
+        self.phase == LifePhase::Running && self.config.is_some() && joined
+    }
+
+    /// Returns the configuration in force, if any.
+    #[must_use]
+    pub fn config(&self) -> Option<&rc::Rc<route_config::RouteConfig>> {
+        self.config.as_ref()
+    }
+
+    /// Returns the source text of the configuration in force; empty if there is none.
+    #[must_use]
+    pub fn config_text(&self) -> &Bytes {
+        &self.config_text
+    }
+
+    /// Returns the state of the gossip protocol.
+    #[must_use]
+    pub fn gossip(&self) -> &gossip_context::GossipContext {
+        &self.gossip
+    }
+
+    /// Returns when [`ForwardCore::gossip_tick`] is due next.
+    #[must_use]
+    pub fn gossip_due(&self) -> time::Instant {
+        self.gossip.next_wake()
+    }
+
+    /// Returns what this daemon knows of the backend server beside another daemon.
+    #[must_use]
+    pub fn hint(&self, daemon: &ids::DaemonId) -> Option<&server_hint::ServerHint> {
+        self.hints.get(daemon)
+    }
+
+    /// Returns the state of the backend server beside this daemon.
+    #[must_use]
+    pub fn server(&self) -> &server_report::ServerState {
+        &self.server
+    }
+
+    /// Returns when [`Self::release_work`] is due for queued calls that wait for the start rate of the backend server;
+    /// `None` if the end of a running call or [`Self::tick`] releases them.
+    #[must_use]
+    pub fn release_due(&self, now: time::Instant) -> Option<time::Instant> {
+        let limited = self.gate.is_rate_limited();
+        limited.then(|| self.gate.next_wake(now)).flatten()
+    }
+
+    /// Returns the counters of the admission gate.
+    #[must_use]
+    pub fn gate_counts(&self) -> gate_report::GateCounts {
+        self.gate.counts()
+    }
+}
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -22,6 +22,7 @@
 use crate::message_body;
 use crate::node_context;
 use crate::peer_server;
+use crate::stall_watch;
 use crate::store_port;
 
 /// Time after SIGTERM during which new requests of callers are still accepted. The platform checks readiness once a
@@ -83,7 +84,14 @@
     let (effects, effect_queue) = mpsc::unbounded_channel();
     let incarnation = rand::rng().random();
     let now = time::Instant::now();
-    let core = forward_core::ForwardCore::new(rc::Rc::clone(&settings), effects, started_ms, incarnation, now);
+    let core = forward_core::ForwardCore::new(
+        rc::Rc::clone(&settings),
+        effects,
+        started_ms,
+        incarnation,
+        now,
+        stall_watch::boot_time(),
+    );
     let core = core_handle::start(core);
     let metrics = forward_metrics::ForwardMetrics::new()?;
     let node = node_context::NodeContext::new(rc::Rc::clone(&settings), core, metrics);
--- a/crates/forward/tests/contacts.rs
+++ b/crates/forward/tests/contacts.rs
@@ -62,7 +62,7 @@
 fn contacts(in_region: u16, cross_region: u16) -> HashSet<SocketAddr> {
     let (effects, mut queue) = mpsc::unbounded_channel();
     let now = Instant::now();
-    let mut core = ForwardCore::new(Rc::new(settings()), effects, 1, 1, now);
+    let mut core = ForwardCore::new(Rc::new(settings()), effects, 1, 1, now, Duration::ZERO);
     let members = (1..=in_region + cross_region).map(|index| MemberRecord {
         daemon_id: Bytes::from(format!("vm-{index}")),
         started_ms: 1,
