Keep the row of a later process with the same daemon id

If the listed row was of a later process with the same daemon id, a planned stop of the earlier one would have removed it. Found by reading, before any landing.

The version of the last write stays in that case, and no row of a later process is overwritten. own_row_is_that_of_the_own_process fails with the listed version in its place and passes.

--- a/crates/forward/src/store_port.rs
+++ b/crates/forward/src/store_port.rs
@@ -226,7 +226,12 @@
                 backoff = RetryBackoff::new();
                 let records: Vec<_> = members.iter().filter_map(ListedRow::of).collect();
                 merge_members(&node, &records);
-                own.set(own_version(&node, &records));
+                let own_record = node.core.ask(|core, _now| core.gossip().own_record().clone());
+                let listed = records
+                    .iter()
+                    .find(|listed| listed.record.daemon_id == own_record.daemon_id);
+                let listed = listed.map(|listed| (&listed.record, listed.version));
+                own.set(own_row_version(&own_record, listed, own.get()));
                 remove_departed(&node, &port, records).await;
                 if own.get().is_none() {
                     log::info!("own member row missing from the store or outdated; writing it again");
@@ -248,12 +253,21 @@
     }
 }
 
-/// Returns the version of this daemon's row in a list; `None` if it is missing or of an earlier start.
-fn own_version(node: &node_context::NodeContext, rows: &[ListedRow]) -> Option<StoreVersion> {
-    let own = node.core.ask(|core, _now| core.gossip().own_record().clone());
-    let listed = rows.iter().find(|listed| listed.record.daemon_id == own.daemon_id)?;
-    let outdated = listed.record.compare_incarnation(&own) == cmp::Ordering::Less;
-    (!outdated).then_some(listed.version)
+/// Returns the version of a daemon's own row after a list; `None` if the row is to be written, since it is missing or of
+/// an earlier start. `known` is the version of the last write. It stays if the row is of a later process with the same
+/// daemon id, whose row this process must not remove.
+#[must_use]
+pub fn own_row_version(
+    own: &member_record::MemberRecord,
+    listed: Option<(&member_record::MemberRecord, StoreVersion)>,
+    known: Option<StoreVersion>,
+) -> Option<StoreVersion> {
+    let (record, version) = listed?;
+    match record.compare_incarnation(own) {
+        cmp::Ordering::Less => None,
+        cmp::Ordering::Equal => Some(version),
+        cmp::Ordering::Greater => known,
+    }
 }
 
 /// Decoded member row with its version.
--- a/crates/forward/tests/states.rs
+++ b/crates/forward/tests/states.rs
@@ -9,8 +9,10 @@
 use damasktrack_forward::server_notice::{LimitNotice, ServerNotice};
 use damasktrack_forward::server_report::{ReportEffect, ServerCondition, ServerReport, ServerState};
 use damasktrack_forward::stall_watch::StallWatch;
-use damasktrack_forward::store_port::{ConfigCursor, StoredConfig};
+use damasktrack_forward::store_port::{ConfigCursor, StoredConfig, own_row_version};
 use damasktrack_forward::weighted_choice::WeightedChoice;
+use damasktrack_membership::member_record::MemberRecord;
+use damasktrack_membership::member_row::MemberRow;
 
 fn report(instance: &'static str, started_ms: u64, sequence: u64, condition: ServerCondition) -> ServerReport {
     ServerReport {
@@ -313,3 +315,28 @@
     watch.beat(at(2_700));
     assert_eq!(watch.longest_wait(at(2_750)), at(0));
 }
+
+/// Guards against a stopping process that removes the row of a later process with its daemon id, and against a row of an
+/// earlier start that a restore of the store brought back.
+#[test]
+fn own_row_is_that_of_the_own_process() {
+    let record = |started_ms| -> MemberRecord {
+        let row = MemberRow {
+            daemon_id: "vm-1".to_owned(),
+            started_ms,
+            incarnation: "1".to_owned(),
+            version: 1,
+            address: ([127, 0, 0, 1], 7000).into(),
+            service: "alpha".to_owned(),
+            region: "north".to_owned(),
+            data_centre: "north-a".to_owned(),
+            slots: 8,
+        };
+        row.to_record().unwrap()
+    };
+    let own = record(20);
+    assert_eq!(own_row_version(&own, None, Some(5)), None);
+    assert_eq!(own_row_version(&own, Some((&record(10), 7)), Some(5)), None);
+    assert_eq!(own_row_version(&own, Some((&record(20), 7)), Some(5)), Some(7));
+    assert_eq!(own_row_version(&own, Some((&record(30), 7)), Some(5)), Some(5));
+}
