--- /dev/null
+++ b/review/standins/src/cases.rs
@@ -0,0 +1,302 @@
+//! The cases. Each returns whether its rule held.
+
+use std::io;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::client::{self, Answer, Call, Connection};
+use crate::record::Record;
+use crate::server::Server;
+use crate::site::{self, Site};
+
+/// `StabilityWindow` of the settings.
+const STABILITY_WINDOW: Duration = Duration::from_millis(4000);
+/// `Drain` of the settings.
+const DRAIN: Duration = Duration::from_millis(2500);
+
+/// A route of the configuration: name, path, kind, service and timeout.
+pub type Route<'a> = (&'a str, &'a str, &'a str, &'a str, &'a str);
+
+/// Returns the text of a configuration for host `shop.example`.
+pub fn config(version: u64, routes: &[Route<'_>]) -> String {
+    let rules: Vec<String> = routes
+        .iter()
+        .map(|(name, prefix, kind, service, timeout)| {
+            format!(
+                "\"{name}\":{{\"Host\":\"shop.example\",\"Prefix\":\"{prefix}\",\"Kind\":\"{kind}\",\
+                 \"Timeout\":\"{timeout}\",\"TargetLatency\":\"1500ms\",\"Priority\":0,\"Service\":\"{service}\",\
+                 \"MaxAttempts\":2}}"
+            )
+        })
+        .collect();
+    let mut services: Vec<&str> = routes.iter().map(|route| route.3).collect();
+    services.sort_unstable();
+    services.dedup();
+    let services: Vec<String> = services
+        .iter()
+        .map(|name| {
+            format!("\"{name}\":{{\"HealthPath\":\"/health\",\"MaxConnections\":352,\"Protocol\":\"h1\",\"Tls\":false}}")
+        })
+        .collect();
+    format!(
+        "{{\"Version\":{version},\"Routes\":{{{}}},\"Services\":{{{}}},\"Limits\":{{\"MaxHeaderBytes\":16384,\
+         \"MaxBodyBytes\":67108864,\"HeaderTimeout\":\"3000ms\",\"IdleTimeout\":\"15000ms\"}}}}",
+        rules.join(","),
+        services.join(",")
+    )
+}
+
+/// A server deregisters and serves on for some seconds. Its daemon is killed and started again, and a heartbeat from
+/// before the deregistration arrives late.
+pub fn departed(record: &Record, trouble: bool) -> io::Result<bool> {
+    let config = config(7, &[("orders", "/orders/", "non_idempotent", "orders", "3000ms")]);
+    let site = Site::start(&["orders", "orders", "shop"], &config, record)?;
+    let clients = Clients::start(&site, 2, 4, "/orders/20");
+    thread::sleep(Duration::from_secs(2));
+    let leaving = &site.machines[0];
+    let before = leaving.server.runs.lock().unwrap().len();
+    record.say(&format!("{} ran {before} requests so far", leaving.server.instance));
+
+    leaving.beating.store(false, Ordering::SeqCst);
+    let late = leaving.server.next_heartbeat(leaving.control(), "ready");
+    record.say("the server sends its last heartbeat, which is on its way for 2.2 s");
+    let sent = Instant::now();
+    thread::sleep(Duration::from_millis(100));
+    let status = site::tell(leaving.control(), &leaving.server.deregistration(leaving.control()))?;
+    let acknowledged = record.now();
+    record.say(&format!("the server deregisters: {status}; it serves on for 12 s"));
+    if status != 200 {
+        return Err(io::Error::other("the deregistration was not acknowledged"));
+    }
+    thread::sleep(Duration::from_millis(300));
+    if trouble {
+        site.kill_daemon(0);
+        thread::sleep(Duration::from_millis(500));
+        site.start_daemon(0)?;
+    }
+    thread::sleep(Duration::from_millis(2200).saturating_sub(sent.elapsed()));
+    let status = site::tell(leaving.control(), &late)?;
+    record.say(&format!("the late heartbeat arrives: {status}"));
+    thread::sleep((acknowledged + Duration::from_secs(12)).saturating_sub(record.now()));
+    clients.end();
+    // The machine that passes the requests on is in touch from then on; the one that took them was never disturbed.
+    let in_touch = *leaving.started.lock().unwrap() + STABILITY_WINDOW;
+    let from = in_touch.max(acknowledged + DRAIN);
+    let runs = leaving.server.runs.lock().unwrap().clone();
+    let after: Vec<_> = runs.iter().filter(|run| run.at > acknowledged + DRAIN).collect();
+    let counted: Vec<_> = after.iter().filter(|run| run.at > from).collect();
+    record.say(&format!(
+        "{} requests reached the server later than 2.5 s after the acknowledgement, {} of them with all machines in touch",
+        after.len(),
+        counted.len()
+    ));
+    if let Some(first) = counted.first() {
+        record.say(&format!("the first: {} at {:.3} s", first.id, first.at.as_secs_f64()));
+    }
+    Ok(counted.is_empty())
+}
+
+/// What a client saw of a request that must not run twice.
+struct Seen {
+    id: String,
+    /// Whether the request went out on a kept connection.
+    kept: bool,
+    answer: Answer,
+    elapsed: Duration,
+}
+
+/// Clients that send requests that must not run twice, one after the other, each on a kept connection.
+struct Clients {
+    ended: Arc<AtomicBool>,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+impl Clients {
+    fn start(site: &Site, machine: usize, count: usize, path: &'static str) -> Self {
+        let address = site.machines[machine].outbound();
+        let (ended, seen) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
+        let mut threads = Vec::new();
+        for number in 0..count {
+            let (record, ended, seen) = (site.record.clone(), Arc::clone(&ended), Arc::clone(&seen));
+            threads.push(thread::spawn(move || {
+                let mut connection = Connection::new(address);
+                let mut sequence = 0;
+                while !ended.load(Ordering::SeqCst) {
+                    sequence += 1;
+                    let call = Call {
+                        method: "POST",
+                        host: "shop.example",
+                        path: path.to_owned(),
+                        id: format!("c{number}-{sequence}"),
+                        deadline: Duration::from_secs(3),
+                        body: 200,
+                    };
+                    record.line(&format!("send {} {path}", call.id));
+                    let began = Instant::now();
+                    let (kept, answer) = connection.call(&call, Duration::from_secs(4));
+                    record.line(&format!("answer {} kept={kept} {}", call.id, brief(&answer)));
+                    seen.lock().unwrap().push(Seen { id: call.id, kept, answer, elapsed: began.elapsed() });
+                    thread::sleep(Duration::from_millis(50));
+                }
+            }));
+        }
+        Self { ended, seen, threads }
+    }
+
+    fn end(self) -> Vec<Seen> {
+        self.ended.store(true, Ordering::SeqCst);
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+        std::mem::take(&mut self.seen.lock().unwrap())
+    }
+}
+
+/// Returns how many requests were passed on to `server` and lost with their kept connection.
+fn count_lost(record: &Record, seen: &[Seen], server: &Server) -> usize {
+    let runs = server.runs.lock().unwrap();
+    let broken = seen.iter().filter(|seen| seen.kept && matches!(seen.answer, Answer::Broken(_)));
+    let lost: Vec<&Seen> = broken.filter(|seen| runs.iter().any(|run| run.id == seen.id)).collect();
+    for seen in &lost {
+        record.say(&format!("{} was passed on, and its kept connection closed without an answer", seen.id));
+    }
+    record.say(&format!("{} requests lost on kept connections; the rule allows 3", lost.len()));
+    lost.len()
+}
+
+fn say_memory(record: &Record, site: &Site) {
+    for machine in &site.machines {
+        let (peak, ends) = (*machine.peak_mb.lock().unwrap(), machine.memory_kills.lock().unwrap().len());
+        record.say(&format!("{}: at most {peak} MB, {ends} ends for memory", machine.name));
+    }
+}
+
+pub fn brief(answer: &Answer) -> String {
+    match answer {
+        Answer::Whole(status, sealed, body) => format!("{status} sealed={sealed} {} bytes", body.len()),
+        other => format!("{other:?}"),
+    }
+}
+
+/// Clients upload files while small requests that must not run twice go through the same daemon. The servers of the
+/// uploads read slowly.
+pub fn uploads(record: &Record, trouble: bool) -> io::Result<bool> {
+    let routes = [
+        ("files", "/files/", "non_idempotent", "files", "9000ms"),
+        ("orders", "/orders/", "non_idempotent", "orders", "3000ms"),
+    ];
+    let site = Site::start(&["files", "files", "files", "orders", "shop"], &config(7, &routes), record)?;
+    site.enforce_memory();
+    let entry = Arc::clone(&site.machines[4]);
+    if trouble {
+        for machine in &site.machines[..3] {
+            machine.server.read_rate.store(3 << 20, Ordering::SeqCst);
+        }
+        record.say("the servers of `files` read 3 MiB/s of each request");
+    }
+    let clients = Clients::start(&site, 4, 8, "/orders/300");
+    let served = Arc::new(AtomicU64::new(0));
+    let mut uploads = Vec::new();
+    for number in 0..24 {
+        let (record, served, address) = (record.clone(), Arc::clone(&served), entry.outbound());
+        uploads.push(thread::spawn(move || {
+            let call = Call {
+                method: "POST",
+                host: "shop.example",
+                path: "/files/5".to_owned(),
+                id: format!("f{number}"),
+                deadline: Duration::from_secs(9),
+                body: 24 << 20,
+            };
+            record.line(&format!("send {} {} 24 MiB", call.id, call.path));
+            let answer = client::call_once(address, &call, Duration::from_secs(10));
+            record.line(&format!("answer {} {}", call.id, brief(&answer)));
+            if answer.status() == 200 {
+                served.fetch_add(1, Ordering::SeqCst);
+            }
+        }));
+        thread::sleep(Duration::from_millis(500));
+    }
+    for upload in uploads {
+        let _ = upload.join();
+    }
+    let seen = clients.end();
+    record.say(&format!("{} of 24 uploads served", served.load(Ordering::SeqCst)));
+    say_memory(record, &site);
+    Ok(count_lost(record, &seen, &site.machines[3].server) <= 3)
+}
+
+/// A server answers with one-byte chunks without end. Requests that must not run twice go through the daemon beside it
+/// to a sound server.
+pub fn chunks(record: &Record, trouble: bool) -> io::Result<bool> {
+    let site = start_faulty(record, trouble)?;
+    let clients = Clients::start(&site, 0, 8, "/orders/300");
+    thread::sleep(Duration::from_secs(1));
+    request_docs(&site, 42, "/docs/flood/chunks/0");
+    let seen = clients.end();
+    say_memory(record, &site);
+    Ok(count_lost(record, &seen, &site.machines[1].server) <= 3)
+}
+
+/// A server answers with informational heads without end. Requests to a sound server go through the daemon beside it.
+pub fn heads(record: &Record, trouble: bool) -> io::Result<bool> {
+    let site = start_faulty(record, trouble)?;
+    let clients = Clients::start(&site, 0, 16, "/orders/20");
+    thread::sleep(Duration::from_secs(1));
+    request_docs(&site, 16, "/docs/flood/heads/0");
+    let seen = clients.end();
+    // The timeout of the route is 1 s.
+    let overdue = seen.iter().filter(|seen| seen.elapsed > Duration::from_millis(1000)).count();
+    let late: Vec<&Seen> = seen.iter().filter(|seen| seen.elapsed > Duration::from_millis(1500)).collect();
+    for seen in &late {
+        record.line(&format!("{} had no answer for {:.3} s", seen.id, seen.elapsed.as_secs_f64()));
+    }
+    let longest = seen.iter().map(|seen| seen.elapsed).max().unwrap_or_default();
+    record.say(&format!(
+        "{} requests; {overdue} unanswered at the timeout of 1 s, {} of them 0.5 s later; the longest {:.3} s",
+        seen.len(),
+        late.len(),
+        longest.as_secs_f64()
+    ));
+    Ok(late.len() < 8 || late.len() * 2 <= overdue)
+}
+
+/// Starts a site whose first server may be faulty.
+fn start_faulty(record: &Record, trouble: bool) -> io::Result<Site> {
+    let routes = [
+        ("docs", "/docs/", "idempotent", "docs", "10s"),
+        ("orders", "/orders/", "non_idempotent", "orders", "1000ms"),
+    ];
+    let site = Site::start(&["docs", "orders", "shop"], &config(7, &routes), record)?;
+    site.enforce_memory();
+    site.machines[0].server.faulty.store(trouble, Ordering::SeqCst);
+    Ok(site)
+}
+
+/// Sends requests to the first server from the third machine at once, and waits for their ends.
+fn request_docs(site: &Site, count: usize, path: &str) {
+    let address = site.machines[2].outbound();
+    let mut threads = Vec::new();
+    for number in 0..count {
+        let record = site.record.clone();
+        let call = Call {
+            method: "GET",
+            host: "shop.example",
+            path: path.to_owned(),
+            id: format!("d{number}"),
+            deadline: Duration::from_secs(10),
+            body: 0,
+        };
+        threads.push(thread::spawn(move || {
+            record.line(&format!("send {} {}", call.id, call.path));
+            let answer = client::call_once(address, &call, Duration::from_secs(11));
+            record.line(&format!("answer {} {}", call.id, brief(&answer)));
+        }));
+    }
+    for thread in threads {
+        let _ = thread.join();
+    }
+}
