Review case 5: a heartbeat without an address replaces the server

Cause: the decoder takes a heartbeat with fields missing, and a later start replaces a server that goes on reporting. Change: a script case.

--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -16,6 +16,9 @@
 /// `Drain` of the settings.
 const DRAIN: Duration = Duration::from_millis(2500);
 
+/// `Recovery` of the settings.
+const RECOVERY: Duration = Duration::from_secs(15);
+
 /// A route of the configuration: name, path, kind, service and timeout.
 pub type Route<'a> = (&'a str, &'a str, &'a str, &'a str, &'a str);
 
@@ -264,6 +267,42 @@
     Ok(late.len() < 8 || late.len() * 2 <= overdue)
 }
 
+/// All daemons are killed right after a configuration is acknowledged, and start again. Each then gets one heartbeat of
+/// another writer, which lacks the address.
+pub fn foreign(record: &Record, trouble: bool) -> io::Result<bool> {
+    let routes = [("orders", "/orders/", "non_idempotent", "orders", "3000ms")];
+    let site = Site::start(&["orders", "orders", "shop"], &config(7, &routes), record)?;
+    let clients = Clients::start(&site, 2, 4, "/orders/20");
+    thread::sleep(Duration::from_secs(4));
+    let before = clients.end();
+    let served = |seen: &[Seen]| seen.iter().filter(|seen| seen.answer.status() == 200).count();
+    record.say(&format!("before the final fault {} of {} requests served", served(&before), before.len()));
+    site.store.put("op", "config", &config(9, &routes));
+    record.say("version 9 of the configuration is acknowledged");
+    for machine in 0..site.machines.len() {
+        site.kill_daemon(machine);
+    }
+    thread::sleep(Duration::from_millis(1300));
+    for machine in 0..site.machines.len() {
+        site.start_daemon(machine)?;
+    }
+    let back = record.now();
+    thread::sleep(Duration::from_millis(3000));
+    if trouble {
+        for machine in &site.machines {
+            let beat = machine.server.foreign_heartbeat(machine.control());
+            let status = site::tell(machine.control(), &beat)?;
+            record.say(&format!("a heartbeat without an address arrives at {}: {status}", machine.name));
+        }
+    }
+    thread::sleep((back + RECOVERY).saturating_sub(record.now()));
+    let clients = Clients::start(&site, 2, 4, "/orders/20");
+    thread::sleep(Duration::from_secs(6));
+    let after = clients.end();
+    record.say(&format!("later than 15 s after the machines were back {} of {} served", served(&after), after.len()));
+    Ok(served(&after) * 4 >= after.len() || served(&before) * 4 < before.len())
+}
+
 /// Starts a site whose first server may be faulty.
 fn start_faulty(record: &Record, trouble: bool) -> io::Result<Site> {
     let routes = [
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -26,6 +26,7 @@
         let held = match name.as_str() {
             "departed" => cases::departed(&record, trouble)?,
             "chunks" => cases::chunks(&record, trouble)?,
+            "foreign" => cases::foreign(&record, trouble)?,
             "heads" => cases::heads(&record, trouble)?,
             "uploads" => cases::uploads(&record, trouble)?,
             _ => return Err(std::io::Error::other("no such case")),
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -73,6 +73,17 @@
         post(control, &format!("/rpc?call=instances.heartbeat&of={}", self.instance), &body)
     }
 
+    /// Returns a heartbeat that another writer sent, which lacks the address.
+    pub fn foreign_heartbeat(&self, control: SocketAddr) -> String {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64);
+        let body = format!(
+            "{{\"Service\":\"{}\",\"Zone\":\"east-a\",\"Version\":\"v1\",\"Slots\":42,\"State\":\"ready\",\
+             \"ColdLeft\":\"0ms\",\"Seq\":1,\"born\":{now}}}",
+            self.service
+        );
+        post(control, "/rpc?call=instances.heartbeat&of=i-unknown", &body)
+    }
+
     pub fn deregistration(&self, control: SocketAddr) -> String {
         let body = format!("{{\"born\":{}}}", self.born_ms);
         post(control, &format!("/rpc?call=instances.deregister&of={}", self.instance), &body)
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -44,6 +44,7 @@
 }
 
 pub struct Site {
+    pub store: Arc<Store>,
     pub machines: Vec<Arc<Machine>>,
     pub record: Record,
     program: PathBuf,
@@ -62,6 +63,7 @@
         let store = Store::start(store_address)?;
         store.put("op", "config", config);
         let mut site = Self {
+            store,
             machines: Vec::new(),
             record: record.clone(),
             program,
