Review: two findings beyond the five cases

Cause: other ways in which an entry or heartbeat of another writer counts. Change: the stand-ins play them as entry and recover; they have no folder.

--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -8,13 +8,15 @@
 
 use crate::client::{self, Answer, Call, Connection};
 use crate::record::Record;
-use crate::server::Server;
+use crate::server::Run;
 use crate::site::{self, Site};
 
 /// `StabilityWindow` of the settings.
 const STABILITY_WINDOW: Duration = Duration::from_millis(4000);
 /// `Drain` of the settings.
 const DRAIN: Duration = Duration::from_millis(2500);
+/// `Recovery` of the settings.
+const RECOVERY: Duration = Duration::from_secs(15);
 
 /// A route of the configuration: name, path, kind, service and timeout.
 pub type Route<'a> = (&'a str, &'a str, &'a str, &'a str, &'a str);
@@ -162,9 +164,8 @@
     }
 }
 
-/// Returns how many requests were passed on to `server` and lost with their kept connection.
-fn count_lost(record: &Record, seen: &[Seen], server: &Server) -> usize {
-    let runs = server.runs.lock().unwrap();
+/// Returns how many requests were passed on, as `runs` shows, and lost with their kept connection.
+fn count_lost(record: &Record, seen: &[Seen], runs: &[Run]) -> usize {
     let broken = seen
         .iter()
         .filter(|seen| seen.kept && matches!(seen.answer, Answer::Broken(_)));
@@ -248,7 +249,7 @@
     let seen = clients.end();
     record.say(&format!("{} of 24 uploads served", served.load(Ordering::SeqCst)));
     say_memory(record, &site);
-    Ok(count_lost(record, &seen, &site.machines[3].server) <= 3)
+    Ok(count_lost(record, &seen, &site.machines[3].server.runs.lock().unwrap()) <= 3)
 }
 
 /// A server answers with one-byte chunks without end. Requests that must not run twice go through the daemon beside it
@@ -260,7 +261,7 @@
     request_docs(&site, 42, "/docs/flood/chunks/0");
     let seen = clients.end();
     say_memory(record, &site);
-    Ok(count_lost(record, &seen, &site.machines[1].server) <= 3)
+    Ok(count_lost(record, &seen, &site.machines[1].server.runs.lock().unwrap()) <= 3)
 }
 
 /// A server answers with informational heads without end. Requests to a sound server go through the daemon beside it.
@@ -305,7 +306,8 @@
     thread::sleep(Duration::from_secs(2));
     let leaving = &site.machines[0];
     if trouble {
-        let beat = leaving.server.foreign_heartbeat(leaving.control());
+        let (instance, born) = (&leaving.server.instance, leaving.server.born_ms);
+        let beat = leaving.server.foreign_heartbeat(leaving.control(), instance, born);
         let status = site::tell(leaving.control(), &beat)?;
         record.say(&format!(
             "a heartbeat without an address arrives at {}: {status}",
@@ -337,6 +339,92 @@
     Ok(after.is_empty())
 }
 
+/// Not one of the five cases: all daemons are killed right after a configuration is acknowledged, and start again. Each
+/// then gets a heartbeat of another writer with an id of its own, which lacks the address.
+pub fn recover(record: &Record, trouble: bool) -> io::Result<bool> {
+    let routes = [("orders", "/orders/", "non_idempotent", "orders", "3000ms")];
+    let site = Site::start(&["orders", "orders", "shop"], &config(7, &routes), record)?;
+    let clients = Clients::start(&site, 2, 4, "/orders/20");
+    thread::sleep(Duration::from_secs(4));
+    let before = clients.end();
+    let served = |seen: &[Seen]| seen.iter().filter(|seen| seen.answer.status() == 200).count();
+    record.say(&format!(
+        "before the final fault {} of {} requests served",
+        served(&before),
+        before.len()
+    ));
+    site.store.put("op", "config", &config(9, &routes));
+    record.say("version 9 of the configuration is acknowledged");
+    for machine in 0..site.machines.len() {
+        site.kill_daemon(machine);
+    }
+    thread::sleep(Duration::from_millis(1300));
+    for machine in 0..site.machines.len() {
+        site.start_daemon(machine)?;
+    }
+    let back = record.now();
+    thread::sleep(Duration::from_millis(3000));
+    if trouble {
+        for machine in &site.machines {
+            let born = machine.server.born_ms + 1_000;
+            let beat = machine.server.foreign_heartbeat(machine.control(), "i-unknown", born);
+            let status = site::tell(machine.control(), &beat)?;
+            record.say(&format!(
+                "a heartbeat without an address arrives at {}: {status}",
+                machine.name
+            ));
+        }
+    }
+    thread::sleep((back + RECOVERY).saturating_sub(record.now()));
+    let clients = Clients::start(&site, 2, 4, "/orders/20");
+    thread::sleep(Duration::from_secs(6));
+    let after = clients.end();
+    record.say(&format!(
+        "later than 15 s after the machines were back {} of {} served",
+        served(&after),
+        after.len()
+    ));
+    Ok(served(&after) * 4 >= after.len() || served(&before) * 4 < before.len())
+}
+
+/// Not one of the five cases: an entry of another writer, which names an unknown service, lies in the table of members
+/// when a daemon on another machine is killed and started again.
+pub fn entry(record: &Record, trouble: bool) -> io::Result<bool> {
+    let routes = [("orders", "/orders/", "non_idempotent", "orders", "3000ms")];
+    let site = Site::start(&["orders", "orders", "docs", "shop"], &config(7, &routes), record)?;
+    let machine = &site.machines[2];
+    let clients = Clients::start(&site, 2, 8, "/orders/300");
+    thread::sleep(Duration::from_secs(32));
+    if trouble {
+        let row = format!(
+            "{{\"daemon_id\":\"{}\",\"started_ms\":{},\"incarnation\":\"0000000000000001\",\"version\":1,\
+             \"address\":\"{}\",\"service\":\"unknown\",\"region\":\"dk-east\",\"data_centre\":\"east-a\",\
+             \"slots\":42}}",
+            machine.name,
+            machine.server.born_ms + 30_000,
+            machine.internal(),
+        );
+        site.store.put("members", &machine.name, &row);
+        record.say(&format!(
+            "an entry of another writer stands for {}, service unknown",
+            machine.name
+        ));
+    }
+    thread::sleep(Duration::from_secs(1));
+    site.kill_daemon(3);
+    thread::sleep(Duration::from_millis(500));
+    site.start_daemon(3)?;
+    thread::sleep(Duration::from_secs(6));
+    record.say(&format!(
+        "the daemon of {} has exited: {}",
+        machine.name,
+        machine.has_exited()
+    ));
+    let seen = clients.end();
+    let runs = [0, 1].map(|index| site.machines[index].server.runs.lock().unwrap().clone());
+    Ok(count_lost(record, &seen, &runs.concat()) <= 3)
+}
+
 /// Starts a site whose first server may be faulty.
 fn start_faulty(record: &Record, trouble: bool) -> io::Result<Site> {
     let routes = [
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -26,6 +26,8 @@
         let held = match name.as_str() {
             "departed" => cases::departed(&record, trouble)?,
             "chunks" => cases::chunks(&record, trouble)?,
+            "entry" => cases::entry(&record, trouble)?,
+            "recover" => cases::recover(&record, trouble)?,
             "foreign" => cases::foreign(&record, trouble)?,
             "heads" => cases::heads(&record, trouble)?,
             "uploads" => cases::uploads(&record, trouble)?,
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -79,18 +79,14 @@
         )
     }
 
-    /// Returns a heartbeat of another writer with the id of this server. It lacks the address.
-    pub fn foreign_heartbeat(&self, control: SocketAddr) -> String {
+    /// Returns a heartbeat of another writer for an instance of this service. It lacks the address.
+    pub fn foreign_heartbeat(&self, control: SocketAddr, instance: &str, born_ms: u64) -> String {
         let body = format!(
             "{{\"Service\":\"{}\",\"Zone\":\"east-a\",\"Version\":\"v1\",\"Slots\":{},\"State\":\"ready\",\
-             \"ColdLeft\":\"0ms\",\"Seq\":1000000,\"born\":{}}}",
-            self.service, self.slots, self.born_ms
+             \"ColdLeft\":\"0ms\",\"Seq\":1000000,\"born\":{born_ms}}}",
+            self.service, self.slots
         );
-        post(
-            control,
-            &format!("/rpc?call=instances.heartbeat&of={}", self.instance),
-            &body,
-        )
+        post(control, &format!("/rpc?call=instances.heartbeat&of={instance}"), &body)
     }
 
     pub fn deregistration(&self, control: SocketAddr) -> String {
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -46,6 +46,7 @@
 }
 
 pub struct Site {
+    pub store: Arc<Store>,
     pub machines: Vec<Arc<Machine>>,
     pub record: Record,
     program: PathBuf,
@@ -64,6 +65,7 @@
         let store = Store::start(store_address)?;
         store.put("op", "config", config);
         let mut site = Self {
+            store,
             machines: Vec::new(),
             record: record.clone(),
             program,
@@ -190,6 +192,10 @@
         SocketAddr::new(self.ip.into(), CONTROL)
     }
 
+    pub fn internal(&self) -> SocketAddr {
+        SocketAddr::new(self.ip.into(), INTERNAL)
+    }
+
     pub fn is_ready(&self) -> bool {
         let address = SocketAddr::new(self.ip.into(), READY);
         tell(address, &format!("GET /ready HTTP/1.1\r\nHost: {address}\r\n\r\n")).is_ok_and(|status| status == 200)
@@ -199,6 +205,14 @@
         self.daemon.lock().unwrap().as_ref().map(Child::id)
     }
 
+    /// Whether the daemon has ended by itself.
+    pub fn has_exited(&self) -> bool {
+        let mut daemon = self.daemon.lock().unwrap();
+        daemon
+            .as_mut()
+            .is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
+
     fn end_daemon(&self) {
         if let Some(mut child) = self.daemon.lock().unwrap().take() {
             let _ = child.kill();
