--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -129,6 +129,8 @@
         for number in 0..count {
             let (record, ended, seen) = (site.record.clone(), Arc::clone(&ended), Arc::clone(&seen));
             threads.push(thread::spawn(move || {
+                // Clients in step would all be between two requests at the same moments.
+                thread::sleep(Duration::from_millis(40 * number as u64));
                 let mut connection = Connection::new(address);
                 let mut sequence = 0;
                 while !ended.load(Ordering::SeqCst) {
