Keep the departure of a backend server beyond its daemon's process

Cause: the departure was acknowledged on the strength of the process's memory. The log of the daemon shows `deregistered`, the restart, and then its own `heartbeat, up true` from the late message. Ruled out by the same lines: a departure that was not applied before the kill, and other daemons that act on the record of the earlier process.

Change: the departure is a part of the member record. It is written to the daemon's row before the acknowledgement, merged across incarnations by gossip, returned by other daemons with their calls, and read from the row before a starting daemon writes a new one or uses its server. A planned stop leaves the row while the departed server still runs.

--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -51,7 +51,7 @@
 /// whose latency differs by region under load. With the default ratio nearly half of the nested calls left their
 /// region.
 const EJECTION_RATIO: f64 = 8.0;
-/// Time after the start at which the daemon reports ready even without a list of members from the store.
+/// Time after the start at which the daemon reports ready and uses its backend server even without a list of members from the store.
 const MEMBER_LIST_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
 /// Side effect requested by the core, run by [`crate::member_tasks::run_effects`].
@@ -198,6 +198,7 @@
             service: settings.service.clone(),
             location: settings.location.clone(),
             slots: DEFAULT_SLOTS,
+            departure: None,
         };
         let mut routes = route_table::RouteTable::new(settings.location.clone());
         routes.set_ejection_ratio(EJECTION_RATIO);
@@ -334,7 +335,8 @@
         if let Some(hint) = &head.hint {
             self.apply_server_hint(hint, now);
         }
-        let Some(report) = self.server.serving() else {
+        let joined = self.is_joined(now);
+        let Some(report) = self.server.serving().filter(|_report| joined) else {
             return WorkDecision::Refuse(call_outcome::RefusalReason::Starting);
         };
         if report.service != head.service {
@@ -420,6 +422,7 @@
     /// delays of the routes.
     pub fn tick(&mut self, now: time::Instant) {
         self.hints.prune(now);
+        self.announce_waiting_server(now);
         self.gate.tick(now);
         self.poll_gate(now);
         for event in self.routes.tick(now) {
--- a/crates/forward/src/forward_core/core_members.rs
+++ b/crates/forward/src/forward_core/core_members.rs
@@ -43,7 +43,9 @@
     /// Applies a heartbeat of the backend server.
     pub fn apply_server_report(&mut self, report: server_report::ServerReport, now: time::Instant) {
         let slots = report.slots;
-        match self.server.apply_report(report) {
+        let effect = self.server.apply_report(report);
+        self.record_departure(now);
+        match effect {
             server_report::ReportEffect::Changed => {
                 self.gate.set_slots(slots);
                 self.gate.set_start_rate(self.server.request_limit(), now);
@@ -63,7 +65,9 @@
         started_ms: Option<u64>,
         now: time::Instant,
     ) {
-        if self.server.apply_departure(instance, started_ms) == server_report::ReportEffect::Changed {
+        let effect = self.server.apply_departure(instance, started_ms);
+        self.record_departure(now);
+        if effect == server_report::ReportEffect::Changed {
             self.log_server("deregistered");
             self.announce_server(now);
         }
@@ -80,6 +84,7 @@
         if effect == server_report::ReportEffect::Changed {
             self.gate.set_start_rate(self.server.request_limit(), now);
             if notice.leaving {
+                self.record_departure(now);
                 self.announce_server(now);
             }
             self.poll_gate(now);
@@ -97,6 +102,7 @@
             );
             self.gate.set_start_rate(self.server.request_limit(), now);
             if hint.leaving {
+                self.record_departure(now);
                 self.announce_server(now);
             }
         }
@@ -112,11 +118,15 @@
         }
     }
 
-    /// Merges the members that the store lists, and contacts a sample of them.
+    /// Merges the members that the store lists, and contacts a sample of them. The row of an earlier process of this
+    /// daemon has the departure that it acknowledged.
     pub fn merge_members(&mut self, records: &[member_record::MemberRecord], now: time::Instant) {
-        self.members_listed = true;
         let output = self.gossip.learn_rows(records, now);
         self.apply(output, now);
+        if !self.members_listed {
+            self.members_listed = true;
+            self.announce_server(now);
+        }
         let contacts = self.choose_contacts(records);
         self.contact(&contacts, now);
     }
@@ -172,9 +182,44 @@
         result
     }
 
+    /// Puts the departure of the backend server into the own member record, from which the store and the other daemons
+    /// know it.
+    fn record_departure(&mut self, now: time::Instant) {
+        if let Some(departure) = self.server.departure() {
+            let output = self.gossip.set_departure(&departure, now);
+            self.apply(output, now);
+        }
+    }
+
+    /// Applies a departure that an earlier process of this daemon acknowledged.
+    fn recall_departure(&mut self, now: time::Instant) {
+        let Some(departure) = self.gossip.own_record().departure.clone() else {
+            return;
+        };
+        log::info!(
+            instance:% = ids::text(&departure.instance), started_ms = departure.started_ms;
+            "departure of the backend server recalled"
+        );
+        let effect = self
+            .server
+            .apply_departure(&departure.instance, Some(departure.started_ms));
+        if effect == server_report::ReportEffect::Changed {
+            self.announce_server(now);
+        }
+    }
+
+    /// Announces the backend server if it became usable without a message of its own, by the end of the wait for the
+    /// list of members.
+    pub(super) fn announce_waiting_server(&mut self, now: time::Instant) {
+        let waiting = self.gossip.own_record().state == member_record::MemberState::Joining;
+        if waiting && self.server.is_up() && self.is_joined(now) {
+            self.announce_server(now);
+        }
+    }
+
     /// Announces to the other members whether the backend server accepts calls, and updates the local route.
     fn announce_server(&mut self, now: time::Instant) {
-        let output = if self.server.is_up() {
+        let output = if self.server.is_up() && self.is_joined(now) {
             self.gossip.set_up(now)
         } else {
             self.gossip.set_waiting(now)
@@ -194,6 +239,7 @@
                 gossip_context::GossipEvent::RevisionAhead { address, .. } => {
                     self.emit(CoreEffect::FetchConfig(address));
                 }
+                gossip_context::GossipEvent::DepartureLearned => self.recall_departure(now),
                 gossip_context::GossipEvent::Refuted => log::info!("refuted a suspicion, or an earlier start"),
                 gossip_context::GossipEvent::Superseded => self.emit(CoreEffect::Superseded),
             }
@@ -213,6 +259,9 @@
         if record.daemon_id == self.settings.daemon_id {
             return;
         }
+        if let Some(departure) = &record.departure {
+            self.hints.note_departure(&record.daemon_id, departure, now);
+        }
         if before != Some(record.state) {
             let name = ids::text(&record.daemon_id);
             log::info!(peer:% = name, state:? = record.state, before:? = before; "member changed");
--- a/crates/forward/src/forward_core/core_queries.rs
+++ b/crates/forward/src/forward_core/core_queries.rs
@@ -37,12 +37,17 @@
         self.phase
     }
 
-    /// Returns whether this daemon is ready for callers: running, with a configuration, and with the list of members or
-    /// after the timeout of the wait for it.
+    /// Returns whether this daemon is ready for callers: running, joined, and with a configuration.
     #[must_use]
     pub fn is_ready(&self, now: time::Instant) -> bool {
-        let joined = self.members_listed || now.saturating_duration_since(self.started) >= MEMBER_LIST_TIMEOUT;
-        self.phase == LifePhase::Running && self.config.is_some() && joined
+        self.phase == LifePhase::Running && self.config.is_some() && self.is_joined(now)
+    }
+
+    /// Returns whether this daemon has the list of members from the store, or has waited long enough for it. Before
+    /// that, it doesn't know whether the backend server announced its departure to an earlier process.
+    #[must_use]
+    pub fn is_joined(&self, now: time::Instant) -> bool {
+        self.members_listed || now.saturating_duration_since(self.started) >= MEMBER_LIST_TIMEOUT
     }
 
     /// Returns the configuration in force, if any.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod callee_call;
 pub mod core_handle;
+pub mod departure_log;
 pub mod entry_call;
 pub mod forward_core;
 pub mod forward_metrics;
--- a/crates/forward/src/node_context.rs
+++ b/crates/forward/src/node_context.rs
@@ -10,6 +10,7 @@
 use hyper::header;
 
 use crate::core_handle;
+use crate::departure_log;
 use crate::forward_metrics;
 use crate::forward_settings;
 use crate::http_link;
@@ -39,6 +40,8 @@
     pub metrics: forward_metrics::ForwardMetrics,
     /// Rate limit of log lines about requests.
     pub log_limiter: log_limiter::LogLimiter,
+    /// Departures of the backend server that the store has to keep.
+    pub departures: departure_log::DepartureLog,
     /// Number of callers' requests in flight.
     pub in_flight: cell::Cell<usize>,
     peers: cell::RefCell<collections::HashMap<net::SocketAddr, rc::Rc<http_link::LinkPool>>>,
@@ -62,6 +65,7 @@
             core,
             metrics,
             log_limiter: log_limiter::LogLimiter::default(),
+            departures: departure_log::DepartureLog::default(),
             in_flight: cell::Cell::new(0),
             peers: cell::RefCell::default(),
         })
--- a/crates/forward/src/server_hint.rs
+++ b/crates/forward/src/server_hint.rs
@@ -7,6 +7,7 @@
 use std::time;
 
 use damasktrack_entity::ids;
+use damasktrack_membership::server_departure;
 
 use crate::server_notice;
 use crate::server_report;
@@ -62,6 +63,27 @@
         }
     }
 
+    /// Stores a departure of the backend server beside `daemon`, unless a hint of a later start is known.
+    pub fn note_departure(
+        &mut self,
+        daemon: &ids::DaemonId,
+        departure: &server_departure::ServerDeparture,
+        now: time::Instant,
+    ) {
+        let outdated = self
+            .get(daemon)
+            .is_none_or(|known| (known.started_ms, known.leaving) < (departure.started_ms, true));
+        if outdated {
+            let hint = ServerHint {
+                instance: departure.instance.clone(),
+                started_ms: departure.started_ms,
+                request_limit: None,
+                leaving: true,
+            };
+            self.hints.insert(daemon.clone(), (hint, now));
+        }
+    }
+
     /// Discards hints that are older than [`HINT_LIFETIME`].
     pub fn prune(&mut self, now: time::Instant) {
         self.hints
--- a/crates/forward/src/server_report.rs
+++ b/crates/forward/src/server_report.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use damasktrack_entity::ids;
+use damasktrack_membership::server_departure;
 
 use crate::server_hint;
 use crate::server_notice;
@@ -242,6 +243,25 @@
         ready.then_some(report)
     }
 
+    /// Returns the start that has announced its departure, by a draining report, a deregistration or a response: that of
+    /// the newest report, or the latest known one before the first report. `None` if the server has not.
+    #[must_use]
+    pub fn departure(&self) -> Option<server_departure::ServerDeparture> {
+        let Some(report) = &self.report else {
+            let known = self.departures.iter().filter_map(|departure| {
+                Some(server_departure::ServerDeparture {
+                    started_ms: departure.started_ms?,
+                    instance: departure.instance.clone(),
+                })
+            });
+            return known.max();
+        };
+        self.serving().is_none().then(|| server_departure::ServerDeparture {
+            started_ms: report.started_ms,
+            instance: report.instance.clone(),
+        })
+    }
+
     /// Returns whether the backend server is serving and didn't refuse the last connection.
     #[must_use]
     pub fn is_up(&self) -> bool {
--- a/crates/forward/src/store_port.rs
+++ b/crates/forward/src/store_port.rs
@@ -207,54 +207,83 @@
 pub async fn sync_members(node: rc::Rc<node_context::NodeContext>, port: rc::Rc<StorePort>, own: OwnRow) {
     let mut backoff = RetryBackoff::new();
     let mut era = port.era.clone();
-    let mut wait = SECOND_LIST_DELAY;
+    let mut interval = SECOND_LIST_DELAY;
+    let mut list_due = tokio::time::Instant::now();
+    let mut listed_era = None;
+    // The first list precedes the first write, since the row of an earlier process has the departure that it
+    // acknowledged.
+    let mut step = MemberStep::List;
     loop {
-        if own.get().is_none() {
-            let record = node.core.ask(|core, _now| core.gossip().own_record().clone());
-            match (port.write_member)(member_row::MemberRow::from_record(&record)).await {
-                Ok(version) => own.set(Some(version)),
-                Err(failure) => {
-                    log::warn!(failure:% = failure; "member row not written");
-                    backoff.wait().await;
-                    continue;
-                }
+        let done = match step {
+            MemberStep::Write => write_own_row(&node, &port, &own).await,
+            MemberStep::List => {
+                listed_era = *era.borrow_and_update();
+                list_rows(&node, &port, &own).await
             }
+        };
+        if let Err(failure) = done {
+            log::warn!(step:? = step, failure:% = failure; "member rows not synchronized");
+            backoff.wait().await;
+            continue;
         }
-        let listed_era = *era.borrow_and_update();
-        match (port.list_members)().await {
-            Ok(members) => {
-                backoff = RetryBackoff::new();
-                let records: Vec<_> = members.iter().filter_map(ListedRow::of).collect();
-                merge_members(&node, &records);
-                let own_record = node.core.ask(|core, _now| core.gossip().own_record().clone());
-                let listed = records
-                    .iter()
-                    .find(|listed| listed.record.daemon_id == own_record.daemon_id);
-                let listed = listed.map(|listed| (&listed.record, listed.version));
-                own.set(own_row_version(&own_record, listed, own.get()));
-                remove_departed(&node, &port, records).await;
-                if own.get().is_none() {
-                    log::info!("own member row missing from the store or outdated; writing it again");
-                    backoff.wait().await;
-                    continue;
-                }
-                let restored = era.wait_for(|newest| listed_era.is_some() && *newest != listed_era);
-                if tokio::time::timeout(wait, restored).await.is_ok() {
-                    // Spreads the calls of all daemons.
-                    tokio::time::sleep(MAX_RESTORE_DELAY.mul_f64(rand::rng().random())).await;
-                }
-                wait = LIST_INTERVAL;
-            }
-            Err(failure) => {
-                log::warn!(failure:% = failure; "members not listed");
-                backoff.wait().await;
-            }
+        backoff = RetryBackoff::new();
+        if step == MemberStep::List {
+            list_due = tokio::time::Instant::now() + interval;
+            interval = LIST_INTERVAL;
         }
+        if own.get().is_none() {
+            step = MemberStep::Write;
+            continue;
+        }
+        let restored = era.wait_for(|newest| listed_era.is_some() && *newest != listed_era);
+        step = tokio::select! {
+            () = node.departures.due() => MemberStep::Write,
+            _restored = restored => {
+                // Spreads the calls of all daemons.
+                tokio::time::sleep(MAX_RESTORE_DELAY.mul_f64(rand::rng().random())).await;
+                MemberStep::List
+            }
+            () = tokio::time::sleep_until(list_due) => MemberStep::List,
+        };
     }
 }
 
-/// Returns the version of a daemon's own row after a list; `None` if the row is to be written, since it is missing or of
-/// an earlier start. `known` is the version of the last write. It stays if the row is of a later process with the same
+/// Call to the store that [`sync_members`] makes next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum MemberStep {
+    /// Write this daemon's row.
+    Write,
+    /// List the rows of all daemons.
+    List,
+}
+
+async fn write_own_row(node: &node_context::NodeContext, port: &StorePort, own: &OwnRow) -> Result<(), StoreFailure> {
+    let record = node.core.ask(|core, _now| core.gossip().own_record().clone());
+    let version = (port.write_member)(member_row::MemberRow::from_record(&record)).await?;
+    own.set(Some(version));
+    node.departures.note_saved(record.departure);
+    Ok(())
+}
+
+async fn list_rows(node: &node_context::NodeContext, port: &StorePort, own: &OwnRow) -> Result<(), StoreFailure> {
+    let members = (port.list_members)().await?;
+    let records: Vec<_> = members.iter().filter_map(ListedRow::of).collect();
+    merge_members(node, &records);
+    let own_record = node.core.ask(|core, _now| core.gossip().own_record().clone());
+    let listed = records
+        .iter()
+        .find(|listed| listed.record.daemon_id == own_record.daemon_id);
+    let listed = listed.map(|listed| (&listed.record, listed.version));
+    own.set(own_row_version(&own_record, listed, own.get()));
+    if own.get().is_none() {
+        log::info!("own member row missing from the store or outdated; writing it");
+    }
+    remove_departed(node, port, records).await;
+    Ok(())
+}
+
+/// Returns the version of a daemon's own row after a list; `None` if the row is to be written, since it is missing, of
+/// an earlier start, or without the latest departure of the backend server. `known` is the version of the last write. It stays if the row is of a later process with the same
 /// daemon id, whose row this process must not remove.
 #[must_use]
 pub fn own_row_version(
@@ -265,6 +294,7 @@
     let (record, version) = listed?;
     match record.compare_incarnation(own) {
         cmp::Ordering::Less => None,
+        cmp::Ordering::Equal if record.departure < own.departure => None,
         cmp::Ordering::Equal => Some(version),
         cmp::Ordering::Greater => known,
     }
@@ -308,11 +338,17 @@
     }
 }
 
-/// Removes this daemon's row at a graceful stop.
+/// Removes this daemon's row at a graceful stop. A row with a departure stays while that backend server may still run,
+/// for the next process of this daemon; if there is none, other daemons remove the row later.
 pub async fn remove_own_row(node: &node_context::NodeContext, port: &StorePort, own: &OwnRow) {
     let Some(version) = own.get() else {
         return;
     };
+    let departed = node.core.ask(|core, _now| core.server().departure().is_some());
+    if departed && server_accepts(node).await {
+        log::info!("own member row stays: the backend server has announced its departure and still runs");
+        return;
+    }
     let removal = (port.remove_member)(node.settings.daemon_id.clone(), version);
     match tokio::time::timeout(REMOVE_TIMEOUT, removal).await {
         Ok(Ok(())) => {}
@@ -320,3 +356,9 @@
         Err(_elapsed) => log::info!("own member row not removed in time"),
     }
 }
+
+/// Returns whether the backend server's address accepts connections.
+async fn server_accepts(node: &node_context::NodeContext) -> bool {
+    let connection = tokio::net::TcpStream::connect(node.settings.server_address);
+    matches!(tokio::time::timeout(REMOVE_TIMEOUT, connection).await, Ok(Ok(_stream)))
+}
--- a/crates/forward/tests/contacts.rs
+++ b/crates/forward/tests/contacts.rs
@@ -74,6 +74,7 @@
         service: Bytes::from_static(b"alpha"),
         location: location(if index <= in_region { "north" } else { "south" }),
         slots: 4,
+        departure: None,
     });
     core.merge_members(&members.collect::<Vec<_>>(), now);
     let sends = std::iter::from_fn(|| queue.try_recv().ok());
--- a/crates/forward/tests/states.rs
+++ b/crates/forward/tests/states.rs
@@ -13,6 +13,7 @@
 use damasktrack_forward::weighted_choice::WeightedChoice;
 use damasktrack_membership::member_record::MemberRecord;
 use damasktrack_membership::member_row::MemberRow;
+use damasktrack_membership::server_departure::ServerDeparture;
 
 fn report(instance: &'static str, started_ms: u64, sequence: u64, condition: ServerCondition) -> ServerReport {
     ServerReport {
@@ -283,6 +284,40 @@
     assert_eq!(table.get(&daemon), Some(&hint("i-2", 20, 5.0)));
 }
 
+fn departure(instance: &'static str, started_ms: u64) -> ServerDeparture {
+    ServerDeparture {
+        started_ms,
+        instance: Bytes::from_static(instance.as_bytes()),
+    }
+}
+
+/// Guards against a departure that is not kept, and against one of an earlier start that is kept as the server's.
+#[test]
+fn departure_is_that_of_the_newest_report() {
+    let mut state = ServerState::default();
+    assert_eq!(state.departure(), None);
+    state.apply_departure(&Bytes::from_static(b"i-1"), Some(10));
+    assert_eq!(state.departure(), Some(departure("i-1", 10)));
+    state.apply_report(report("i-1", 10, 5, ServerCondition::Ready));
+    assert_eq!(state.departure(), Some(departure("i-1", 10)));
+    state.apply_report(report("i-2", 20, 1, ServerCondition::Ready));
+    assert_eq!(state.departure(), None);
+    state.apply_report(report("i-2", 20, 2, ServerCondition::Draining));
+    assert_eq!(state.departure(), Some(departure("i-2", 20)));
+}
+
+/// Guards against a member record with an old departure that hides the limit of the present server.
+#[test]
+fn departure_of_an_earlier_start_replaces_no_hint() {
+    let (daemon, now) = (Bytes::from_static(b"vm-1"), time::Instant::now());
+    let mut table = HintTable::default();
+    table.note_response(&daemon, Some(hint("i-2", 20, 5.0)), now);
+    table.note_departure(&daemon, &departure("i-1", 10), now);
+    assert_eq!(table.get(&daemon), Some(&hint("i-2", 20, 5.0)));
+    table.note_departure(&daemon, &departure("i-2", 20), now);
+    assert!(table.get(&daemon).unwrap().leaving);
+}
+
 /// Guards against a cursor that outlives a restore of the store, whose versions are given out again.
 #[test]
 fn cursor_ends_with_the_era_of_the_store() {
@@ -331,6 +366,7 @@
             region: "north".to_owned(),
             data_centre: "north-a".to_owned(),
             slots: 8,
+            departure: None,
         };
         row.to_record().unwrap()
     };
@@ -339,4 +375,8 @@
     assert_eq!(own_row_version(&own, Some((&record(10), 7)), Some(5)), None);
     assert_eq!(own_row_version(&own, Some((&record(20), 7)), Some(5)), Some(7));
     assert_eq!(own_row_version(&own, Some((&record(30), 7)), Some(5)), Some(5));
+    let mut departed = record(20);
+    departed.departure = Some(departure("i-1", 10));
+    assert_eq!(own_row_version(&departed, Some((&own, 7)), Some(5)), None);
+    assert_eq!(own_row_version(&departed, Some((&departed, 7)), Some(5)), Some(7));
 }
--- a/crates/membership/src/gossip_context.rs
+++ b/crates/membership/src/gossip_context.rs
@@ -18,6 +18,7 @@
 use crate::gossip_message;
 use crate::member_record;
 use crate::member_table;
+use crate::server_departure;
 use crate::traffic_count;
 use crate::update_queue;
 
@@ -61,6 +62,9 @@
         /// Configuration revision in force at the peer.
         revision: ids::Revision,
     },
+    /// A record of this daemon, in the store or at another daemon, had a later departure of the backend server than its
+    /// own one, which has it now.
+    DepartureLearned,
     /// Another daemon held a newer record of this daemon, for example as suspect or dead, and this daemon has
     /// overridden it. Its row need not be rewritten.
     Refuted,
@@ -192,6 +196,14 @@
         }
     }
 
+    /// Announces the departure of the backend server, unless a later one is known.
+    pub fn set_departure(&mut self, departure: &server_departure::ServerDeparture, now: time::Instant) -> GossipOutput {
+        if self.adopt_departure(Some(departure), now) {
+            self.announce(now);
+        }
+        self.take_output()
+    }
+
     /// Announces that this daemon accepts no new calls. Final for the incarnation.
     pub fn drain(&mut self, now: time::Instant) -> GossipOutput {
         if !self.own_record().leaving {
@@ -277,6 +289,21 @@
         self.traffic.exchange(sent, received);
     }
 
+    /// Puts a departure into the own record if it is later than the one there. Returns whether it is.
+    pub(crate) fn adopt_departure(
+        &mut self,
+        departure: Option<&server_departure::ServerDeparture>,
+        now: time::Instant,
+    ) -> bool {
+        let known = self.own_record().departure.as_ref();
+        let later = server_departure::later(known, departure);
+        if later.as_ref() == known {
+            return false;
+        }
+        self.change_own(now, |own| own.departure = later);
+        true
+    }
+
     pub(crate) fn change_own(&mut self, now: time::Instant, change: impl FnOnce(&mut member_record::MemberRecord)) {
         let mut record = self.own_record().clone();
         record.version = record.version.saturating_add(1);
--- a/crates/membership/src/gossip_merge.rs
+++ b/crates/membership/src/gossip_merge.rs
@@ -73,6 +73,9 @@
     }
 
     fn apply_own(&mut self, record: &member_record::MemberRecord, now: time::Instant) {
+        if self.adopt_departure(record.departure.as_ref(), now) {
+            self.output.events.push(gossip_context::GossipEvent::DepartureLearned);
+        }
         let own = self.own_record();
         match own.compare_incarnation(record) {
             cmp::Ordering::Greater => {}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod member_record;
 pub mod member_row;
 pub mod member_table;
+pub mod server_departure;
 pub mod traffic_count;
 pub mod update_queue;
--- a/crates/membership/src/member_record.rs
+++ b/crates/membership/src/member_record.rs
@@ -8,6 +8,8 @@
 use damasktrack_entity::server_location;
 use xxhash_rust::xxh3;
 
+use crate::server_departure;
+
 /// State of a member. Of two records with the same version, the one with the greater state takes precedence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -68,6 +70,11 @@
     pub location: server_location::ServerLocation,
     /// Number of concurrent calls that the backend server is declared to handle.
     pub slots: u32,
+    /// Latest departure of a backend server beside the daemon. It outlasts the incarnation: a merge keeps the later
+    /// departure of both records, whichever is newer. Last, and left out of the encoding if there is none, so that
+    /// records without a departure are those of daemons that know no such field.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub departure: Option<server_departure::ServerDeparture>,
 }
 
 /// Effect of a merge on a record.
@@ -84,25 +91,29 @@
     /// merges.
     pub fn merge(&mut self, other: &Self) -> MergeResult {
         let leaving = self.leaving || other.leaving;
-        match self.compare_incarnation(other) {
-            cmp::Ordering::Greater => MergeResult::Unchanged,
+        let departure = server_departure::later(self.departure.as_ref(), other.departure.as_ref());
+        let departed = departure != self.departure;
+        let changed = match self.compare_incarnation(other) {
+            cmp::Ordering::Greater => departed,
             cmp::Ordering::Less => {
                 *self = other.clone();
-                MergeResult::Changed
+                true
             }
             cmp::Ordering::Equal => {
                 let newer = self.compare_content(other) == cmp::Ordering::Less;
-                let changed = newer || leaving != self.leaving;
+                let changed = newer || departed || leaving != self.leaving;
                 if newer {
                     *self = other.clone();
                 }
                 self.leaving = leaving;
-                if changed {
-                    MergeResult::Changed
-                } else {
-                    MergeResult::Unchanged
-                }
+                changed
             }
+        };
+        self.departure = departure;
+        if changed {
+            MergeResult::Changed
+        } else {
+            MergeResult::Unchanged
         }
     }
 }
@@ -133,6 +144,9 @@
         hash::Hash::hash(&self.daemon_id, &mut hasher);
         let numbers = (self.started_ms, self.incarnation, self.version, self.leaving);
         hash::Hash::hash(&numbers, &mut hasher);
+        if let Some(departure) = &self.departure {
+            hash::Hash::hash(departure, &mut hasher);
+        }
         hasher.digest()
     }
 
--- a/crates/membership/src/member_row.rs
+++ b/crates/membership/src/member_row.rs
@@ -7,6 +7,7 @@
 use damasktrack_entity::server_location;
 
 use crate::member_record;
+use crate::server_departure;
 
 /// Table that holds one row per daemon; the key is the daemon id.
 pub const MEMBERS_TABLE: &str = "members";
@@ -33,6 +34,19 @@
     pub data_centre: String,
     /// Number of concurrent calls that the backend server is declared to handle.
     pub slots: u32,
+    /// Latest departure of a backend server beside the daemon.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub departure: Option<RowDeparture>,
+}
+
+/// JSON form of a [`server_departure::ServerDeparture`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct RowDeparture {
+    /// Start time of the instance, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// Id of the instance.
+    pub instance: String,
 }
 
 impl MemberRow {
@@ -49,6 +63,10 @@
             region: ids::text(&record.location.region).into_owned(),
             data_centre: ids::text(&record.location.data_centre).into_owned(),
             slots: record.slots,
+            departure: record.departure.as_ref().map(|departure| RowDeparture {
+                started_ms: departure.started_ms,
+                instance: ids::text(&departure.instance).into_owned(),
+            }),
         }
     }
 
@@ -70,6 +88,13 @@
                 data_centre: Bytes::copy_from_slice(self.data_centre.as_bytes()),
             },
             slots: self.slots,
+            departure: self
+                .departure
+                .as_ref()
+                .map(|departure| server_departure::ServerDeparture {
+                    started_ms: departure.started_ms,
+                    instance: Bytes::copy_from_slice(departure.instance.as_bytes()),
+                }),
         })
     }
 }
--- a/crates/membership/tests/gossip.rs
+++ b/crates/membership/tests/gossip.rs
@@ -4,9 +4,11 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use damasktrack_membership::gossip_context::GossipEvent;
 use damasktrack_membership::gossip_message;
 use damasktrack_membership::member_record::MemberState;
+use damasktrack_membership::server_departure::ServerDeparture;
 use virtual_network::{Fault, Network, address, region};
 
 const SEED: u64 = 20_261_204;
@@ -240,6 +242,43 @@
     check_restart_supersedes(Fault::NoUpdates).unwrap_err();
 }
 
+/// Restarts the daemon of a backend server whose departure all members know, and checks that the new process learns it
+/// from them.
+fn check_departure_returns(forget: bool) -> Result<(), String> {
+    let mut network = network(24, Fault::None);
+    let departure = ServerDeparture {
+        started_ms: 900,
+        instance: Bytes::from_static(b"i-3"),
+    };
+    network.command(3, |context, now| context.set_departure(&departure, now));
+    network.run(Duration::from_secs(5));
+    network.nodes[3].running = false;
+    if forget {
+        // The injected fault: only this daemon knew of the departure.
+        network = self::network(24, Fault::None);
+    }
+    network.restart(3, 2000, &[address(0)]);
+    network.run(Duration::from_secs(5));
+    let context = &network.nodes[3].context;
+    let learned = network.nodes[3].events.contains(&GossipEvent::DepartureLearned);
+    if learned && context.own_record().departure == Some(departure) {
+        Ok(())
+    } else {
+        Err(format!("the new process knows {:?}", context.own_record().departure))
+    }
+}
+
+/// Guards against a departure that is forgotten at a restart of the daemon that acknowledged it, while the store is away.
+#[test]
+fn restarted_daemon_learns_the_departure_from_the_others() {
+    check_departure_returns(false).unwrap();
+}
+
+#[test]
+fn departure_check_fails_if_the_others_do_not_know_it() {
+    check_departure_returns(true).unwrap_err();
+}
+
 /// Guards against two processes with the same id overriding each other without end, and against the record of a new
 /// process being ignored because its clock was set back.
 #[test]
--- a/crates/membership/tests/joining.rs
+++ b/crates/membership/tests/joining.rs
@@ -4,11 +4,13 @@
 
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use damasktrack_membership::config_rumour::{ConfigRumour, FetchDecision, PUSH_FANOUT, RumourStep};
 use damasktrack_membership::join_plan::{self, JoinPlan, JoinStep, StoreResult};
 use damasktrack_membership::member_record::MemberState;
 use damasktrack_membership::member_row::MemberRow;
 use damasktrack_membership::member_table::MemberTable;
+use damasktrack_membership::server_departure::ServerDeparture;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -124,6 +126,14 @@
     record.incarnation = u64::MAX - 1;
     let row = MemberRow::from_record(&record);
     let text = serde_json::to_string(&row).unwrap();
+    assert!(!text.contains("departure"), "{text}");
+    let read: MemberRow = serde_json::from_str(&text).unwrap();
+    assert_eq!(read.to_record(), Some(record.clone()));
+    record.departure = Some(ServerDeparture {
+        started_ms: 900,
+        instance: Bytes::from_static(b"i-3"),
+    });
+    let text = serde_json::to_string(&MemberRow::from_record(&record)).unwrap();
     let read: MemberRow = serde_json::from_str(&text).unwrap();
     assert_eq!(read.to_record(), Some(record));
 }
--- a/crates/membership/tests/merging.rs
+++ b/crates/membership/tests/merging.rs
@@ -7,8 +7,9 @@
 use bolero::generator::bolero_generator::driver::{ByteSliceDriver, Options};
 use bytes::Bytes;
 use damasktrack_entity::server_location::ServerLocation;
-use damasktrack_membership::member_record::{MemberRecord, MemberState};
+use damasktrack_membership::member_record::{MemberRecord, MemberState, MergeResult};
 use damasktrack_membership::member_table::MemberTable;
+use damasktrack_membership::server_departure::ServerDeparture;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, RngExt, SeedableRng};
@@ -28,6 +29,9 @@
     #[generator(0..6_u8)]
     state: u8,
     slots: bool,
+    /// Start time of a departed backend server; 0 for none.
+    #[generator(0..4_u8)]
+    departed: u8,
 }
 
 impl Update {
@@ -55,6 +59,10 @@
                 data_centre: Bytes::from_static(b"lhe-1"),
             },
             slots: u32::from(self.slots),
+            departure: (self.departed > 0).then(|| ServerDeparture {
+                started_ms: u64::from(self.departed),
+                instance: Bytes::from_static(b"i-1"),
+            }),
         }
     }
 }
@@ -80,6 +88,7 @@
             version: 0,
             state: 0,
             slots: false,
+            departed: 0,
         };
         table.merge(&first.record(), now);
     }
@@ -184,6 +193,58 @@
     }
 }
 
+/// Guards against a departure of a backend server that is forgotten when a later process of its daemon is known.
+#[test]
+fn departure_outlasts_the_incarnation() {
+    let update = Update {
+        member: 1,
+        start: 1,
+        version: 3,
+        state: 0,
+        slots: true,
+        departed: 2,
+    };
+    let departed = update.record();
+    let restarted = Update {
+        start: 2,
+        version: 0,
+        departed: 0,
+        ..update
+    };
+    let restarted = restarted.record();
+    for records in [[&departed, &restarted], [&restarted, &departed]] {
+        let mut merged = records[0].clone();
+        assert_eq!(merged.merge(records[1]), MergeResult::Changed);
+        assert_eq!(merged.started_ms, restarted.started_ms);
+        assert_eq!(merged.departure, departed.departure);
+        assert_eq!(merged.merge(records[1]), MergeResult::Unchanged);
+    }
+}
+
+/// Guards against records that daemons without the field for departures can't decode although there is none, and against
+/// records of such daemons that can't be decoded here.
+#[test]
+fn record_without_a_departure_has_ten_fields() {
+    let update = Update {
+        member: 1,
+        start: 1,
+        version: 1,
+        state: 1,
+        slots: true,
+        departed: 0,
+    };
+    let mut record = update.record();
+    let encoded = rmp_serde::to_vec(&record).unwrap();
+    assert_eq!(encoded[0], 0x9a, "not an array of ten");
+    assert_eq!(rmp_serde::from_slice::<MemberRecord>(&encoded).unwrap(), record);
+    record.departure = Some(ServerDeparture {
+        started_ms: 5,
+        instance: Bytes::from_static(b"i-1"),
+    });
+    let encoded = rmp_serde::to_vec(&record).unwrap();
+    assert_eq!(rmp_serde::from_slice::<MemberRecord>(&encoded).unwrap(), record);
+}
+
 /// Guards against forgotten members staying in the table or in the digest, and against dead records adding them again.
 #[test]
 fn forgotten_members_are_removed_entirely() {
@@ -196,6 +257,7 @@
         version: 1,
         state: 1,
         slots: true,
+        departed: 0,
     };
     table.merge(&update.record(), now);
     assert_ne!(table.digest(), empty);
--- a/crates/membership/tests/virtual_network/mod.rs
+++ b/crates/membership/tests/virtual_network/mod.rs
@@ -89,6 +89,7 @@
             data_centre: Bytes::from(format!("dc-{}", index % 6)),
         },
         slots: 70,
+        departure: None,
     }
 }
 
--- a/crates/node/src/core/core_members.rs
+++ b/crates/node/src/core/core_members.rs
@@ -49,6 +49,8 @@
                 gossip_context::GossipEvent::RevisionAhead { address, .. } => {
                     self.effects.config_signal().report_ahead(address);
                 }
+                // This daemon checks its backend server itself and announces no departures.
+                gossip_context::GossipEvent::DepartureLearned => {}
                 gossip_context::GossipEvent::Refuted => log::info!("refuted a suspicion, or an earlier start"),
                 gossip_context::GossipEvent::Superseded => {
                     log::error!(
--- a/crates/node/src/core/member_sync.rs
+++ b/crates/node/src/core/member_sync.rs
@@ -379,5 +379,6 @@
             .unwrap_or_default(),
         location: settings.location(),
         slots: settings.backend_server.as_ref().map_or(0, |backend| backend.slots),
+        departure: None,
     }
 }
