Join the chunks of a response as they arrive

Cause: `message_body::receive` kept each chunk as an entry of a list. The limit of 256 KiB counted the data, not the 32 bytes of each entry and the read buffers that it keeps alive. Ruled out: a limit that is not applied, and the rest of a body that nobody reads; the new test stays below the limit and has no reader that stops.

Change: the bytes are joined as they arrive; a body of a single chunk is still passed on without a copy.

--- a/crates/forward/src/message_body.rs
+++ b/crates/forward/src/message_body.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body;
 use hyper::header;
@@ -173,15 +174,13 @@
 ) -> Result<(hyper::http::response::Parts, ReplyBody), hyper::Error> {
     let (parts, mut incoming) = response.into_parts();
     let idle_limit = idle_limit(&parts.headers);
-    let mut chunks: Vec<Bytes> = Vec::new();
-    let mut length = 0;
+    let mut received = ReceivedBytes::default();
     while let Some(frame) = incoming.frame().await {
         let Ok(data) = frame?.into_data() else {
             continue;
         };
-        length += data.len();
-        chunks.push(data);
-        if length > BUFFERED_BYTES {
+        received.push(data);
+        if received.len() > BUFFERED_BYTES {
             let rest = RestBody {
                 incoming,
                 deadline: Box::pin(tokio::time::sleep_until(deadline.into())),
@@ -190,7 +189,7 @@
                 at_end: None,
             };
             let body = ReplyBody {
-                buffered: Some(concat(chunks, length)),
+                buffered: Some(received.into_bytes()),
                 rest: Some(rest),
             };
             return Ok((parts, body));
@@ -199,18 +198,43 @@
     if !closes_connection(&parts.headers) {
         lease.release(idle_limit, time::Instant::now());
     }
-    Ok((parts, ReplyBody::whole(concat(chunks, length))))
+    Ok((parts, ReplyBody::whole(received.into_bytes())))
 }
 
-fn concat(mut chunks: Vec<Bytes>, length: usize) -> Bytes {
-    if chunks.len() == 1 {
-        return chunks.remove(0);
+/// Bytes received so far of a body. They are joined as they arrive, since a chunk that is kept costs many times its bytes
+/// if it is short, and a faulty server may send any number of short ones.
+#[derive(Debug, Default)]
+struct ReceivedBytes {
+    /// The only chunk so far, which need not be copied.
+    first: Bytes,
+    /// All chunks, once there is more than one.
+    joined: BytesMut,
+}
+
+impl ReceivedBytes {
+    fn push(&mut self, chunk: Bytes) {
+        if self.len() == 0 {
+            self.first = chunk;
+            return;
+        }
+        if self.joined.is_empty() {
+            self.joined.extend_from_slice(&self.first);
+            self.first = Bytes::new();
+        }
+        self.joined.extend_from_slice(&chunk);
     }
-    let mut whole = Vec::with_capacity(length);
-    for chunk in chunks {
-        whole.extend_from_slice(&chunk);
+
+    fn len(&self) -> usize {
+        self.first.len() + self.joined.len()
+    }
+
+    fn into_bytes(self) -> Bytes {
+        if self.joined.is_empty() {
+            self.first
+        } else {
+            self.joined.freeze()
+        }
     }
-    Bytes::from(whole)
 }
 
 /// Copies the end-to-end headers. Headers that `Connection` names are hop-by-hop as well.
--- a/crates/standins/src/platform_backend.rs
+++ b/crates/standins/src/platform_backend.rs
@@ -49,6 +49,8 @@
     Noise,
     /// Body, one byte at a time.
     SlowBody,
+    /// Chunks of one byte each, sent as fast as they are read.
+    TinyChunks,
 }
 
 impl EndlessPart {
@@ -61,6 +63,7 @@
             Self::Body => (format!("{head}\r\n"), filler),
             Self::SlowBody => (format!("{head}\r\n"), b"x".to_vec()),
             Self::Chunks => (chunked, [b"3e8\r\n", filler.as_slice(), b"\r\n"].concat()),
+            Self::TinyChunks => (chunked, b"1\r\nx\r\n".repeat(2_000)),
             Self::ChunkExtension => (format!("{chunked}1;"), filler),
             Self::Trailers => (format!("{chunked}0\r\n"), b"X-Trailer: 1\r\n".repeat(50)),
             Self::Headers => (head, b"X-Header: 1\r\n".repeat(50)),
