Take the members from the daemon that supplies the configuration

Callers of a daemon that started while the store was away got 503 `no candidate` for seconds, although other servers were up, and a call to its own server could come before the daemon knew of that server's departure.

Cause: such a daemon has no list of members. The first gossip that reaches it shows a newer configuration, which it fetches and routes by at once, but members come only with later gossip.

Change: a daemon without a configuration exchanges members with the daemon that it fetches the configuration from, before it puts that in force.

--- a/crates/forward/src/member_tasks.rs
+++ b/crates/forward/src/member_tasks.rs
@@ -102,7 +102,11 @@
     let version =
         |node: &node_context::NodeContext| node.core.ask(|core, _now| core.config().map(|config| config.version));
     let before = version(&node);
-    if before.is_some() {
+    if before.is_none() {
+        // The store doesn't supply the configuration, so it doesn't supply the members either. They precede the
+        // configuration, with which requests are routed.
+        exchange(rc::Rc::clone(&node), address).await;
+    } else {
         tokio::time::sleep(CONFIG_FETCH_DELAY).await;
         if version(&node) != before {
             return;
