Refuse requests that are incomplete when a stop closes connections

Callers whose request arrived slowly around a planned stop got no answer: the daemon passed it on up to the end of the grace time, and ended before the server did. The request may have run, also one that must run once.

Cause: in the phase `Closed` a connection limited only the wait for a new request; one that had begun to arrive was taken whenever it was complete. Ruled out by the tests of planned stops: a listener that stays open, and idle connections that get new requests.

Change: such a connection reads for 100 ms more, then answers 503 with Retry-After and closes. The request has not been passed on.

--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -502,7 +502,8 @@
 fn local_response(reply: LocalReply) -> hyper::Response<message_body::ReplyBody> {
     let mut response = hyper::Response::new(message_body::ReplyBody::whole(Bytes::new()));
     *response.status_mut() = reply.status();
-    if matches!(reply, LocalReply::NotRun(_)) {
+    let unrun = LocalReply::Rejected(request_fault::RequestFault::Stopping);
+    if matches!(reply, LocalReply::NotRun(_)) || reply == unrun {
         let seconds = rand::rng().random_range(RETRY_AFTER_SECONDS);
         if let Ok(value) = header::HeaderValue::try_from(format!("{seconds:.2}")) {
             response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/crates/node/src/entry/entry_server.rs
+++ b/crates/node/src/entry/entry_server.rs
@@ -264,6 +264,7 @@
         request_fault::RequestFault::UnsupportedCoding => "the transfer coding of the request is not supported\n",
         request_fault::RequestFault::HeadTimeout => "the request head did not arrive in time\n",
         request_fault::RequestFault::BodyTimeout => "the request body did not arrive in time\n",
+        request_fault::RequestFault::Stopping => "the daemon stops; the request did not run\n",
     };
     entry_request::RequestFault {
         status: fault.status().as_u16(),
--- a/crates/pipeline/src/request_fault.rs
+++ b/crates/pipeline/src/request_fault.rs
@@ -23,6 +23,9 @@
     /// The body did not arrive in time.
     #[display("request body did not arrive in time")]
     BodyTimeout,
+    /// A planned stop left no time to wait for the end of the request. It did not run and will not run later.
+    #[display("stopping before the end of the request arrived")]
+    Stopping,
 }
 
 impl RequestFault {
@@ -35,6 +38,7 @@
             Self::BodyTooLarge => hyper::StatusCode::PAYLOAD_TOO_LARGE,
             Self::UnsupportedCoding => hyper::StatusCode::NOT_IMPLEMENTED,
             Self::HeadTimeout | Self::BodyTimeout => hyper::StatusCode::REQUEST_TIMEOUT,
+            Self::Stopping => hyper::StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/crates/pipeline/src/request_order.rs
+++ b/crates/pipeline/src/request_order.rs
@@ -24,7 +24,8 @@
     Serving,
     /// The next response that has no started request behind it closes the connection.
     Closing,
-    /// As `Closing`, and an idle connection is closed unless a request arrives within a short time.
+    /// As `Closing`, and what is still to come has a short time left: then an idle connection is closed, and a request
+    /// that has not arrived completely is refused.
     Closed,
 }
 
--- a/crates/pipeline/src/server_connection.rs
+++ b/crates/pipeline/src/server_connection.rs
@@ -24,8 +24,9 @@
 
 /// Bytes that are read ahead of the request that is read next. Beyond them, reading pauses until a request starts.
 const READ_AHEAD_BYTES: usize = 64 * 1024;
-/// Time for which an idle connection stays open in the phase `Closed`, for a request that is already on its way.
-const CLOSED_IDLE_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+/// Time for which a connection reads in the phase `Closed`, for a request that is already on its way. One that is passed
+/// on later might be cut by the end of the process.
+const CLOSED_READ_TIME: time::Duration = time::Duration::from_millis(100);
 
 /// Limits of a connection.
 #[derive(Clone, Copy, Debug)]
@@ -116,6 +117,8 @@
     handlers: &'a ConnectionHandlers<P, S, R>,
     limits: ConnectionLimits,
     phase: request_order::ConnectionPhase,
+    /// Time of the change to this phase, or of the start of the connection.
+    phase_since: time::Instant,
     reader: request_reader::RequestReader,
     planned: Option<PlannedRequest<T>>,
     /// Request that was read and not started.
@@ -157,6 +160,7 @@
         handlers: &handlers,
         limits,
         phase: *phases.borrow_and_update(),
+        phase_since: now,
         reader: request_reader::RequestReader::new(limits.max_header_bytes),
         planned: None,
         waiting: None,
@@ -224,7 +228,8 @@
                 connection_events::ConnectionEvent::Frame(frame) => self.handle_frame(frame),
                 connection_events::ConnectionEvent::PhaseChanged(phase) => {
                     self.phase = phase;
-                    self.waiting_since = time::Instant::now();
+                    self.phase_since = time::Instant::now();
+                    self.waiting_since = self.phase_since;
                     ConnectionStep::Continue
                 }
                 connection_events::ConnectionEvent::Timer => {
@@ -297,6 +302,10 @@
     }
 
     fn accept_request(&mut self, body: Bytes) {
+        if self.read_end().is_some_and(|end| time::Instant::now() >= end) {
+            self.reject_request(request_fault::RequestFault::Stopping);
+            return;
+        }
         let Some(planned) = self.planned.take() else {
             return;
         };
@@ -469,7 +478,9 @@
         if self.is_idle() {
             return ConnectionStep::Finish;
         }
-        let fault = if self.planned.is_some() {
+        let fault = if self.read_end().is_some_and(|end| time::Instant::now() >= end) {
+            request_fault::RequestFault::Stopping
+        } else if self.planned.is_some() {
             request_fault::RequestFault::BodyTimeout
         } else {
             request_fault::RequestFault::HeadTimeout
@@ -487,7 +498,7 @@
         if self.is_idle() {
             let closed = self.phase == request_order::ConnectionPhase::Closed;
             let timeout = if closed {
-                CLOSED_IDLE_TIMEOUT
+                CLOSED_READ_TIME
             } else {
                 self.limits.idle_timeout
             };
@@ -495,7 +506,14 @@
         }
         let body = self.planned.as_ref().map(|planned| planned.body_deadline);
         let head = self.head_since.map(|since| since + self.limits.header_timeout);
-        body.or(head).filter(|_deadline| self.wants_input())
+        let deadline = body.or(head).filter(|_deadline| self.wants_input())?;
+        Some(self.read_end().map_or(deadline, |end| end.min(deadline)))
+    }
+
+    /// Returns when a request that has not arrived completely is refused because of a planned stop.
+    fn read_end(&self) -> Option<time::Instant> {
+        let closed = self.phase == request_order::ConnectionPhase::Closed;
+        closed.then(|| self.phase_since + CLOSED_READ_TIME)
     }
 }
 
--- a/crates/pipeline/tests/connection.rs
+++ b/crates/pipeline/tests/connection.rs
@@ -191,3 +191,27 @@
         );
     });
 }
+
+/// Guards against a request that is taken whenever its end arrives during a planned stop, and is cut by the end of the
+/// process after it has been passed on.
+#[test]
+fn stop_refuses_requests_that_have_not_arrived_completely() {
+    run(async {
+        for sent in [
+            "GET /abc HTTP/1.1\r\nHost",
+            "POST /abc HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc",
+        ] {
+            let (control, phases) = watch::channel(ConnectionPhase::Serving);
+            let log = Rc::default();
+            let mut client = connect(phases, &log).await;
+            client.write_all(sent.as_bytes()).await.unwrap();
+            tokio::task::yield_now().await;
+            control.send_replace(ConnectionPhase::Closed);
+            let mut received = String::new();
+            client.read_to_string(&mut received).await.unwrap();
+            assert!(received.starts_with("HTTP/1.1 503 "), "{received}");
+            assert!(received.contains("connection: close"), "{received}");
+            assert_eq!(*log.borrow(), [RequestFault::Stopping]);
+        }
+    });
+}
