Ignore member records with values that no daemon writes

Callers lost a server: a row of another writer with the id of a running daemon and a start time of 2^64 - 1 replaced that daemon's record in all tables, and ended the daemon as superseded once it had run for 30 s, again after each start.

Cause: records are ordered by start time, incarnation and version, and any value was taken.

Change: a record counts only if its start time, its departure's start time and its version are below fixed bounds and its port is not 0, wherever it comes from. The bounds don't depend on the reader's clock.

--- a/crates/forward/src/store_port.rs
+++ b/crates/forward/src/store_port.rs
@@ -308,10 +308,14 @@
 
 impl ListedRow {
     fn of(member: &StoredMember) -> Option<Self> {
-        let version = member.version;
+        let record = member.row.to_record().filter(member_record::MemberRecord::is_plausible);
+        let Some(record) = record else {
+            log::warn!(daemon:? = member.row.daemon_id; "member row with an implausible value ignored");
+            return None;
+        };
         Some(Self {
-            record: member.row.to_record()?,
-            version,
+            record,
+            version: member.version,
         })
     }
 }
--- a/crates/membership/src/gossip_merge.rs
+++ b/crates/membership/src/gossip_merge.rs
@@ -14,8 +14,13 @@
 const CLOCK_STEP_WINDOW: time::Duration = time::Duration::from_secs(30);
 
 impl GossipContext {
-    /// Merges a gossiped or exchanged record and queues it for gossip if it changed the table.
+    /// Merges a gossiped or exchanged record and queues it for gossip if it changed the table. An implausible one counts
+    /// as malformed.
     pub(crate) fn apply(&mut self, record: &member_record::MemberRecord, now: time::Instant) {
+        if !record.is_plausible() {
+            self.traffic.malformed += 1;
+            return;
+        }
         if record.daemon_id == self.own_record().daemon_id {
             self.apply_own(record, now);
             return;
@@ -29,8 +34,12 @@
         }
     }
 
-    /// Merges a row of the table service. It is not gossiped on, since its member may have been dead for hours.
+    /// Merges a row of the table service. It is not gossiped on, since its member may have been dead for hours. An
+    /// implausible one, which another writer left, is ignored.
     pub(crate) fn apply_row(&mut self, record: &member_record::MemberRecord, now: time::Instant) {
+        if !record.is_plausible() {
+            return;
+        }
         if record.daemon_id == self.own_record().daemon_id {
             self.apply_own(record, now);
         } else {
--- a/crates/membership/tests/gossip.rs
+++ b/crates/membership/tests/gossip.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use damasktrack_membership::gossip_context::GossipEvent;
 use damasktrack_membership::gossip_message;
-use damasktrack_membership::member_record::MemberState;
+use damasktrack_membership::member_record::{MemberRecord, MemberState};
 use damasktrack_membership::server_departure::ServerDeparture;
 use virtual_network::{Fault, Network, address, region};
 
@@ -279,6 +279,37 @@
     check_departure_returns(true).unwrap_err();
 }
 
+/// Guards against a daemon that ends, or is replaced in all tables, since another writer left a row with its id and a
+/// number that is too large.
+#[test]
+fn row_with_an_implausible_number_replaces_no_member() {
+    let odd_rows: [fn(&mut MemberRecord); 4] = [
+        |row| row.started_ms = u64::MAX,
+        |row| (row.started_ms, row.incarnation) = (1 << 60, u64::MAX),
+        |row| row.version = u64::MAX,
+        |row| (row.started_ms, row.address) = (5000, ([10, 0, 9, 9], 0).into()),
+    ];
+    for make_odd in odd_rows {
+        let mut network = network(8, Fault::None);
+        network.run(Duration::from_mins(1));
+        let mut row = network.nodes[3].context.own_record().clone();
+        row.address = ([10, 0, 9, 9], 7000).into();
+        make_odd(&mut row);
+        for index in 0..8 {
+            network.command(index, |context, now| {
+                context.learn_rows(std::slice::from_ref(&row), now)
+            });
+        }
+        network.run(Duration::from_secs(30));
+        assert!(!network.nodes[3].events.contains(&GossipEvent::Superseded), "{row:?}");
+        assert!(network.all_see(3, MemberState::Up), "{row:?}");
+        for node in &network.nodes {
+            let known = node.context.table().find(&row.daemon_id).unwrap();
+            assert_eq!(known.record.address, address(3), "{row:?}");
+        }
+    }
+}
+
 /// Guards against two processes with the same id overriding each other without end, and against the record of a new
 /// process being ignored because its clock was set back.
 #[test]
