--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -51,7 +51,8 @@
 /// whose latency differs by region under load. With the default ratio nearly half of the nested calls left their
 /// region.
 const EJECTION_RATIO: f64 = 8.0;
-/// Time after the start at which the daemon reports ready and uses its backend server even without a list of members from the store.
+/// Time after the start at which the daemon reports ready and uses its backend server even without a list of members from
+/// the store.
 const MEMBER_LIST_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
 /// Side effect requested by the core, run by [`crate::member_tasks::run_effects`].
--- a/crates/forward/src/node_context.rs
+++ b/crates/forward/src/node_context.rs
@@ -90,6 +90,17 @@
         self.peers.borrow_mut().remove(&address);
     }
 
+    /// Saves the departure of the backend server, if it has announced one. Precedes each acknowledgement to it, which binds
+    /// also a later process of this daemon.
+    pub async fn settle_departure(&self) {
+        let Some(departure) = self.core.ask(|core, _now| core.server().departure()) else {
+            return;
+        };
+        if self.departures.save(departure).await == departure_log::SaveResult::Unconfirmed {
+            log::warn!("departure of the backend server acknowledged before the store has it");
+        }
+    }
+
     /// Closes connections that have been idle for longer than their limit.
     pub fn close_idle_links(&self, now: time::Instant) {
         self.server.close_idle(now);
