--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -51,8 +51,8 @@
 /// whose latency differs by region under load. With the default ratio nearly half of the nested calls left their
 /// region.
 const EJECTION_RATIO: f64 = 8.0;
-/// Time after the start at which the daemon reports ready and uses its backend server even without a list of members from
-/// the store.
+/// Time after the start at which the daemon reports ready and uses its backend server even without a list of members
+/// from the store.
 const MEMBER_LIST_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
 /// Side effect requested by the core, run by [`crate::member_tasks::run_effects`].
@@ -177,8 +177,8 @@
 
 /// Commands.
 impl ForwardCore {
-    /// Creates the state of a starting daemon. `started_ms` is the start in milliseconds since 1970, and `boot_time` the
-    /// current time on the clock of [`stall_watch`].
+    /// Creates the state of a starting daemon. `started_ms` is the start in milliseconds since 1970, and `boot_time`
+    /// the current time on the clock of [`stall_watch`].
     #[must_use]
     pub fn new(
         settings: rc::Rc<forward_settings::ForwardSettings>,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -5,8 +5,8 @@
 //! and sends it to the backend server. All decisions are made by [`forward_core`], whose state is owned by one stakker
 //! actor; tasks call it through [`core_handle`].
 //!
-//! [`store_port`], [`server_report`], [`server_notice`] and [`header_names`] are the interface to the platform. The platform's names and
-//! formats are defined outside this crate.
+//! [`store_port`], [`server_report`], [`server_notice`] and [`header_names`] are the interface to the platform. The
+//! platform's names and formats are defined outside this crate.
 
 pub mod callee_call;
 pub mod core_handle;
--- a/crates/forward/src/message_body.rs
+++ b/crates/forward/src/message_body.rs
@@ -162,8 +162,8 @@
     }
 }
 
-/// Buffers the body of a response, or its beginning if it is large; the rest must end by `deadline`. The connection of a
-/// body that was read to its end returns to the pool.
+/// Buffers the body of a response, or its beginning if it is large; the rest must end by `deadline`. The connection of
+/// a body that was read to its end returns to the pool.
 ///
 /// # Errors
 /// Returns an error if the body is truncated within the bytes that are buffered.
@@ -201,8 +201,8 @@
     Ok((parts, ReplyBody::whole(received.into_bytes())))
 }
 
-/// Bytes received so far of a body. They are joined as they arrive, since a chunk that is kept costs many times its bytes
-/// if it is short, and a faulty server may send any number of short ones.
+/// Bytes received so far of a body. They are joined as they arrive, since a chunk that is kept costs many times its
+/// bytes if it is short, and a faulty server may send any number of short ones.
 #[derive(Debug, Default)]
 struct ReceivedBytes {
     /// The only chunk so far, which need not be copied.
--- a/crates/forward/src/node_context.rs
+++ b/crates/forward/src/node_context.rs
@@ -90,8 +90,8 @@
         self.peers.borrow_mut().remove(&address);
     }
 
-    /// Saves the departure of the backend server, if it has announced one. Precedes each acknowledgement to it, which binds
-    /// also a later process of this daemon.
+    /// Saves the departure of the backend server, if it has announced one. Precedes each acknowledgement to it, which
+    /// binds also a later process of this daemon.
     pub async fn settle_departure(&self) {
         let Some(departure) = self.core.ask(|core, _now| core.server().departure()) else {
             return;
--- a/crates/forward/src/server_report.rs
+++ b/crates/forward/src/server_report.rs
@@ -243,8 +243,8 @@
         ready.then_some(report)
     }
 
-    /// Returns the start that has announced its departure, by a draining report, a deregistration or a response: that of
-    /// the newest report, or the latest known one before the first report. `None` if the server has not.
+    /// Returns the start that has announced its departure, by a draining report, a deregistration or a response: that
+    /// of the newest report, or the latest known one before the first report. `None` if the server has not.
     #[must_use]
     pub fn departure(&self) -> Option<server_departure::ServerDeparture> {
         let Some(report) = &self.report else {
--- a/crates/forward/src/store_port.rs
+++ b/crates/forward/src/store_port.rs
@@ -283,8 +283,8 @@
 }
 
 /// Returns the version of a daemon's own row after a list; `None` if the row is to be written, since it is missing, of
-/// an earlier start, or without the latest departure of the backend server. `known` is the version of the last write. It
-/// stays if the row is of a later process with the same daemon id, whose row this process must not remove.
+/// an earlier start, or without the latest departure of the backend server. `known` is the version of the last write.
+/// It stays if the row is of a later process with the same daemon id, whose row this process must not remove.
 #[must_use]
 pub fn own_row_version(
     own: &member_record::MemberRecord,
--- a/crates/forward/tests/reply_memory.rs
+++ b/crates/forward/tests/reply_memory.rs
@@ -17,8 +17,9 @@
 const RESPONSES: u64 = 4;
 /// Chunks of one byte in each response; fewer than the bytes that are buffered of a response.
 const CHUNKS: usize = 200_000;
-/// Largest share of a response in the growth of the process: twice the 256 KiB that are buffered, since a buffer doubles
-/// when it grows, about 400 KiB of the connection, and as much again for the runtime and the threads of the test.
+/// Largest share of a response in the growth of the process: twice the 256 KiB that are buffered, since a buffer
+/// doubles when it grows, about 400 KiB of the connection, and as much again for the runtime and the threads of the
+/// test.
 const MAX_RESPONSE_KB: u64 = 2 * 1024;
 
 /// Returns the largest resident memory of this process so far, in KiB.
--- a/crates/forward/tests/states.rs
+++ b/crates/forward/tests/states.rs
@@ -243,8 +243,8 @@
     assert_eq!(table.get(&daemon), None);
 }
 
-/// Guards against a server that gets work again after a response said that it leaves, by a later response, a heartbeat or
-/// a hint without that notice.
+/// Guards against a server that gets work again after a response said that it leaves, by a later response, a heartbeat
+/// or a hint without that notice.
 #[test]
 fn departure_in_a_response_is_final_for_the_start() {
     let instance = Bytes::from_static(b"i-1");
@@ -351,8 +351,8 @@
     assert_eq!(watch.longest_wait(at(2_750)), at(0));
 }
 
-/// Guards against a stopping process that removes the row of a later process with its daemon id, and against a row of an
-/// earlier start that a restore of the store brought back.
+/// Guards against a stopping process that removes the row of a later process with its daemon id, and against a row of
+/// an earlier start that a restore of the store brought back.
 #[test]
 fn own_row_is_that_of_the_own_process() {
     let record = |started_ms| -> MemberRecord {
--- a/crates/membership/src/gossip_merge.rs
+++ b/crates/membership/src/gossip_merge.rs
@@ -14,8 +14,8 @@
 const CLOCK_STEP_WINDOW: time::Duration = time::Duration::from_secs(30);
 
 impl GossipContext {
-    /// Merges a gossiped or exchanged record and queues it for gossip if it changed the table. An implausible one counts
-    /// as malformed.
+    /// Merges a gossiped or exchanged record and queues it for gossip if it changed the table. An implausible one
+    /// counts as malformed.
     pub(crate) fn apply(&mut self, record: &member_record::MemberRecord, now: time::Instant) {
         if !record.is_plausible() {
             self.traffic.malformed += 1;
--- a/crates/membership/src/member_record.rs
+++ b/crates/membership/src/member_record.rs
@@ -10,8 +10,8 @@
 
 use crate::server_departure;
 
-/// Largest start time that counts, in milliseconds since the Unix epoch: in the year 2248. It doesn't depend on the clock
-/// of the reader, which may be wrong at its start.
+/// Largest start time that counts, in milliseconds since the Unix epoch: in the year 2248. It doesn't depend on the
+/// clock of the reader, which may be wrong at its start.
 const MAX_STARTED_MS: u64 = 1 << 43;
 /// Largest version that counts. Members raise their version by a few a minute.
 const MAX_VERSION: u64 = 1 << 32;
@@ -131,8 +131,8 @@
         (self.started_ms, self.incarnation).cmp(&(other.started_ms, other.incarnation))
     }
 
-    /// Returns whether a daemon can have written this record. One with a greater start time or version would replace that
-    /// of its daemon for good, since nothing that the daemon writes is newer.
+    /// Returns whether a daemon can have written this record. One with a greater start time or version would replace
+    /// that of its daemon for good, since nothing that the daemon writes is newer.
     #[must_use]
     pub fn is_plausible(&self) -> bool {
         let departed_ms = self.departure.as_ref().map_or(0, |departure| departure.started_ms);
--- a/crates/membership/tests/gossip.rs
+++ b/crates/membership/tests/gossip.rs
@@ -268,7 +268,8 @@
     }
 }
 
-/// Guards against a departure that is forgotten at a restart of the daemon that acknowledged it, while the store is away.
+/// Guards against a departure that is forgotten at a restart of the daemon that acknowledged it, while the store is
+/// away.
 #[test]
 fn restarted_daemon_learns_the_departure_from_the_others() {
     check_departure_returns(false).unwrap();
--- a/crates/membership/tests/merging.rs
+++ b/crates/membership/tests/merging.rs
@@ -221,8 +221,8 @@
     }
 }
 
-/// Guards against records that daemons without the field for departures can't decode although there is none, and against
-/// records of such daemons that can't be decoded here.
+/// Guards against records that daemons without the field for departures can't decode although there is none, and
+/// against records of such daemons that can't be decoded here.
 #[test]
 fn record_without_a_departure_has_ten_fields() {
     let update = Update {
--- a/crates/pipeline/src/server_connection.rs
+++ b/crates/pipeline/src/server_connection.rs
@@ -24,8 +24,8 @@
 
 /// Bytes that are read ahead of the request that is read next. Beyond them, reading pauses until a request starts.
 const READ_AHEAD_BYTES: usize = 64 * 1024;
-/// Time for which a connection reads in the phase `Closed`, for a request that is already on its way. One that is passed
-/// on later might be cut by the end of the process.
+/// Time for which a connection reads in the phase `Closed`, for a request that is already on its way. One that is
+/// passed on later might be cut by the end of the process.
 const CLOSED_READ_TIME: time::Duration = time::Duration::from_millis(100);
 
 /// Limits of a connection.
