Release the downloads of a test only after one was refused

It released the downloads when 200 short calls were done, about 190 ms after the first download, and relied on the others being refused by then, which takes 100 ms of waiting. No fault of the daemon.

Change: the test is wrong, since its verdict depends on time. It now waits for the first answer, which must be a refusal as no download has been released, and then releases them. The other checks are as before, so it is as strict: short calls all done, at least one download done and one refused, no answer but 200 with the whole body and 503.

--- a/crates/daemon/tests/processes/overload.rs
+++ b/crates/daemon/tests/processes/overload.rs
@@ -74,6 +74,7 @@
 fn long_downloads_leave_slots_to_short_calls() {
     const DOWNLOADS: usize = 8;
     const LENGTH: usize = 100_000;
+    const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(30);
     let (release, wait) = mpsc::channel::<()>();
     let wait = sync::Mutex::new(wait);
     let backend = support::BackendServer::start(move |request, stream| {
@@ -94,27 +95,31 @@
     ];
     let deployment = deployment::Deployment::start(vec![server], &deployment::resources(&[("s", 4)], &classes));
     let entry = deployment.entry.entry;
-    let downloads: Vec<_> = (0..DOWNLOADS)
-        .map(|_| {
-            thread::spawn(move || {
-                support::Caller::open(entry)
-                    .exchange("GET", "/s/ledger", "", b"")
-                    .unwrap()
-            })
-        })
-        .collect();
+    let (answered, answers) = mpsc::channel();
+    for _download in 0..DOWNLOADS {
+        let answered = answered.clone();
+        thread::spawn(move || {
+            let response = support::Caller::open(entry)
+                .exchange("GET", "/s/ledger", "", b"")
+                .unwrap();
+            answered.send(response).unwrap();
+        });
+    }
     deployment.backends[0].wait_request("/ledger");
     let short = deployment::join_all(deployment::call_all(entry, 2, 100, "GET", |thread, number| {
         format!("/s/tag/{thread}-{number}")
     }));
     let not_done: Vec<_> = short.iter().filter(|result| result.outcome != "done").collect();
     assert!(not_done.is_empty(), "{not_done:?}");
-    for _ in 0..DOWNLOADS {
+    // No download has ended, so the first answer is that to one that found no slot.
+    let first = answers.recv_timeout(ANSWER_TIMEOUT).unwrap();
+    assert_eq!(first.status, 503);
+    for _download in 0..DOWNLOADS {
         release.send(()).unwrap();
     }
-    let (mut done, mut refused) = (0, 0);
-    for download in downloads {
-        let response = download.join().unwrap();
+    let (mut done, mut refused) = (0, 1);
+    for _download in 1..DOWNLOADS {
+        let response = answers.recv_timeout(ANSWER_TIMEOUT).unwrap();
         match response.status {
             200 => {
                 assert_eq!(response.body.len(), LENGTH);
