Don't hold the era of the store while the list of members is delayed

Callers got no answer any more from any daemon that the store was restored for twice within a second: its only thread was blocked for good.

Cause: since sync_members waits with `select!`, whose branch held the result of `watch::Receiver::wait_for` during the delay of up to a second that follows. The result borrows the value, and the next response with a newer era waits for it to be dropped, on the same thread.

Change: the result is dropped before the branch runs. The other waits for values of a watch channel keep none across an await.

--- a/crates/forward/src/store_port.rs
+++ b/crates/forward/src/store_port.rs
@@ -235,10 +235,14 @@
             step = MemberStep::Write;
             continue;
         }
-        let restored = era.wait_for(|newest| listed_era.is_some() && *newest != listed_era);
+        let restored = async {
+            // The result borrows the era, and a response with another one would block the thread until it is dropped.
+            let changed = era.wait_for(|newest| listed_era.is_some() && *newest != listed_era);
+            drop(changed.await);
+        };
         step = tokio::select! {
             () = node.departures.due() => MemberStep::Write,
-            _restored = restored => {
+            () = restored => {
                 // Spreads the calls of all daemons.
                 tokio::time::sleep(MAX_RESTORE_DELAY.mul_f64(rand::rng().random())).await;
                 MemberStep::List
