Identify the tenant of a request by its key

Requests had no tenant: every call was of the default tenant at the gate, and a key or a tenant's name in a caller's header went through to the backend server.

The configuration may now have Tenants. A request with such a key and a body is answered before the body arrives. The tenant goes to the callee daemon in CallHead, to the gate, and to the backend server in its header, which is removed from callers' requests. Its priority replaces that of the route. Text of the configuration and keys have types of their own that print nothing of them, and findings about tenants name the place only.

Settings of quotas and of the confirmation of the configuration are read. Without the store a daemon doesn't ask its peers for a confirmation yet.

--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -169,6 +169,7 @@
         message: "call refused before the backend server",
         attempt_id,
         class: &head.class,
+        tenant: head.tenant.as_ref(),
         outcome: &outcome,
         elapsed: arrived.elapsed(),
     };
@@ -257,6 +258,7 @@
         message: "call at the backend server failed",
         attempt_id: attempt_id.as_ref(),
         class: &head.class,
+        tenant: head.tenant.as_ref(),
         outcome: &fault,
         elapsed: now.elapsed(),
     };
@@ -307,6 +309,14 @@
         names.caller_service.clone(),
         header::HeaderValue::from_bytes(&head.caller_service).ok()?,
     );
+    match &head.tenant {
+        Some(tenant) => {
+            headers.insert(names.tenant.clone(), header::HeaderValue::from_bytes(tenant).ok()?);
+        }
+        None => {
+            headers.remove(&names.tenant);
+        }
+    }
     Some(request_of(request.method, request.uri, headers, request.body))
 }
 
--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -17,15 +17,19 @@
 use rand::RngExt;
 
 use crate::callee_call;
+use crate::caller_key;
 use crate::forward_core;
 use crate::http_link;
+use crate::local_reply;
 use crate::log_limiter;
 use crate::message_body;
 use crate::node_context;
 use crate::peer_call;
+use crate::request_end;
 use crate::route_config;
 use crate::server_hint;
 use crate::stall_watch;
+use crate::tenant_config;
 
 /// Maximum number of daemons that are tried for one request. Each refusal costs a message, and after four refusals it
 /// is unlikely that a fifth daemon accepts.
@@ -38,48 +42,12 @@
 const DEFAULT_DEADLINE: time::Duration = time::Duration::from_secs(10);
 /// Largest request body while no configuration is in force, in bytes.
 const DEFAULT_MAX_BODY_BYTES: usize = 8 << 20;
-/// Range of the `Retry-After` values, from which each is drawn at random to spread the retries of refused callers.
-const RETRY_AFTER_SECONDS: std::ops::Range<f64> = 0.3..0.9;
-
-/// Response that this daemon generates when there is no backend server's response to forward.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum LocalReply {
-    BadRequest,
-    NoRoute,
-    Rejected(request_fault::RequestFault),
-    NotRun(call_outcome::RefusalReason),
-    MayHaveRun,
-    Timeout,
-}
-
-impl LocalReply {
-    fn status(self) -> hyper::StatusCode {
-        match self {
-            Self::BadRequest => hyper::StatusCode::BAD_REQUEST,
-            Self::NoRoute => hyper::StatusCode::NOT_FOUND,
-            Self::Rejected(fault) => fault.status(),
-            Self::NotRun(_reason) => hyper::StatusCode::SERVICE_UNAVAILABLE,
-            Self::MayHaveRun => hyper::StatusCode::BAD_GATEWAY,
-            Self::Timeout => hyper::StatusCode::GATEWAY_TIMEOUT,
-        }
-    }
-
-    fn text(self) -> String {
-        match self {
-            Self::BadRequest => "malformed request".to_owned(),
-            Self::NoRoute => "no route".to_owned(),
-            Self::Rejected(fault) => fault.to_string(),
-            Self::NotRun(reason) => reason.to_string(),
-            Self::MayHaveRun => "no usable response".to_owned(),
-            Self::Timeout => "timeout".to_owned(),
-        }
-    }
-}
-
 /// Route of a request, decided from its head.
 #[derive(Debug)]
 pub struct EntryRoute {
-    matched: Result<MatchedRoute, LocalReply>,
+    matched: Result<MatchedRoute, local_reply::LocalReply>,
+    /// Tenant of the request; `None` for the default tenant.
+    pub tenant: Option<rc::Rc<tenant_config::TenantRule>>,
     /// Time from the arrival of the head to the latest time of the response.
     timeout: time::Duration,
 }
@@ -94,6 +62,7 @@
 struct EntryRequest {
     rule: rc::Rc<route_config::RouteRule>,
     service: ids::ServiceName,
+    tenant: Option<rc::Rc<tenant_config::TenantRule>>,
     request: callee_call::CallRequest,
     /// When the head was read.
     arrived: time::Instant,
@@ -111,21 +80,36 @@
 }
 
 /// Matches the route of a request and plans how it is read.
-pub fn plan(node: &node_context::NodeContext, parts: &request::Parts) -> server_connection::RequestPlan<EntryRoute> {
+pub fn plan(
+    node: &node_context::NodeContext,
+    parts: &mut request::Parts,
+) -> server_connection::RequestPlan<EntryRoute> {
+    // The key ends here, and the caller has no say in the tenant's name.
+    let key = caller_key::CarriedKey::take(&mut parts.headers, &node.settings.headers.credential);
+    parts.headers.remove(&node.settings.headers.tenant);
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| parts.uri.host());
     let (decision, max_body_bytes, waited) = node.core.ask(|core, _now| {
         let limits = core.config().map(|config| config.limits);
         let max_body_bytes = limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.max_body_bytes);
-        let decision = host.map(|host| core.route_request(host, parts.uri.path()));
-        let waited = core.longest_wait(stall_watch::boot_time());
+        let now = stall_watch::boot_time();
+        let decision = host.map(|host| core.route_request(host, parts.uri.path(), &key, now));
+        let waited = core.longest_wait(now);
         (decision, max_body_bytes, waited)
     });
+    let mut known_tenant = None;
     let matched = match decision {
-        Some(forward_core::EntryDecision::Route { rule, service }) => Ok(MatchedRoute { rule, service }),
-        Some(forward_core::EntryDecision::NoRoute) => Err(LocalReply::NoRoute),
-        Some(forward_core::EntryDecision::NoConfig) => Err(LocalReply::NotRun(call_outcome::RefusalReason::Starting)),
-        None => Err(LocalReply::BadRequest),
+        Some(forward_core::EntryDecision::Route { rule, service, tenant }) => {
+            known_tenant = tenant;
+            Ok(MatchedRoute { rule, service })
+        }
+        Some(forward_core::EntryDecision::Unauthorized) => Err(local_reply::LocalReply::Unauthorized),
+        Some(forward_core::EntryDecision::Unconfirmed) => Err(local_reply::LocalReply::Unconfirmed),
+        Some(forward_core::EntryDecision::NoRoute) => Err(local_reply::LocalReply::NoRoute),
+        Some(forward_core::EntryDecision::NoConfig) => {
+            Err(local_reply::LocalReply::NotRun(call_outcome::RefusalReason::Starting))
+        }
+        None => Err(local_reply::LocalReply::BadRequest),
     };
     let requested = parts.headers.get(&node.settings.headers.deadline_ms);
     let requested = requested.and_then(|value| value.to_str().ok()?.trim().parse().ok());
@@ -140,8 +124,13 @@
         max_body_bytes,
         body_timeout: timeout,
         order,
+        refused: matches!(
+            matched,
+            Err(local_reply::LocalReply::Unauthorized | local_reply::LocalReply::Unconfirmed)
+        ),
         route: EntryRoute {
             matched,
+            tenant: known_tenant,
             timeout: timeout.saturating_sub(waited),
         },
     }
@@ -153,7 +142,13 @@
     fault: request_fault::RequestFault,
 ) -> hyper::Response<message_body::ReplyBody> {
     let class = Bytes::from_static(UNMATCHED_CLASS);
-    finish_locally(node, LocalReply::Rejected(fault), None, &class, time::Instant::now())
+    let ended = request_end::EndedRequest {
+        attempt_id: None,
+        class: &class,
+        tenant: None,
+        arrived: time::Instant::now(),
+    };
+    ended.finish_locally(node, local_reply::LocalReply::Rejected(fault))
 }
 
 /// Serves one request of a caller.
@@ -166,6 +161,7 @@
     let _in_flight = InFlightGuard(rc::Rc::clone(&node));
     let attempt_id = request.parts.headers.get(&node.settings.headers.attempt_id).cloned();
     let deadline = arrived + request.route.timeout;
+    let tenant = request.route.tenant;
     let (class, result) = match request.route.matched {
         Ok(matched) => {
             let class = matched.rule.name.clone();
@@ -173,6 +169,7 @@
             let entry = EntryRequest {
                 rule: matched.rule,
                 service: matched.service,
+                tenant: tenant.clone(),
                 request: call,
                 arrived,
                 deadline,
@@ -181,62 +178,19 @@
         }
         Err(reply) => (Bytes::from_static(UNMATCHED_CLASS), Err(reply)),
     };
-    let response = match result {
-        Ok(response) => response,
-        Err(reply) => return finish_locally(&node, reply, attempt_id.as_ref(), &class, arrived),
-    };
-    node.metrics.record_request(&class, "answered", arrived.elapsed());
-    let outcome = response.status().as_str().to_owned();
-    let category = if response.status().is_server_error() {
-        log_limiter::LogCategory::Failure
-    } else {
-        log_limiter::LogCategory::Success
-    };
-    log_end(
-        &node,
-        category,
-        "request answered",
-        attempt_id.as_ref(),
-        &class,
-        &outcome,
+    let ended = request_end::EndedRequest {
+        attempt_id: attempt_id.as_ref(),
+        class: &class,
+        tenant: tenant.as_ref().map(|tenant| &tenant.name),
         arrived,
-    );
-    response
-}
-
-/// Records a request that gets no backend server's response, and returns the response of this daemon.
-fn finish_locally(
-    node: &node_context::NodeContext,
-    reply: LocalReply,
-    attempt_id: Option<&header::HeaderValue>,
-    class: &ids::ClassName,
-    arrived: time::Instant,
-) -> hyper::Response<message_body::ReplyBody> {
-    node.metrics
-        .record_request(class, outcome_label(reply), arrived.elapsed());
-    let text = format!("{} {}", reply.status().as_str(), reply.text());
-    let category = log_limiter::LogCategory::Failure;
-    log_end(node, category, "request not served", attempt_id, class, &text, arrived);
-    local_response(reply)
-}
-
-fn log_end(
-    node: &node_context::NodeContext,
-    category: log_limiter::LogCategory,
-    message: &str,
-    attempt_id: Option<&header::HeaderValue>,
-    class: &ids::ClassName,
-    outcome: &str,
-    arrived: time::Instant,
-) {
-    let line = node_context::RequestLog {
-        message,
-        attempt_id,
-        class,
-        outcome,
-        elapsed: arrived.elapsed(),
     };
-    node.log_request(category, &line);
+    match result {
+        Ok(response) => {
+            ended.record_answer(&node, response.status());
+            response
+        }
+        Err(reply) => ended.finish_locally(&node, reply),
+    }
 }
 
 /// Builds the request for the backend server from that of a caller.
@@ -274,9 +228,11 @@
 async fn attempt(
     node: &rc::Rc<node_context::NodeContext>,
     entry: &EntryRequest,
-) -> Result<hyper::Response<message_body::ReplyBody>, LocalReply> {
+) -> Result<hyper::Response<message_body::ReplyBody>, local_reply::LocalReply> {
     if time::Instant::now() >= entry.deadline {
-        return Err(LocalReply::NotRun(call_outcome::RefusalReason::DeadlineTooShort));
+        return Err(local_reply::LocalReply::NotRun(
+            call_outcome::RefusalReason::DeadlineTooShort,
+        ));
     }
     node.core.ask(|core, now| core.count_request(&entry.service, now));
     let limit = entry.deadline.saturating_duration_since(entry.arrived);
@@ -286,7 +242,7 @@
             Ok(response) => return Ok(response),
             Err(reply) => reply,
         };
-        let LocalReply::NotRun(reason) = reply else {
+        let local_reply::LocalReply::NotRun(reason) = reply else {
             return Err(reply);
         };
         let draw = rand::rng().random();
@@ -307,9 +263,9 @@
     node: &rc::Rc<node_context::NodeContext>,
     entry: &EntryRequest,
     sent: &mut u32,
-) -> Result<hyper::Response<message_body::ReplyBody>, LocalReply> {
+) -> Result<hyper::Response<message_body::ReplyBody>, local_reply::LocalReply> {
     let mut tried: Vec<route_candidate::ServerKey> = Vec::new();
-    let mut last = LocalReply::NotRun(call_outcome::RefusalReason::NoCandidate);
+    let mut last = local_reply::LocalReply::NotRun(call_outcome::RefusalReason::NoCandidate);
     while tried.len() < MAX_DAEMONS {
         let choice = node
             .core
@@ -337,12 +293,12 @@
         };
         tried.push(server);
         let repeat = match result {
-            None => return Err(LocalReply::Timeout),
+            None => return Err(local_reply::LocalReply::Timeout),
             Some(callee_call::CallResult::Answered(response)) => return Ok(*response),
             Some(callee_call::CallResult::NotRun(reason)) => {
                 // A refusal of a later attempt does not show that an earlier attempt did not run.
-                if last != LocalReply::MayHaveRun {
-                    last = LocalReply::NotRun(reason);
+                if last != local_reply::LocalReply::MayHaveRun {
+                    last = local_reply::LocalReply::NotRun(reason);
                 }
                 match reason {
                     call_outcome::RefusalReason::DeadlineTooShort => false,
@@ -360,7 +316,7 @@
                 }
             }
             Some(callee_call::CallResult::MayHaveRun) => {
-                last = LocalReply::MayHaveRun;
+                last = local_reply::LocalReply::MayHaveRun;
                 *sent += 1;
                 entry.rule.is_repeatable() && *sent < entry.rule.max_attempts && repeat_allowed(node, entry)
             }
@@ -428,14 +384,21 @@
     peer_call::CallHead {
         service: entry.service.clone(),
         class: entry.rule.name.clone(),
-        priority: entry.rule.priority,
+        priority: tenant_priority(entry),
         repeatable: entry.rule.is_repeatable(),
         left: entry.deadline.saturating_duration_since(time::Instant::now()),
         caller_service: node.settings.service.clone(),
         hint,
+        tenant: entry.tenant.as_ref().map(|tenant| tenant.name.clone()),
     }
 }
 
+/// Returns the priority of a request: that of its tenant, otherwise that of its route.
+fn tenant_priority(entry: &EntryRequest) -> u8 {
+    let tenant = entry.tenant.as_ref().and_then(|tenant| tenant.priority);
+    tenant.unwrap_or(entry.rule.priority)
+}
+
 async fn call_peer(
     node: &rc::Rc<node_context::NodeContext>,
     entry: &EntryRequest,
@@ -462,10 +425,14 @@
             return callee_call::CallResult::NotRun(call_outcome::RefusalReason::BackendServerDown);
         }
         Err(http_link::LinkError::NoResponse(error)) => {
-            let id = entry.request.headers.get(&node.settings.headers.attempt_id);
-            let (class, outcome) = (&entry.rule.name, format!("{address}: {error}"));
-            let category = log_limiter::LogCategory::Failure;
-            log_end(node, category, "daemon gave no response", id, class, &outcome, began);
+            let lost = request_end::EndedRequest {
+                attempt_id: entry.request.headers.get(&node.settings.headers.attempt_id),
+                class: &entry.rule.name,
+                tenant: entry.tenant.as_ref().map(|tenant| &tenant.name),
+                arrived: began,
+            };
+            let (category, outcome) = (log_limiter::LogCategory::Failure, format!("{address}: {error}"));
+            lost.log(node, category, "daemon gave no response", &outcome);
             return callee_call::CallResult::MayHaveRun;
         }
     };
@@ -488,26 +455,3 @@
         Some(peer_call::CallVerdict::MayHaveRun) | None => callee_call::CallResult::MayHaveRun,
     }
 }
-
-fn outcome_label(reply: LocalReply) -> &'static str {
-    match reply {
-        LocalReply::BadRequest | LocalReply::Rejected(_) => "rejected",
-        LocalReply::NoRoute => "no_route",
-        LocalReply::NotRun(_reason) => "refused",
-        LocalReply::MayHaveRun => "failed",
-        LocalReply::Timeout => "timeout",
-    }
-}
-
-fn local_response(reply: LocalReply) -> hyper::Response<message_body::ReplyBody> {
-    let mut response = hyper::Response::new(message_body::ReplyBody::whole(Bytes::new()));
-    *response.status_mut() = reply.status();
-    let unrun = LocalReply::Rejected(request_fault::RequestFault::Stopping);
-    if matches!(reply, LocalReply::NotRun(_)) || reply == unrun {
-        let seconds = rand::rng().random_range(RETRY_AFTER_SECONDS);
-        if let Ok(value) = header::HeaderValue::try_from(format!("{seconds:.2}")) {
-            response.headers_mut().insert(header::RETRY_AFTER, value);
-        }
-    }
-    response
-}
--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -27,6 +27,9 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::caller_key;
+use crate::config_confirmation;
+use crate::config_text;
 use crate::forward_settings;
 use crate::peer_call;
 use crate::retry_share;
@@ -34,6 +37,7 @@
 use crate::server_hint;
 use crate::server_report;
 use crate::stall_watch;
+use crate::tenant_config;
 use crate::weighted_choice;
 
 mod core_members;
@@ -88,11 +92,17 @@
         rule: rc::Rc<route_config::RouteRule>,
         /// Service selected from the rule's targets by weight.
         service: ids::ServiceName,
+        /// Tenant of the request; `None` for the default tenant.
+        tenant: Option<rc::Rc<tenant_config::TenantRule>>,
     },
     /// No rule matches, or all weights of the matching rule are zero.
     NoRoute,
     /// No configuration is in force yet.
     NoConfig,
+    /// The key is unknown, or missing where one is required.
+    Unauthorized,
+    /// The key can't be checked, since the configuration was not confirmed recently.
+    Unconfirmed,
 }
 
 /// Server selected for an attempt.
@@ -159,7 +169,8 @@
     members_listed: bool,
     config: Option<rc::Rc<route_config::RouteConfig>>,
     /// Source text of `config`, served to daemons that can't read the store.
-    config_text: Bytes,
+    config_text: config_text::ConfigText,
+    confirmation: config_confirmation::ConfigConfirmation,
     choices: collections::HashMap<ids::ClassName, weighted_choice::WeightedChoice>,
     routes: route_table::RouteTable,
     budgets: collections::HashMap<ids::ServiceName, retry_budget::RetryBudget>,
@@ -208,13 +219,14 @@
             routes,
             gossip: gossip_context::GossipContext::new(record, incarnation, now),
             gate: admission_gate::AdmissionGate::new(gate_policy(DEFAULT_SLOTS)),
+            confirmation: config_confirmation::ConfigConfirmation::new(settings.revoke_limit),
             settings,
             effects,
             phase: LifePhase::Running,
             started: now,
             members_listed: false,
             config: None,
-            config_text: Bytes::new(),
+            config_text: config_text::ConfigText::default(),
             choices: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
             server: server_report::ServerState::default(),
@@ -227,12 +239,26 @@
         }
     }
 
-    /// Matches a caller's request to a rule and selects one of the rule's services.
-    pub fn route_request(&mut self, host: &str, path: &str) -> EntryDecision {
+    /// Matches a caller's request to a rule, identifies its tenant and selects one of the rule's services.
+    pub fn route_request(
+        &mut self,
+        host: &str,
+        path: &str,
+        key: &caller_key::CarriedKey,
+        now: stall_watch::BootTime,
+    ) -> EntryDecision {
         let Some(config) = &self.config else {
             return EntryDecision::NoConfig;
         };
-        let Some(rule) = config.find(host, path) else {
+        let rule = config.find(host, path);
+        let allow_anonymous = rule.is_some_and(|rule| rule.allow_anonymous);
+        let trust = self.confirmation.trust(now);
+        let tenant = match tenant_config::identify(config.tenants(), key, allow_anonymous, trust) {
+            tenant_config::TenantDecision::Known(tenant) => tenant,
+            tenant_config::TenantDecision::Unknown => return EntryDecision::Unauthorized,
+            tenant_config::TenantDecision::Unconfirmed => return EntryDecision::Unconfirmed,
+        };
+        let Some(rule) = rule else {
             return EntryDecision::NoRoute;
         };
         let choice = self.choices.entry(rule.name.clone()).or_default();
@@ -242,6 +268,7 @@
         EntryDecision::Route {
             rule: rc::Rc::clone(rule),
             service,
+            tenant,
         }
     }
 
@@ -353,7 +380,10 @@
         let arrival = gate_report::CallArrival {
             call,
             class: head.class.clone(),
-            tenant: Bytes::from_static(ids::DEFAULT_TENANT.as_bytes()),
+            tenant: head
+                .tenant
+                .clone()
+                .unwrap_or(Bytes::from_static(ids::DEFAULT_TENANT.as_bytes())),
             importance,
             critical: head.priority == 0,
             lane: gate_report::CallLane::Short,
@@ -408,7 +438,7 @@
     }
 
     /// Puts a configuration in force unless its version is not newer than the current one.
-    pub fn adopt_config(&mut self, config: route_config::RouteConfig, text: Bytes) {
+    pub fn adopt_config(&mut self, config: route_config::RouteConfig, text: config_text::ConfigText) {
         let current = self.config.as_ref().map(|config| config.version);
         if current.is_some_and(|current| current >= config.version) {
             return;
@@ -419,6 +449,11 @@
         self.config_text = text;
     }
 
+    /// Records that the configuration in force was confirmed by the store at `at`.
+    pub fn confirm_config(&mut self, at: stall_watch::BootTime) {
+        self.confirmation.confirm(at);
+    }
+
     /// Runs the periodic work: refuses expired queued calls, ejects and reinstates servers, and updates the network
     /// delays of the routes.
     pub fn tick(&mut self, now: time::Instant) {
--- a/crates/forward/src/forward_core/core_queries.rs
+++ b/crates/forward/src/forward_core/core_queries.rs
@@ -3,7 +3,6 @@
 use std::rc;
 use std::time;
 
-use bytes::Bytes;
 use damasktrack_admission::gate_report;
 use damasktrack_entity::ids;
 use damasktrack_membership::gossip_context;
@@ -11,6 +10,8 @@
 use super::ForwardCore;
 use super::LifePhase;
 use super::MEMBER_LIST_TIMEOUT;
+use crate::config_confirmation;
+use crate::config_text;
 use crate::forward_settings;
 use crate::route_config;
 use crate::server_hint;
@@ -58,10 +59,16 @@
 
     /// Returns the source text of the configuration in force; empty if there is none.
     #[must_use]
-    pub fn config_text(&self) -> &Bytes {
+    pub fn config_text(&self) -> &config_text::ConfigText {
         &self.config_text
     }
 
+    /// Returns the age of the last confirmation of the configuration.
+    #[must_use]
+    pub fn confirmation(&self) -> &config_confirmation::ConfigConfirmation {
+        &self.confirmation
+    }
+
     /// Returns the state of the gossip protocol.
     #[must_use]
     pub fn gossip(&self) -> &gossip_context::GossipContext {
--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -13,6 +13,14 @@
 /// Upper bounds of the latency histogram, in seconds.
 const LATENCY_BOUNDS: &[f64] = &[0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
 
+/// Counter of requests by tenant.
+const TENANT_REQUESTS: &str = "damasktrack_tenant_requests";
+/// Histogram of the latency by tenant.
+const TENANT_DURATION: &str = "damasktrack_tenant_duration";
+/// Largest number of series of an instrument with a label for tenants: those of 1,001 labels with up to seven outcomes,
+/// and as many again for tenants that a later configuration replaces. The default of the library is 2,000.
+const TENANT_SERIES: usize = 14_000;
+
 /// Instruments and the Prometheus registry that exports them.
 #[derive(Clone, Debug)]
 pub struct ForwardMetrics {
@@ -20,6 +28,8 @@
     /// Kept because dropping the last reference shuts the instruments down.
     _provider: opentelemetry_sdk::metrics::SdkMeterProvider,
     duration: metrics::Histogram<f64>,
+    tenant_requests: metrics::Counter<u64>,
+    tenant_duration: metrics::Histogram<f64>,
     attempts: metrics::Counter<u64>,
     work: metrics::Counter<u64>,
     repeats: metrics::Counter<u64>,
@@ -36,6 +46,15 @@
 #[display("metrics can't be set up: {_0}")]
 pub struct MetricsError(opentelemetry_sdk::error::OTelSdkError);
 
+/// Raises the limit of series for the instruments by tenant.
+fn tenant_stream(instrument: &opentelemetry_sdk::metrics::Instrument) -> Option<opentelemetry_sdk::metrics::Stream> {
+    if ![TENANT_REQUESTS, TENANT_DURATION].contains(&instrument.name()) {
+        return None;
+    }
+    let stream = opentelemetry_sdk::metrics::Stream::builder();
+    stream.with_cardinality_limit(TENANT_SERIES).build().ok()
+}
+
 /// Commands.
 impl ForwardMetrics {
     /// Creates the instruments.
@@ -51,6 +70,7 @@
             .build()?;
         let provider = opentelemetry_sdk::metrics::SdkMeterProvider::builder()
             .with_reader(exporter)
+            .with_view(tenant_stream)
             .build();
         let meter = provider.meter("damasktrack");
         Ok(Self {
@@ -61,6 +81,16 @@
                 .with_description("Time from the head of a caller's request to its response, by class and outcome")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
                 .build(),
+            tenant_requests: meter
+                .u64_counter(TENANT_REQUESTS)
+                .with_description("Requests of callers with a key, by tenant and outcome")
+                .build(),
+            tenant_duration: meter
+                .f64_histogram(TENANT_DURATION)
+                .with_unit("s")
+                .with_description("Time from the head of a request with a key to its response, by tenant")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
             attempts: meter
                 .u64_counter("damasktrack_attempts")
                 .with_description("Requests sent to a server's daemon, by class and distance")
@@ -108,6 +138,16 @@
         self.duration.record(duration.as_secs_f64(), &labels);
     }
 
+    /// Records a request of a tenant, from its arrival to its response.
+    pub fn record_tenant(&self, label: String, outcome: &'static str, duration: time::Duration) {
+        let labels = [
+            opentelemetry::KeyValue::new("tenant", label),
+            opentelemetry::KeyValue::new("outcome", outcome),
+        ];
+        self.tenant_requests.add(1, &labels);
+        self.tenant_duration.record(duration.as_secs_f64(), &labels[..1]);
+    }
+
     /// Counts a request that is sent to a server's daemon.
     pub fn count_attempt(&self, class: &ids::ClassName, distance: server_location::ServerDistance) {
         let distance = match distance {
--- a/crates/forward/src/forward_settings.rs
+++ b/crates/forward/src/forward_settings.rs
@@ -34,6 +34,22 @@
     pub stop_grace: time::Duration,
     /// Bounds of repeated requests, summed over all daemons.
     pub retry_bounds: retry_share::RetryBounds,
+    /// Bounds of the tenants' quotas; `None` if there are no quotas.
+    pub quota_bounds: Option<QuotaBounds>,
+    /// Time since the last confirmation of the configuration after which requests with a key are refused; `None` if
+    /// they are served without a limit.
+    pub revoke_limit: Option<time::Duration>,
     /// Names of the headers that the deployment uses.
     pub headers: header_names::HeaderNames,
 }
+
+/// Bounds of the requests of a tenant that run in any window, summed over all daemons.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaBounds {
+    /// Length of the window.
+    pub window: time::Duration,
+    /// Share of the rate and burst of a tenant by which a window may exceed them.
+    pub over: f64,
+    /// Requests by which a window may exceed them in addition.
+    pub slack: f64,
+}
--- a/crates/forward/src/header_names.rs
+++ b/crates/forward/src/header_names.rs
@@ -19,6 +19,10 @@
     pub not_executed: header::HeaderName,
     /// Requests per second that a backend server takes from all daemons together, a decimal number.
     pub request_limit: header::HeaderName,
+    /// Key of a caller. Removed from every request.
+    pub credential: header::HeaderName,
+    /// Name of the tenant, in requests to a backend server.
+    pub tenant: header::HeaderName,
     /// `1` in the responses of a backend server that is leaving.
     pub leaving: header::HeaderName,
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,6 +9,9 @@
 //! platform's names and formats are defined outside this crate.
 
 pub mod callee_call;
+pub mod caller_key;
+pub mod config_confirmation;
+pub mod config_text;
 pub mod core_handle;
 pub mod departure_log;
 pub mod entry_call;
@@ -18,6 +21,7 @@
 pub mod header_names;
 pub mod http_link;
 pub mod http_server;
+pub mod local_reply;
 pub mod log_limiter;
 pub mod log_output;
 pub mod member_tasks;
@@ -27,6 +31,7 @@
 pub mod node_run;
 pub mod peer_call;
 pub mod peer_server;
+pub mod request_end;
 pub mod retry_share;
 pub mod route_config;
 pub mod server_hint;
@@ -34,4 +39,5 @@
 pub mod server_report;
 pub mod stall_watch;
 pub mod store_port;
+pub mod tenant_config;
 pub mod weighted_choice;
--- a/crates/forward/src/member_tasks.rs
+++ b/crates/forward/src/member_tasks.rs
@@ -13,6 +13,7 @@
 use tokio::task;
 
 use crate::callee_call;
+use crate::config_text;
 use crate::forward_core;
 use crate::node_context;
 use crate::peer_server;
@@ -113,7 +114,7 @@
         }
     }
     if let Some(text) = post(&node, address, peer_server::CONFIG_PATH, Vec::new()).await {
-        store_port::adopt(&node, &port, text, "peer");
+        store_port::adopt(&node, &port, config_text::ConfigText::new(text), "peer");
     }
 }
 
--- a/crates/forward/src/node_context.rs
+++ b/crates/forward/src/node_context.rs
@@ -125,6 +125,14 @@
                 counts.queued,
             )
         });
+        if let Some(tenant) = line.tenant.map(ids::text) {
+            log::info!(
+                request = id, class:% = class, tenant:% = tenant, outcome = line.outcome, elapsed_ms = elapsed,
+                config = version, running = running, queued = queued, left_out = left_out;
+                "{}", line.message
+            );
+            return;
+        }
         log::info!(
             request = id, class:% = class, outcome = line.outcome, elapsed_ms = elapsed, config = version,
             running = running, queued = queued, left_out = left_out;
@@ -142,6 +150,8 @@
     pub attempt_id: Option<&'a header::HeaderValue>,
     /// Name of the request's route; `none` if no route matched.
     pub class: &'a ids::ClassName,
+    /// Tenant of the request; `None` for the default tenant.
+    pub tenant: Option<&'a ids::TenantName>,
     /// Outcome: a status, a reason or an error.
     pub outcome: &'a str,
     /// Time since the request arrived at this daemon, or since a failed call was sent.
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -141,7 +141,7 @@
     let serve = move |stream| {
         let [planning, serving, rejecting] = [&node; 3].map(rc::Rc::clone);
         let handlers = server_connection::ConnectionHandlers {
-            plan: move |parts: &_| entry_call::plan(&planning, parts),
+            plan: move |parts: &mut _| entry_call::plan(&planning, parts),
             serve: move |request| entry_call::serve(rc::Rc::clone(&serving), request),
             reject: move |fault| entry_call::reject(&rejecting, fault),
         };
--- a/crates/forward/src/peer_call.rs
+++ b/crates/forward/src/peer_call.rs
@@ -22,7 +22,7 @@
     pub service: ids::ServiceName,
     /// Name of the request's route, used as its class.
     pub class: ids::ClassName,
-    /// Priority of the route; 0 is the most important.
+    /// Priority of the tenant or of the route; 0 is the most important.
     pub priority: u8,
     /// Whether the request may run more than once.
     pub repeatable: bool,
@@ -32,6 +32,9 @@
     pub caller_service: ids::ServiceName,
     /// What the entry daemon knows of the callee's backend server.
     pub hint: Option<server_hint::ServerHint>,
+    /// Tenant of the caller; `None` for the default tenant, and in calls of daemons of earlier builds.
+    #[serde(default)]
+    pub tenant: Option<ids::TenantName>,
 }
 
 /// Reply of the callee daemon to a call.
--- a/crates/forward/src/peer_server.rs
+++ b/crates/forward/src/peer_server.rs
@@ -58,7 +58,7 @@
             empty_response(hyper::StatusCode::OK)
         }
         CONFIG_PATH => {
-            let text = node.core.ask(|core, _now| core.config_text().clone());
+            let text = node.core.ask(|core, _now| core.config_text().bytes().clone());
             if text.is_empty() {
                 return empty_response(hyper::StatusCode::NOT_FOUND);
             }
--- a/crates/forward/src/route_config.rs
+++ b/crates/forward/src/route_config.rs
@@ -8,6 +8,8 @@
 use bytes::Bytes;
 use damasktrack_entity::ids;
 
+use crate::tenant_config;
+
 /// Whether the requests of a route may be repeated, and the size of their responses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -43,6 +45,8 @@
     pub timeout: Option<time::Duration>,
     /// Priority; 0 is the most important.
     pub priority: u8,
+    /// Whether requests without a key are served where tenants are configured.
+    pub allow_anonymous: bool,
     /// Services that the requests are distributed over by weight; never empty.
     pub targets: Vec<RouteTarget>,
     /// Maximum number of backend servers that one attempt of a caller is sent to; at least 1.
@@ -79,6 +83,7 @@
     pub limits: CallerLimits,
     /// Rules by host, those of one host from the longest prefix to the shortest.
     routes: collections::HashMap<Bytes, Vec<rc::Rc<RouteRule>>>,
+    tenants: Option<tenant_config::TenantTable>,
 }
 
 impl RouteConfig {
@@ -96,6 +101,16 @@
             version,
             limits,
             routes,
+            tenants: None,
+        }
+    }
+
+    /// Sets the tenants, from which on requests need a key.
+    #[must_use]
+    pub fn with_tenants(self, tenants: tenant_config::TenantTable) -> Self {
+        Self {
+            tenants: Some(tenants),
+            ..self
         }
     }
 }
@@ -111,6 +126,12 @@
         rules.iter().find(|rule| path.as_bytes().starts_with(&rule.prefix))
     }
 
+    /// Returns the tenants; `None` if none are configured.
+    #[must_use]
+    pub fn tenants(&self) -> Option<&tenant_config::TenantTable> {
+        self.tenants.as_ref()
+    }
+
     /// Returns the number of rules over all hosts.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/forward/src/store_port.rs
+++ b/crates/forward/src/store_port.rs
@@ -9,7 +9,6 @@
 use std::rc;
 use std::time;
 
-use bytes::Bytes;
 use damasktrack_entity::ids;
 use damasktrack_membership::join_plan;
 use damasktrack_membership::member_record;
@@ -17,8 +16,10 @@
 use rand::RngExt;
 use tokio::sync::watch;
 
+use crate::config_text;
 use crate::node_context;
 use crate::route_config;
+use crate::stall_watch;
 
 /// Shortest backoff after a failed call to the store. Each call is charged, including refused ones.
 const MIN_BACKOFF: time::Duration = time::Duration::from_millis(250);
@@ -60,7 +61,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredConfig {
     /// Source text; `None` if nothing has changed or nothing is stored.
-    pub text: Option<Bytes>,
+    pub text: Option<config_text::ConfigText>,
     /// Version of the store that the read reflects; the next wait starts from it.
     pub version: StoreVersion,
     /// Era of `version`; `None` if the store names none.
@@ -101,8 +102,8 @@
 }
 
 /// Decodes a configuration text and puts it in force if it is valid and newer than the current one.
-pub fn adopt(node: &node_context::NodeContext, port: &StorePort, text: Bytes, source: &str) {
-    match (port.decode_config)(&text) {
+pub fn adopt(node: &node_context::NodeContext, port: &StorePort, text: config_text::ConfigText, source: &str) {
+    match (port.decode_config)(text.bytes()) {
         Ok(config) => node.core.ask(|core, _now| core.adopt_config(config, text)),
         Err(findings) => {
             for finding in findings {
@@ -163,6 +164,8 @@
     let mut cursor = ConfigCursor::Unknown;
     let mut lost = false;
     loop {
+        // The response reflects the store at some time after the call was sent.
+        let sent = stall_watch::boot_time();
         let read = match cursor {
             ConfigCursor::Unknown => (port.read_config)().await,
             ConfigCursor::At { version, .. } => (port.await_config)(version).await,
@@ -181,6 +184,7 @@
                 } else if empty {
                     log::info!("store holds no configuration yet");
                 }
+                node.core.ask(|core, _now| core.confirm_config(sent));
             }
             Err(StoreFailure::HistoryGone) => {
                 log::info!(cursor:? = cursor; "store dropped its history; reading the configuration again");
--- a/crates/forward/tests/starting.rs
+++ b/crates/forward/tests/starting.rs
@@ -48,6 +48,8 @@
             extra: 50.0,
             window: Duration::from_secs(10),
         },
+        quota_bounds: None,
+        revoke_limit: None,
         headers: HeaderNames {
             attempt_id: header("attempt-id"),
             deadline_ms: header("deadline-ms"),
@@ -56,6 +58,8 @@
             caller_service: header("caller-service"),
             not_executed: header("not-executed"),
             request_limit: header("request-limit"),
+            credential: header("credential"),
+            tenant: header("tenant"),
             leaving: header("leaving"),
         },
     }
@@ -141,6 +145,7 @@
         left: Duration::from_secs(5),
         caller_service: Bytes::from_static(b"beta"),
         hint: None,
+        tenant: None,
     };
     match core.offer_work(&head, now + head.left, now) {
         WorkDecision::Start(_permit) => true,
--- a/crates/pipeline/src/server_connection.rs
+++ b/crates/pipeline/src/server_connection.rs
@@ -48,6 +48,8 @@
     pub body_timeout: time::Duration,
     /// When the request may start.
     pub order: request_order::StartOrder,
+    /// Whether the request is refused whatever its body. It is served at once, with an empty body.
+    pub refused: bool,
     /// Passed on to the handler.
     pub route: T,
 }
@@ -68,7 +70,7 @@
 /// Functions that decide about requests and answer them.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionHandlers<P, S, R> {
-    /// Plans a request from its head.
+    /// Plans a request from its head. It may remove headers that are not passed on.
     pub plan: P,
     /// Serves a request. Dropping the future cancels the request.
     pub serve: S,
@@ -149,7 +151,7 @@
     mut phases: watch::Receiver<request_order::ConnectionPhase>,
     handlers: ConnectionHandlers<P, S, R>,
 ) where
-    P: Fn(&request::Parts) -> RequestPlan<T>,
+    P: Fn(&mut request::Parts) -> RequestPlan<T>,
     S: Fn(CallerRequest<T>) -> F,
     F: Future<Output = hyper::Response<B>>,
     R: Fn(request_fault::RequestFault) -> hyper::Response<B>,
@@ -188,7 +190,7 @@
 
 impl<T, P, S, F, R, B> Connection<'_, T, P, S, R, F, B>
 where
-    P: Fn(&request::Parts) -> RequestPlan<T>,
+    P: Fn(&mut request::Parts) -> RequestPlan<T>,
     S: Fn(CallerRequest<T>) -> F,
     F: Future<Output = hyper::Response<B>>,
     R: Fn(request_fault::RequestFault) -> hyper::Response<B>,
@@ -286,10 +288,16 @@
         self.head_since = is_in_head.then(|| self.head_since.unwrap_or_else(time::Instant::now));
     }
 
-    fn plan_request(&mut self, head: request_head::RequestHead) {
-        let plan = (self.handlers.plan)(&head.parts);
-        self.reader.read_body(plan.max_body_bytes);
+    fn plan_request(&mut self, mut head: request_head::RequestHead) {
+        let plan = (self.handlers.plan)(&mut head.parts);
         let arrived = time::Instant::now();
+        if plan.refused && head.framing != request_head::BodyFraming::Length(0) {
+            // The body may be long or never end. It is not read, so the connection ends behind the response.
+            self.reader.end();
+            self.accept_head(head.parts, arrived, plan.route);
+            return;
+        }
+        self.reader.read_body(plan.max_body_bytes);
         self.planned = Some(PlannedRequest {
             continue_due: head.expects_continue && head.parts.version == hyper::Version::HTTP_11,
             parts: head.parts,
@@ -301,6 +309,21 @@
         });
     }
 
+    /// Takes a request without its body.
+    fn accept_head(&mut self, parts: request::Parts, arrived: time::Instant, route: T) {
+        let started = StartedRequest {
+            answered: answered_request(&parts),
+            closes: true,
+        };
+        let request = CallerRequest {
+            parts,
+            body: Bytes::new(),
+            arrived,
+            route,
+        };
+        self.waiting = Some((request, request_order::StartOrder::Ahead, started));
+    }
+
     fn accept_request(&mut self, body: Bytes) {
         if self.read_end().is_some_and(|end| time::Instant::now() >= end) {
             self.reject_request(request_fault::RequestFault::Stopping);
@@ -310,10 +333,7 @@
             return;
         };
         let started = StartedRequest {
-            answered: response_head::AnsweredRequest {
-                is_head: planned.parts.method == hyper::Method::HEAD,
-                is_http10: planned.parts.version == hyper::Version::HTTP_10,
-            },
+            answered: answered_request(&planned.parts),
             closes: planned.closes,
         };
         let request = CallerRequest {
@@ -537,3 +557,10 @@
         !self.disconnected && (self.waiting.is_none() || self.reader.buffered() < READ_AHEAD_BYTES)
     }
 }
+
+fn answered_request(parts: &request::Parts) -> response_head::AnsweredRequest {
+    response_head::AnsweredRequest {
+        is_head: parts.method == hyper::Method::HEAD,
+        is_http10: parts.version == hyper::Version::HTTP_10,
+    }
+}
--- a/crates/pipeline/tests/connection.rs
+++ b/crates/pipeline/tests/connection.rs
@@ -58,9 +58,10 @@
     let (stream, _from) = listener.accept().await.unwrap();
     let log = Rc::clone(log);
     let handlers = ConnectionHandlers {
-        plan: |parts: &hyper::http::request::Parts| RequestPlan {
+        plan: |parts: &mut hyper::http::request::Parts| RequestPlan {
             max_body_bytes: 100,
             body_timeout: Duration::from_millis(300),
+            refused: false,
             order: if parts.method == hyper::Method::POST {
                 StartOrder::InTurn
             } else {
--- a/crates/standins/src/platform_backend.rs
+++ b/crates/standins/src/platform_backend.rs
@@ -17,6 +17,10 @@
 pub const ATTEMPT_ID: &str = "Damasktrack-Attempt-Id";
 /// Request header with the time that is left for the request, in milliseconds.
 pub const DEADLINE_MS: &str = "Damasktrack-Deadline-Ms";
+/// Request header of a caller with its key.
+pub const CREDENTIAL: &str = "Damasktrack-Credential";
+/// Request header with the name of the tenant.
+pub const TENANT: &str = "Damasktrack-Tenant";
 /// Response header with the seal of the backend server.
 pub const RESPONSE_SEAL: &str = "Damasktrack-Response-Seal";
 const TARGET_INSTANCE: &str = "Damasktrack-Target-Instance";
@@ -120,12 +124,23 @@
     pub caller_service: String,
     /// Time that the request left the server, in milliseconds; 0 if it is missing or malformed.
     pub deadline_ms: u64,
+    /// Names and values of all headers.
+    pub headers: Vec<(String, String)>,
     /// Body, without its framing.
     pub body: Vec<u8>,
     /// When the request was read.
     pub at: time::Instant,
 }
 
+impl BackendArrival {
+    /// Returns the values of a header; the name is compared without regard to case.
+    #[must_use]
+    pub fn values(&self, name: &str) -> Vec<&str> {
+        let matching = self.headers.iter().filter(|header| header.0.eq_ignore_ascii_case(name));
+        matching.map(|header| header.1.as_str()).collect()
+    }
+}
+
 /// Returns what the server does with a request, given the number of requests that arrived before it.
 pub type BackendScript = dyn Fn(usize) -> BackendStep + Send + Sync;
 
@@ -244,6 +259,7 @@
                 .header(DEADLINE_MS)
                 .and_then(|text| text.parse().ok())
                 .unwrap_or(0),
+            headers: request.headers.clone(),
             body: request.body.clone(),
             at: time::Instant::now(),
         });
--- a/crates/standins/src/platform_site.rs
+++ b/crates/standins/src/platform_site.rs
@@ -20,6 +20,7 @@
 const READY_PORT: u16 = 18_302;
 const CONTROL_PORT: u16 = 18_306;
 const FIRST_INTERNAL_PORT: u16 = 17_620;
+const METRICS_PORT: u16 = 9464;
 const STORE_PORT: u16 = 18_309;
 /// Time between two heartbeats.
 const HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(300);
@@ -122,6 +123,14 @@
     /// # Errors
     /// Returns an error if a socket, file or process can't be opened.
     pub fn start(program: &path::Path, config: &str, plans: &[VmPlan]) -> io::Result<Self> {
+        Self::start_with_bounds(program, config, plans, "")
+    }
+
+    /// Starts a deployment like [`Self::start`]. `bounds` has further lines of the section `Bounds` of all settings.
+    ///
+    /// # Errors
+    /// Returns an error if a socket, file or process can't be opened.
+    pub fn start_with_bounds(program: &path::Path, config: &str, plans: &[VmPlan], bounds: &str) -> io::Result<Self> {
         let number = NEXT_SITE_NUMBER.fetch_add(1, atomic::Ordering::SeqCst);
         // Test processes run concurrently; the block taken from the process id separates their addresses.
         let block = u8::try_from(process::id() % 120).unwrap_or(0) + 2;
@@ -138,7 +147,7 @@
         };
         for (index, plan) in (1..).zip(plans) {
             let address = net::Ipv4Addr::new(127, block, number, index);
-            let vm = SiteVm::start(&site, address, usize::from(index), plan)?;
+            let vm = SiteVm::start(&site, address, usize::from(index), plan, bounds)?;
             site.vms.push(vm);
             let last = site.vms.len() - 1;
             site.start_daemon(last)?;
@@ -286,6 +295,14 @@
         fs::read_to_string(self.vms[vm].settings.with_extension("log"))
     }
 
+    /// Returns the metrics of a VM's daemon; `None` if there is no response.
+    #[must_use]
+    pub fn metrics(&self, vm: usize) -> Option<String> {
+        let address = self.vms[vm].socket(METRICS_PORT);
+        let response = agent(CALL_TIMEOUT).get(format!("http://{address}/metrics")).call();
+        response.ok()?.body_mut().read_to_string().ok()
+    }
+
     /// Returns the resident memory of a VM's daemon in KiB.
     ///
     /// # Errors
@@ -321,15 +338,31 @@
     /// Sends a request to the daemon of a VM; `None` if there is no response.
     #[must_use]
     pub fn call(&self, vm: usize, method: &str, host: &str, path: &str, id: &str) -> Option<SiteAnswer> {
+        self.call_with(vm, method, host, path, id, &[])
+    }
+
+    /// Sends a request with further headers to the daemon of a VM; `None` if there is no response.
+    #[must_use]
+    pub fn call_with(
+        &self,
+        vm: usize,
+        method: &str,
+        host: &str,
+        path: &str,
+        id: &str,
+        headers: &[(&str, &str)],
+    ) -> Option<SiteAnswer> {
         let address = self.entries[vm];
-        let request = ureq::http::Request::builder()
+        let mut request = ureq::http::Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
             .header("Host", host)
             .header(platform_backend::ATTEMPT_ID, id)
-            .header(platform_backend::DEADLINE_MS, "5000")
-            .body("body")
-            .ok()?;
+            .header(platform_backend::DEADLINE_MS, "5000");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body("body").ok()?;
         let agent = self.agent.clone().unwrap_or_else(|| agent(CALL_TIMEOUT));
         let mut response = agent.run(request).ok()?;
         let header = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
@@ -355,13 +388,22 @@
 }
 
 impl SiteVm {
-    fn start(site: &PlatformSite, address: net::Ipv4Addr, index: usize, plan: &VmPlan) -> io::Result<Self> {
+    fn start(
+        site: &PlatformSite,
+        address: net::Ipv4Addr,
+        index: usize,
+        plan: &VmPlan,
+        bounds: &str,
+    ) -> io::Result<Self> {
         let server = net::SocketAddr::new(address.into(), BACKEND_SERVER_PORT);
         let instance = format!("i-{index}");
         let script = sync::Arc::clone(&plan.script);
         let backend = platform_backend::PlatformBackend::start(server, plan.service, &instance, script)?;
         let settings = site.folder.join(format!("machine-{index}.toml"));
-        fs::write(&settings, settings_text(site.store.address(), address, index, plan))?;
+        fs::write(
+            &settings,
+            settings_text(site.store.address(), address, index, plan, bounds),
+        )?;
         let vm = Self {
             backend,
             address,
@@ -416,7 +458,7 @@
         .into()
 }
 
-fn settings_text(store: net::SocketAddr, address: net::Ipv4Addr, index: usize, plan: &VmPlan) -> String {
+fn settings_text(store: net::SocketAddr, address: net::Ipv4Addr, index: usize, plan: &VmPlan, bounds: &str) -> String {
     let (service, region) = (plan.service, plan.region);
     format!(
         r#"Node = "machine-{index}"
@@ -439,6 +481,7 @@
 BudgetRatio = 0.2
 BudgetWindow = "10s"
 BudgetExtraTries = 50
+{bounds}
 
 [Platform]
 Address = "{store}"
