Refuse keys while nothing confirms the configuration

With RevokeFailClosed, a daemon that is cut off must stop accepting keys before Revoke has passed. Only a response of the store counted as a confirmation, and a call that waits for changes takes up to 20 s, so that a short limit refused keys although the store was reachable.

A daemon whose last confirmation is older than half the limit asks two peers for the age of theirs. All confirmations so go back to a response of the store, and peers that are cut off together don't confirm each other. The methods of the configuration move to forward_core/core_config.

--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -384,7 +384,7 @@
     peer_call::CallHead {
         service: entry.service.clone(),
         class: entry.rule.name.clone(),
-        priority: tenant_priority(entry),
+        priority: tenant_config::priority(&entry.rule, entry.tenant.as_deref()),
         repeatable: entry.rule.is_repeatable(),
         left: entry.deadline.saturating_duration_since(time::Instant::now()),
         caller_service: node.settings.service.clone(),
@@ -393,12 +393,6 @@
     }
 }
 
-/// Returns the priority of a request: that of its tenant, otherwise that of its route.
-fn tenant_priority(entry: &EntryRequest) -> u8 {
-    let tenant = entry.tenant.as_ref().and_then(|tenant| tenant.priority);
-    tenant.unwrap_or(entry.rule.priority)
-}
-
 async fn call_peer(
     node: &rc::Rc<node_context::NodeContext>,
     entry: &EntryRequest,
--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -1,5 +1,6 @@
 //! Decision state of a daemon. Its methods take the current time as `now`, return the action to take and never block.
-//! `core_members` has the methods for members and for the state of the backend server, `core_queries` the queries.
+//! `core_config` has the methods for the configuration, `core_members` those for members and for the state of the
+//! backend server, `core_queries` the queries.
 
 use std::collections;
 use std::net;
@@ -27,7 +28,6 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
-use crate::caller_key;
 use crate::config_confirmation;
 use crate::config_text;
 use crate::forward_settings;
@@ -40,6 +40,7 @@
 use crate::tenant_config;
 use crate::weighted_choice;
 
+mod core_config;
 mod core_members;
 mod core_queries;
 
@@ -239,39 +240,6 @@
         }
     }
 
-    /// Matches a caller's request to a rule, identifies its tenant and selects one of the rule's services.
-    pub fn route_request(
-        &mut self,
-        host: &str,
-        path: &str,
-        key: &caller_key::CarriedKey,
-        now: stall_watch::BootTime,
-    ) -> EntryDecision {
-        let Some(config) = &self.config else {
-            return EntryDecision::NoConfig;
-        };
-        let rule = config.find(host, path);
-        let allow_anonymous = rule.is_some_and(|rule| rule.allow_anonymous);
-        let trust = self.confirmation.trust(now);
-        let tenant = match tenant_config::identify(config.tenants(), key, allow_anonymous, trust) {
-            tenant_config::TenantDecision::Known(tenant) => tenant,
-            tenant_config::TenantDecision::Unknown => return EntryDecision::Unauthorized,
-            tenant_config::TenantDecision::Unconfirmed => return EntryDecision::Unconfirmed,
-        };
-        let Some(rule) = rule else {
-            return EntryDecision::NoRoute;
-        };
-        let choice = self.choices.entry(rule.name.clone()).or_default();
-        let Some(service) = choice.next(&rule.targets) else {
-            return EntryDecision::NoRoute;
-        };
-        EntryDecision::Route {
-            rule: rc::Rc::clone(rule),
-            service,
-            tenant,
-        }
-    }
-
     /// Selects a server for an attempt and counts the attempt as in flight there.
     pub fn begin_attempt(
         &mut self,
@@ -437,23 +405,6 @@
         self.poll_gate(now);
     }
 
-    /// Puts a configuration in force unless its version is not newer than the current one.
-    pub fn adopt_config(&mut self, config: route_config::RouteConfig, text: config_text::ConfigText) {
-        let current = self.config.as_ref().map(|config| config.version);
-        if current.is_some_and(|current| current >= config.version) {
-            return;
-        }
-        log::info!(version = config.version, before:? = current, routes = config.len(); "configuration in force");
-        self.gossip.set_revision(config.version);
-        self.config = Some(rc::Rc::new(config));
-        self.config_text = text;
-    }
-
-    /// Records that the configuration in force was confirmed by the store at `at`.
-    pub fn confirm_config(&mut self, at: stall_watch::BootTime) {
-        self.confirmation.confirm(at);
-    }
-
     /// Runs the periodic work: refuses expired queued calls, ejects and reinstates servers, and updates the network
     /// delays of the routes.
     pub fn tick(&mut self, now: time::Instant) {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod callee_call;
 pub mod caller_key;
+pub mod config_check;
 pub mod config_confirmation;
 pub mod config_text;
 pub mod core_handle;
--- a/crates/forward/src/member_tasks.rs
+++ b/crates/forward/src/member_tasks.rs
@@ -120,7 +120,7 @@
 
 /// Sends a request to a peer and returns the body of its response; `None` on a failure, a timeout, or a status other
 /// than 200.
-async fn post(
+pub(crate) async fn post(
     node: &node_context::NodeContext,
     address: net::SocketAddr,
     path: &'static str,
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 use tokio::task;
 
+use crate::config_check;
 use crate::core_handle;
 use crate::entry_call;
 use crate::forward_core;
@@ -109,6 +110,7 @@
         rc::Rc::clone(&socket),
     ));
     task::spawn_local(store_port::follow_config(rc::Rc::clone(&node), rc::Rc::clone(&port)));
+    task::spawn_local(config_check::run(rc::Rc::clone(&node)));
     let own_row = store_port::OwnRow::default();
     let members = store_port::sync_members(rc::Rc::clone(&node), rc::Rc::clone(&port), rc::Rc::clone(&own_row));
     let members = task::spawn_local(members);
--- a/crates/forward/src/peer_server.rs
+++ b/crates/forward/src/peer_server.rs
@@ -11,6 +11,7 @@
 use hyper::header;
 
 use crate::callee_call;
+use crate::config_check;
 use crate::http_server;
 use crate::message_body;
 use crate::node_context;
@@ -23,6 +24,8 @@
 pub const RETURN_PATH: &str = "/members/return";
 /// Path of the source text of the configuration in force.
 pub const CONFIG_PATH: &str = "/config";
+/// Path of the age of the configuration's last confirmation.
+pub const CONFIG_AGE_PATH: &str = "/config/age";
 /// Maximum body of a request between daemons, in bytes; equal to the largest body that callers may send.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
@@ -64,6 +67,10 @@
             }
             hyper::Response::new(message_body::ReplyBody::whole(text))
         }
+        CONFIG_AGE_PATH => match config_check::reply(&node) {
+            Some(bytes) => hyper::Response::new(message_body::ReplyBody::whole(Bytes::from(bytes))),
+            None => empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR),
+        },
         _ => empty_response(hyper::StatusCode::NOT_FOUND),
     }
 }
--- a/crates/forward/src/tenant_config.rs
+++ b/crates/forward/src/tenant_config.rs
@@ -6,6 +6,7 @@
 use damasktrack_entity::ids;
 
 use crate::caller_key;
+use crate::route_config;
 
 /// Number of tenants with metrics of their own. Each has a series for every outcome and a histogram.
 const MAX_METRIC_TENANTS: usize = 1_000;
@@ -94,6 +95,12 @@
     }
 }
 
+/// Returns the priority of a request: that of its tenant, or else that of its route.
+#[must_use]
+pub fn priority(route: &route_config::RouteRule, tenant: Option<&TenantRule>) -> u8 {
+    tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority)
+}
+
 /// Whether requests with a key are served on the configuration of this daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConfigTrust {
