--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -1,5 +1,6 @@
 //! Decision state of a daemon. Its methods take the current time as `now`, return the action to take and never block.
-//! `core_members` has the methods for members and for the state of the backend server, `core_queries` the queries.
+//! `core_config` has the methods for the configuration, `core_members` those for members and for the state of the
+//! backend server, `core_queries` the queries.
 
 use std::collections;
 use std::net;
@@ -27,6 +28,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::config_confirmation;
+use crate::config_text;
 use crate::forward_settings;
 use crate::peer_call;
 use crate::retry_share;
@@ -34,8 +37,10 @@
 use crate::server_hint;
 use crate::server_report;
 use crate::stall_watch;
+use crate::tenant_config;
 use crate::weighted_choice;
 
+mod core_config;
 mod core_members;
 mod core_queries;
 
@@ -88,11 +93,17 @@
         rule: rc::Rc<route_config::RouteRule>,
         /// Service selected from the rule's targets by weight.
         service: ids::ServiceName,
+        /// Tenant of the request; `None` for the default tenant.
+        tenant: Option<rc::Rc<tenant_config::TenantRule>>,
     },
     /// No rule matches, or all weights of the matching rule are zero.
     NoRoute,
     /// No configuration is in force yet.
     NoConfig,
+    /// The key is unknown, or missing where one is required.
+    Unauthorized,
+    /// The key can't be checked, since the configuration was not confirmed recently.
+    Unconfirmed,
 }
 
 /// Server selected for an attempt.
@@ -159,7 +170,8 @@
     members_listed: bool,
     config: Option<rc::Rc<route_config::RouteConfig>>,
     /// Source text of `config`, served to daemons that can't read the store.
-    config_text: Bytes,
+    config_text: config_text::ConfigText,
+    confirmation: config_confirmation::ConfigConfirmation,
     choices: collections::HashMap<ids::ClassName, weighted_choice::WeightedChoice>,
     routes: route_table::RouteTable,
     budgets: collections::HashMap<ids::ServiceName, retry_budget::RetryBudget>,
@@ -208,13 +220,14 @@
             routes,
             gossip: gossip_context::GossipContext::new(record, incarnation, now),
             gate: admission_gate::AdmissionGate::new(gate_policy(DEFAULT_SLOTS)),
+            confirmation: config_confirmation::ConfigConfirmation::new(settings.revoke_limit),
             settings,
             effects,
             phase: LifePhase::Running,
             started: now,
             members_listed: false,
             config: None,
-            config_text: Bytes::new(),
+            config_text: config_text::ConfigText::default(),
             choices: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
             server: server_report::ServerState::default(),
@@ -227,24 +240,6 @@
         }
     }
 
-    /// Matches a caller's request to a rule and selects one of the rule's services.
-    pub fn route_request(&mut self, host: &str, path: &str) -> EntryDecision {
-        let Some(config) = &self.config else {
-            return EntryDecision::NoConfig;
-        };
-        let Some(rule) = config.find(host, path) else {
-            return EntryDecision::NoRoute;
-        };
-        let choice = self.choices.entry(rule.name.clone()).or_default();
-        let Some(service) = choice.next(&rule.targets) else {
-            return EntryDecision::NoRoute;
-        };
-        EntryDecision::Route {
-            rule: rc::Rc::clone(rule),
-            service,
-        }
-    }
-
     /// Selects a server for an attempt and counts the attempt as in flight there.
     pub fn begin_attempt(
         &mut self,
@@ -353,7 +348,10 @@
         let arrival = gate_report::CallArrival {
             call,
             class: head.class.clone(),
-            tenant: Bytes::from_static(ids::DEFAULT_TENANT.as_bytes()),
+            tenant: head
+                .tenant
+                .clone()
+                .unwrap_or(Bytes::from_static(ids::DEFAULT_TENANT.as_bytes())),
             importance,
             critical: head.priority == 0,
             lane: gate_report::CallLane::Short,
@@ -407,18 +405,6 @@
         self.poll_gate(now);
     }
 
-    /// Puts a configuration in force unless its version is not newer than the current one.
-    pub fn adopt_config(&mut self, config: route_config::RouteConfig, text: Bytes) {
-        let current = self.config.as_ref().map(|config| config.version);
-        if current.is_some_and(|current| current >= config.version) {
-            return;
-        }
-        log::info!(version = config.version, before:? = current, routes = config.len(); "configuration in force");
-        self.gossip.set_revision(config.version);
-        self.config = Some(rc::Rc::new(config));
-        self.config_text = text;
-    }
-
     /// Runs the periodic work: refuses expired queued calls, ejects and reinstates servers, and updates the network
     /// delays of the routes.
     pub fn tick(&mut self, now: time::Instant) {
