--- a/crates/standins/src/platform_backend.rs
+++ b/crates/standins/src/platform_backend.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::io::BufReader;
+use std::io::Read;
 use std::io::Write;
 use std::net;
 use std::sync;
@@ -25,6 +26,8 @@
 /// Bound on a heartbeat or deregistration, from connecting to the end of the response.
 const CONTROL_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
+/// Most bytes that one read of a connection returns.
+const READ_BYTES: usize = 16 * 1024;
 /// Interval between two pieces of [`BackendStep::Endless`].
 const PIECE_INTERVAL: time::Duration = time::Duration::from_millis(2);
 
@@ -137,6 +140,8 @@
     most_running: atomic::AtomicUsize,
     /// Header lines of all responses, each with its line break.
     notices: sync::Mutex<String>,
+    /// Pause before each read of a connection, in milliseconds.
+    read_pause_ms: atomic::AtomicU64,
 }
 
 /// A running server; clones share its log. Its threads end with the process.
@@ -194,6 +199,12 @@
         lines.clone_into(&mut notices);
     }
 
+    /// Sets a pause before each read of up to [`READ_BYTES`] from a connection.
+    pub fn set_read_pause(&self, pause: time::Duration) {
+        let pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+        self.log.read_pause_ms.store(pause_ms, atomic::Ordering::SeqCst);
+    }
+
     /// Sends a heartbeat to the daemon at the address `control`, and returns the status of the response; `None` if
     /// there is none.
     #[must_use]
@@ -213,7 +224,11 @@
     }
 
     fn serve(&self, stream: &net::TcpStream) {
-        let mut reader = BufReader::new(stream);
+        let pausing = PausingReader {
+            stream,
+            pause_ms: &self.log.read_pause_ms,
+        };
+        let mut reader = BufReader::with_capacity(READ_BYTES, pausing);
         let mut writer = stream;
         while let Ok(Some(request)) = http_exchange::read_request(&mut reader) {
             if self.respond(&request, &mut writer).is_err() {
@@ -340,6 +355,24 @@
     }
 }
 
+/// Pauses before each read.
+struct PausingReader<'a> {
+    stream: &'a net::TcpStream,
+    pause_ms: &'a atomic::AtomicU64,
+}
+
+impl Read for PausingReader<'_> {
+    fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
+        let pause = time::Duration::from_millis(self.pause_ms.load(atomic::Ordering::SeqCst));
+        if !pause.is_zero() {
+            thread::sleep(pause);
+        }
+        let mut stream = self.stream;
+        let length = buf.len().min(READ_BYTES);
+        stream.read(&mut buf[..length])
+    }
+}
+
 /// Writes until the connection fails.
 fn write_endlessly(writer: &mut impl Write, part: EndlessPart, id: &str) {
     let (start, piece) = part.bytes(id);
--- a/crates/standins/src/platform_site.rs
+++ b/crates/standins/src/platform_site.rs
@@ -45,6 +45,8 @@
     pub slots: u32,
     /// What the backend server does with each request.
     pub script: sync::Arc<platform_backend::BackendScript>,
+    /// Text that is appended to the settings file, such as a section `[Limits]`.
+    pub settings: &'static str,
 }
 
 /// A VM with a daemon and a backend server.
@@ -291,14 +293,34 @@
     /// # Errors
     /// Returns an error if no daemon runs there or its state can't be read.
     pub fn resident_kb(&self, vm: usize) -> io::Result<u64> {
+        self.memory_kb(vm, "VmRSS:")
+    }
+
+    /// Returns the largest resident memory of a VM's daemon since its start, in KiB.
+    ///
+    /// # Errors
+    /// Returns an error if no daemon runs there or its state can't be read.
+    pub fn peak_resident_kb(&self, vm: usize) -> io::Result<u64> {
+        self.memory_kb(vm, "VmHWM:")
+    }
+
+    /// Returns the process id of a VM's daemon.
+    ///
+    /// # Errors
+    /// Returns an error if no daemon was started there.
+    pub fn daemon_pid(&self, vm: usize) -> io::Result<u32> {
         let daemon = self.vms[vm].daemon.as_ref();
-        let id = daemon
+        daemon
             .map(process::Child::id)
-            .ok_or_else(|| io::Error::other("no daemon runs"))?;
+            .ok_or_else(|| io::Error::other("no daemon runs"))
+    }
+
+    fn memory_kb(&self, vm: usize, field: &str) -> io::Result<u64> {
+        let id = self.daemon_pid(vm)?;
         let status = fs::read_to_string(format!("/proc/{id}/status"))?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let line = status.lines().find_map(|line| line.strip_prefix(field));
         let number = line.and_then(|text| text.split_whitespace().next()?.parse().ok());
-        number.ok_or_else(|| io::Error::other("VmRSS is missing or malformed"))
+        number.ok_or_else(|| io::Error::other(format!("{field} is missing or malformed")))
     }
 
     /// Returns the folder of the settings and logs.
@@ -402,6 +424,12 @@
         self.socket(ENTRY_PORT)
     }
 
+    /// Returns the peer address of the daemon, which takes requests of other daemons.
+    #[must_use]
+    pub fn peer(&self) -> net::SocketAddr {
+        self.socket(FIRST_INTERNAL_PORT)
+    }
+
     fn socket(&self, port: u16) -> net::SocketAddr {
         net::SocketAddr::new(self.address.into(), port)
     }
@@ -417,7 +445,7 @@
 }
 
 fn settings_text(store: net::SocketAddr, address: net::Ipv4Addr, index: usize, plan: &VmPlan) -> String {
-    let (service, region) = (plan.service, plan.region);
+    let (service, region, appended) = (plan.service, plan.region, plan.settings);
     format!(
         r#"Node = "machine-{index}"
 Ip = "{address}"
@@ -442,6 +470,8 @@
 
 [Platform]
 Address = "{store}"
+
+{appended}
 "#
     )
 }
