Reject heartbeats and deregistrations that name no usable server

Cause: the listener read neither the address nor the data centre of a heartbeat. One of another writer with a high sequence number made the server's own ones stale, and these were acknowledged and ignored. One of another service was acknowledged as well. A deregistration of any id took a place in the bounded list of departures.

A deregistration counts for the instance of the newest heartbeat, for a later start, or before the first heartbeat. This works since nothing that fails reaches the state of the server.

The test departure_of_another_instance_changes_nothing expects Unknown instead of Stale: the effect is still none, and the listener has to tell the two apart. The stand-in's heartbeats report the data centre of the settings; they said "a".

--- a/crates/forward/src/forward_core/core_members.rs
+++ b/crates/forward/src/forward_core/core_members.rs
@@ -54,7 +54,9 @@
                 self.announce_server(now);
             }
             server_report::ReportEffect::Unchanged => {}
-            server_report::ReportEffect::Stale => log::info!("stale heartbeat of the backend server ignored"),
+            server_report::ReportEffect::Stale | server_report::ReportEffect::Unknown => {
+                log::info!("stale heartbeat of the backend server ignored");
+            }
         }
     }
 
@@ -64,13 +66,14 @@
         instance: &server_report::InstanceId,
         started_ms: Option<u64>,
         now: time::Instant,
-    ) {
+    ) -> server_report::ReportEffect {
         let effect = self.server.apply_departure(instance, started_ms);
         self.record_departure(now);
         if effect == server_report::ReportEffect::Changed {
             self.log_server("deregistered");
             self.announce_server(now);
         }
+        effect
     }
 
     /// Applies the notices in a response of the backend server to a call with this permit. The caller logs a change.
--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -24,6 +24,7 @@
     work: metrics::Counter<u64>,
     repeats: metrics::Counter<u64>,
     rounds: metrics::Counter<u64>,
+    rejected: metrics::Counter<u64>,
     running: metrics::Gauge<u64>,
     queued: metrics::Gauge<u64>,
     config_version: metrics::Gauge<u64>,
@@ -79,6 +80,10 @@
                 .u64_counter("damasktrack_rounds")
                 .with_description("Further rounds of attempts after all tried servers lacked capacity, by class")
                 .build(),
+            rejected: meter
+                .u64_counter("damasktrack_rejected")
+                .with_description("Heartbeats, deregistrations and member rows that failed validation, by kind")
+                .build(),
             running: meter
                 .u64_gauge("damasktrack_work_running")
                 .with_description("Calls that the backend server runs")
@@ -139,6 +144,11 @@
         self.rounds.add(1, &[opentelemetry::KeyValue::new("class", class)]);
     }
 
+    /// Counts a message or row that failed validation and changed nothing.
+    pub fn count_rejected(&self, kind: &'static str) {
+        self.rejected.add(1, &[opentelemetry::KeyValue::new("kind", kind)]);
+    }
+
     /// Sets the gauges of the admission gate and of the configuration.
     pub fn record_state(&self, running: u32, queued: usize, config_version: ids::Revision) {
         self.running.record(u64::from(running), &[]);
--- a/crates/forward/src/server_report.rs
+++ b/crates/forward/src/server_report.rs
@@ -46,6 +46,8 @@
 pub enum ReportEffect {
     /// None: it is older than the known state, or it doesn't concern the serving instance.
     Stale,
+    /// None: it names neither the known instance nor a later start.
+    Unknown,
     /// None, except for the sequence number.
     Unchanged,
     /// A change of the instance, service, slots, condition or reachability.
@@ -122,7 +124,8 @@
     }
 
     /// Records that an instance has left. `started_ms` is `None` if the message has no start time. Later reports of the
-    /// same start don't make it serving again.
+    /// same start don't make it serving again. Nothing is recorded for an instance other than the known one, unless its
+    /// start is later.
     pub fn apply_departure(&mut self, instance: &InstanceId, started_ms: Option<u64>) -> ReportEffect {
         let known = self.report.as_ref().filter(|report| report.instance == *instance);
         let departure = Departure {
@@ -132,9 +135,12 @@
         if self.departures.contains(&departure) {
             return ReportEffect::Stale;
         }
+        if !self.may_depart(&departure) {
+            return ReportEffect::Unknown;
+        }
         let served = self.serving().is_some();
         if self.departures.len() == MAX_DEPARTURES {
-            self.departures.pop_front();
+            self.drop_departure();
         }
         self.departures.push_back(departure);
         if served && self.serving().is_none() {
@@ -144,6 +150,16 @@
         }
     }
 
+    /// Drops the oldest departure, but not one of the known instance as long as there is another.
+    fn drop_departure(&mut self) {
+        let known = self.report.as_ref().map(|report| &report.instance);
+        let other = self
+            .departures
+            .iter()
+            .position(|departure| Some(&departure.instance) != known);
+        self.departures.remove(other.unwrap_or(0));
+    }
+
     /// Records the notices in a response of a start. A response of an earlier start is stale.
     pub fn apply_notice(
         &mut self,
@@ -268,6 +284,17 @@
         self.serving().is_some() && !self.unreachable
     }
 
+    /// Returns whether a departure may concern this daemon: any one before the first report, then those of the known
+    /// instance and of later starts.
+    fn may_depart(&self, departure: &Departure) -> bool {
+        self.report.as_ref().is_none_or(|report| {
+            report.instance == departure.instance
+                || departure
+                    .started_ms
+                    .is_some_and(|started_ms| started_ms > report.started_ms)
+        })
+    }
+
     /// Returns whether the newest report is of this start.
     fn is_start(&self, instance: &InstanceId, started_ms: u64) -> bool {
         self.report
--- a/crates/standins/src/platform_backend.rs
+++ b/crates/standins/src/platform_backend.rs
@@ -145,6 +145,8 @@
     instance: String,
     service: String,
     address: net::SocketAddr,
+    /// Data centre that the heartbeats report.
+    data_centre: String,
     log: sync::Arc<BackendLog>,
     script: sync::Arc<BackendScript>,
 }
@@ -167,6 +169,7 @@
     pub fn start(
         address: net::SocketAddr,
         service: &str,
+        data_centre: &str,
         instance: &str,
         script: sync::Arc<BackendScript>,
     ) -> io::Result<Self> {
@@ -175,6 +178,7 @@
             instance: instance.to_owned(),
             service: service.to_owned(),
             address,
+            data_centre: data_centre.to_owned(),
             log: sync::Arc::default(),
             script,
         };
@@ -199,13 +203,25 @@
     #[must_use]
     pub fn send_heartbeat(&self, control: net::SocketAddr, state: &str, sequence: u64, slots: u32) -> Option<u16> {
         let body = json!({
-            "Service": self.service, "Address": self.address.to_string(), "Zone": "a", "Version": "v1",
+            "Service": self.service, "Address": self.address.to_string(), "Zone": self.data_centre, "Version": "v1",
             "Slots": slots, "State": state, "ColdLeft": "0ms", "Seq": sequence, "born": 1_000,
         });
         let call = format!("instances.heartbeat&of={}", self.instance);
         call_control(control, &call, &body.to_string())
     }
 
+    /// Sends another body as a heartbeat of this instance id, and returns the status of the response.
+    #[must_use]
+    pub fn send_foreign_heartbeat(control: net::SocketAddr, instance: &str, body: &str) -> Option<u16> {
+        call_control(control, &format!("instances.heartbeat&of={instance}"), body)
+    }
+
+    /// Sends a deregistration of this instance id with this body, and returns the status of the response.
+    #[must_use]
+    pub fn send_foreign_departure(control: net::SocketAddr, instance: &str, body: &str) -> Option<u16> {
+        call_control(control, &format!("instances.deregister&of={instance}"), body)
+    }
+
     /// Deregisters the server at the daemon, and returns the status of the response; `None` if there is none.
     #[must_use]
     pub fn deregister(&self, control: net::SocketAddr) -> Option<u16> {
--- a/crates/standins/src/platform_site.rs
+++ b/crates/standins/src/platform_site.rs
@@ -17,6 +17,7 @@
 // The ports are the same on every VM; the VMs differ in their loopback address.
 const ENTRY_PORT: u16 = 18_304;
 const BACKEND_SERVER_PORT: u16 = 18_301;
+const METRICS_PORT: u16 = 9_464;
 const READY_PORT: u16 = 18_302;
 const CONTROL_PORT: u16 = 18_306;
 const FIRST_INTERNAL_PORT: u16 = 17_620;
@@ -359,7 +360,8 @@
         let server = net::SocketAddr::new(address.into(), BACKEND_SERVER_PORT);
         let instance = format!("i-{index}");
         let script = sync::Arc::clone(&plan.script);
-        let backend = platform_backend::PlatformBackend::start(server, plan.service, &instance, script)?;
+        let data_centre = format!("{}-a", plan.region);
+        let backend = platform_backend::PlatformBackend::start(server, plan.service, &data_centre, &instance, script)?;
         let settings = site.folder.join(format!("machine-{index}.toml"));
         fs::write(&settings, settings_text(site.store.address(), address, index, plan))?;
         let vm = Self {
@@ -402,6 +404,20 @@
         self.socket(ENTRY_PORT)
     }
 
+    /// Returns the address of the backend server.
+    #[must_use]
+    pub fn server(&self) -> net::SocketAddr {
+        self.socket(BACKEND_SERVER_PORT)
+    }
+
+    /// Returns the text of the metrics endpoint of the daemon; `None` if there is no response.
+    #[must_use]
+    pub fn metrics(&self) -> Option<String> {
+        let uri = format!("http://{}/metrics", self.socket(METRICS_PORT));
+        let mut response = agent(CALL_TIMEOUT).get(uri).call().ok()?;
+        response.body_mut().read_to_string().ok()
+    }
+
     fn socket(&self, port: u16) -> net::SocketAddr {
         net::SocketAddr::new(self.address.into(), port)
     }
