Believe only a later process itself that it supersedes this one

Cause: handle_later_start took any record with a later start for the evidence of a successor.

Change: a record at the address of this process is overridden at once, since this process holds the sockets there. One at another address causes a probe of it, each second. A process with the same id answers with its own record, and only that, sent from the record's address, supersedes. Without an answer within 3 s the record is overridden. A daemon that is not replaced stays, and its record is the newest one again. A real replacement takes one more round trip.

--- a/crates/membership/src/gossip_context.rs
+++ b/crates/membership/src/gossip_context.rs
@@ -15,6 +15,7 @@
 
 use crate::anti_entropy;
 use crate::gossip_detector;
+use crate::gossip_merge;
 use crate::gossip_message;
 use crate::member_record;
 use crate::member_table;
@@ -68,7 +69,7 @@
     /// Another daemon held a newer record of this daemon, for example as suspect or dead, and this daemon has
     /// overridden it. Its row need not be rewritten.
     Refuted,
-    /// Another process with this daemon's id was started later. This process must stop.
+    /// Another process with this daemon's id was started later, and has said so itself. This process must stop.
     Superseded,
 }
 
@@ -95,6 +96,8 @@
     pub(crate) revision: ids::Revision,
     pub(crate) started: time::Instant,
     pub(crate) superseded: bool,
+    /// Claim that a later process with this daemon's id runs at another address, until that process confirms it.
+    pub(crate) claim: Option<gossip_merge::SuccessorClaim>,
     /// Whether the next answer to a probe starts an exchange; set by a join.
     pub(crate) joining: bool,
     /// Round-trip time of direct probes by location: the minimum, which rises by at most `MAX_DELAY_RISE` per
@@ -136,6 +139,7 @@
             revision: 0,
             started: now,
             superseded: false,
+            claim: None,
             joining: false,
             delays: collections::HashMap::new(),
             traffic: traffic_count::TrafficCount::default(),
--- a/crates/membership/src/gossip_detector.rs
+++ b/crates/membership/src/gossip_detector.rs
@@ -137,6 +137,7 @@
             self.detector.next_probe = (self.detector.next_probe + gossip_context::GOSSIP_PERIOD).max(now);
             self.probe_next(now);
             self.probe_claimed(now);
+            self.check_claim(now);
         }
         if now >= self.detector.next_dead_probe {
             self.probe_dead(now);
@@ -359,9 +360,12 @@
 
     pub(crate) fn handle(&mut self, from: net::SocketAddr, message: gossip_message::GossipMessage, now: time::Instant) {
         if message.sender == self.own_record().daemon_id {
-            // The sender is an earlier or later process with this daemon's id, or the datagram was reflected.
-            for record in &message.updates {
-                self.apply(record, now);
+            self.apply_from_namesake(from, &message.updates, now);
+            // An earlier process asks whether this one has replaced it.
+            if let gossip_message::GossipKind::Probe { sequence, target } = message.kind
+                && from != self.own_record().address
+            {
+                self.answer_probe(from, &message.sender, sequence, &target);
             }
             return;
         }
--- a/crates/membership/src/gossip_merge.rs
+++ b/crates/membership/src/gossip_merge.rs
@@ -1,6 +1,7 @@
 //! Merging of received records into the member table.
 
 use std::cmp;
+use std::net;
 use std::time;
 
 use crate::gossip_context;
@@ -12,6 +13,25 @@
 /// earlier process and a clock that was set back since. Afterwards it is attributed to a later process with the same
 /// id.
 const CLOCK_STEP_WINDOW: time::Duration = time::Duration::from_secs(30);
+/// Time for which a claimed successor is probed before its record is overridden. A record of another writer hides this
+/// daemon from the others meanwhile.
+const SUCCESSOR_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
+/// Record of a later process with this daemon's id, which came from somebody else than that process.
+#[derive(Debug)]
+pub(crate) struct SuccessorClaim {
+    record: member_record::MemberRecord,
+    since: time::Instant,
+}
+
+/// Who sent a record of this daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RecordSource {
+    /// A row, or another daemon.
+    Other,
+    /// The process that the record describes, from the record's address.
+    Itself,
+}
 
 impl GossipContext {
     /// Merges a gossiped or exchanged record and queues it for gossip if it changed the table. An implausible one
@@ -22,7 +42,7 @@
             return;
         }
         if record.daemon_id == self.own_record().daemon_id {
-            self.apply_own(record, now);
+            self.apply_own(record, RecordSource::Other, now);
             return;
         }
         if let Some(key) = self.disputed_death(record) {
@@ -41,7 +61,7 @@
             return;
         }
         if record.daemon_id == self.own_record().daemon_id {
-            self.apply_own(record, now);
+            self.apply_own(record, RecordSource::Other, now);
         } else {
             self.merge(record, now);
         }
@@ -81,14 +101,31 @@
         Some(key)
     }
 
-    fn apply_own(&mut self, record: &member_record::MemberRecord, now: time::Instant) {
+    /// Merges the records of a message whose sender has this daemon's id: an earlier or later process, or a reflection.
+    pub(crate) fn apply_from_namesake(
+        &mut self,
+        from: net::SocketAddr,
+        records: &[member_record::MemberRecord],
+        now: time::Instant,
+    ) {
+        let own_id = self.own_record().daemon_id.clone();
+        for record in records {
+            if record.daemon_id == own_id && record.address == from && record.is_plausible() {
+                self.apply_own(record, RecordSource::Itself, now);
+            } else {
+                self.apply(record, now);
+            }
+        }
+    }
+
+    fn apply_own(&mut self, record: &member_record::MemberRecord, source: RecordSource, now: time::Instant) {
         if self.adopt_departure(record.departure.as_ref(), now) {
             self.output.events.push(gossip_context::GossipEvent::DepartureLearned);
         }
         let own = self.own_record();
         match own.compare_incarnation(record) {
             cmp::Ordering::Greater => {}
-            cmp::Ordering::Less => self.handle_later_start(record, now),
+            cmp::Ordering::Less => self.handle_later_start(record, source, now),
             cmp::Ordering::Equal => {
                 let newer = own.clone().merge(record) == member_record::MergeResult::Changed;
                 if newer {
@@ -106,14 +143,50 @@
         }
     }
 
-    fn handle_later_start(&mut self, record: &member_record::MemberRecord, now: time::Instant) {
-        if now.saturating_duration_since(self.started) < CLOCK_STEP_WINDOW {
-            let started_ms = record.started_ms.saturating_add(1);
-            self.change_own(now, |own| own.started_ms = started_ms);
-            self.output.events.push(gossip_context::GossipEvent::Refuted);
-        } else if !self.superseded {
-            self.superseded = true;
-            self.output.events.push(gossip_context::GossipEvent::Superseded);
+    /// Decides about a record of this daemon with a later start. Rows and gossip may carry one that another writer made,
+    /// so only the later process itself is believed. While this process runs, it holds the sockets of its own address,
+    /// so no other process has replaced it there.
+    fn handle_later_start(&mut self, record: &member_record::MemberRecord, source: RecordSource, now: time::Instant) {
+        let starting = now.saturating_duration_since(self.started) < CLOCK_STEP_WINDOW;
+        if starting || record.address == self.own_record().address {
+            self.override_start(record, now);
+        } else if source == RecordSource::Itself {
+            if !self.superseded {
+                self.superseded = true;
+                self.output.events.push(gossip_context::GossipEvent::Superseded);
+            }
+        } else {
+            let known = self.claim.as_ref();
+            if known.is_none_or(|claim| claim.record.compare_incarnation(record) == cmp::Ordering::Less) {
+                let since = known.map_or(now, |claim| claim.since);
+                self.claim = Some(SuccessorClaim {
+                    record: record.clone(),
+                    since,
+                });
+                self.probe_address(record.address, now);
+            }
         }
     }
+
+    /// Probes a claimed successor again, or overrides its record if it has not answered in time.
+    pub(crate) fn check_claim(&mut self, now: time::Instant) {
+        let Some(claim) = self.claim.take() else {
+            return;
+        };
+        if claim.record.compare_incarnation(self.own_record()) != cmp::Ordering::Greater {
+            return;
+        }
+        if now.saturating_duration_since(claim.since) >= SUCCESSOR_TIMEOUT {
+            self.override_start(&claim.record, now);
+            return;
+        }
+        self.probe_address(claim.record.address, now);
+        self.claim = Some(claim);
+    }
+
+    fn override_start(&mut self, record: &member_record::MemberRecord, now: time::Instant) {
+        let started_ms = record.started_ms.saturating_add(1);
+        self.change_own(now, |own| own.started_ms = started_ms);
+        self.output.events.push(gossip_context::GossipEvent::Refuted);
+    }
 }
