Adapt the node and the stand-in to the merged parts

Cause: the pipeline's planning handler takes the head mutably and states whether a request is refused, which the entry server of damasktrackd didn't follow; two parts had each added the metrics port to the stand-in of a site.

Change: the entry server passes the head on as before and refuses nothing early; the stand-in has one query of metrics.

Result: the workspace builds with all targets.

--- a/crates/node/src/entry/entry_server.rs
+++ b/crates/node/src/entry/entry_server.rs
@@ -165,7 +165,7 @@
     };
     let loopback = peer.ip().is_loopback();
     let handlers = server_connection::ConnectionHandlers {
-        plan: |parts: &_| plan(&shared, parts),
+        plan: |parts: &mut _| plan(&shared, parts),
         serve: |request| serve_request(sync::Arc::clone(&shared), request, loopback),
         reject: |fault| fault_response(read_fault(fault)),
     };
@@ -185,6 +185,7 @@
         max_body_bytes: shared.settings.max_body_bytes,
         body_timeout: shared.settings.body_timeout,
         order,
+        refused: false,
         route: (),
     }
 }
--- a/crates/standins/src/platform_site.rs
+++ b/crates/standins/src/platform_site.rs
@@ -21,7 +21,6 @@
 const READY_PORT: u16 = 18_302;
 const CONTROL_PORT: u16 = 18_306;
 const FIRST_INTERNAL_PORT: u16 = 17_620;
-const METRICS_PORT: u16 = 9464;
 const STORE_PORT: u16 = 18_309;
 /// Time between two heartbeats.
 const HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(300);
@@ -480,14 +479,6 @@
         self.socket(BACKEND_SERVER_PORT)
     }
 
-    /// Returns the text of the metrics endpoint of the daemon; `None` if there is no response.
-    #[must_use]
-    pub fn metrics(&self) -> Option<String> {
-        let uri = format!("http://{}/metrics", self.socket(METRICS_PORT));
-        let mut response = agent(CALL_TIMEOUT).get(uri).call().ok()?;
-        response.body_mut().read_to_string().ok()
-    }
-
     fn socket(&self, port: u16) -> net::SocketAddr {
         net::SocketAddr::new(self.address.into(), port)
     }
