Bound the bytes and connections that callers occupy

Cause: request bodies were held whole, each in a buffer that grew by copying, and nothing bounded their sum, nor the number of accepted connections. Callers that stop short of the end of their bodies, or that send nothing, took a daemon beyond its memory or its descriptors.

Change: one account per process (pipeline::byte_account, pure) counts the capacity of the buffers of all accepted connections with a fixed cost for each, and the complete requests and buffered responses. At its bound it selects the incomplete request with the largest product of bytes and time without progress; one that is served is never selected. The entry answers it with 503 and Retry-After; a callee daemon answers NotRun(QueueFull), which the entry daemon already takes for want of capacity. At the bound of connections the one that has been idle or incomplete for longest is closed. Bodies are lists of chunks (pipeline::chunk_list); small chunks are joined into blocks of 8 to 64 KiB, and a body of one chunk is not copied. Limits.MemoryMb and Limits.MaxFds of the settings state the bounds; without them the account only counts. Where they are set, hyper's read buffers have at most 32 KiB, callers' sockets a receive buffer of 128 KiB, and less of a response is buffered when the account is full.

Each test of crates/pipeline/tests/account.rs but account_without_bounds_only_counts and body_of_one_chunk_is_not_copied was seen to fail with its mechanism off: no refusal, no time without progress, single bytes as progress, no reserve, served requests refused or closed, no bound of connections, the time of a connection extended by each byte, chunks kept apart, the count of a forwarded body dropped at once. Processor time of ordinary requests was not measured.

--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -4,11 +4,11 @@
 use std::rc;
 use std::time;
 
-use bytes::Bytes;
 use damasktrack_admission::gate_report;
 use damasktrack_admission::pressure_throttle;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
+use damasktrack_pipeline::chunk_list;
 use hyper::header;
 use tokio::sync::oneshot;
 
@@ -40,7 +40,7 @@
     /// End-to-end headers.
     pub headers: header::HeaderMap,
     /// Complete body.
-    pub body: Bytes,
+    pub body: chunk_list::ChunkedBody,
 }
 
 /// Result of a call.
@@ -189,6 +189,8 @@
     guard.sent = Some((now, deadline));
     let left = deadline.saturating_duration_since(now);
     let attempt_id = request.headers.get(&node.settings.headers.attempt_id).cloned();
+    // The connection may still have to send the last chunks when hyper has dropped the body.
+    let _body = request.body.clone();
     let Some(outgoing) = server_request(node, head, permit, request, left) else {
         return CallResult::NotRun(call_outcome::RefusalReason::NotDeclared);
     };
@@ -206,7 +208,7 @@
         if let Err(fault) = checked {
             return Ok(Err(fault));
         }
-        match message_body::receive(response, lease, deadline + DEADLINE_SLACK).await {
+        match message_body::receive(response, lease, deadline + DEADLINE_SLACK, &node.account).await {
             Ok(received) => Ok(Ok(received)),
             Err(error) => Err(http_link::LinkError::NoResponse(error.to_string())),
         }
@@ -316,9 +318,9 @@
     method: hyper::Method,
     uri: hyper::Uri,
     headers: header::HeaderMap,
-    body: Bytes,
+    body: impl Into<chunk_list::ChunkedBody>,
 ) -> hyper::Request<http_link::LinkBody> {
-    let mut request = hyper::Request::new(http_link::LinkBody::new(body));
+    let mut request = hyper::Request::new(body.into());
     *request.method_mut() = method;
     *request.uri_mut() = uri;
     *request.headers_mut() = headers;
--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
+use damasktrack_pipeline::chunk_list;
 use damasktrack_pipeline::request_fault;
 use damasktrack_pipeline::request_order;
 use damasktrack_pipeline::server_connection;
@@ -240,7 +241,11 @@
 }
 
 /// Builds the request for the backend server from that of a caller.
-fn call_request(node: &node_context::NodeContext, parts: &request::Parts, body: Bytes) -> callee_call::CallRequest {
+fn call_request(
+    node: &node_context::NodeContext,
+    parts: &request::Parts,
+    body: chunk_list::ChunkedBody,
+) -> callee_call::CallRequest {
     let names = &node.settings.headers;
     let mut headers = message_body::end_to_end_headers(&parts.headers);
     for name in [
@@ -476,7 +481,7 @@
     if let Some(reply) = &reply {
         node.core.ask(|core, now| core.note_reply(daemon_id, reply, now));
     }
-    let Ok((mut parts, body)) = message_body::receive(response, lease, entry.deadline).await else {
+    let Ok((mut parts, body)) = message_body::receive(response, lease, entry.deadline, &node.account).await else {
         return callee_call::CallResult::MayHaveRun;
     };
     parts.headers.remove(peer_call::REPLY_HEADER);
@@ -502,8 +507,12 @@
 fn local_response(reply: LocalReply) -> hyper::Response<message_body::ReplyBody> {
     let mut response = hyper::Response::new(message_body::ReplyBody::whole(Bytes::new()));
     *response.status_mut() = reply.status();
-    let unrun = LocalReply::Rejected(request_fault::RequestFault::Stopping);
-    if matches!(reply, LocalReply::NotRun(_)) || reply == unrun {
+    let unrun = matches!(
+        reply,
+        LocalReply::NotRun(_)
+            | LocalReply::Rejected(request_fault::RequestFault::Stopping | request_fault::RequestFault::NoRoom)
+    );
+    if unrun {
         let seconds = rand::rng().random_range(RETRY_AFTER_SECONDS);
         if let Ok(value) = header::HeaderValue::try_from(format!("{seconds:.2}")) {
             response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/crates/forward/src/forward_settings.rs
+++ b/crates/forward/src/forward_settings.rs
@@ -7,6 +7,7 @@
 use damasktrack_entity::server_location;
 
 use crate::header_names;
+use crate::process_limits;
 use crate::retry_share;
 
 /// Settings of a daemon that are fixed for the lifetime of its process.
@@ -34,6 +35,8 @@
     pub stop_grace: time::Duration,
     /// Bounds of repeated requests, summed over all daemons.
     pub retry_bounds: retry_share::RetryBounds,
+    /// Memory and descriptors of the process.
+    pub process_limits: process_limits::ProcessLimits,
     /// Names of the headers that the deployment uses.
     pub headers: header_names::HeaderNames,
 }
--- a/crates/forward/src/http_link.rs
+++ b/crates/forward/src/http_link.rs
@@ -8,8 +8,7 @@
 use std::rc;
 use std::time;
 
-use bytes::Bytes;
-use http_body_util::Full;
+use damasktrack_pipeline::chunk_list;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -28,7 +27,7 @@
 const READY_TIMEOUT: time::Duration = time::Duration::from_millis(20);
 
 /// Body of a request on a link.
-pub type LinkBody = Full<Bytes>;
+pub type LinkBody = chunk_list::ChunkedBody;
 
 /// Limits of the connections to one address.
 #[derive(Clone, Copy, Debug)]
--- a/crates/forward/src/http_server.rs
+++ b/crates/forward/src/http_server.rs
@@ -6,6 +6,8 @@
 use std::rc;
 use std::time;
 
+use damasktrack_pipeline::account_handle;
+use damasktrack_pipeline::byte_account;
 use damasktrack_pipeline::request_order;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -16,6 +18,7 @@
 use tokio::task;
 
 use crate::http_link;
+use crate::internal_body;
 use crate::message_body;
 
 /// Maximum connections that wait to be accepted. A full backlog drops the SYN, which is retransmitted after a second.
@@ -27,6 +30,11 @@
 /// Largest request head of another daemon or of the platform, in bytes.
 const INTERNAL_HEADER_BYTES: usize = 64 * 1024;
 
+/// Receive buffer of a caller's connection where memory is limited, in bytes. The kernel keeps what callers send behind
+/// requests that are not answered yet, and grows the buffer to several MiB otherwise. At a round trip of 16 ms the buffer
+/// allows 8 MB/s.
+const CALLER_RECEIVE_BYTES: usize = 128 * 1024;
+
 /// Response of a request handler.
 pub type ServerResponse = hyper::Response<message_body::ReplyBody>;
 
@@ -106,7 +114,9 @@
 pub async fn accept<F>(
     listener: tokio::net::TcpListener,
     control: ServerControl,
-    serve: impl Fn(tokio::net::TcpStream) -> F,
+    account: account_handle::AccountHandle,
+    kind: byte_account::ListenerKind,
+    serve: impl Fn(tokio::net::TcpStream, account_handle::ConnectionHold) -> F,
 ) where
     F: Future<Output = ()> + 'static,
 {
@@ -120,7 +130,11 @@
             Ok((stream, _from)) => {
                 http_link::set_server_options(&stream);
                 let open = OpenGuard::new(&control.open);
-                let connection = serve(stream);
+                if kind == byte_account::ListenerKind::Caller && account.ask(byte_account::ByteAccount::is_bounded) {
+                    // Without the option, the buffer has the size that the kernel chooses.
+                    let _failed = socket2::SockRef::from(&stream).set_recv_buffer_size(CALLER_RECEIVE_BYTES);
+                }
+                let connection = serve(stream, account.open(kind));
                 task::spawn_local(async move {
                     connection.await;
                     drop(open);
@@ -139,32 +153,53 @@
 ///
 /// # Errors
 /// Returns an error if the socket can't be bound.
-pub fn serve_internal<H, F>(address: net::SocketAddr, handler: H) -> io::Result<()>
+pub fn serve_internal<H, F>(
+    address: net::SocketAddr,
+    account: &account_handle::AccountHandle,
+    handler: H,
+) -> io::Result<()>
 where
-    H: Fn(hyper::Request<Incoming>) -> F + Clone + 'static,
+    H: Fn(hyper::Request<Incoming>, rc::Rc<internal_body::InternalHold>) -> F + Clone + 'static,
     F: Future<Output = ServerResponse> + 'static,
 {
     let listener = listen(address)?;
-    let serve = move |stream| serve_connection(stream, handler.clone());
-    task::spawn_local(accept(listener, ServerControl::default(), serve));
+    let serve = move |stream, hold| serve_connection(stream, hold, handler.clone());
+    let kind = byte_account::ListenerKind::Internal;
+    task::spawn_local(accept(listener, ServerControl::default(), account.clone(), kind, serve));
     Ok(())
 }
 
-async fn serve_connection<H, F>(stream: tokio::net::TcpStream, handler: H)
+async fn serve_connection<H, F>(stream: tokio::net::TcpStream, hold: account_handle::ConnectionHold, handler: H)
 where
-    H: Fn(hyper::Request<Incoming>) -> F + 'static,
+    H: Fn(hyper::Request<Incoming>, rc::Rc<internal_body::InternalHold>) -> F + 'static,
     F: Future<Output = ServerResponse> + 'static,
 {
+    let bounded = hold.account().ask(byte_account::ByteAccount::is_bounded);
+    let hold = internal_body::InternalHold::new(hold);
+    let served = rc::Rc::clone(&hold);
     let service = service::service_fn(move |request| {
-        let response = handler(request);
-        async move { Ok::<_, std::convert::Infallible>(response.await) }
+        served.begin();
+        let response = handler(request, rc::Rc::clone(&served));
+        let replied = rc::Rc::clone(&served);
+        async move {
+            let response = response.await;
+            Ok::<_, std::convert::Infallible>(response.map(|body| internal_body::HeldReply::new(body, replied)))
+        }
     });
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(INTERNAL_IDLE_TIMEOUT)
         .max_header_size(INTERNAL_HEADER_BYTES);
-    if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+    if bounded {
+        builder.max_buf_size(internal_body::READ_BUFFER_BYTES);
+    }
+    let served = tokio::select! {
+        biased;
+        () = hold.closed() => return,
+        served = builder.serve_connection(TokioIo::new(stream), service) => served,
+    };
+    if let Err(error) = served {
         log::debug!(error:% = error; "inbound connection ended");
     }
 }
--- a/crates/forward/src/message_body.rs
+++ b/crates/forward/src/message_body.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use damasktrack_pipeline::account_handle;
 use http_body_util::BodyExt;
 use hyper::body;
 use hyper::header;
@@ -15,6 +16,8 @@
 /// Bytes of a response that are buffered before it is forwarded. A response that is truncated within them can still be
 /// replaced by an error or by another server's response.
 const BUFFERED_BYTES: usize = 256 * 1024;
+/// As [`BUFFERED_BYTES`], where the process has no room for more.
+const LEAST_BUFFERED_BYTES: usize = 16 * 1024;
 /// Margin before the keep-alive timeout of the server, after which an idle connection is not reused.
 const CLOSE_MARGIN: time::Duration = time::Duration::from_secs(2);
 
@@ -36,6 +39,8 @@
 /// Body of a response to a caller or daemon: buffered bytes, followed by the unread rest of a large body.
 pub struct ReplyBody {
     buffered: Option<Bytes>,
+    /// Counts `buffered`, unless it is short.
+    hold: Option<account_handle::ForwardedHold>,
     rest: Option<RestBody>,
 }
 
@@ -76,6 +81,7 @@
     pub fn whole(bytes: Bytes) -> Self {
         Self {
             buffered: (!bytes.is_empty()).then_some(bytes),
+            hold: None,
             rest: None,
         }
     }
@@ -122,6 +128,7 @@
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<body::Frame<Bytes>, BodyError>>> {
         if let Some(buffered) = self.buffered.take() {
+            self.hold = None;
             return task::Poll::Ready(Some(Ok(body::Frame::data(buffered))));
         }
         let Some(rest) = &mut self.rest else {
@@ -171,16 +178,22 @@
     response: hyper::Response<body::Incoming>,
     lease: http_link::LinkLease,
     deadline: time::Instant,
+    account: &account_handle::AccountHandle,
 ) -> Result<(hyper::http::response::Parts, ReplyBody), hyper::Error> {
     let (parts, mut incoming) = response.into_parts();
     let idle_limit = idle_limit(&parts.headers);
     let mut received = ReceivedBytes::default();
+    let mut hold = None;
     while let Some(frame) = incoming.frame().await {
         let Ok(data) = frame?.into_data() else {
             continue;
         };
         received.push(data);
-        if received.len() > BUFFERED_BYTES {
+        if received.len() <= LEAST_BUFFERED_BYTES {
+            continue;
+        }
+        hold.get_or_insert_with(|| account.hold(0)).set(received.len());
+        if received.len() > BUFFERED_BYTES || !account.ask(|account| account.has_room(0)) {
             let rest = RestBody {
                 incoming,
                 deadline: Box::pin(tokio::time::sleep_until(deadline.into())),
@@ -190,6 +203,7 @@
             };
             let body = ReplyBody {
                 buffered: Some(received.into_bytes()),
+                hold,
                 rest: Some(rest),
             };
             return Ok((parts, body));
@@ -198,7 +212,9 @@
     if !closes_connection(&parts.headers) {
         lease.release(idle_limit, time::Instant::now());
     }
-    Ok((parts, ReplyBody::whole(received.into_bytes())))
+    let mut body = ReplyBody::whole(received.into_bytes());
+    body.hold = hold;
+    Ok((parts, body))
 }
 
 /// Bytes received so far of a body. They are joined as they arrive, since a chunk that is kept costs many times its
--- a/crates/forward/src/node_context.rs
+++ b/crates/forward/src/node_context.rs
@@ -7,6 +7,7 @@
 use std::time;
 
 use damasktrack_entity::ids;
+use damasktrack_pipeline::account_handle;
 use hyper::header;
 
 use crate::core_handle;
@@ -40,6 +41,8 @@
     pub metrics: forward_metrics::ForwardMetrics,
     /// Rate limit of log lines about requests.
     pub log_limiter: log_limiter::LogLimiter,
+    /// Bytes and connections that callers occupy.
+    pub account: account_handle::AccountHandle,
     /// Departures of the backend server that the store has to keep.
     pub departures: departure_log::DepartureLog,
     /// Number of callers' requests in flight.
@@ -60,6 +63,7 @@
             idle_limit: SERVER_IDLE_TIMEOUT,
         };
         rc::Rc::new(Self {
+            account: account_handle::AccountHandle::new(settings.process_limits.account_bounds()),
             server: http_link::LinkPool::new(settings.server_address, policy),
             settings,
             core,
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use bytes::Bytes;
+use damasktrack_pipeline::byte_account;
 use damasktrack_pipeline::request_order;
 use damasktrack_pipeline::server_connection;
 use rand::RngExt;
@@ -138,16 +139,23 @@
 fn serve_callers(node: &rc::Rc<node_context::NodeContext>, control: &http_server::ServerControl) -> io::Result<()> {
     let listener = http_server::listen(node.settings.entry_listen)?;
     let (node, phases) = (rc::Rc::clone(node), control.phases());
-    let serve = move |stream| {
+    let account = node.account.clone();
+    let serve = move |stream, hold| {
         let [planning, serving, rejecting] = [&node; 3].map(rc::Rc::clone);
         let handlers = server_connection::ConnectionHandlers {
             plan: move |parts: &_| entry_call::plan(&planning, parts),
             serve: move |request| entry_call::serve(rc::Rc::clone(&serving), request),
             reject: move |fault| entry_call::reject(&rejecting, fault),
         };
-        server_connection::serve(stream, caller_limits(&node), phases.clone(), handlers)
+        server_connection::serve(stream, caller_limits(&node), phases.clone(), handlers, hold)
     };
-    task::spawn_local(http_server::accept(listener, control.clone(), serve));
+    task::spawn_local(http_server::accept(
+        listener,
+        control.clone(),
+        account,
+        byte_account::ListenerKind::Caller,
+        serve,
+    ));
     Ok(())
 }
 
@@ -164,15 +172,16 @@
 fn serve_peers(node: &rc::Rc<node_context::NodeContext>) -> io::Result<()> {
     let address = node.settings.peer_listen;
     let node = rc::Rc::clone(node);
-    http_server::serve_internal(address, move |request| {
-        peer_server::serve(rc::Rc::clone(&node), request)
+    let account = node.account.clone();
+    http_server::serve_internal(address, &account, move |request, hold| {
+        peer_server::serve(rc::Rc::clone(&node), request, hold)
     })
 }
 
 /// Starts the readiness listener, and the metrics listener if it is configured.
 fn serve_status(node: &rc::Rc<node_context::NodeContext>) -> io::Result<()> {
     let core = node.core.clone();
-    http_server::serve_internal(node.settings.ready_listen, move |_request| {
+    http_server::serve_internal(node.settings.ready_listen, &node.account, move |_request, _hold| {
         let ready = core.ask(|core, now| core.is_ready(now));
         let status = if ready {
             hyper::StatusCode::OK
@@ -185,7 +194,7 @@
         return Ok(());
     };
     let metrics = node.metrics.clone();
-    http_server::serve_internal(address, move |_request| {
+    http_server::serve_internal(address, &node.account, move |_request, _hold| {
         let response = match metrics.text() {
             Ok(text) => hyper::Response::new(message_body::ReplyBody::whole(Bytes::from(text))),
             Err(error) => {
--- a/crates/forward/src/peer_server.rs
+++ b/crates/forward/src/peer_server.rs
@@ -4,14 +4,16 @@
 use std::time;
 
 use bytes::Bytes;
+use damasktrack_entity::call_outcome;
 use damasktrack_membership::anti_entropy;
 use damasktrack_membership::gossip_context;
-use http_body_util::BodyExt;
+use damasktrack_pipeline::chunk_list;
 use hyper::body::Incoming;
 use hyper::header;
 
 use crate::callee_call;
 use crate::http_server;
+use crate::internal_body;
 use crate::message_body;
 use crate::node_context;
 use crate::peer_call;
@@ -30,14 +32,20 @@
 pub async fn serve(
     node: rc::Rc<node_context::NodeContext>,
     request: hyper::Request<Incoming>,
+    hold: rc::Rc<internal_body::InternalHold>,
 ) -> http_server::ServerResponse {
     let began = time::Instant::now();
     let waited = node.core.ask(|core, _now| core.longest_wait(stall_watch::boot_time()));
     let (parts, incoming) = request.into_parts();
-    let Ok(collected) = http_body_util::Limited::new(incoming, MAX_BODY_BYTES).collect().await else {
-        return empty_response(hyper::StatusCode::BAD_REQUEST);
+    let body = match internal_body::receive(&hold, incoming, MAX_BODY_BYTES).await {
+        internal_body::BodyResult::Complete(body) => body,
+        internal_body::BodyResult::Malformed => return empty_response(hyper::StatusCode::BAD_REQUEST),
+        // The entry daemon takes it for a refusal for want of capacity.
+        internal_body::BodyResult::NoRoom => {
+            let refused = callee_call::CallResult::NotRun(call_outcome::RefusalReason::QueueFull);
+            return call_response(&node, refused);
+        }
     };
-    let body = collected.to_bytes();
     if let Some(value) = parts.headers.get(peer_call::CALL_HEADER) {
         return match peer_call::decode::<peer_call::CallHead>(value.as_bytes()) {
             Some(mut head) => {
@@ -47,6 +55,7 @@
             None => empty_response(hyper::StatusCode::BAD_REQUEST),
         };
     }
+    let body = body.into_bytes();
     match parts.uri.path() {
         EXCHANGE_PATH => serve_exchange(&node, &body),
         RETURN_PATH => {
@@ -72,7 +81,7 @@
     node: &rc::Rc<node_context::NodeContext>,
     head: &peer_call::CallHead,
     parts: &hyper::http::request::Parts,
-    body: Bytes,
+    body: chunk_list::ChunkedBody,
 ) -> http_server::ServerResponse {
     let mut headers = message_body::end_to_end_headers(&parts.headers);
     headers.remove(peer_call::CALL_HEADER);
@@ -82,7 +91,12 @@
         headers,
         body,
     };
-    let (verdict, mut response) = match callee_call::run(node, head, request).await {
+    call_response(node, callee_call::run(node, head, request).await)
+}
+
+/// Returns the response to a call of an entry daemon.
+fn call_response(node: &node_context::NodeContext, result: callee_call::CallResult) -> http_server::ServerResponse {
+    let (verdict, mut response) = match result {
         callee_call::CallResult::Answered(response) => (peer_call::CallVerdict::Answered, *response),
         callee_call::CallResult::NotRun(reason) => (
             peer_call::CallVerdict::NotRun(reason),
--- a/crates/forward/tests/reply_memory.rs
+++ b/crates/forward/tests/reply_memory.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use damasktrack_forward::http_link::{LinkPolicy, LinkPool};
 use damasktrack_forward::{callee_call, message_body};
+use damasktrack_pipeline::account_handle::AccountHandle;
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, Method, Uri};
 use tokio::task::LocalSet;
@@ -52,7 +53,9 @@
     let request = callee_call::request_of(Method::GET, Uri::from_static("/"), HeaderMap::new(), Bytes::new());
     let (response, lease) = pool.send(request, Duration::ZERO).await.unwrap();
     let deadline = Instant::now() + Duration::from_mins(5);
-    let (_parts, body) = message_body::receive(response, lease, deadline).await.unwrap();
+    let (_parts, body) = message_body::receive(response, lease, deadline, &AccountHandle::default())
+        .await
+        .unwrap();
     assert!(body.is_whole());
     body.collect().await.unwrap().to_bytes().len()
 }
--- a/crates/forward/tests/starting.rs
+++ b/crates/forward/tests/starting.rs
@@ -12,6 +12,7 @@
 use damasktrack_forward::forward_settings::ForwardSettings;
 use damasktrack_forward::header_names::HeaderNames;
 use damasktrack_forward::peer_call::CallHead;
+use damasktrack_forward::process_limits::ProcessLimits;
 use damasktrack_forward::retry_share::RetryBounds;
 use damasktrack_forward::server_report::{ServerCondition, ServerReport};
 use damasktrack_membership::member_record::{MemberRecord, MemberState};
@@ -48,6 +49,10 @@
             extra: 50.0,
             window: Duration::from_secs(10),
         },
+        process_limits: ProcessLimits {
+            memory_mb: None,
+            max_fds: None,
+        },
         headers: HeaderNames {
             attempt_id: header("attempt-id"),
             deadline_ms: header("deadline-ms"),
--- a/crates/node/src/entry/entry_server.rs
+++ b/crates/node/src/entry/entry_server.rs
@@ -9,6 +9,8 @@
 
 use bytes::Bytes;
 use damasktrack_ownership::action_step;
+use damasktrack_pipeline::account_handle;
+use damasktrack_pipeline::byte_account;
 use damasktrack_pipeline::request_fault;
 use damasktrack_pipeline::request_order;
 use damasktrack_pipeline::server_connection;
@@ -169,7 +171,8 @@
         serve: |request| serve_request(sync::Arc::clone(&shared), request, loopback),
         reject: |fault| fault_response(read_fault(fault)),
     };
-    server_connection::serve(stream, limits, phases, handlers).await;
+    let hold = account_handle::AccountHandle::default().open(byte_account::ListenerKind::Caller);
+    server_connection::serve(stream, limits, phases, handlers, hold).await;
 }
 
 /// Plans how a request is read. Only calls that may run more than once start before earlier ones are answered.
@@ -205,7 +208,7 @@
     request: server_connection::CallerRequest<()>,
     loopback: bool,
 ) -> Result<hyper::Response<entry_body::EntryBody>, entry_request::RequestFault> {
-    let (arrived, parts, body) = (request.arrived, request.parts, request.body);
+    let (arrived, parts, body) = (request.arrived, request.parts, request.body.into_bytes());
     let origin = entry_request::read_origin(&parts.headers, loopback)?;
     if parts.method == hyper::Method::POST && parts.uri.path() == ISSUE_PATH {
         return issue_id(shared).await;
@@ -265,6 +268,7 @@
         request_fault::RequestFault::HeadTimeout => "the request head did not arrive in time\n",
         request_fault::RequestFault::BodyTimeout => "the request body did not arrive in time\n",
         request_fault::RequestFault::Stopping => "the daemon stops; the request did not run\n",
+        request_fault::RequestFault::NoRoom => "no memory for the request; it did not run\n",
     };
     entry_request::RequestFault {
         status: fault.status().as_u16(),
--- a/crates/pipeline/src/body_decoder.rs
+++ b/crates/pipeline/src/body_decoder.rs
@@ -1,8 +1,8 @@
 //! Decoding of a request body from its framing.
 
-use bytes::Bytes;
 use bytes::BytesMut;
 
+use crate::chunk_list;
 use crate::request_fault;
 use crate::request_head;
 
@@ -14,12 +14,12 @@
 const MAX_TRAILERS: usize = 32;
 
 /// Result of [`BodyDecoder::decode`].
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum BodyStep {
     /// The buffer ends within the body.
     NeedInput,
     /// The body is complete and was removed from the buffer with its framing.
-    Complete(Bytes),
+    Complete(chunk_list::ChunkList),
     /// The body is rejected.
     Fault(request_fault::RequestFault),
 }
@@ -53,7 +53,7 @@
     phase: DecodePhase,
     max_bytes: u64,
     /// Decoded bytes; never longer than `max_bytes`.
-    body: BytesMut,
+    body: chunk_list::ChunkList,
 }
 
 impl BodyDecoder {
@@ -66,10 +66,16 @@
                 request_head::BodyFraming::Chunked => DecodePhase::Chunked(ChunkPhase::Size),
             },
             max_bytes: max_bytes as u64,
-            body: BytesMut::new(),
+            body: chunk_list::ChunkList::default(),
         }
     }
 
+    /// Returns the chunks that were decoded so far.
+    #[must_use]
+    pub fn body(&self) -> &chunk_list::ChunkList {
+        &self.body
+    }
+
     /// Takes as much of the body as there is from the start of `buffer`.
     pub fn decode(&mut self, buffer: &mut BytesMut) -> BodyStep {
         match self.phase {
@@ -87,7 +93,7 @@
         if missing > 0 {
             return BodyStep::NeedInput;
         }
-        BodyStep::Complete(std::mem::take(&mut self.body).freeze())
+        BodyStep::Complete(std::mem::take(&mut self.body))
     }
 
     fn decode_chunks(&mut self, buffer: &mut BytesMut, mut phase: ChunkPhase) -> BodyStep {
@@ -110,7 +116,7 @@
                     self.phase = DecodePhase::Chunked(phase);
                     return BodyStep::NeedInput;
                 }
-                ChunkStep::Complete => return BodyStep::Complete(std::mem::take(&mut self.body).freeze()),
+                ChunkStep::Complete => return BodyStep::Complete(std::mem::take(&mut self.body)),
                 ChunkStep::Fault(fault) => return BodyStep::Fault(fault),
             }
         }
@@ -136,12 +142,7 @@
     /// Moves up to `missing` bytes to the body and returns how many are still missing.
     fn take(&mut self, buffer: &mut BytesMut, missing: u64) -> u64 {
         let count = usize::try_from(missing).unwrap_or(usize::MAX).min(buffer.len());
-        let taken = buffer.split_to(count);
-        if self.body.is_empty() {
-            self.body = taken;
-        } else {
-            self.body.extend_from_slice(&taken);
-        }
+        self.body.take(buffer, count);
         missing - count as u64
     }
 }
--- /dev/null
+++ b/crates/pipeline/src/byte_account.rs
@@ -0,0 +1,330 @@
+//! Account of the bytes and connections that callers occupy in a process, and what is given up at its bounds.
+//!
+//! Load pattern: hundreds of connections send bodies of a few MiB each, stop just short of the end and stay open, or send
+//! nothing at all. Each is within the limits of the configuration, and together they exceed the memory or the descriptors
+//! of the process. At a bound, requests that have not arrived completely are refused, since none of them has run: the one
+//! whose bytes have waited longest for progress first. Requests that were forwarded are never given up.
+
+use std::collections;
+use std::time;
+
+/// Id of a connection in an account.
+pub type HoldId = u64;
+
+/// Bytes counted for each connection besides its buffers: state of its task, timers, and the kernel's socket.
+pub const CONNECTION_BYTES: usize = 16 * 1024;
+/// Largest number of bytes of a connection that may use the reserved part of the account.
+pub const SMALL_BYTES: usize = 64 * 1024;
+/// Bytes of a body whose arrival counts as progress. Fewer ones would let a caller that sends single bytes hold a large
+/// body as if it were arriving.
+const PROGRESS_BYTES: usize = 16 * 1024;
+/// Added to the time without progress, so that the sizes decide between requests that all make progress.
+const PROGRESS_TIME: time::Duration = time::Duration::from_millis(50);
+/// The reserved part is this fraction of the account, and at most [`MAX_RESERVED_BYTES`].
+const RESERVED_FRACTION: usize = 8;
+/// See [`RESERVED_FRACTION`]; enough for 128 connections with [`SMALL_BYTES`].
+const MAX_RESERVED_BYTES: usize = 8 << 20;
+
+/// Bounds of an account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AccountBounds {
+    /// Bytes that all connections may hold.
+    pub bytes: usize,
+    /// Connections of callers that may be open.
+    pub caller_connections: usize,
+    /// Connections to the internal listeners that may be open.
+    pub internal_connections: usize,
+}
+
+/// Listener that a connection belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListenerKind {
+    /// Listener for callers.
+    Caller,
+    /// Listener for other daemons, the backend server or the platform.
+    Internal,
+}
+
+/// What a connection does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldStage {
+    /// It waits for a request, or for the end of one that has not arrived completely.
+    Incomplete,
+    /// At least one of its requests is being served or answered.
+    Serving,
+}
+
+/// State of a connection, as it reports it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HoldState {
+    /// What the connection does.
+    pub stage: HoldStage,
+    /// Capacity of its buffers, in bytes.
+    pub bytes: usize,
+    /// Bytes of bodies that arrived since the last report.
+    pub received: usize,
+}
+
+/// A connection in an account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HoldEntry {
+    listener: ListenerKind,
+    stage: HoldStage,
+    bytes: usize,
+    /// Start of the stage.
+    since: time::Instant,
+    /// Start of the stage, or the last arrival of [`PROGRESS_BYTES`].
+    progress_at: time::Instant,
+    /// Bytes of bodies that arrived since `progress_at`; less than [`PROGRESS_BYTES`].
+    received: usize,
+    /// Whether the connection was selected and has not closed yet.
+    given_up: bool,
+}
+
+/// Bytes and connections of a process.
+#[derive(Debug, Default)]
+pub struct ByteAccount {
+    bounds: Option<AccountBounds>,
+    connections: collections::BTreeMap<HoldId, HoldEntry>,
+    next_id: HoldId,
+    /// Sum over the connections that were not given up.
+    connection_bytes: usize,
+    /// As `connection_bytes`, for those with more than [`SMALL_BYTES`].
+    large_bytes: usize,
+    /// Bytes of complete requests that are being forwarded, and of buffered responses.
+    forwarded_bytes: usize,
+    /// Number of connections of callers and of internal ones that were not given up.
+    caller_connections: usize,
+    internal_connections: usize,
+    refused: u64,
+    closed: u64,
+}
+
+/// Commands.
+impl ByteAccount {
+    /// Creates an account; without bounds it only counts.
+    #[must_use]
+    pub fn new(bounds: Option<AccountBounds>) -> Self {
+        Self {
+            bounds,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a connection. Returns its id, and a connection that has to be closed for it: one of the same listener, or
+    /// the new one itself.
+    pub fn open(&mut self, listener: ListenerKind, now: time::Instant) -> (HoldId, Option<HoldId>) {
+        let victim = self
+            .is_full(listener)
+            .then(|| select_connection(&self.connections, listener).unwrap_or(self.next_id));
+        let id = self.next_id;
+        self.next_id += 1;
+        let entry = HoldEntry {
+            listener,
+            stage: HoldStage::Incomplete,
+            bytes: CONNECTION_BYTES,
+            since: now,
+            progress_at: now,
+            received: 0,
+            given_up: false,
+        };
+        self.add(&entry);
+        self.connections.insert(id, entry);
+        if let Some(victim) = victim {
+            self.give_up(victim);
+            self.closed += 1;
+        }
+        (id, victim)
+    }
+
+    /// Removes a connection.
+    pub fn close(&mut self, id: HoldId) {
+        if let Some(entry) = self.connections.remove(&id) {
+            self.subtract(&entry);
+        }
+    }
+
+    /// Records the state of a connection, and returns the connection whose request has to be refused to keep the bound.
+    /// The caller repeats the call with the same state and nothing received until it returns `None`.
+    pub fn update(&mut self, id: HoldId, state: HoldState, now: time::Instant) -> Option<HoldId> {
+        let before = *self.connections.get(&id)?;
+        self.subtract(&before);
+        let mut entry = before;
+        entry.bytes = CONNECTION_BYTES + state.bytes;
+        entry.received += state.received;
+        if entry.stage != state.stage {
+            entry.stage = state.stage;
+            entry.since = now;
+            entry.progress_at = now;
+            entry.received = 0;
+        }
+        if entry.received >= PROGRESS_BYTES {
+            entry.progress_at = now;
+            entry.received = 0;
+        }
+        self.add(&entry);
+        self.connections.insert(id, entry);
+        if entry.bytes <= before.bytes {
+            return None;
+        }
+        let victim = self.over_bound().and_then(|least| {
+            let victim = select_request(&self.connections, least, now);
+            victim.or_else(|| select_request(&self.connections, 0, now))
+        })?;
+        self.give_up(victim);
+        self.refused += 1;
+        Some(victim)
+    }
+
+    /// Returns a connection that was given up and goes on, such as one whose refused request was discarded.
+    pub fn readmit(&mut self, id: HoldId) {
+        if let Some(mut entry) = self.connections.get(&id).copied()
+            && entry.given_up
+        {
+            entry.given_up = false;
+            self.add(&entry);
+            self.connections.insert(id, entry);
+        }
+    }
+
+    /// Adds bytes of complete requests or responses.
+    pub fn hold_forwarded(&mut self, bytes: usize) {
+        self.forwarded_bytes += bytes;
+    }
+
+    /// Removes bytes that [`Self::hold_forwarded`] added.
+    pub fn release_forwarded(&mut self, bytes: usize) {
+        self.forwarded_bytes -= bytes;
+    }
+
+    fn give_up(&mut self, id: HoldId) {
+        if let Some(mut entry) = self.connections.get(&id).copied() {
+            self.subtract(&entry);
+            entry.given_up = true;
+            self.connections.insert(id, entry);
+        }
+    }
+
+    fn add(&mut self, entry: &HoldEntry) {
+        if entry.given_up {
+            return;
+        }
+        self.connection_bytes += entry.bytes;
+        if entry.bytes > SMALL_BYTES {
+            self.large_bytes += entry.bytes;
+        }
+        *self.count_mut(entry.listener) += 1;
+    }
+
+    fn subtract(&mut self, entry: &HoldEntry) {
+        if entry.given_up {
+            return;
+        }
+        self.connection_bytes -= entry.bytes;
+        if entry.bytes > SMALL_BYTES {
+            self.large_bytes -= entry.bytes;
+        }
+        *self.count_mut(entry.listener) -= 1;
+    }
+
+    fn count_mut(&mut self, listener: ListenerKind) -> &mut usize {
+        match listener {
+            ListenerKind::Caller => &mut self.caller_connections,
+            ListenerKind::Internal => &mut self.internal_connections,
+        }
+    }
+}
+
+/// Queries.
+impl ByteAccount {
+    /// Returns the bytes held by connections, and those of complete requests and responses.
+    #[must_use]
+    pub fn held_bytes(&self) -> (usize, usize) {
+        (self.connection_bytes, self.forwarded_bytes)
+    }
+
+    /// Returns the number of open connections of a listener, without those that were given up.
+    #[must_use]
+    pub fn open_connections(&self, listener: ListenerKind) -> usize {
+        match listener {
+            ListenerKind::Caller => self.caller_connections,
+            ListenerKind::Internal => self.internal_connections,
+        }
+    }
+
+    /// Returns how many requests were refused and how many connections were closed at a bound.
+    #[must_use]
+    pub fn given_up(&self) -> (u64, u64) {
+        (self.refused, self.closed)
+    }
+
+    /// Returns whether anything is bounded.
+    #[must_use]
+    pub fn is_bounded(&self) -> bool {
+        self.bounds.is_some()
+    }
+
+    /// Returns whether further bytes fit beside the reserved part.
+    #[must_use]
+    pub fn has_room(&self, bytes: usize) -> bool {
+        self.bounds.is_none_or(|bounds| {
+            let used = self.connection_bytes + self.forwarded_bytes;
+            used + bytes + reserved(bounds) <= bounds.bytes
+        })
+    }
+
+    fn is_full(&self, listener: ListenerKind) -> bool {
+        self.bounds.is_some_and(|bounds| match listener {
+            ListenerKind::Caller => self.caller_connections >= bounds.caller_connections,
+            ListenerKind::Internal => self.internal_connections >= bounds.internal_connections,
+        })
+    }
+
+    /// Returns the least size of the request to refuse if a bound is exceeded.
+    fn over_bound(&self) -> Option<usize> {
+        let bounds = self.bounds?;
+        if self.connection_bytes + self.forwarded_bytes > bounds.bytes {
+            return Some(0);
+        }
+        let large = self.large_bytes + self.forwarded_bytes;
+        (large > bounds.bytes - reserved(bounds)).then_some(SMALL_BYTES + 1)
+    }
+}
+
+fn reserved(bounds: AccountBounds) -> usize {
+    (bounds.bytes / RESERVED_FRACTION).min(MAX_RESERVED_BYTES)
+}
+
+/// Selects the request to refuse: of the incomplete ones with at least `least` bytes, the one with the largest product of
+/// its bytes and the time without progress. A body that stopped just short of its end is refused before one of the same
+/// size that is still arriving, and a small request last.
+#[must_use]
+pub fn select_request(
+    connections: &collections::BTreeMap<HoldId, HoldEntry>,
+    least: usize,
+    now: time::Instant,
+) -> Option<HoldId> {
+    let candidates = connections.iter().filter(|(_id, entry)| {
+        entry.stage == HoldStage::Incomplete && !entry.given_up && entry.bytes >= least.max(CONNECTION_BYTES + 1)
+    });
+    let weight = |entry: &HoldEntry| {
+        let waited = now.saturating_duration_since(entry.progress_at) + PROGRESS_TIME;
+        entry.bytes as u128 * waited.as_millis()
+    };
+    let selected = candidates.max_by_key(|(_id, entry)| weight(entry));
+    selected.map(|(id, _entry)| *id)
+}
+
+/// Selects the connection to close for a new one: of those of the listener that wait for a request or its end, the one
+/// that has done so for longest. Bytes that arrive don't extend its time, since a caller can send single ones.
+#[must_use]
+pub fn select_connection(
+    connections: &collections::BTreeMap<HoldId, HoldEntry>,
+    listener: ListenerKind,
+) -> Option<HoldId> {
+    let candidates = connections
+        .iter()
+        .filter(|(_id, entry)| entry.listener == listener && entry.stage == HoldStage::Incomplete && !entry.given_up);
+    let selected = candidates.min_by_key(|(_id, entry)| entry.since);
+    selected.map(|(id, _entry)| *id)
+}
--- a/crates/pipeline/src/lib.rs
+++ b/crates/pipeline/src/lib.rs
@@ -8,7 +8,10 @@
 //! [`request_reader`] turns bytes into requests and [`request_order`] decides what is started and which response closes
 //! the connection; both are free of input and output. Parsing of heads and chunk sizes is left to `httparse`.
 
+pub mod account_handle;
 pub mod body_decoder;
+pub mod byte_account;
+pub mod chunk_list;
 pub mod connection_close;
 pub mod output_queue;
 pub mod request_fault;
--- a/crates/pipeline/src/request_fault.rs
+++ b/crates/pipeline/src/request_fault.rs
@@ -26,6 +26,9 @@
     /// A planned stop left no time to wait for the end of the request. It did not run and will not run later.
     #[display("stopping before the end of the request arrived")]
     Stopping,
+    /// The process holds as many bytes or connections as it may. The request did not run and will not run later.
+    #[display("no memory for the request")]
+    NoRoom,
 }
 
 impl RequestFault {
@@ -38,7 +41,7 @@
             Self::BodyTooLarge => hyper::StatusCode::PAYLOAD_TOO_LARGE,
             Self::UnsupportedCoding => hyper::StatusCode::NOT_IMPLEMENTED,
             Self::HeadTimeout | Self::BodyTimeout => hyper::StatusCode::REQUEST_TIMEOUT,
-            Self::Stopping => hyper::StatusCode::SERVICE_UNAVAILABLE,
+            Self::Stopping | Self::NoRoom => hyper::StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/crates/pipeline/src/request_reader.rs
+++ b/crates/pipeline/src/request_reader.rs
@@ -1,12 +1,16 @@
 //! Reading of successive requests from the bytes of a connection.
 
-use bytes::Bytes;
 use bytes::BytesMut;
 
 use crate::body_decoder;
+use crate::chunk_list;
 use crate::request_fault;
 use crate::request_head;
 
+/// Capacity above which an empty input buffer is replaced. A connection would otherwise keep the buffer of its longest
+/// head or of the requests that it read ahead.
+const MAX_IDLE_CAPACITY: usize = 16 * 1024;
+
 /// Result of [`RequestReader::read_next`].
 #[derive(Debug)]
 pub enum ReadStep {
@@ -15,7 +19,7 @@
     /// A head was read. The caller sets the limit of the body with [`RequestReader::read_body`].
     Head(Box<request_head::RequestHead>),
     /// The body of the last head was read.
-    Body(Bytes),
+    Body(chunk_list::ChunkList),
     /// The request is rejected. No further request is read.
     Fault(request_fault::RequestFault),
 }
@@ -60,6 +64,14 @@
 
     /// Reads on in the input.
     pub fn read_next(&mut self) -> ReadStep {
+        let step = self.read_step();
+        if self.input.is_empty() && self.input.capacity() > MAX_IDLE_CAPACITY {
+            self.input = BytesMut::new();
+        }
+        step
+    }
+
+    fn read_step(&mut self) -> ReadStep {
         match &mut self.phase {
             ReaderPhase::Head => self.next_head(),
             ReaderPhase::Planned(_framing) => ReadStep::NeedInput,
@@ -131,6 +143,25 @@
         self.input.len()
     }
 
+    /// Returns the memory of the input and of the incomplete body, in bytes.
+    #[must_use]
+    pub fn capacity(&self) -> usize {
+        self.input.capacity() + self.body().map_or(0, chunk_list::ChunkList::capacity)
+    }
+
+    /// Returns the number of bytes of the incomplete body.
+    #[must_use]
+    pub fn body_length(&self) -> usize {
+        self.body().map_or(0, chunk_list::ChunkList::len)
+    }
+
+    fn body(&self) -> Option<&chunk_list::ChunkList> {
+        match &self.phase {
+            ReaderPhase::Body(decoder) => Some(decoder.body()),
+            _ => None,
+        }
+    }
+
     /// Returns whether the input ends within a head.
     #[must_use]
     pub fn is_in_head(&self) -> bool {
--- a/crates/pipeline/src/server_connection.rs
+++ b/crates/pipeline/src/server_connection.rs
@@ -12,6 +12,9 @@
 use hyper::http::request;
 use tokio::sync::watch;
 
+use crate::account_handle;
+use crate::byte_account;
+use crate::chunk_list;
 use crate::connection_close;
 use crate::output_queue;
 use crate::request_fault;
@@ -58,7 +61,7 @@
     /// Method, URI, version and headers.
     pub parts: request::Parts,
     /// Complete body.
-    pub body: Bytes,
+    pub body: chunk_list::ChunkedBody,
     /// When the head was read.
     pub arrived: time::Instant,
     /// From the [`RequestPlan`].
@@ -136,18 +139,22 @@
     /// Whether the caller has shut down its sending side.
     disconnected: bool,
     out: output_queue::OutputQueue,
+    hold: account_handle::ConnectionHold,
+    /// Length of the incomplete body at the last report to the account.
+    reported_length: usize,
     /// Start of the current wait: for a request, for the end of a head, or for progress in sending.
     waiting_since: time::Instant,
     head_since: Option<time::Instant>,
 }
 
-/// Serves the requests of a connection until its end. A caller that disconnects or shuts down its sending side cancels
-/// all its requests.
+/// Serves the requests of a connection until its end, and reports what it holds to the account. A caller that
+/// disconnects or shuts down its sending side cancels all its requests.
 pub async fn serve<T, P, S, F, R, B>(
     mut stream: tokio::net::TcpStream,
     limits: ConnectionLimits,
     mut phases: watch::Receiver<request_order::ConnectionPhase>,
     handlers: ConnectionHandlers<P, S, R>,
+    hold: account_handle::ConnectionHold,
 ) where
     P: Fn(&request::Parts) -> RequestPlan<T>,
     S: Fn(CallerRequest<T>) -> F,
@@ -173,17 +180,20 @@
         closing: false,
         disconnected: false,
         out: output_queue::OutputQueue::default(),
+        hold,
+        reported_length: 0,
         waiting_since: now,
         head_since: None,
     };
     let step = connection.run(&mut stream, &mut phases).await;
-    // Cancels the requests before the wait for the end of the input.
-    drop(connection);
+    // Cancels the requests before the wait for the end of the input, during which the connection still counts.
+    let hold = connection.into_hold();
     match step {
         ConnectionStep::Continue | ConnectionStep::Finish => connection_close::linger(stream).await,
         ConnectionStep::Abort => drop(stream),
         ConnectionStep::Reset => connection_close::reset(stream),
     }
+    drop(hold);
 }
 
 impl<T, P, S, F, R, B> Connection<'_, T, P, S, R, F, B>
@@ -239,6 +249,7 @@
                     timer.as_mut().reset(next.unwrap_or(latest));
                     step
                 }
+                connection_events::ConnectionEvent::GivenUp(demand) => self.handle_given_up(demand),
                 connection_events::ConnectionEvent::DisconnectPoll => {
                     if connection_events::has_disconnected(stream).await {
                         self.handle_disconnect()
@@ -251,6 +262,7 @@
                 return step;
             }
             self.advance();
+            self.report_hold();
             if self.is_finished() {
                 return ConnectionStep::Finish;
             }
@@ -301,7 +313,7 @@
         });
     }
 
-    fn accept_request(&mut self, body: Bytes) {
+    fn accept_request(&mut self, mut body: chunk_list::ChunkList) {
         if self.read_end().is_some_and(|end| time::Instant::now() >= end) {
             self.reject_request(request_fault::RequestFault::Stopping);
             return;
@@ -316,15 +328,50 @@
             },
             closes: planned.closes,
         };
+        let hold = (!body.is_empty()).then(|| self.hold.account().hold(body.capacity()));
         let request = CallerRequest {
             parts: planned.parts,
-            body,
+            body: body.finish(hold),
             arrived: planned.arrived,
             route: planned.route,
         };
         self.waiting = Some((request, planned.order, started));
     }
 
+    /// Refuses the request that is being read, or closes the connection if it waits for one. A request that is served
+    /// or waits for an earlier one is not given up.
+    fn handle_given_up(&mut self, demand: account_handle::HoldDemand) -> ConnectionStep {
+        if !self.started.is_empty() || self.sending.is_some() || self.waiting.is_some() || self.out.has_remaining() {
+            self.hold.readmit();
+            return ConnectionStep::Continue;
+        }
+        let idle = self.planned.is_none() && !self.reader.is_in_head();
+        if idle || demand == account_handle::HoldDemand::Close {
+            return ConnectionStep::Abort;
+        }
+        self.hold.readmit();
+        self.reject_request(request_fault::RequestFault::NoRoom);
+        self.head_since = None;
+        ConnectionStep::Continue
+    }
+
+    /// Reports what the connection holds to the account.
+    fn report_hold(&mut self) {
+        let length = self.reader.body_length();
+        let received = length.saturating_sub(self.reported_length);
+        self.reported_length = length;
+        let serving = !self.started.is_empty() || self.sending.is_some() || self.waiting.is_some();
+        self.hold.update(byte_account::HoldState {
+            stage: if serving || self.out.has_remaining() {
+                byte_account::HoldStage::Serving
+            } else {
+                byte_account::HoldStage::Incomplete
+            },
+            bytes: self.reader.capacity() + self.out.remaining(),
+            received,
+        });
+    }
+
     fn reject_request(&mut self, fault: request_fault::RequestFault) {
         self.planned = None;
         self.fault = Some(fault);
@@ -519,6 +566,11 @@
 
 /// Queries.
 impl<T, P, S, F: Future, R, B> Connection<'_, T, P, S, R, F, B> {
+    /// Drops all but the entry in the account.
+    fn into_hold(self) -> account_handle::ConnectionHold {
+        self.hold
+    }
+
     /// Returns whether the connection waits for the start of a request and has nothing to send.
     fn is_idle(&self) -> bool {
         let reading = self.planned.is_some() || self.waiting.is_some() || self.fault.is_some();
--- a/crates/pipeline/src/server_connection/connection_events.rs
+++ b/crates/pipeline/src/server_connection/connection_events.rs
@@ -15,6 +15,7 @@
 
 use super::Connection;
 use super::SendingResponse;
+use crate::account_handle;
 use crate::output_queue;
 use crate::request_order;
 
@@ -33,6 +34,8 @@
     Frame(Option<Result<body::Frame<Bytes>, ()>>),
     PhaseChanged(request_order::ConnectionPhase),
     Timer,
+    /// The account selected the connection.
+    GivenUp(account_handle::HoldDemand),
     DisconnectPoll,
 }
 
@@ -62,6 +65,8 @@
             written = write(&mut output, &mut self.out), if self.out.has_remaining() => {
                 ConnectionEvent::Written(written)
             }
+            // Before reading, since input that never pauses would keep the request that has to be refused growing.
+            demand = self.hold.given_up() => ConnectionEvent::GivenUp(demand),
             read = read(&mut input, self.reader.input()), if wants_input => ConnectionEvent::Read(read),
             phase = next_phase(phases), if !closed => ConnectionEvent::PhaseChanged(phase),
             () = timer => ConnectionEvent::Timer,
--- a/crates/pipeline/tests/connection.rs
+++ b/crates/pipeline/tests/connection.rs
@@ -6,6 +6,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use damasktrack_pipeline::account_handle::AccountHandle;
+use damasktrack_pipeline::byte_account::ListenerKind;
 use damasktrack_pipeline::request_fault::RequestFault;
 use damasktrack_pipeline::request_order::{ConnectionPhase, StartOrder};
 use damasktrack_pipeline::server_connection::{
@@ -76,7 +78,13 @@
             response
         },
     };
-    tokio::task::spawn_local(serve(stream, LIMITS, phases, handlers));
+    tokio::task::spawn_local(serve(
+        stream,
+        LIMITS,
+        phases,
+        handlers,
+        AccountHandle::default().open(ListenerKind::Caller),
+    ));
     client
 }
 
--- a/crates/pipeline/tests/framing_fuzz.rs
+++ b/crates/pipeline/tests/framing_fuzz.rs
@@ -63,7 +63,10 @@
                     head.parts.uri.path().clone_into(&mut path);
                     reader.read_body(MAX_BODY_BYTES);
                 }
-                ReadStep::Body(body) => outcome.requests.push((path.clone(), body.to_vec())),
+                ReadStep::Body(mut body) => {
+                    let body = body.finish(None).into_bytes();
+                    outcome.requests.push((path.clone(), body.to_vec()));
+                }
                 ReadStep::Fault(fault) => {
                     assert_eq!(outcome.fault, None, "a second fault");
                     outcome.fault = Some(fault);
