--- a/crates/forward/src/forward_settings.rs
+++ b/crates/forward/src/forward_settings.rs
@@ -7,6 +7,7 @@
 use damasktrack_entity::server_location;
 
 use crate::header_names;
+use crate::process_limits;
 use crate::retry_share;
 
 /// Settings of a daemon that are fixed for the lifetime of its process.
@@ -39,6 +40,8 @@
     /// Time since the last confirmation of the configuration after which requests with a key are refused; `None` if
     /// they are served without a limit.
     pub revoke_limit: Option<time::Duration>,
+    /// Memory and descriptors of the process.
+    pub process_limits: process_limits::ProcessLimits,
     /// Names of the headers that the deployment uses.
     pub headers: header_names::HeaderNames,
 }
--- a/crates/forward/src/local_reply.rs
+++ b/crates/forward/src/local_reply.rs
@@ -80,8 +80,13 @@
     pub fn response(self) -> hyper::Response<message_body::ReplyBody> {
         let mut response = hyper::Response::new(message_body::ReplyBody::whole(Bytes::new()));
         *response.status_mut() = self.status();
-        let unrun = Self::Rejected(request_fault::RequestFault::Stopping);
-        if matches!(self, Self::NotRun(_) | Self::Unconfirmed) || self == unrun {
+        let unrun = matches!(
+            self,
+            Self::NotRun(_)
+                | Self::Unconfirmed
+                | Self::Rejected(request_fault::RequestFault::Stopping | request_fault::RequestFault::NoRoom)
+        );
+        if unrun {
             let seconds = rand::rng().random_range(RETRY_AFTER_SECONDS);
             if let Ok(value) = header::HeaderValue::try_from(format!("{seconds:.2}")) {
                 response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/crates/forward/tests/tenants.rs
+++ b/crates/forward/tests/tenants.rs
@@ -15,6 +15,7 @@
 use damasktrack_forward::forward_settings::ForwardSettings;
 use damasktrack_forward::header_names::HeaderNames;
 use damasktrack_forward::peer_call::{self, CallHead};
+use damasktrack_forward::process_limits::ProcessLimits;
 use damasktrack_forward::retry_share::RetryBounds;
 use damasktrack_forward::route_config::{CallerLimits, RouteConfig, RouteKind, RouteRule, RouteTarget};
 use damasktrack_forward::server_report::{ServerCondition, ServerReport};
@@ -56,6 +57,10 @@
         },
         quota_bounds: None,
         revoke_limit,
+        process_limits: ProcessLimits {
+            memory_mb: None,
+            max_fds: None,
+        },
         headers: HeaderNames {
             attempt_id: header("attempt-id"),
             deadline_ms: header("deadline-ms"),
