Add the quotas of tenants over all daemons as a pure crate

A tenant's limit holds for the sum over all daemons, and most tenants send a few requests per second over a few daemons, so equal parts of the limit would starve them. Daemons delegate their equal shares to a coordinator for a lease, and the coordinator grants credits out of a bucket per tenant.

A report carries a lower bound of the coordinator's clock at its sending, so a report that waited in a socket buffer doesn't extend a delegation.

--- /dev/null
+++ b/crates/quota/src/credit_coordinator.rs
@@ -0,0 +1,394 @@
+//! Coordinator: buckets of the tenants, filled in proportion to the delegated shares, and grants to the holders.
+
+use std::collections;
+use std::time;
+
+use damasktrack_entity::ids;
+
+use crate::credit_bucket;
+use crate::credit_limit;
+use crate::credit_message;
+
+/// Time by which a coordinator ends a delegation before the lease, for clocks that run at different speeds.
+const LEASE_MARGIN: time::Duration = time::Duration::from_millis(50);
+/// Time for which an unmet want competes with those of other holders. A holder that still wants credits reports sooner.
+const WANT_AGE: time::Duration = time::Duration::from_millis(700);
+/// Interval at which the unspent credits of a tenant whose leases have ended are removed from its sum.
+const SWEEP_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// Time after which a holder, or a tenant's account of a holder, that has sent nothing is forgotten.
+const FORGET_AGE: time::Duration = time::Duration::from_secs(10);
+/// Longest wait that a reply names.
+const MAX_WAIT_SECONDS: f64 = 60.0;
+
+/// State of one holder.
+#[derive(Debug)]
+struct HolderState {
+    started_ms: u64,
+    incarnation: ids::Incarnation,
+    sequence: u64,
+    share: f64,
+    /// End of the delegation on this coordinator's clock. The holder uses or delegates the share elsewhere only later.
+    share_end: time::Duration,
+    heard: time::Duration,
+}
+
+/// Credits of one tenant at one holder.
+#[derive(Clone, Debug, Default)]
+struct CreditAccount {
+    incarnation: ids::Incarnation,
+    granted: u64,
+    spent: u64,
+    returned: u64,
+    refunded: u64,
+    /// Credits withdrawn from the total that the holder may still spend until `withdrawn_end`, because the reply may be
+    /// lost.
+    withdrawn: u64,
+    withdrawn_end: time::Duration,
+    /// Time until which the holder may spend credits. Counted from the receipt of a report, so it is later than the
+    /// end on the holder's clock.
+    credit_end: time::Duration,
+    /// Credits wanted and not granted at `heard`.
+    unmet: u32,
+    heard: time::Duration,
+}
+
+impl CreditAccount {
+    /// Returns the granted credits that are neither spent, returned nor withdrawn.
+    fn unspent(&self) -> u64 {
+        self.granted.saturating_sub(self.spent.saturating_add(self.returned))
+    }
+
+    /// Returns the credits that the holder may still spend, at most.
+    fn counted(&self) -> u64 {
+        self.unspent() + self.withdrawn
+    }
+
+    /// Counts the credits as spent whose lease has ended.
+    fn end_leases(&mut self, now: time::Duration) {
+        if self.credit_end <= now {
+            self.granted -= self.unspent();
+        }
+        if self.withdrawn_end <= now {
+            self.withdrawn = 0;
+        }
+    }
+}
+
+/// Credits that a report gives back to the bucket.
+#[derive(Debug)]
+struct AccountChange {
+    /// Returned without being spent.
+    returned: u64,
+    /// Counted as spent before, and their requests did not run.
+    refunded: u64,
+}
+
+impl CreditAccount {
+    /// Applies the counters of a report.
+    fn update(
+        mut self,
+        incarnation: ids::Incarnation,
+        line: &credit_message::TenantReport,
+        now: time::Duration,
+    ) -> (Self, AccountChange) {
+        self.end_leases(now);
+        if self.incarnation != incarnation {
+            // The old process may spend its credits until its lease ends. They are not given to the new one.
+            self = Self {
+                incarnation,
+                granted: line.spent.saturating_add(line.returned),
+                spent: line.spent,
+                returned: line.returned,
+                refunded: line.refunded,
+                withdrawn: self.counted(),
+                withdrawn_end: self.credit_end.max(self.withdrawn_end),
+                ..Self::default()
+            };
+        }
+        let before = self.unspent();
+        self.returned = self.returned.max(line.returned);
+        let returned = before - self.unspent();
+        self.spent = self.spent.max(line.spent);
+        let refunded = line.refunded.saturating_sub(self.refunded);
+        self.refunded = self.refunded.max(line.refunded);
+        (self, AccountChange { returned, refunded })
+    }
+}
+
+#[derive(Debug)]
+struct TenantState {
+    limit: credit_limit::CreditLimit,
+    bucket: credit_bucket::CreditBucket,
+    accounts: collections::HashMap<ids::DaemonId, CreditAccount>,
+    /// Sum of the credits that holders may still spend.
+    outstanding: u64,
+    swept: time::Duration,
+}
+
+impl TenantState {
+    /// Creates the state of a tenant without credits in use. Its bucket fills from the start of the coordinator.
+    fn new(limit: credit_limit::CreditLimit, now: time::Duration) -> Self {
+        Self {
+            limit,
+            bucket: credit_bucket::CreditBucket::new(0.0, now),
+            accounts: collections::HashMap::new(),
+            outstanding: 0,
+            swept: now,
+        }
+    }
+
+    /// Returns whether nothing distinguishes the state from a new one.
+    fn is_idle(&self, fill_time: f64) -> bool {
+        self.accounts.is_empty() && self.limit.rate * (fill_time - self.bucket.filled()) >= self.limit.capacity
+    }
+
+    /// Counts unspent credits whose lease has ended as spent, and forgets accounts without activity.
+    fn sweep(&mut self, now: time::Duration) {
+        self.swept = now;
+        let outstanding = &mut self.outstanding;
+        *outstanding = 0;
+        self.accounts.retain(|_id, account| {
+            account.end_leases(now);
+            *outstanding += account.counted();
+            account.counted() > 0 || now.saturating_sub(account.heard) < FORGET_AGE
+        });
+    }
+
+    /// Returns how much of `available` a holder that wants `wanted` gets, if the wants of the other holders are satisfied
+    /// from the smallest on (max-min fairness).
+    fn fair_part(&self, holder: &ids::DaemonId, wanted: u64, available: u64, now: time::Duration) -> u64 {
+        if wanted <= 1 || available <= 1 {
+            return wanted.min(available);
+        }
+        let others = self.accounts.iter().filter(|(id, account)| {
+            *id != holder && account.unmet > 0 && now.saturating_sub(account.heard) <= WANT_AGE
+        });
+        let mut wants: Vec<u64> = others.map(|(_id, account)| u64::from(account.unmet)).collect();
+        let sum = wants.iter().sum::<u64>() + wanted;
+        if sum <= available {
+            return wanted;
+        }
+        wants.push(wanted);
+        wants.sort_unstable();
+        let mut left = available;
+        for (index, want) in wants.iter().enumerate() {
+            let part = left / (wants.len() - index) as u64;
+            if *want > part {
+                return wanted.min(part.max(1));
+            }
+            left -= want;
+        }
+        wanted
+    }
+}
+
+/// Coordinator of the limits of the tenants. A process has one, with a new epoch and empty buckets.
+#[derive(Debug)]
+pub struct CreditCoordinator {
+    epoch: credit_message::CoordinatorEpoch,
+    holders: collections::HashMap<ids::DaemonId, HolderState>,
+    tenants: collections::HashMap<ids::TenantName, TenantState>,
+    /// Seconds weighted with the delegated part of the limits, since the start.
+    fill_time: f64,
+    filled: time::Duration,
+    granted: u64,
+}
+
+/// Commands.
+impl CreditCoordinator {
+    /// Creates a coordinator without delegations. `epoch` must be random; 0 is replaced, since it means no epoch.
+    #[must_use]
+    pub fn new(epoch: credit_message::CoordinatorEpoch, now: time::Duration) -> Self {
+        Self {
+            epoch: epoch.max(1),
+            holders: collections::HashMap::new(),
+            tenants: collections::HashMap::new(),
+            fill_time: 0.0,
+            filled: now,
+            granted: 0,
+        }
+    }
+
+    /// Handles a report; `None` if it is older than one handled before, or of a replaced process. `limit` returns the
+    /// limit of a tenant in the configuration in force.
+    pub fn report(
+        &mut self,
+        report: &credit_message::CreditReport,
+        limit: impl Fn(&ids::TenantName) -> Option<credit_limit::CreditLimit>,
+        now: time::Duration,
+    ) -> Option<credit_message::CreditReply> {
+        self.advance(now);
+        self.note_holder(report, now)?;
+        let mut grants = Vec::new();
+        if report.epoch == self.epoch {
+            let (alive, backing) = (self.alive_share(now), self.backing_share(now));
+            grants.reserve(report.tenants.len());
+            for line in &report.tenants {
+                let grant = match limit(&line.tenant) {
+                    Some(limit) => self.grant(report, line, &limit, alive, backing, now),
+                    None => credit_message::TenantGrant {
+                        granted: line.spent + line.returned,
+                        wait_ms: 0,
+                    },
+                };
+                grants.push(grant);
+            }
+        }
+        Some(credit_message::CreditReply {
+            epoch: self.epoch,
+            stamp_ms: credit_message::millis(now),
+            grants,
+        })
+    }
+
+    /// Forgets holders and tenants without activity. Due every few seconds.
+    pub fn prune(&mut self, now: time::Duration) {
+        self.advance(now);
+        self.holders
+            .retain(|_id, holder| now.saturating_sub(holder.heard) < FORGET_AGE);
+        let fill_time = self.fill_time;
+        self.tenants.retain(|_name, tenant| {
+            tenant.sweep(now);
+            !tenant.is_idle(fill_time)
+        });
+    }
+
+    /// Adds the time since the last call to the fill time, weighted with the shares that were delegated in it.
+    fn advance(&mut self, now: time::Duration) {
+        let elapsed = now.saturating_sub(self.filled).as_secs_f64();
+        let shares = self.holders.values().map(|holder| {
+            let until = holder.share_end.min(now);
+            holder.share * until.saturating_sub(self.filled).as_secs_f64()
+        });
+        self.fill_time += shares.sum::<f64>().min(elapsed);
+        self.filled = now;
+    }
+
+    fn note_holder(&mut self, report: &credit_message::CreditReport, now: time::Duration) -> Option<()> {
+        let order = (report.started_ms, report.incarnation);
+        let known = self.holders.get(&report.daemon_id);
+        let share_end = if report.epoch == self.epoch {
+            // `sent_ms` can't be later than now, since it is a lower bound of this clock at an earlier moment.
+            let sent = time::Duration::from_millis(report.sent_ms).min(now);
+            sent + credit_message::SHARE_LEASE.saturating_sub(LEASE_MARGIN)
+        } else {
+            time::Duration::ZERO
+        };
+        if let Some(known) = known {
+            let known_order = (known.started_ms, known.incarnation);
+            if order < known_order || (order == known_order && report.sequence <= known.sequence) {
+                return None;
+            }
+        }
+        let state = HolderState {
+            started_ms: report.started_ms,
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            share: report.share.clamp(0.0, 1.0),
+            share_end,
+            heard: now,
+        };
+        self.holders.insert(report.daemon_id.clone(), state);
+        Some(())
+    }
+
+    fn grant(
+        &mut self,
+        report: &credit_message::CreditReport,
+        line: &credit_message::TenantReport,
+        limit: &credit_limit::CreditLimit,
+        alive: f64,
+        backing: f64,
+        now: time::Duration,
+    ) -> credit_message::TenantGrant {
+        let fill_time = self.fill_time;
+        let tenant = self
+            .tenants
+            .entry(line.tenant.clone())
+            .or_insert_with(|| TenantState::new(*limit, now));
+        tenant.limit = *limit;
+        if now.saturating_sub(tenant.swept) >= SWEEP_INTERVAL {
+            tenant.sweep(now);
+        }
+        let account = tenant.accounts.remove(&report.daemon_id).unwrap_or_default();
+        let others = tenant.outstanding.saturating_sub(account.counted());
+        let space = limit.capacity * alive - (others + account.counted()) as f64;
+        tenant.bucket.fill(limit.rate, fill_time, space, now);
+        let (mut account, change) = account.update(report.incarnation, line, now);
+        let counted = |account: &CreditAccount| (others + account.counted()) as f64;
+        tenant
+            .bucket
+            .put_back(change.returned as f64, limit.capacity * alive - counted(&account));
+        tenant.bucket.refund(change.refunded as f64);
+        // Withdraws the credits that the capacity doesn't cover until their lease ends.
+        let excess = (counted(&account) - limit.capacity * backing).max(0.0);
+        let withdrawn = whole(excess.ceil()).min(account.unspent());
+        if withdrawn > 0 {
+            account.granted -= withdrawn;
+            account.withdrawn += withdrawn;
+            account.withdrawn_end = now + credit_message::CREDIT_LEASE;
+        }
+        let room = limit.capacity * backing - counted(&account);
+        let wanted = u64::from(line.wanted).saturating_sub(account.unspent());
+        let available = whole(tenant.bucket.level().min(room));
+        let part = tenant.fair_part(&report.daemon_id, wanted, available, now);
+        tenant.bucket.take(part as f64);
+        account.granted += part;
+        account.unmet = u32::try_from(wanted - part).unwrap_or(u32::MAX);
+        account.heard = now;
+        account.credit_end = now + credit_message::CREDIT_LEASE;
+        tenant.outstanding = others + account.counted();
+        self.granted += part;
+        let wait_ms = if line.wanted > 0 && account.unspent() == 0 {
+            let missing = (1.0 - tenant.bucket.level()).max(0.0);
+            let seconds = (missing / (limit.rate * alive).max(f64::EPSILON)).min(MAX_WAIT_SECONDS);
+            u32::try_from(whole(seconds * 1000.0)).unwrap_or(u32::MAX).max(1)
+        } else {
+            0
+        };
+        let granted = account.granted;
+        tenant.accounts.insert(report.daemon_id.clone(), account);
+        credit_message::TenantGrant { granted, wait_ms }
+    }
+}
+
+/// Queries.
+impl CreditCoordinator {
+    /// Returns the epoch, drawn at the start.
+    #[must_use]
+    pub fn epoch(&self) -> credit_message::CoordinatorEpoch {
+        self.epoch
+    }
+
+    /// Returns the number of credits granted since the start.
+    #[must_use]
+    pub fn granted(&self) -> u64 {
+        self.granted
+    }
+
+    /// Returns the part of the limits that is delegated now.
+    #[must_use]
+    pub fn alive_share(&self, now: time::Duration) -> f64 {
+        self.share_beyond(now)
+    }
+
+    /// Returns the part of the limits that stays delegated until credits granted now end.
+    fn backing_share(&self, now: time::Duration) -> f64 {
+        self.share_beyond(now + credit_message::CREDIT_LEASE)
+    }
+
+    fn share_beyond(&self, time: time::Duration) -> f64 {
+        let alive = self.holders.values().filter(|holder| holder.share_end > time);
+        alive.map(|holder| holder.share).sum::<f64>().min(1.0)
+    }
+}
+
+/// Returns the whole part of a number of credits; 0 for a negative one.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is not negative, and the cast saturates"
+)]
+fn whole(credits: f64) -> u64 {
+    credits.max(0.0) as u64
+}
--- /dev/null
+++ b/crates/quota/src/credit_holder.rs
@@ -0,0 +1,475 @@
+//! Holder: credits of a daemon for one group of tenants, and the daemon's own share while it has no coordinator.
+
+use std::collections;
+use std::time;
+
+use damasktrack_entity::ids;
+
+use crate::credit_bucket;
+use crate::credit_limit;
+use crate::credit_message;
+
+/// Interval of reports while credits are used.
+const BUSY_INTERVAL: time::Duration = time::Duration::from_millis(500);
+/// Interval of reports while no credits are used.
+const IDLE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Time since the last use after which a daemon reports less often, and a tenant's unspent credits are returned.
+const IDLE_AGE: time::Duration = time::Duration::from_secs(3);
+/// Time after a reply without credits in which requests of the tenant don't wait for another.
+const REFUSAL_AGE: time::Duration = time::Duration::from_millis(200);
+/// Longest time after a reply without credits in which no further reply is waited for, if it names a longer wait. At 86
+/// daemons a tenant above its limit then causes 172 further reports a second.
+const MAX_REFUSAL_AGE: time::Duration = time::Duration::from_millis(500);
+/// Unspent credits that a holder wants for each credit spent in the last second.
+const SPARE_FACTOR: f64 = 1.5;
+/// Least number of unspent credits that a holder of an active tenant wants.
+const MIN_WANTED: u32 = 2;
+/// `Retry-After` of a request that is refused without a coordinator and without an own share.
+const NO_SHARE_RETRY: time::Duration = time::Duration::from_secs(1);
+/// Longest `Retry-After`.
+const MAX_RETRY: time::Duration = time::Duration::from_mins(1);
+
+/// Identity of the process that holds the credits.
+#[derive(Clone, Debug)]
+pub struct HolderIdentity {
+    /// Id of the daemon.
+    pub daemon_id: ids::DaemonId,
+    /// Incarnation of the daemon.
+    pub incarnation: ids::Incarnation,
+    /// Start time in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+}
+
+/// Result of [`CreditHolder::take`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum TakeResult {
+    /// The request may be sent.
+    Granted(SpentCredit),
+    /// There is no credit. A report should be sent at once, and its reply may grant one.
+    Wait,
+    /// There is no credit; the earliest time at which there may be one.
+    Refused(time::Duration),
+}
+
+/// Origin of a spent credit, to return it if the request does not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SpentCredit {
+    source: CreditSource,
+    spent: time::Duration,
+}
+
+/// Totals of the credits spent, returned and refunded.
+type CreditTotals = (u64, u64, u64);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CreditSource {
+    /// From the coordinator of this link, before the report with this number.
+    Coordinator { link: u64, sequence: u64 },
+    /// From the daemon's own share.
+    OwnShare,
+}
+
+/// Credits of one tenant. The totals count from the start of the link.
+#[derive(Clone, Debug)]
+struct TenantAccount {
+    granted: u64,
+    spent: u64,
+    returned: u64,
+    refunded: u64,
+    /// Requests that wait for a reply.
+    waiting: u32,
+    /// Credits spent by half second, see [`Self::count_use`].
+    used: [u32; 3],
+    used_slot: u64,
+    last_use: time::Duration,
+    /// Time before which no reply is waited for.
+    refused_until: time::Duration,
+    /// Time at which the coordinator expects a credit.
+    credit_at: time::Duration,
+    /// Totals spent, returned and refunded of the last report whose reply arrived.
+    reported: CreditTotals,
+    own: Option<credit_bucket::CreditBucket>,
+}
+
+impl TenantAccount {
+    fn new(now: time::Duration) -> Self {
+        Self {
+            granted: 0,
+            spent: 0,
+            returned: 0,
+            refunded: 0,
+            waiting: 0,
+            used: [0; 3],
+            used_slot: 0,
+            last_use: now,
+            refused_until: time::Duration::ZERO,
+            credit_at: time::Duration::ZERO,
+            reported: (0, 0, 0),
+            own: None,
+        }
+    }
+
+    fn available(&self) -> u64 {
+        self.granted.saturating_sub(self.spent + self.returned)
+    }
+
+    /// Counts credits in slots of half a second, of which the current and the two before are kept.
+    fn count_use(&mut self, now: time::Duration, count: u32) {
+        let slot = credit_message::millis(now) / 500;
+        let passed = usize::try_from(slot.saturating_sub(self.used_slot)).unwrap_or(3).min(3);
+        self.used.rotate_right(passed);
+        self.used[..passed].fill(0);
+        self.used_slot = slot;
+        self.used[0] = self.used[0].saturating_add(count);
+    }
+
+    /// Returns how many unspent credits the holder wants to have.
+    fn wanted(&mut self, now: time::Duration) -> u32 {
+        self.count_use(now, 0);
+        if now.saturating_sub(self.last_use) >= IDLE_AGE && self.waiting == 0 {
+            return 0;
+        }
+        // The current half second is incomplete.
+        let used = self.used[1] + self.used[0].max(self.used[2]);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the value is not negative, and the cast saturates"
+        )]
+        let spare = (f64::from(used) * SPARE_FACTOR).ceil() as u32;
+        spare.saturating_add(self.waiting).max(MIN_WANTED)
+    }
+
+    fn is_active(&self, now: time::Duration) -> bool {
+        self.waiting > 0
+            || now.saturating_sub(self.last_use) < IDLE_AGE
+            || self.available() > 0
+            || (self.spent, self.returned, self.refunded) != self.reported
+    }
+}
+
+/// Connection to one process of one coordinator. Credits and totals belong to it.
+#[derive(Debug)]
+struct CoordinatorLink {
+    /// Number of the link at this holder.
+    number: u64,
+    coordinator: ids::DaemonId,
+    epoch: credit_message::CoordinatorEpoch,
+    stamp_ms: u64,
+    replied: time::Duration,
+    /// End of the credits, counted from the sending of the report that was replied to.
+    credit_end: time::Duration,
+}
+
+/// Report that has been sent and not replied to.
+#[derive(Debug)]
+struct OpenReport {
+    sequence: u64,
+    coordinator: ids::DaemonId,
+    /// Epoch that the report refers to; 0 for none.
+    epoch: credit_message::CoordinatorEpoch,
+    sent: time::Duration,
+    tenants: Vec<(ids::TenantName, CreditTotals)>,
+}
+
+/// Credits of a daemon for one group of tenants.
+#[derive(Debug)]
+pub struct CreditHolder {
+    identity: HolderIdentity,
+    sequence: u64,
+    link: Option<CoordinatorLink>,
+    links: u64,
+    open: Option<OpenReport>,
+    /// Time before which a coordinator may count the own share.
+    share_end: time::Duration,
+    /// Part of every limit that this daemon owns.
+    share: f64,
+    accounts: collections::HashMap<ids::TenantName, TenantAccount>,
+    next_report: time::Duration,
+    last_use: time::Duration,
+}
+
+/// Commands.
+impl CreditHolder {
+    /// Creates a holder without credits.
+    #[must_use]
+    pub fn new(identity: HolderIdentity, now: time::Duration) -> Self {
+        Self {
+            identity,
+            sequence: 0,
+            link: None,
+            links: 0,
+            open: None,
+            share_end: time::Duration::ZERO,
+            share: 0.0,
+            accounts: collections::HashMap::new(),
+            next_report: now,
+            last_use: time::Duration::ZERO,
+        }
+    }
+
+    /// Sets the part of every limit that this daemon owns.
+    pub fn set_share(&mut self, share: f64, now: time::Duration) {
+        if self.share <= 0.0 {
+            // Nothing has been filled before.
+            self.share_end = self.share_end.max(now);
+        }
+        self.share = share;
+    }
+
+    /// Takes a credit for a request of this tenant.
+    pub fn take(
+        &mut self,
+        tenant: &ids::TenantName,
+        limit: &credit_limit::CreditLimit,
+        now: time::Duration,
+    ) -> TakeResult {
+        let linked = self.link.as_ref().filter(|link| now < link.credit_end);
+        let source = linked.map(|link| CreditSource::Coordinator {
+            link: link.number,
+            sequence: self.sequence,
+        });
+        let owns_share = self.owns_share(now);
+        if !self.accounts.contains_key(tenant) {
+            self.accounts.insert(tenant.clone(), TenantAccount::new(now));
+        }
+        let Some(account) = self.accounts.get_mut(tenant) else {
+            return TakeResult::Wait;
+        };
+        self.last_use = now;
+        account.last_use = now;
+        if let Some(source) = source
+            && account.available() > 0
+        {
+            account.spent += 1;
+            account.count_use(now, 1);
+            return TakeResult::Granted(SpentCredit { source, spent: now });
+        }
+        if owns_share {
+            let own = account.own.get_or_insert_with(|| {
+                // Filled from the moment at which the share came back.
+                credit_bucket::CreditBucket::new(self.share_end.as_secs_f64(), now)
+            });
+            own.fill(
+                limit.rate * self.share,
+                now.as_secs_f64(),
+                limit.capacity * self.share,
+                now,
+            );
+            if own.level() >= 1.0 {
+                own.take(1.0);
+                account.count_use(now, 1);
+                let source = CreditSource::OwnShare;
+                return TakeResult::Granted(SpentCredit { source, spent: now });
+            }
+            if linked.is_none() {
+                let rate = limit.rate * self.share;
+                let seconds = ((1.0 - own.level()) / rate).clamp(0.0, MAX_RETRY.as_secs_f64());
+                return TakeResult::Refused(time::Duration::from_secs_f64(seconds));
+            }
+        }
+        if linked.is_none() {
+            return TakeResult::Refused(NO_SHARE_RETRY);
+        }
+        if now < account.refused_until {
+            let wait = account.credit_at.saturating_sub(now);
+            return TakeResult::Refused(wait.clamp(time::Duration::from_millis(10), MAX_RETRY));
+        }
+        TakeResult::Wait
+    }
+
+    /// Counts a request that waits for a reply, after [`TakeResult::Wait`]. Its end has to be recorded with
+    /// [`Self::end_wait`].
+    pub fn begin_wait(&mut self, tenant: &ids::TenantName) {
+        if let Some(account) = self.accounts.get_mut(tenant) {
+            account.waiting += 1;
+        }
+    }
+
+    /// Ends the wait of a request.
+    pub fn end_wait(&mut self, tenant: &ids::TenantName) {
+        if let Some(account) = self.accounts.get_mut(tenant) {
+            account.waiting = account.waiting.saturating_sub(1);
+        }
+    }
+
+    /// Gives back the credit of a request that has not run and will not run.
+    pub fn refund(&mut self, tenant: &ids::TenantName, credit: SpentCredit, now: time::Duration) {
+        if now.saturating_sub(credit.spent) >= credit_bucket::REFUND_AGE {
+            return;
+        }
+        let Some(account) = self.accounts.get_mut(tenant) else {
+            return;
+        };
+        match credit.source {
+            CreditSource::OwnShare => {
+                if let Some(own) = &mut account.own {
+                    own.refund(1.0);
+                }
+            }
+            CreditSource::Coordinator { link, sequence } => {
+                if self.link.as_ref().is_none_or(|current| current.number != link) {
+                    return;
+                }
+                if sequence == self.sequence {
+                    // Never reported as spent, so the coordinator has counted it as unspent all the time.
+                    account.spent -= 1;
+                } else {
+                    account.refunded += 1;
+                }
+            }
+        }
+    }
+
+    /// Builds the next report for the coordinator that is chosen now. A report that is still open counts as lost.
+    pub fn begin_report(&mut self, coordinator: &ids::DaemonId, now: time::Duration) -> credit_message::CreditReport {
+        self.sequence += 1;
+        let current = self.link.as_ref().filter(|link| link.coordinator == *coordinator);
+        // Without replies the share isn't delegated again, so that it comes back after the lease.
+        let fresh = current.filter(|link| now.saturating_sub(link.replied) < credit_message::CREDIT_LEASE);
+        let share = if fresh.is_some() { self.share } else { 0.0 };
+        let epoch = current.map_or(0, |link| link.epoch);
+        let age = |link: &CoordinatorLink| credit_message::millis(now.saturating_sub(link.replied));
+        let sent_ms = current.map_or(0, |link| link.stamp_ms + age(link));
+        if share > 0.0 {
+            if self.owns_share(now) {
+                // The tokens end with the use of the own share.
+                self.accounts.values_mut().for_each(|account| account.own = None);
+            }
+            self.share_end = now + credit_message::SHARE_LEASE;
+        }
+        let mut tenants = Vec::new();
+        if epoch != 0 {
+            // Accounts stay until the link ends, since the coordinator compares totals.
+            for (name, account) in self
+                .accounts
+                .iter_mut()
+                .filter(|(_name, account)| account.is_active(now))
+            {
+                let wanted = account.wanted(now);
+                if wanted == 0 {
+                    account.returned += account.available();
+                }
+                tenants.push(credit_message::TenantReport {
+                    tenant: name.clone(),
+                    spent: account.spent,
+                    returned: account.returned,
+                    refunded: account.refunded,
+                    wanted,
+                });
+            }
+        }
+        let totals = |line: &credit_message::TenantReport| (line.spent, line.returned, line.refunded);
+        self.open = Some(OpenReport {
+            sequence: self.sequence,
+            coordinator: coordinator.clone(),
+            epoch,
+            sent: now,
+            tenants: tenants.iter().map(|line| (line.tenant.clone(), totals(line))).collect(),
+        });
+        let busy = now.saturating_sub(self.last_use) < IDLE_AGE;
+        self.next_report = now + if busy { BUSY_INTERVAL } else { IDLE_INTERVAL };
+        if share <= 0.0 && self.share_end > now {
+            // Another coordinator gets the share as soon as the previous one has stopped counting it.
+            self.next_report = self.next_report.min(self.share_end);
+        }
+        credit_message::CreditReport {
+            daemon_id: self.identity.daemon_id.clone(),
+            incarnation: self.identity.incarnation,
+            started_ms: self.identity.started_ms,
+            sequence: self.sequence,
+            epoch,
+            sent_ms,
+            share,
+            tenants,
+        }
+    }
+
+    /// Applies the reply to the report with this number. Replies to earlier reports are ignored.
+    pub fn finish_report(&mut self, sequence: u64, reply: &credit_message::CreditReply, now: time::Duration) {
+        let Some(open) = self.open.take_if(|open| open.sequence == sequence) else {
+            return;
+        };
+        if open.epoch != reply.epoch {
+            self.change_link(open, reply, now);
+            return;
+        }
+        let Some(link) = &mut self.link else {
+            return;
+        };
+        link.stamp_ms = reply.stamp_ms;
+        link.replied = now;
+        link.credit_end = open.sent + credit_message::CREDIT_LEASE;
+        for ((tenant, totals), grant) in open.tenants.iter().zip(&reply.grants) {
+            let Some(account) = self.accounts.get_mut(tenant) else {
+                continue;
+            };
+            account.granted = grant.granted;
+            account.reported = *totals;
+            if grant.wait_ms > 0 && account.available() == 0 {
+                let wait = time::Duration::from_millis(u64::from(grant.wait_ms));
+                account.credit_at = now + wait;
+                account.refused_until = now + wait.clamp(REFUSAL_AGE, MAX_REFUSAL_AGE);
+            } else {
+                account.refused_until = time::Duration::ZERO;
+            }
+        }
+    }
+
+    /// Starts a link to a coordinator without credits, once nothing of the previous link is in use.
+    fn change_link(&mut self, open: OpenReport, reply: &credit_message::CreditReply, now: time::Duration) {
+        let previous_end = self.link.as_ref().map_or(time::Duration::ZERO, |link| link.credit_end);
+        if now < previous_end.max(self.share_end) {
+            return;
+        }
+        self.links += 1;
+        self.link = Some(CoordinatorLink {
+            number: self.links,
+            coordinator: open.coordinator,
+            epoch: reply.epoch,
+            stamp_ms: reply.stamp_ms,
+            replied: now,
+            credit_end: time::Duration::ZERO,
+        });
+        self.accounts
+            .retain(|_name, account| account.waiting > 0 || account.own.is_some());
+        for account in self.accounts.values_mut() {
+            account.granted = 0;
+            account.spent = 0;
+            account.returned = 0;
+            account.refunded = 0;
+            account.reported = (0, 0, 0);
+        }
+        self.next_report = now;
+    }
+}
+
+/// Queries.
+impl CreditHolder {
+    /// Returns when the next report is due.
+    #[must_use]
+    pub fn next_report(&self) -> time::Duration {
+        self.next_report
+    }
+
+    /// Returns the coordinator whose credits are in use; `None` without one.
+    #[must_use]
+    pub fn coordinator(&self, now: time::Duration) -> Option<&ids::DaemonId> {
+        let link = self.link.as_ref().filter(|link| now < link.credit_end)?;
+        Some(&link.coordinator)
+    }
+
+    /// Returns the number of unspent credits.
+    #[must_use]
+    pub fn held(&self, now: time::Duration) -> u64 {
+        let linked = self.link.as_ref().is_some_and(|link| now < link.credit_end);
+        let sum = self.accounts.values().map(TenantAccount::available).sum();
+        if linked { sum } else { 0 }
+    }
+
+    /// Returns whether this daemon may use its own share: no coordinator counts it.
+    #[must_use]
+    pub fn owns_share(&self, now: time::Duration) -> bool {
+        self.share > 0.0 && now >= self.share_end
+    }
+}
--- /dev/null
+++ b/crates/quota/tests/quotas/failures.rs
@@ -0,0 +1,353 @@
+//! One failure each, with the mechanism that bounds the credits and without it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use damasktrack_quota::coordinator_choice;
+use damasktrack_quota::credit_coordinator::CreditCoordinator;
+use damasktrack_quota::credit_holder::{CreditHolder, HolderIdentity, TakeResult};
+use damasktrack_quota::credit_limit::CreditLimit;
+use damasktrack_quota::credit_message::{CreditReport, TenantReport};
+
+use crate::quota_world::{BOUNDS, Fault, QuotaWorld, TICK, max_in_window, tenant_name};
+
+const DAEMONS: usize = 9;
+
+fn limit(rate: f64, burst: f64) -> CreditLimit {
+    CreditLimit::new(rate, burst, &BOUNDS).unwrap()
+}
+
+/// Returns a world in which all shares are delegated and the bucket is full, and its coordinator.
+fn settled(fault: Fault) -> (QuotaWorld, usize) {
+    let mut world = QuotaWorld::new(DAEMONS, vec![limit(100.0, 100.0)], 7, fault);
+    world.run(Duration::from_secs(12));
+    let chosen = coordinator_choice::choose(0, world.daemons.iter().map(|daemon| &daemon.id)).unwrap();
+    let index = world.daemons.iter().position(|daemon| daemon.id == *chosen).unwrap();
+    (world, index)
+}
+
+/// Lets these daemons send more than the limit.
+fn overload(world: &mut QuotaWorld, daemons: &[usize], time: Duration) {
+    let end = world.now + time;
+    while world.now < end {
+        for daemon in daemons {
+            for _request in 0..4 {
+                world.request(*daemon, 0);
+            }
+        }
+        world.tick();
+    }
+}
+
+fn others(of: usize) -> Vec<usize> {
+    (0..DAEMONS).filter(|index| *index != of).collect()
+}
+
+fn hide(world: &mut QuotaWorld, hidden: usize) {
+    for index in others(hidden) {
+        world.daemons[index].view[hidden] = false;
+    }
+}
+
+fn coordinator_suspended_with_reports_in_its_buffers(fault: Fault) -> Result<(), String> {
+    let (mut world, coordinator) = settled(fault);
+    let all: Vec<usize> = (0..DAEMONS).collect();
+    overload(&mut world, &all, Duration::from_secs(1));
+    world.daemons[coordinator].paused = true;
+    world.run(Duration::from_millis(1500));
+    hide(&mut world, coordinator);
+    world.run(Duration::from_secs(7));
+    world.daemons[coordinator].paused = false;
+    overload(&mut world, &all, Duration::from_secs(5));
+    println!(
+        "{fault:?}: {} in the largest window",
+        max_in_window(&world.spent[0], BOUNDS.window)
+    );
+    world.check()
+}
+
+/// Guards against a delegation that counts from the receipt of a report: a coordinator that was suspended would use the
+/// shares that its successor has.
+#[test]
+fn suspended_coordinator_counts_no_late_delegation() {
+    coordinator_suspended_with_reports_in_its_buffers(Fault::None).unwrap();
+    coordinator_suspended_with_reports_in_its_buffers(Fault::UndatedReports).unwrap_err();
+}
+
+fn suspended_holder(fault: Fault) -> Result<(), String> {
+    let (mut world, coordinator) = settled(fault);
+    let holder = others(coordinator)[0];
+    for _request in 0..200 {
+        world.request(holder, 0);
+        world.run(3 * TICK);
+    }
+    world.daemons[holder].paused = true;
+    world.run(Duration::from_secs(8));
+    world.daemons[holder].paused = false;
+    // No more than it holds: a holder that wants further credits pays for those spent after their end.
+    for _request in 0..90 {
+        world.request(holder, 0);
+    }
+    overload(&mut world, &others(holder), Duration::from_secs(5));
+    println!(
+        "{fault:?}: {} in the largest window",
+        max_in_window(&world.spent[0], BOUNDS.window)
+    );
+    world.check()
+}
+
+/// Guards against credits that are spent after their lease, with a clock that doesn't count suspensions.
+#[test]
+fn suspended_holder_spends_no_old_credits() {
+    suspended_holder(Fault::None).unwrap();
+    suspended_holder(Fault::ClockWithoutSuspension).unwrap_err();
+}
+
+fn restarted_beside_their_coordinator(fault: Fault) -> Result<(), String> {
+    let (mut world, coordinator) = settled(fault);
+    for index in others(coordinator) {
+        world.restart(index);
+        world.sides[index] = 1;
+    }
+    hide(&mut world, coordinator);
+    let all: Vec<usize> = (0..DAEMONS).collect();
+    overload(&mut world, &all, Duration::from_secs(6));
+    world.check()
+}
+
+/// Guards against a share that a restarted daemon uses while a coordinator counts it for the previous process.
+#[test]
+fn restarted_daemon_waits_for_the_end_of_its_delegation() {
+    restarted_beside_their_coordinator(Fault::None).unwrap();
+    restarted_beside_their_coordinator(Fault::ShareAtOnce).unwrap_err();
+}
+
+fn everyone_alone(fault: Fault) -> Result<(), String> {
+    let (mut world, _coordinator) = settled(fault);
+    world.sides = (0..9).collect();
+    let all: Vec<usize> = (0..DAEMONS).collect();
+    overload(&mut world, &all, Duration::from_secs(12));
+    println!(
+        "{} in the largest window",
+        max_in_window(&world.spent[0], BOUNDS.window)
+    );
+    world.check()
+}
+
+/// Guards against more than the limit, and against no service at all, while no daemon reaches another.
+#[test]
+fn partitioned_daemons_use_their_own_shares() {
+    everyone_alone(Fault::None).unwrap();
+    everyone_alone(Fault::WholeLimitAlone).unwrap_err();
+    let (mut world, _coordinator) = settled(Fault::None);
+    world.sides = (0..9).collect();
+    world.run(Duration::from_secs(6));
+    let before = world.spent[0].len();
+    let all: Vec<usize> = (0..DAEMONS).collect();
+    overload(&mut world, &all, Duration::from_secs(10));
+    let spent = world.spent[0].len() - before;
+    assert!(
+        (950..=1160).contains(&spent),
+        "{spent} credits in 10 s at 100 per second"
+    );
+}
+
+/// Guards against an outage of the quota after the coordinator is lost.
+#[test]
+fn successor_of_a_lost_coordinator_grants_the_whole_rate() {
+    let (mut world, coordinator) = settled(Fault::None);
+    world.daemons[coordinator].live = false;
+    hide(&mut world, coordinator);
+    let callers = others(coordinator);
+    overload(&mut world, &callers, Duration::from_secs(5));
+    let before = world.spent[0].len();
+    overload(&mut world, &callers, Duration::from_secs(10));
+    let spent = world.spent[0].len() - before;
+    assert!(
+        spent >= 850,
+        "{spent} credits in 10 s at 100 per second and 8 of 9 shares"
+    );
+    world.check().unwrap();
+}
+
+/// Guards against a lowered limit that isn't binding one window later.
+#[test]
+fn lowered_limit_is_binding_one_window_later() {
+    let (mut world, coordinator) = settled(Fault::None);
+    let callers = others(coordinator);
+    overload(&mut world, &callers, Duration::from_secs(3));
+    world.run(Duration::from_millis(300));
+    world.limits[0] = limit(10.0, 5.0);
+    overload(&mut world, &callers, BOUNDS.window);
+    world.spent[0].clear();
+    overload(&mut world, &callers, Duration::from_secs(20));
+    world.check().unwrap();
+    assert!(world.spent[0].len() >= 190, "{} credits", world.spent[0].len());
+}
+
+fn report(daemon: &str, sequence: u64, epoch: u64, sent_ms: u64, line: (u64, u64, u32)) -> CreditReport {
+    CreditReport {
+        daemon_id: Bytes::copy_from_slice(daemon.as_bytes()),
+        incarnation: 7,
+        started_ms: 1,
+        sequence,
+        epoch,
+        sent_ms,
+        share: 0.5,
+        tenants: vec![TenantReport {
+            tenant: tenant_name(0),
+            spent: line.0,
+            returned: line.1,
+            refunded: 0,
+            wanted: line.2,
+        }],
+    }
+}
+
+/// Returns a coordinator with two holders and a full bucket, and the time on its clock.
+fn coordinator_with_shares() -> (CreditCoordinator, Duration) {
+    let mut coordinator = CreditCoordinator::new(9, Duration::ZERO);
+    let limits = |_name: &Bytes| Some(limit(10.0, 10.0));
+    let mut now = Duration::ZERO;
+    for sequence in 1..20 {
+        now += Duration::from_millis(500);
+        let sent_ms = u64::try_from(now.as_millis()).unwrap();
+        for daemon in ["a", "b"] {
+            let report = report(daemon, sequence, 9, sent_ms, (0, 0, 0));
+            coordinator.report(&report, limits, now).unwrap();
+        }
+    }
+    (coordinator, now)
+}
+
+/// Guards against credits that are granted twice when messages are lost, repeated or reordered.
+#[test]
+fn totals_make_lost_repeated_and_reordered_messages_harmless() {
+    let (mut coordinator, now) = coordinator_with_shares();
+    let limits = |_name: &Bytes| Some(limit(10.0, 10.0));
+    let sent_ms = u64::try_from(now.as_millis()).unwrap();
+    let first = report("a", 30, 9, sent_ms, (0, 0, 5));
+    assert_eq!(coordinator.report(&first, limits, now).unwrap().grants[0].granted, 5);
+    assert!(
+        coordinator.report(&first, limits, now).is_none(),
+        "a repeated report is ignored"
+    );
+    let second = report("a", 31, 9, sent_ms, (0, 0, 5));
+    let grants = coordinator.report(&second, limits, now).unwrap().grants;
+    assert_eq!(
+        grants[0].granted, 5,
+        "the holder didn't get the reply and has the same credits"
+    );
+    let late = report("a", 29, 9, sent_ms, (0, 0, 50));
+    assert!(
+        coordinator.report(&late, limits, now).is_none(),
+        "a late report is ignored"
+    );
+}
+
+/// Guards against a late reply that brings back credits whose lease at the coordinator has ended.
+#[test]
+fn late_replies_are_ignored() {
+    let identity = HolderIdentity {
+        daemon_id: Bytes::from_static(b"a"),
+        incarnation: 7,
+        started_ms: 1,
+    };
+    let (mut coordinator, mut now) = coordinator_with_shares();
+    let limits = |_name: &Bytes| Some(limit(10.0, 10.0));
+    let mut holder = CreditHolder::new(identity, now);
+    holder.set_share(0.5, now);
+    let id = Bytes::from_static(b"c");
+    let mut exchange = |holder: &mut CreditHolder, now: Duration| {
+        let mut report = holder.begin_report(&id, now);
+        report.sequence += 100;
+        (report.sequence - 100, coordinator.report(&report, limits, now).unwrap())
+    };
+    for _report in 0..3 {
+        now += TICK;
+        let (sequence, reply) = exchange(&mut holder, now);
+        holder.finish_report(sequence, &reply, now);
+    }
+    assert_eq!(holder.take(&tenant_name(0), &limit(10.0, 10.0), now), TakeResult::Wait);
+    holder.begin_wait(&tenant_name(0));
+    let (first, late) = exchange(&mut holder, now);
+    assert!(late.grants[0].granted > 0);
+    now += Duration::from_millis(1100);
+    let (_second, _lost) = exchange(&mut holder, now);
+    now += Duration::from_millis(600);
+    holder.finish_report(first, &late, now);
+    let taken = holder.take(&tenant_name(0), &limit(10.0, 10.0), now);
+    assert!(!matches!(taken, TakeResult::Granted(_)), "{taken:?}");
+}
+
+/// Guards against a large holder that leaves nothing to a small one.
+#[test]
+fn small_wants_are_satisfied_first() {
+    let (mut coordinator, now) = coordinator_with_shares();
+    let limits = |_name: &Bytes| Some(limit(10.0, 10.0));
+    let sent_ms = u64::try_from(now.as_millis()).unwrap();
+    let mut ask = |daemon: &str, sequence: u64, wanted: u32| {
+        let report = report(daemon, sequence, 9, sent_ms, (0, 0, wanted));
+        coordinator.report(&report, limits, now).unwrap().grants[0].granted
+    };
+    let all = ask("a", 30, 1000);
+    assert_eq!(all, 30, "capacity 10 + 0.8 x (0.1 x 60 + 20) = 30.8");
+    assert_eq!(ask("b", 30, 4), 0);
+    let limits = |_name: &Bytes| Some(limit(10.0, 10.0));
+    let later = now + Duration::from_millis(400);
+    let sent_ms = u64::try_from(later.as_millis()).unwrap();
+    let spent = report("a", 31, 9, sent_ms, (30, 0, 0));
+    coordinator.report(&spent, limits, now).unwrap();
+    let spent = report("a", 32, 9, sent_ms, (30, 0, 1000));
+    let more = coordinator.report(&spent, limits, later).unwrap().grants[0].granted;
+    assert_eq!(more, 32, "half of the 4 credits that were filled, since b wants 4");
+}
+
+/// Guards against a restarted coordinator whose buckets are full although the credits of its previous process may be in
+/// use.
+#[test]
+fn restarted_coordinator_starts_with_empty_buckets_and_another_epoch() {
+    let (mut world, coordinator) = settled(Fault::None);
+    let epoch = world.daemons[coordinator].coordinator.epoch();
+    let callers = others(coordinator);
+    for _restart in 0..6 {
+        overload(&mut world, &callers, Duration::from_secs(2));
+        world.restart(coordinator);
+    }
+    overload(&mut world, &callers, Duration::from_secs(5));
+    assert_ne!(world.daemons[coordinator].coordinator.epoch(), epoch);
+    world.check().unwrap();
+}
+
+/// Guards against lost credits of requests that are refused after they have taken one.
+#[test]
+fn credits_of_requests_that_have_not_run_are_used_again() {
+    let (mut world, coordinator) = settled(Fault::None);
+    let caller = others(coordinator)[0];
+    let mut taken = Vec::new();
+    let (mut run, start) = (0, world.now);
+    while world.now < start + Duration::from_secs(20) {
+        for _request in 0..3 {
+            if let Some(credit) = world.request(caller, 0) {
+                taken.push((credit, world.now));
+                run += 1;
+            }
+        }
+        // Half of the requests are refused 300 ms later.
+        while taken
+            .first()
+            .is_some_and(|(_credit, spent)| world.now.saturating_sub(*spent) >= Duration::from_millis(300))
+        {
+            let (credit, spent) = taken.remove(0);
+            if run % 2 == 0 {
+                world.refund(caller, 0, credit, spent);
+            }
+            run += 1;
+        }
+        world.tick();
+    }
+    let served = world.spent[0].len();
+    println!("{served} requests ran in 20 s at 100 per second");
+    assert!(served >= 1900, "{served} requests ran in 20 s at 100 per second");
+    world.check().unwrap();
+}
--- /dev/null
+++ b/crates/quota/tests/quotas/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the quotas on virtual time.
+
+mod comparison;
+mod failures;
+mod fuzz;
+mod quota_world;
