Limit the requests of tenants over all daemons

Requests of a tenant above its rate were served as long as there was capacity. With `QuotaWindow` in the settings, a request of a tenant with a rate now takes a credit before its first attempt, and is refused with 429 and `Retry-After` if there is none. A request that has not run gives its credit back. Daemons report to the coordinator with `POST /quota/report`. Without tenants with a rate, or without `QuotaWindow`, no task runs.

--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -25,6 +25,7 @@
 use crate::message_body;
 use crate::node_context;
 use crate::peer_call;
+use crate::quota_gate;
 use crate::request_end;
 use crate::route_config;
 use crate::server_hint;
@@ -174,7 +175,7 @@
                 arrived,
                 deadline,
             };
-            (class, attempt(&node, &entry).await)
+            (class, admit(&node, &entry).await)
         }
         Err(reply) => (Bytes::from_static(UNMATCHED_CLASS), Err(reply)),
     };
@@ -224,6 +225,22 @@
     }
 }
 
+/// Sends a request if its tenant's quota admits it.
+async fn admit(
+    node: &rc::Rc<node_context::NodeContext>,
+    entry: &EntryRequest,
+) -> Result<hyper::Response<message_body::ReplyBody>, local_reply::LocalReply> {
+    let credit = match quota_gate::admit(node, entry.tenant.as_deref()).await {
+        quota_gate::QuotaDecision::Admitted(credit) => credit,
+        quota_gate::QuotaDecision::Refused(wait) => return Err(local_reply::LocalReply::OverQuota(wait)),
+    };
+    let result = attempt(node, entry).await;
+    if matches!(result, Err(local_reply::LocalReply::NotRun(_))) {
+        credit.give_back(node);
+    }
+    result
+}
+
 /// Sends a request in rounds of attempts until a server responds or no further round is allowed.
 async fn attempt(
     node: &rc::Rc<node_context::NodeContext>,
--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -34,6 +34,10 @@
     work: metrics::Counter<u64>,
     repeats: metrics::Counter<u64>,
     rounds: metrics::Counter<u64>,
+    quota_refusals: metrics::Counter<u64>,
+    quota_reports: metrics::Counter<u64>,
+    quota_granted: metrics::Gauge<u64>,
+    quota_held: metrics::Gauge<u64>,
     running: metrics::Gauge<u64>,
     queued: metrics::Gauge<u64>,
     config_version: metrics::Gauge<u64>,
@@ -109,6 +113,22 @@
                 .u64_counter("damasktrack_rounds")
                 .with_description("Further rounds of attempts after all tried servers lacked capacity, by class")
                 .build(),
+            quota_refusals: meter
+                .u64_counter("damasktrack_quota_refusals")
+                .with_description("Requests refused since their tenant is above its quota")
+                .build(),
+            quota_reports: meter
+                .u64_counter("damasktrack_quota_reports")
+                .with_description("Reports to the coordinators of the quotas")
+                .build(),
+            quota_granted: meter
+                .u64_gauge("damasktrack_quota_granted")
+                .with_description("Credits granted as coordinator since the start, by the coordinators in use")
+                .build(),
+            quota_held: meter
+                .u64_gauge("damasktrack_quota_held")
+                .with_description("Credits that this daemon holds and has not spent")
+                .build(),
             running: meter
                 .u64_gauge("damasktrack_work_running")
                 .with_description("Calls that the backend server runs")
@@ -179,6 +199,22 @@
         self.rounds.add(1, &[opentelemetry::KeyValue::new("class", class)]);
     }
 
+    /// Counts a request that is refused because its tenant is above its quota.
+    pub fn count_quota_refusal(&self) {
+        self.quota_refusals.add(1, &[]);
+    }
+
+    /// Counts a report to a coordinator of the quotas.
+    pub fn count_quota_report(&self) {
+        self.quota_reports.add(1, &[]);
+    }
+
+    /// Sets the gauges of the quotas.
+    pub fn record_quota(&self, held: u64, granted: u64) {
+        self.quota_held.record(held, &[]);
+        self.quota_granted.record(granted, &[]);
+    }
+
     /// Sets the gauges of the admission gate and of the configuration.
     pub fn record_state(&self, running: u32, queued: usize, config_version: ids::Revision) {
         self.running.record(u64::from(running), &[]);
--- a/crates/forward/src/local_reply.rs
+++ b/crates/forward/src/local_reply.rs
@@ -1,5 +1,7 @@
 //! Responses that the entry daemon generates when there is no backend server's response to forward.
 
+use std::time;
+
 use bytes::Bytes;
 use damasktrack_entity::call_outcome;
 use damasktrack_pipeline::request_fault;
@@ -24,6 +26,8 @@
     NoRoute,
     /// The request was not read completely.
     Rejected(request_fault::RequestFault),
+    /// The tenant is above its quota; the time after which a credit is expected.
+    OverQuota(time::Duration),
     /// The request did not run and will not run later.
     NotRun(call_outcome::RefusalReason),
     /// The request may have run.
@@ -40,6 +44,7 @@
             Self::BadRequest => hyper::StatusCode::BAD_REQUEST,
             Self::Unauthorized => hyper::StatusCode::UNAUTHORIZED,
             Self::NoRoute => hyper::StatusCode::NOT_FOUND,
+            Self::OverQuota(_) => hyper::StatusCode::TOO_MANY_REQUESTS,
             Self::Rejected(fault) => fault.status(),
             Self::Unconfirmed | Self::NotRun(_) => hyper::StatusCode::SERVICE_UNAVAILABLE,
             Self::MayHaveRun => hyper::StatusCode::BAD_GATEWAY,
@@ -54,6 +59,7 @@
             Self::BadRequest => "malformed request".to_owned(),
             Self::Unauthorized => "unknown or missing key".to_owned(),
             Self::Unconfirmed => "configuration not confirmed".to_owned(),
+            Self::OverQuota(_) => "above the quota".to_owned(),
             Self::NoRoute => "no route".to_owned(),
             Self::Rejected(fault) => fault.to_string(),
             Self::NotRun(reason) => reason.to_string(),
@@ -68,6 +74,7 @@
         match self {
             Self::BadRequest | Self::Rejected(_) => "rejected",
             Self::Unauthorized => "unauthorized",
+            Self::OverQuota(_) => "over_quota",
             Self::NoRoute => "no_route",
             Self::Unconfirmed | Self::NotRun(_) => "refused",
             Self::MayHaveRun => "failed",
@@ -81,11 +88,15 @@
         let mut response = hyper::Response::new(message_body::ReplyBody::whole(Bytes::new()));
         *response.status_mut() = self.status();
         let unrun = Self::Rejected(request_fault::RequestFault::Stopping);
-        if matches!(self, Self::NotRun(_) | Self::Unconfirmed) || self == unrun {
-            let seconds = rand::rng().random_range(RETRY_AFTER_SECONDS);
-            if let Ok(value) = header::HeaderValue::try_from(format!("{seconds:.2}")) {
-                response.headers_mut().insert(header::RETRY_AFTER, value);
-            }
+        let seconds = match self {
+            Self::OverQuota(wait) => Some(wait.as_secs_f64()),
+            Self::NotRun(_) | Self::Unconfirmed => Some(rand::rng().random_range(RETRY_AFTER_SECONDS)),
+            _ => (self == unrun).then(|| rand::rng().random_range(RETRY_AFTER_SECONDS)),
+        };
+        if let Some(seconds) = seconds
+            && let Ok(value) = header::HeaderValue::try_from(format!("{seconds:.2}"))
+        {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
         }
         response
     }
--- a/crates/forward/src/member_tasks.rs
+++ b/crates/forward/src/member_tasks.rs
@@ -78,7 +78,7 @@
     let Ok(body) = anti_entropy::encode(&request) else {
         return;
     };
-    let Some(reply) = post(&node, address, peer_server::EXCHANGE_PATH, body).await else {
+    let Some(reply) = post(&node, address, peer_server::EXCHANGE_PATH, body, PEER_TIMEOUT).await else {
         return;
     };
     let Ok(reply) = anti_entropy::decode::<anti_entropy::ExchangeReply>(&reply) else {
@@ -91,7 +91,7 @@
     if !returned.records.is_empty()
         && let Ok(body) = anti_entropy::encode(&returned)
     {
-        post(&node, address, peer_server::RETURN_PATH, body).await;
+        post(&node, address, peer_server::RETURN_PATH, body, PEER_TIMEOUT).await;
     }
 }
 
@@ -113,18 +113,19 @@
             return;
         }
     }
-    if let Some(text) = post(&node, address, peer_server::CONFIG_PATH, Vec::new()).await {
+    if let Some(text) = post(&node, address, peer_server::CONFIG_PATH, Vec::new(), PEER_TIMEOUT).await {
         store_port::adopt(&node, &port, config_text::ConfigText::new(text), "peer");
     }
 }
 
 /// Sends a request to a peer and returns the body of its response; `None` on a failure, a timeout, or a status other
 /// than 200.
-async fn post(
+pub async fn post(
     node: &node_context::NodeContext,
     address: net::SocketAddr,
     path: &'static str,
     body: Vec<u8>,
+    timeout: time::Duration,
 ) -> Option<Bytes> {
     let uri = hyper::Uri::from_static(path);
     let mut headers = hyper::header::HeaderMap::new();
@@ -142,7 +143,7 @@
         lease.release(None, time::Instant::now());
         Some(body)
     };
-    let reply = tokio::time::timeout(PEER_TIMEOUT, work).await.ok().flatten();
+    let reply = tokio::time::timeout(timeout, work).await.ok().flatten();
     if reply.is_none() {
         log::debug!(peer:% = address, path = path; "request to a peer failed");
     }
--- a/crates/forward/src/node_context.rs
+++ b/crates/forward/src/node_context.rs
@@ -15,6 +15,7 @@
 use crate::forward_settings;
 use crate::http_link;
 use crate::log_limiter;
+use crate::quota_state;
 
 /// Longest wait for a connection to another daemon. The round trip between regions is 60 ms. A lost SYN is
 /// retransmitted only after a second, and trying another server is faster.
@@ -44,6 +45,8 @@
     pub departures: departure_log::DepartureLog,
     /// Number of callers' requests in flight.
     pub in_flight: cell::Cell<usize>,
+    /// Quotas of the tenants; `None` without bounds for them in the settings.
+    pub quota: Option<quota_state::QuotaState>,
     peers: cell::RefCell<collections::HashMap<net::SocketAddr, rc::Rc<http_link::LinkPool>>>,
 }
 
@@ -61,6 +64,7 @@
         };
         rc::Rc::new(Self {
             server: http_link::LinkPool::new(settings.server_address, policy),
+            quota: settings.quota_bounds.map(quota_state::QuotaState::new),
             settings,
             core,
             metrics,
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -207,6 +207,10 @@
         });
         node.metrics.record_state(counts.running, counts.queued, version);
         node.metrics.record_request_limit(request_limit);
+        if let Some(quota) = node.quota.as_ref().filter(|quota| quota.is_running.get()) {
+            let (held, granted) = quota.totals(stall_watch::boot_time());
+            node.metrics.record_quota(held, granted);
+        }
     }
 }
 
--- a/crates/forward/src/peer_server.rs
+++ b/crates/forward/src/peer_server.rs
@@ -15,6 +15,7 @@
 use crate::message_body;
 use crate::node_context;
 use crate::peer_call;
+use crate::quota_tasks;
 use crate::stall_watch;
 
 /// Path of the first message of a member exchange.
@@ -57,6 +58,7 @@
             }
             empty_response(hyper::StatusCode::OK)
         }
+        quota_tasks::REPORT_PATH => quota_tasks::serve_report(&node, &body),
         CONFIG_PATH => {
             let text = node.core.ask(|core, _now| core.config_text().bytes().clone());
             if text.is_empty() {
--- /dev/null
+++ b/crates/forward/src/quota_gate.rs
@@ -0,0 +1,121 @@
+//! Admission of a request by the quota of its tenant.
+
+use std::rc;
+use std::time;
+
+use damasktrack_entity::ids;
+use damasktrack_quota::credit_holder;
+use rand::RngExt;
+
+use crate::log_limiter;
+use crate::node_context;
+use crate::stall_watch;
+use crate::tenant_config;
+
+/// Longest wait of a request for a credit. The round trip between regions is 60 ms.
+const MAX_WAIT: time::Duration = time::Duration::from_millis(100);
+/// `Retry-After` of a request that has waited for a credit in vain.
+const WAITED_RETRY: time::Duration = time::Duration::from_millis(200);
+/// Range of the factor by which each `Retry-After` is extended at random, to spread the retries.
+const RETRY_SPREAD: std::ops::Range<f64> = 1.0..1.5;
+
+/// Decision about a request.
+#[derive(Debug)]
+pub enum QuotaDecision {
+    /// The request may be sent.
+    Admitted(QuotaCredit),
+    /// The tenant is above its quota; the time after which a credit is expected.
+    Refused(time::Duration),
+}
+
+/// Credit of an admitted request. It stays spent unless it is given back.
+#[derive(Debug)]
+pub struct QuotaCredit {
+    /// Tenant and credit; `None` for a request that doesn't count.
+    spent: Option<(ids::TenantName, credit_holder::SpentCredit)>,
+}
+
+impl QuotaCredit {
+    /// Gives the credit back. The request has not run and will not run later.
+    pub fn give_back(self, node: &node_context::NodeContext) {
+        if let (Some((tenant, credit)), Some(quota)) = (self.spent, &node.quota) {
+            quota.with_holder(&tenant, |holder| {
+                holder.refund(&tenant, credit, stall_watch::boot_time());
+            });
+        }
+    }
+}
+
+/// Counts a request as waiting until it is dropped, which includes cancellation by the caller.
+struct WaitGuard<'a> {
+    node: &'a node_context::NodeContext,
+    tenant: &'a ids::TenantName,
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(quota) = &self.node.quota {
+            quota.with_holder(self.tenant, |holder| holder.end_wait(self.tenant));
+        }
+    }
+}
+
+/// Takes a credit for a request of a tenant, and waits for one for at most 100 ms.
+pub async fn admit(
+    node: &rc::Rc<node_context::NodeContext>,
+    rule: Option<&tenant_config::TenantRule>,
+) -> QuotaDecision {
+    let uncounted = QuotaDecision::Admitted(QuotaCredit { spent: None });
+    let (Some(quota), Some(rule)) = (&node.quota, rule) else {
+        return uncounted;
+    };
+    let Some(limit) = quota.limit(rule) else {
+        return uncounted;
+    };
+    let tenant = &rule.name;
+    let deadline = tokio::time::Instant::now() + MAX_WAIT;
+    let mut waiting = None;
+    loop {
+        let now = stall_watch::boot_time();
+        let wait = match quota.with_holder(tenant, |holder| holder.take(tenant, &limit, now)) {
+            // A newer configuration has no limits.
+            None => return uncounted,
+            Some(credit_holder::TakeResult::Granted(credit)) => {
+                let spent = Some((tenant.clone(), credit));
+                return QuotaDecision::Admitted(QuotaCredit { spent });
+            }
+            Some(credit_holder::TakeResult::Refused(wait)) => wait,
+            Some(credit_holder::TakeResult::Wait) if tokio::time::Instant::now() < deadline => {
+                let Some(replied) = quota.request_report(tenant) else {
+                    return uncounted;
+                };
+                if waiting.is_none() {
+                    quota.with_holder(tenant, |holder| holder.begin_wait(tenant));
+                    waiting = Some(WaitGuard { node, tenant });
+                }
+                let _replied = tokio::time::timeout_at(deadline, replied.notified()).await;
+                continue;
+            }
+            Some(credit_holder::TakeResult::Wait) => WAITED_RETRY,
+        };
+        record_refusal(node, tenant, now);
+        return QuotaDecision::Refused(wait.mul_f64(rand::rng().random_range(RETRY_SPREAD)));
+    }
+}
+
+fn record_refusal(node: &node_context::NodeContext, tenant: &ids::TenantName, now: stall_watch::BootTime) {
+    node.metrics.count_quota_refusal();
+    let Some(quota) = &node.quota else {
+        return;
+    };
+    if !quota.note_refusal(tenant, now) {
+        return;
+    }
+    let decision = node
+        .log_limiter
+        .decide(log_limiter::LogCategory::Failure, time::Instant::now());
+    if let log_limiter::LogDecision::Write { left_out } = decision {
+        let tenant = ids::text(tenant);
+        log::info!(tenant:% = tenant, left_out = left_out; "requests of a tenant above its quota are refused");
+    }
+}
--- /dev/null
+++ b/crates/forward/src/quota_state.rs
@@ -0,0 +1,313 @@
+//! State of the tenants' quotas in a daemon: known daemons, holders and coordinators by group of tenants.
+
+use std::cell;
+use std::collections;
+use std::net;
+use std::rc;
+use std::time;
+
+use damasktrack_entity::ids;
+use damasktrack_quota::coordinator_choice;
+use damasktrack_quota::credit_coordinator;
+use damasktrack_quota::credit_holder;
+use damasktrack_quota::credit_limit;
+use damasktrack_quota::credit_message;
+use damasktrack_quota::known_daemons;
+use rand::RngExt;
+use tokio::sync;
+
+use crate::core_handle;
+use crate::forward_core;
+use crate::forward_settings;
+use crate::stall_watch;
+use crate::tenant_config;
+
+/// Interval at which the live members are read again.
+const MEMBERS_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Interval at which coordinators forget holders and tenants without activity.
+const PRUNE_INTERVAL: time::Duration = time::Duration::from_secs(5);
+/// Time without a refusal after which a tenant's next refusal is logged again.
+const REFUSAL_LOG_AGE: time::Duration = time::Duration::from_secs(10);
+
+/// Group of tenants, and the number of groups that it is one of. Daemons may have versions of the configuration with
+/// different numbers of groups.
+pub type GroupKey = (coordinator_choice::GroupIndex, u32);
+
+/// Holder of the credits of one group.
+#[derive(Debug)]
+struct GroupHolder {
+    holder: credit_holder::CreditHolder,
+    /// Chosen coordinator and its peer address.
+    coordinator: Option<(ids::DaemonId, net::SocketAddr)>,
+    /// Whether a report is sent and its reply outstanding.
+    is_open: bool,
+    /// Whether a request waits for a report that hasn't been sent.
+    is_urgent: bool,
+    replied: rc::Rc<sync::Notify>,
+}
+
+/// Report that is due.
+#[derive(Debug)]
+pub struct DueReport {
+    /// Group of the tenants.
+    pub group: GroupKey,
+    /// Coordinator of the group.
+    pub coordinator: ids::DaemonId,
+    /// Peer address of the coordinator.
+    pub address: net::SocketAddr,
+    /// Report to send.
+    pub report: credit_message::CreditReport,
+}
+
+#[derive(Debug, Default)]
+struct QuotaParts {
+    known: known_daemons::KnownDaemons,
+    /// Holders by group; empty while no tenant has a limit.
+    holders: Vec<GroupHolder>,
+    coordinators: collections::HashMap<GroupKey, credit_coordinator::CreditCoordinator>,
+    members_read: Option<stall_watch::BootTime>,
+    pruned: stall_watch::BootTime,
+    /// When requests of each tenant were last refused.
+    refused: collections::HashMap<ids::TenantName, stall_watch::BootTime>,
+}
+
+/// State of the quotas. Exists only with bounds for quotas in the settings.
+#[derive(Debug)]
+pub struct QuotaState {
+    bounds: credit_limit::QuotaBounds,
+    parts: cell::RefCell<QuotaParts>,
+    /// Wakes the task that sends reports.
+    pub wake: sync::Notify,
+    /// Whether the task that sends reports runs.
+    pub is_running: cell::Cell<bool>,
+}
+
+/// Commands.
+impl QuotaState {
+    /// Creates the state without credits.
+    #[must_use]
+    pub fn new(bounds: forward_settings::QuotaBounds) -> Self {
+        Self {
+            bounds: credit_limit::QuotaBounds {
+                window: bounds.window,
+                over: bounds.over,
+                slack: bounds.slack,
+            },
+            parts: cell::RefCell::default(),
+            wake: sync::Notify::new(),
+            is_running: cell::Cell::new(false),
+        }
+    }
+
+    /// Records the daemons that the store lists.
+    pub fn note_list<'a>(
+        &self,
+        daemons: impl Iterator<Item = &'a ids::DaemonId> + Clone,
+        own: &ids::DaemonId,
+        now: stall_watch::BootTime,
+    ) {
+        let mut parts = self.parts.borrow_mut();
+        if daemons.clone().any(|id| id == own) {
+            parts.known.note_list(now);
+        }
+        parts.known.note(daemons, now);
+    }
+
+    /// Adapts the holders to the number of tenants with a limit; returns whether there are any.
+    pub fn set_tenants(
+        &self,
+        limited: usize,
+        identity: &credit_holder::HolderIdentity,
+        now: stall_watch::BootTime,
+    ) -> bool {
+        let groups = coordinator_choice::group_count(limited) as usize;
+        let mut parts = self.parts.borrow_mut();
+        if parts.holders.len() != groups {
+            if !parts.holders.is_empty() {
+                // The coordinators of the previous groups count the share until the end of the lease.
+                parts.known.withhold(now);
+            }
+            let holder = || GroupHolder {
+                holder: credit_holder::CreditHolder::new(identity.clone(), now),
+                coordinator: None,
+                is_open: false,
+                is_urgent: false,
+                replied: rc::Rc::default(),
+            };
+            parts.holders = std::iter::repeat_with(holder).take(groups).collect();
+            parts.members_read = None;
+        }
+        groups > 0
+    }
+
+    /// Returns the reports that are due.
+    pub fn due_reports(&self, core: &core_handle::CoreHandle, now: stall_watch::BootTime) -> Vec<DueReport> {
+        let mut parts = self.parts.borrow_mut();
+        let parts = &mut *parts;
+        let is_stale = |read| now.saturating_sub(read) >= MEMBERS_INTERVAL;
+        if parts.members_read.is_none_or(is_stale) {
+            parts.members_read = Some(now);
+            core.ask(|core, _now| parts.read_members(core, now));
+        }
+        if now.saturating_sub(parts.pruned) >= PRUNE_INTERVAL {
+            parts.pruned = now;
+            parts.coordinators.values_mut().for_each(|part| part.prune(now));
+            parts.coordinators.retain(|_group, part| !part.is_idle());
+            parts
+                .refused
+                .retain(|_tenant, refused| now.saturating_sub(*refused) < REFUSAL_LOG_AGE);
+        }
+        let groups = u32::try_from(parts.holders.len()).unwrap_or(u32::MAX);
+        let share = parts.known.share(now);
+        let mut due = Vec::new();
+        for (index, group) in (0..groups).zip(&mut parts.holders) {
+            group.holder.set_share(share, now);
+            let is_due = group.is_urgent || group.holder.next_report() <= now;
+            let Some((coordinator, address)) = group.coordinator.as_ref().filter(|_chosen| is_due && !group.is_open)
+            else {
+                continue;
+            };
+            group.is_urgent = false;
+            group.is_open = true;
+            due.push(DueReport {
+                group: (index, groups),
+                coordinator: coordinator.clone(),
+                address: *address,
+                report: group.holder.begin_report(coordinator, now),
+            });
+        }
+        due
+    }
+
+    /// Ends a report, with its reply if one arrived.
+    pub fn finish_report(
+        &self,
+        group: GroupKey,
+        sequence: u64,
+        reply: Option<&credit_message::CreditReply>,
+        now: stall_watch::BootTime,
+    ) {
+        let mut parts = self.parts.borrow_mut();
+        if parts.holders.len() != group.1 as usize {
+            return;
+        }
+        let Some(holder) = parts.holders.get_mut(group.0 as usize) else {
+            return;
+        };
+        holder.is_open = false;
+        if let Some(reply) = reply {
+            holder.holder.finish_report(sequence, reply, now);
+        }
+        holder.replied.notify_waiters();
+    }
+
+    /// Handles a report as coordinator; `None` if it is older than one handled before.
+    pub fn serve_report(
+        &self,
+        group: GroupKey,
+        report: &credit_message::CreditReport,
+        tenants: Option<&tenant_config::TenantTable>,
+        now: stall_watch::BootTime,
+    ) -> Option<credit_message::CreditReply> {
+        let mut parts = self.parts.borrow_mut();
+        let coordinator = parts
+            .coordinators
+            .entry(group)
+            .or_insert_with(|| credit_coordinator::CreditCoordinator::new(rand::rng().random(), now));
+        let limit = |name: &ids::TenantName| self.limit(tenants?.find_name(name)?);
+        coordinator.report(report, limit, now)
+    }
+
+    /// Calls `step` with the holder of a tenant; `None` while no tenant has a limit.
+    pub fn with_holder<R>(
+        &self,
+        tenant: &ids::TenantName,
+        step: impl FnOnce(&mut credit_holder::CreditHolder) -> R,
+    ) -> Option<R> {
+        let mut parts = self.parts.borrow_mut();
+        Some(step(&mut parts.group_mut(tenant)?.holder))
+    }
+
+    /// Requests a report at once, and returns the notification of the next reply.
+    pub fn request_report(&self, tenant: &ids::TenantName) -> Option<rc::Rc<sync::Notify>> {
+        let mut parts = self.parts.borrow_mut();
+        let group = parts.group_mut(tenant)?;
+        group.is_urgent = true;
+        let replied = rc::Rc::clone(&group.replied);
+        self.wake.notify_one();
+        Some(replied)
+    }
+
+    /// Records a refusal; returns whether it is the first one of the tenant for a while.
+    pub fn note_refusal(&self, tenant: &ids::TenantName, now: stall_watch::BootTime) -> bool {
+        let before = self.parts.borrow_mut().refused.insert(tenant.clone(), now);
+        before.is_none_or(|before| now.saturating_sub(before) >= REFUSAL_LOG_AGE)
+    }
+}
+
+/// Queries.
+impl QuotaState {
+    /// Returns the limit of a tenant; `None` without one.
+    #[must_use]
+    pub fn limit(&self, rule: &tenant_config::TenantRule) -> Option<credit_limit::CreditLimit> {
+        credit_limit::CreditLimit::new(rule.rate_per_s, rule.burst, &self.bounds)
+    }
+
+    /// Returns whether any tenant has a limit.
+    #[must_use]
+    pub fn has_limits(&self) -> bool {
+        !self.parts.borrow().holders.is_empty()
+    }
+
+    /// Returns when the next report is due; `None` if all reports wait for a reply.
+    #[must_use]
+    pub fn next_report(&self) -> Option<stall_watch::BootTime> {
+        let parts = self.parts.borrow();
+        let idle = parts.holders.iter().filter(|group| !group.is_open);
+        idle.map(|group| group.holder.next_report()).min()
+    }
+
+    /// Returns the credits held and the credits granted as coordinator since the start.
+    #[must_use]
+    pub fn totals(&self, now: stall_watch::BootTime) -> (u64, u64) {
+        let parts = self.parts.borrow();
+        let held = parts.holders.iter().map(|group| group.holder.held(now)).sum();
+        let granted = parts
+            .coordinators
+            .values()
+            .map(credit_coordinator::CreditCoordinator::granted);
+        (held, granted.sum())
+    }
+}
+
+impl QuotaParts {
+    fn group_mut(&mut self, tenant: &ids::TenantName) -> Option<&mut GroupHolder> {
+        let groups = u32::try_from(self.holders.len()).ok()?;
+        let index = coordinator_choice::group_of(tenant, groups);
+        self.holders.get_mut(index as usize)
+    }
+
+    /// Reads the live members, and chooses the coordinators among those that aren't leaving.
+    fn read_members(&mut self, core: &forward_core::ForwardCore, now: stall_watch::BootTime) {
+        let records = core.gossip().table().iter().map(|(_key, entry)| &entry.record);
+        let live: Vec<_> = records.filter(|record| record.state.is_live()).collect();
+        self.known.note(live.iter().map(|record| &record.daemon_id), now);
+        for (index, group) in (0_u32..).zip(&mut self.holders) {
+            let staying = live.iter().filter(|record| !record.leaving);
+            let chosen = coordinator_choice::choose(index, staying.map(|record| &record.daemon_id));
+            let chosen = chosen.and_then(|id| core.gossip().table().find(id));
+            let chosen = chosen.map(|entry| (entry.record.daemon_id.clone(), entry.record.address));
+            let id_of = |chosen: &Option<(ids::DaemonId, _)>| chosen.as_ref().map(|chosen| chosen.0.clone());
+            if id_of(&chosen) != id_of(&group.coordinator) {
+                let name = |chosen: &Option<(ids::DaemonId, _)>| {
+                    id_of(chosen).map_or_else(String::new, |id| ids::text(&id).into_owned())
+                };
+                log::info!(
+                    group = index, coordinator = name(&chosen), before = name(&group.coordinator);
+                    "quota coordinator changed"
+                );
+            }
+            group.coordinator = chosen;
+        }
+    }
+}
--- a/crates/forward/src/store_port.rs
+++ b/crates/forward/src/store_port.rs
@@ -18,6 +18,7 @@
 
 use crate::config_text;
 use crate::node_context;
+use crate::quota_tasks;
 use crate::route_config;
 use crate::stall_watch;
 
@@ -102,9 +103,12 @@
 }
 
 /// Decodes a configuration text and puts it in force if it is valid and newer than the current one.
-pub fn adopt(node: &node_context::NodeContext, port: &StorePort, text: config_text::ConfigText, source: &str) {
+pub fn adopt(node: &rc::Rc<node_context::NodeContext>, port: &StorePort, text: config_text::ConfigText, source: &str) {
     match (port.decode_config)(text.bytes()) {
-        Ok(config) => node.core.ask(|core, _now| core.adopt_config(config, text)),
+        Ok(config) => {
+            node.core.ask(|core, _now| core.adopt_config(config, text));
+            quota_tasks::sync_tenants(node);
+        }
         Err(findings) => {
             for finding in findings {
                 log::error!(source = source, finding = finding; "configuration rejected; the one in force stays");
@@ -331,6 +335,10 @@
 fn merge_members(node: &node_context::NodeContext, rows: &[ListedRow]) {
     let records: Vec<_> = rows.iter().map(|row| row.record.clone()).collect();
     log::info!(members = records.len(); "members listed");
+    if let Some(quota) = &node.quota {
+        let daemons = records.iter().map(|record| &record.daemon_id);
+        quota.note_list(daemons, &node.settings.daemon_id, stall_watch::boot_time());
+    }
     node.core.ask(|core, now| core.merge_members(&records, now));
 }
 
--- a/crates/quota/src/credit_coordinator.rs
+++ b/crates/quota/src/credit_coordinator.rs
@@ -360,6 +360,12 @@
         self.epoch
     }
 
+    /// Returns whether no holder has reported lately.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.holders.is_empty()
+    }
+
     /// Returns the number of credits granted since the start.
     #[must_use]
     pub fn granted(&self) -> u64 {
--- a/crates/quota/src/known_daemons.rs
+++ b/crates/quota/src/known_daemons.rs
@@ -38,6 +38,11 @@
             .retain(|_id, seen| now.saturating_sub(*seen) < FORGET_AGE);
     }
 
+    /// Sets the share to 0 until a delegation of it that may be in use has ended.
+    pub fn withhold(&mut self, now: time::Duration) {
+        self.listed = self.listed.map(|_listed| now);
+    }
+
     /// Records that the list of members contains the own row.
     pub fn note_list(&mut self, now: time::Duration) {
         self.listed.get_or_insert(now);
