--- a/crates/forward/src/config_check.rs
+++ b/crates/forward/src/config_check.rs
@@ -76,7 +76,14 @@
 
 async fn ask(node: rc::Rc<node_context::NodeContext>, address: net::SocketAddr) {
     let sent = stall_watch::boot_time();
-    let reply = member_tasks::post(&node, address, peer_server::CONFIG_AGE_PATH, Vec::new()).await;
+    let reply = member_tasks::post(
+        &node,
+        address,
+        peer_server::CONFIG_AGE_PATH,
+        Vec::new(),
+        member_tasks::PEER_TIMEOUT,
+    )
+    .await;
     let Some(reply) = reply.and_then(|bytes| rmp_serde::from_slice::<ConfigAge>(&bytes).ok()) else {
         return;
     };
