Keep calls without a tenant readable for earlier builds

CallHead had one more field in every call. Earlier builds reject a call with a further field, so during an update from build to build each call of a new daemon to an earlier one would have ended with 502. The field is now left out where there is no tenant; tenants are to be configured after all daemons run a build that knows them.

call_head_is_compatible_with_earlier_builds covers both directions and fails without the default of the field.

--- a/crates/forward/src/peer_call.rs
+++ b/crates/forward/src/peer_call.rs
@@ -32,8 +32,9 @@
     pub caller_service: ids::ServiceName,
     /// What the entry daemon knows of the callee's backend server.
     pub hint: Option<server_hint::ServerHint>,
-    /// Tenant of the caller; `None` for the default tenant, and in calls of daemons of earlier builds.
-    #[serde(default)]
+    /// Tenant of the caller; `None` for the default tenant, and in calls of daemons of earlier builds. Left out if it is
+    /// `None`, since earlier builds reject a call with a further field.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub tenant: Option<ids::TenantName>,
 }
 
--- a/crates/forward/src/tenant_config.rs
+++ b/crates/forward/src/tenant_config.rs
@@ -1,4 +1,4 @@
-//! Tenants of the operators' configuration, and the tenant of a request.
+//! The tenants of the operators' configuration, and the tenant of a request.
 
 use std::collections;
 use std::rc;
@@ -26,7 +26,7 @@
     pub burst: f64,
 }
 
-/// Tenants of one version of the configuration.
+/// The tenants of one version of the configuration.
 #[derive(Clone, Debug, Default)]
 pub struct TenantTable {
     rules: collections::BTreeMap<ids::TenantName, rc::Rc<TenantRule>>,
--- a/crates/forward/tests/tenants.rs
+++ b/crates/forward/tests/tenants.rs
@@ -1,4 +1,4 @@
-//! Tenants without processes: keys, the tenant of a request, order at the gate, and the age of the configuration.
+//! Rules of tenants without processes: keys, the tenant of a request, order at the gate, and the age of the configuration.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -194,9 +194,8 @@
     let digest = KeyDigest::of(b"key-0");
     let now = Instant::now();
     let mut core = core(None, now);
-    let text = ConfigText::new(Bytes::from_static(b"{\"Tenants\":{\"plum\":{\"key-0\"}}}"));
+    let text = ConfigText::new(Bytes::from_static(b"{\"plum\":[\"key-0\"]}"));
     core.adopt_config(config(Some(table())), text.clone());
-    // The first bytes of the SHA-256 digest of `key-0`, as an array and as hexadecimal digits are printed.
     let outputs = [
         format!("{:?}", carried(&["key-0"])),
         format!("{:?}", carried(&["key-0", "key-0"])),
@@ -253,11 +252,11 @@
     }
 }
 
-/// Guards against calls of daemons of earlier builds, which have no tenant, that can't be decoded, and against calls of
-/// this build that an earlier one can't decode.
+/// Guards against calls of daemons of earlier builds, which have no tenant, that can't be decoded, and against calls
+/// without a tenant that an earlier build can't decode.
 #[test]
 fn call_head_is_compatible_with_earlier_builds() {
-    #[derive(serde::Serialize, serde::Deserialize)]
+    #[derive(Debug, PartialEq, serde::Serialize, serde::Deserialize)]
     struct EarlierHead {
         service: Bytes,
         class: Bytes,
@@ -278,6 +277,8 @@
     };
     let text = peer_call::encode(&earlier).unwrap();
     assert_eq!(peer_call::decode::<CallHead>(text.as_bytes()), Some(head(None, 2)));
+    let text = peer_call::encode(&head(None, 2)).unwrap();
+    assert_eq!(peer_call::decode::<EarlierHead>(text.as_bytes()), Some(earlier));
     let text = peer_call::encode(&head(Some("plum"), 2)).unwrap();
     assert_eq!(
         peer_call::decode::<CallHead>(text.as_bytes()),
@@ -414,7 +415,7 @@
 }
 
 /// Guards against keys that stay in force although the daemon can't learn of their end, and against a daemon that refuses
-/// them longer than until the next confirmation. The limit is 9 s: `Revoke` of 10 s less one second.
+/// them longer than until the next confirmation.
 #[test]
 fn keys_are_refused_without_a_recent_confirmation() {
     let ms = Duration::from_millis;
@@ -438,7 +439,7 @@
     assert_eq!(decide(&mut core, "/read/1", &["key-0"], ms(10_600)), "plum");
 }
 
-/// Guards against a deployment without `RevokeFailClosed` that refuses keys while the store is away.
+/// Guards against a deployment without a limit on the age of a confirmation that refuses keys while the store is away.
 #[test]
 fn keys_are_served_without_a_confirmation_by_default() {
     let mut core = core(None, Instant::now());
