Choose servers by expected time to completion where a route has a latency objective

Cause: an entry daemon learned of a queue at a server only through refusals, and preferred every server of its region until two were tried.

Change: the daemon beside a server reports the expected wait and the free slots with each reply. Routing keeps both per server and class for 500 ms. A share of the calls leaves the region if the least expected wait there exceeds that of a server elsewhere with free slots by more than the network delay and a margin. The share grows with the gain in time and falls with the age of the report, and is at most the free slots divided among the daemons of the region. If no load elsewhere is known, a daemon sends one call every 200 ms to learn one, at longer intervals if no free slots are found. Within a region, the reported wait is added to the latency. Routes without TargetLatency are unchanged, and without any such route the replies carry no load.

--- a/crates/admission/src/admission_gate/gate_queries.rs
+++ b/crates/admission/src/admission_gate/gate_queries.rs
@@ -60,6 +60,30 @@
         limit.clamp(1, self.limit.limit())
     }
 
+    /// Returns the load of the backend server for a call of `class` and `importance` that arrives now in the short lane.
+    #[must_use]
+    pub fn load(&self, class: &ids::ClassName, importance: u8, now: time::Instant) -> gate_report::GateLoad {
+        let importance = importance.min(admission_level::MAX_IMPORTANCE);
+        let class = self.class_index.get(class).map(|index| &self.classes[*index]);
+        let service_time = class.map_or(time::Duration::ZERO, |class| class.estimate.mean(now));
+        let queue = &self.lane(gate_report::CallLane::Short).queue;
+        if queue.is_empty() && self.can_start(gate_report::CallLane::Short) {
+            return gate_report::GateLoad {
+                wait: time::Duration::ZERO,
+                free: self.limit.limit() - self.counts.running,
+            };
+        }
+        let slot_wait = (queue.slot_time_ahead(importance) + service_time) / self.limit.limit();
+        let rate_wait = self
+            .rate
+            .as_ref()
+            .map_or(time::Duration::ZERO, |rate| rate.wait(queue.count_ahead(importance)));
+        gate_report::GateLoad {
+            wait: slot_wait.max(rate_wait),
+            free: 0,
+        }
+    }
+
     /// Returns the call counts of the gate, with the current length of both queues.
     #[must_use]
     pub fn counts(&self) -> gate_report::GateCounts {
--- a/crates/admission/src/class_queue.rs
+++ b/crates/admission/src/class_queue.rs
@@ -61,6 +61,8 @@
     count: usize,
     /// Sum of the costs of the queued calls, in microseconds.
     cost_us: i64,
+    /// Sum of the expected slot times of the queued calls, which unlike their costs are not clamped.
+    work: time::Duration,
     tenants: Vec<TenantQueue>,
     /// Active list of the round robin: tenants with queued calls, each once. The front has the turn.
     active: collections::VecDeque<tenant_share::TenantIndex>,
@@ -93,7 +95,7 @@
         let band = &mut self.bands[usize::from(call.importance)];
         self.sequence += 1;
         let entry = (call.deadline, self.sequence, 0);
-        let (id, tenant, critical, cost) = (call.call, call.tenant, call.critical, cost_us(call.cost));
+        let (id, tenant, critical, cost) = (call.call, call.tenant, call.critical, call.cost);
         let key = self.calls.insert(call);
         if band.tenants.len() <= tenant {
             band.tenants.resize_with(tenant + 1, TenantQueue::default);
@@ -107,7 +109,8 @@
             band.arrivals.push_back((id, key));
         }
         band.count += 1;
-        band.cost_us += cost;
+        band.cost_us += cost_us(cost);
+        band.work += cost;
         self.index.insert(id, key);
     }
 
@@ -209,6 +212,7 @@
         let band = &mut self.bands[usize::from(call.importance)];
         band.count -= 1;
         band.cost_us -= cost_us(call.cost);
+        band.work = band.work.saturating_sub(call.cost);
         if band.count == 0 {
             band.arrivals.clear();
         }
@@ -266,6 +270,12 @@
         time::Duration::from_micros(u64::try_from(work).unwrap_or(0))
     }
 
+    /// Returns the expected slot time as [`Self::work_ahead`] does, without the clamp to the range of costs.
+    #[must_use]
+    pub fn slot_time_ahead(&self, importance: u8) -> time::Duration {
+        self.bands[usize::from(importance)..].iter().map(|band| band.work).sum()
+    }
+
     /// Returns the number of calls that are at least as important as `importance`.
     #[must_use]
     pub fn count_ahead(&self, importance: u8) -> usize {
--- a/crates/admission/src/gate_report.rs
+++ b/crates/admission/src/gate_report.rs
@@ -99,3 +99,12 @@
     /// Calls queued now, in both lanes.
     pub queued: usize,
 }
+
+/// Load of a backend server for a call that arrives now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GateLoad {
+    /// Expected wait for a slot.
+    pub wait: time::Duration,
+    /// Free slots.
+    pub free: u32,
+}
--- a/crates/filetests/src/call_world/senders.rs
+++ b/crates/filetests/src/call_world/senders.rs
@@ -126,6 +126,7 @@
             cross_region: false,
             may_probe: !setting.critical,
             exclude: &send.tried,
+            latency_objective: None,
         };
         let route_candidate::RouteChoice::Use { key: server, .. } = table.choose(&request, now, &mut self.rng) else {
             return None;
--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -328,8 +328,12 @@
                 daemon_id,
                 address,
                 distance,
+                for_capacity,
             } => {
                 node.metrics.count_attempt(&entry.rule.name, distance);
+                if for_capacity {
+                    node.metrics.count_capacity_departure(&entry.rule.name);
+                }
                 let guard = AttemptGuard::new(node, call);
                 let work = call_peer(node, entry, &daemon_id, address);
                 (server, await_attempt(work, entry.deadline, guard).await)
@@ -474,7 +478,12 @@
         .get(peer_call::REPLY_HEADER)
         .and_then(|value| peer_call::decode::<peer_call::CallReply>(value.as_bytes()));
     if let Some(reply) = &reply {
-        node.core.ask(|core, now| core.note_reply(daemon_id, reply, now));
+        node.core.ask(|core, now| {
+            core.note_reply(daemon_id, reply, now);
+            if let Some(load) = reply.load {
+                core.note_load(daemon_id, &entry.rule.name, load, now);
+            }
+        });
     }
     let Ok((mut parts, body)) = message_body::receive(response, lease, entry.deadline).await else {
         return callee_call::CallResult::MayHaveRun;
--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -1,5 +1,6 @@
 //! Decision state of a daemon. Its methods take the current time as `now`, return the action to take and never block.
-//! `core_members` has the methods for members and for the state of the backend server, `core_queries` the queries.
+//! `core_capacity` has the methods for reported loads, `core_members` those for members and for the state of the
+//! backend server, `core_queries` the queries.
 
 use std::collections;
 use std::net;
@@ -27,6 +28,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::capacity_log;
 use crate::forward_settings;
 use crate::peer_call;
 use crate::retry_share;
@@ -36,6 +38,7 @@
 use crate::stall_watch;
 use crate::weighted_choice;
 
+mod core_capacity;
 mod core_members;
 mod core_queries;
 
@@ -110,6 +113,8 @@
         address: net::SocketAddr,
         /// Distance of the server from this daemon.
         distance: server_location::ServerDistance,
+        /// Whether the server is in another region since those of this region have less capacity.
+        for_capacity: bool,
     },
     /// Send to the backend server beside this daemon.
     Local {
@@ -172,6 +177,7 @@
     stalls: stall_watch::StallWatch,
     next_call: ids::CallId,
     waiters: collections::HashMap<ids::CallId, WorkWaiter>,
+    capacity_log: capacity_log::CapacityLog,
     rng: rand::rngs::StdRng,
 }
 
@@ -223,6 +229,7 @@
             stalls: stall_watch::StallWatch::new(boot_time),
             next_call: 1,
             waiters: collections::HashMap::new(),
+            capacity_log: capacity_log::CapacityLog::default(),
             rng: rand::rngs::StdRng::seed_from_u64(incarnation),
         }
     }
@@ -260,7 +267,11 @@
             cross_region: true,
             may_probe: rule.is_repeatable(),
             exclude,
+            latency_objective: rule.latency_objective,
         };
+        if rule.latency_objective.is_some() {
+            self.note_own_load(service, rule, now);
+        }
         let choice = self.routes.choose(&request, now, &mut self.rng);
         let route_candidate::RouteChoice::Use {
             key: server, distance, ..
@@ -274,6 +285,10 @@
         else {
             return AttemptChoice::None;
         };
+        let departure = self.routes.take_departure();
+        if let Some(departure) = &departure {
+            self.log_capacity_departure(&rule.name, departure, now);
+        }
         match self.routes.candidate(server) {
             Some(candidate) if candidate.daemon_id == self.settings.daemon_id => AttemptChoice::Local { server, call },
             Some(candidate) => AttemptChoice::Peer {
@@ -282,6 +297,7 @@
                 daemon_id: candidate.daemon_id.clone(),
                 address: candidate.address,
                 distance,
+                for_capacity: departure.is_some(),
             },
             None => AttemptChoice::None,
         }
--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -24,6 +24,7 @@
     work: metrics::Counter<u64>,
     repeats: metrics::Counter<u64>,
     rounds: metrics::Counter<u64>,
+    capacity_departures: metrics::Counter<u64>,
     running: metrics::Gauge<u64>,
     queued: metrics::Gauge<u64>,
     config_version: metrics::Gauge<u64>,
@@ -79,6 +80,10 @@
                 .u64_counter("damasktrack_rounds")
                 .with_description("Further rounds of attempts after all tried servers lacked capacity, by class")
                 .build(),
+            capacity_departures: meter
+                .u64_counter("damasktrack_capacity_departures")
+                .with_description("Requests sent to another region since its servers complete them sooner, by class")
+                .build(),
             running: meter
                 .u64_gauge("damasktrack_work_running")
                 .with_description("Calls that the backend server runs")
@@ -139,6 +144,13 @@
         self.rounds.add(1, &[opentelemetry::KeyValue::new("class", class)]);
     }
 
+    /// Counts a request that leaves its region for capacity.
+    pub fn count_capacity_departure(&self, class: &ids::ClassName) {
+        let class = ids::text(class).into_owned();
+        self.capacity_departures
+            .add(1, &[opentelemetry::KeyValue::new("class", class)]);
+    }
+
     /// Sets the gauges of the admission gate and of the configuration.
     pub fn record_state(&self, running: u32, queued: usize, config_version: ids::Revision) {
         self.running.record(u64::from(running), &[]);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,6 +9,7 @@
 //! platform's names and formats are defined outside this crate.
 
 pub mod callee_call;
+pub mod capacity_log;
 pub mod core_handle;
 pub mod departure_log;
 pub mod entry_call;
--- a/crates/forward/src/peer_call.rs
+++ b/crates/forward/src/peer_call.rs
@@ -3,8 +3,10 @@
 use std::time;
 
 use base64::Engine;
+use damasktrack_admission::gate_report;
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
+use damasktrack_routing::completion_estimate;
 
 use crate::server_hint;
 
@@ -42,6 +44,37 @@
     pub verdict: CallVerdict,
     /// Notices of the backend server; `None` if the callee daemon knows none.
     pub hint: Option<server_hint::ServerHint>,
+    /// Load of the backend server; `None` unless the configuration has a route with a latency objective.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load: Option<ReportedLoad>,
+}
+
+/// Load of the backend server beside the callee daemon, for a call of the class that arrives now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct ReportedLoad {
+    /// Expected wait for a slot, in milliseconds.
+    pub wait_ms: u16,
+    /// Free slots.
+    pub free: u16,
+}
+
+impl From<gate_report::GateLoad> for ReportedLoad {
+    fn from(load: gate_report::GateLoad) -> Self {
+        Self {
+            wait_ms: u16::try_from(load.wait.as_millis()).unwrap_or(u16::MAX),
+            free: u16::try_from(load.free).unwrap_or(u16::MAX),
+        }
+    }
+}
+
+impl From<ReportedLoad> for completion_estimate::ServerLoad {
+    fn from(load: ReportedLoad) -> Self {
+        Self {
+            wait: time::Duration::from_millis(u64::from(load.wait_ms)),
+            free: u32::from(load.free),
+        }
+    }
 }
 
 /// Result of a call at the callee daemon.
--- a/crates/forward/src/peer_server.rs
+++ b/crates/forward/src/peer_server.rs
@@ -93,8 +93,11 @@
             empty_response(hyper::StatusCode::BAD_GATEWAY),
         ),
     };
-    let hint = node.core.ask(|core, _now| core.server().hint());
-    let text = peer_call::encode(&peer_call::CallReply { verdict, hint }).ok();
+    let (hint, load) = node.core.ask(|core, now| {
+        let load = core.own_load(&head.class, head.priority, now);
+        (core.server().hint(), load)
+    });
+    let text = peer_call::encode(&peer_call::CallReply { verdict, hint, load }).ok();
     // The entry daemon treats a response without this header as one to a request that may have run.
     if let Some(value) = text.and_then(|text| header::HeaderValue::try_from(text).ok()) {
         response.headers_mut().insert(peer_call::REPLY_HEADER, value);
--- a/crates/forward/src/route_config.rs
+++ b/crates/forward/src/route_config.rs
@@ -41,6 +41,8 @@
     pub kind: RouteKind,
     /// Upper bound of a caller's deadline; `None` if the route sets none.
     pub timeout: Option<time::Duration>,
+    /// Latency objective of callers; with one, servers are chosen by expected time to completion.
+    pub latency_objective: Option<time::Duration>,
     /// Priority; 0 is the most important.
     pub priority: u8,
     /// Services that the requests are distributed over by weight; never empty.
@@ -79,12 +81,15 @@
     pub limits: CallerLimits,
     /// Rules by host, those of one host from the longest prefix to the shortest.
     routes: collections::HashMap<Bytes, Vec<rc::Rc<RouteRule>>>,
+    /// Whether a rule has a latency objective.
+    latency_objectives: bool,
 }
 
 impl RouteConfig {
     /// Creates a configuration and orders the rules of each host by the length of the prefix.
     #[must_use]
     pub fn new(version: ids::Revision, limits: CallerLimits, rules: Vec<RouteRule>) -> Self {
+        let latency_objectives = rules.iter().any(|rule| rule.latency_objective.is_some());
         let mut routes: collections::HashMap<Bytes, Vec<rc::Rc<RouteRule>>> = collections::HashMap::new();
         for rule in rules {
             routes.entry(rule.host.clone()).or_default().push(rc::Rc::new(rule));
@@ -96,6 +101,7 @@
             version,
             limits,
             routes,
+            latency_objectives,
         }
     }
 }
@@ -111,6 +117,12 @@
         rules.iter().find(|rule| path.as_bytes().starts_with(&rule.prefix))
     }
 
+    /// Returns whether a rule has a latency objective.
+    #[must_use]
+    pub fn has_latency_objective(&self) -> bool {
+        self.latency_objectives
+    }
+
     /// Returns the number of rules over all hosts.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/node/src/core/core_routes.rs
+++ b/crates/node/src/core/core_routes.rs
@@ -177,6 +177,7 @@
             cross_region,
             may_probe: class.idempotent && !self.classes.is_critical(&context.class),
             exclude: tried,
+            latency_objective: None,
         };
         let choice = self.routes.table.choose(&request, now, &mut rand::rng());
         let route_candidate::RouteChoice::Use { key, distance, .. } = choice else {
--- a/crates/routing/examples/route_cost.rs
+++ b/crates/routing/examples/route_cost.rs
@@ -66,6 +66,7 @@
             cross_region: true,
             may_probe: true,
             exclude: &[],
+            latency_objective: None,
         };
         let latency = Duration::from_micros(rng.random_range(1000..9000));
         let start = Instant::now();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,8 +4,11 @@
 //! socket or reads a clock.
 
 pub mod cold_ramp;
+pub mod completion_choice;
+pub mod completion_estimate;
 pub mod hedge_policy;
 pub mod latency_estimate;
+pub mod load_reports;
 pub mod region_budget;
 pub mod region_window;
 pub mod request_hold;
--- a/crates/routing/src/route_candidate.rs
+++ b/crates/routing/src/route_candidate.rs
@@ -73,6 +73,8 @@
     pub may_probe: bool,
     /// Servers that were tried already for this call.
     pub exclude: &'a [ServerKey],
+    /// Latency objective of the class; with one, servers are chosen by expected time to completion.
+    pub latency_objective: Option<time::Duration>,
 }
 
 /// Result of a choice among the servers of a service.
--- a/crates/routing/src/route_queries.rs
+++ b/crates/routing/src/route_queries.rs
@@ -124,7 +124,7 @@
         }
     }
 
-    fn network_delay(&self, server: &server_state::ServerState) -> time::Duration {
+    pub(crate) fn network_delay(&self, server: &server_state::ServerState) -> time::Duration {
         if let Some(network_delay) = self.network_delays.get(&server.candidate.location) {
             return *network_delay;
         }
@@ -229,7 +229,7 @@
         now: time::Instant,
         rng: &mut R,
     ) {
-        let share = |key: &route_candidate::ServerKey| self.servers[*key].ramp.map_or(1.0, |ramp| ramp.share(now));
+        let share = |key: &route_candidate::ServerKey| self.servers[*key].ramp_share(now);
         if pool.iter().all(|key| share(key) < 1.0) {
             return;
         }
@@ -278,6 +278,10 @@
                 .unwrap_or(DEFAULT_LATENCY_SECONDS);
             long_term_mean + self.network_delay(server).as_secs_f64()
         });
-        f64::from(server.lane_in_flight(request.lane) + 1) * latency
+        let estimate = request
+            .latency_objective
+            .and_then(|_objective| self.estimate(key, request.class, now));
+        let wait = estimate.map_or(0.0, |estimate| estimate.load.wait.as_secs_f64());
+        f64::from(server.lane_in_flight(request.lane) + 1) * (latency + wait)
     }
 }
--- a/crates/routing/src/route_table.rs
+++ b/crates/routing/src/route_table.rs
@@ -7,6 +7,8 @@
 use damasktrack_entity::ids;
 use damasktrack_entity::server_location;
 
+use crate::completion_choice;
+use crate::completion_estimate;
 use crate::latency_estimate;
 use crate::region_window;
 use crate::route_candidate;
@@ -41,6 +43,8 @@
     events: Vec<route_candidate::RouteEvent>,
     /// Buffer reused by `choose`.
     pool: Vec<route_candidate::ServerKey>,
+    /// Set by `choose` if the call leaves its region for capacity.
+    departure: Option<completion_choice::CapacityDeparture>,
 }
 
 #[derive(Debug)]
@@ -53,6 +57,7 @@
     pub(crate) baselines: collections::BTreeMap<ids::ClassName, f64>,
     /// By class; empty unless the policy is [`region_window::RegionPolicy::Windowed`].
     pub(crate) windows: collections::BTreeMap<ids::ClassName, region_window::RegionWindow>,
+    pub(crate) scout: completion_choice::ScoutPause,
 }
 
 /// Commands.
@@ -71,6 +76,7 @@
             network_delays: collections::HashMap::new(),
             events: Vec::new(),
             pool: Vec::new(),
+            departure: None,
         }
     }
 
@@ -141,6 +147,24 @@
         }
     }
 
+    /// Stores the load that the daemon beside a server reported with its reply to a call of `class`.
+    pub fn note_load(
+        &mut self,
+        key: route_candidate::ServerKey,
+        class: &ids::ClassName,
+        load: completion_estimate::ServerLoad,
+        now: time::Instant,
+    ) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.loads.note(class, load, now);
+        }
+    }
+
+    /// Returns the inputs of the last choice if it sends the call to another region for capacity.
+    pub fn take_departure(&mut self) -> Option<completion_choice::CapacityDeparture> {
+        self.departure.take()
+    }
+
     /// Chooses a server. The call is only counted by [`Self::begin`].
     pub fn choose<R: rand::Rng + ?Sized>(
         &mut self,
@@ -148,12 +172,16 @@
         now: time::Instant,
         rng: &mut R,
     ) -> route_candidate::RouteChoice {
+        self.departure = None;
         self.review_if_due(request.service, now);
         if let Some(key) = self.due_probe(request, now) {
             return self.choice_for(key);
         }
         let mut pool = std::mem::take(&mut self.pool);
         self.best_pool(request, now, &mut pool);
+        if request.latency_objective.is_some() {
+            self.departure = self.prefer_sooner(request, &mut pool, now, rng);
+        }
         self.filter_cold(&mut pool, now, rng);
         let chosen = self.choose_of_two(&pool, request, now, rng);
         self.pool = pool;
@@ -179,6 +207,7 @@
             state.calls
         });
         server.adjust_in_flight(lane, 1);
+        server.loads.count_sent(now);
         let estimate = server.classes.entry(class.clone());
         estimate
             .or_insert_with(|| latency_estimate::LatencyEstimate::new(now))
@@ -425,6 +454,7 @@
             reviewed: None,
             baselines: collections::BTreeMap::new(),
             windows: collections::BTreeMap::new(),
+            scout: completion_choice::ScoutPause::default(),
         }
     }
 }
--- a/crates/routing/src/server_state.rs
+++ b/crates/routing/src/server_state.rs
@@ -9,6 +9,7 @@
 
 use crate::cold_ramp;
 use crate::latency_estimate;
+use crate::load_reports;
 use crate::region_window;
 use crate::route_candidate;
 use crate::straggler_ejection;
@@ -39,6 +40,8 @@
     /// Until when other servers are preferred, since the request rate of this one is reached.
     pub(crate) held_until: Option<time::Instant>,
     pub(crate) failures: u32,
+    /// Reports of the daemon beside the server.
+    pub(crate) loads: load_reports::LoadReports,
     /// Set by a refusal with [`call_outcome::RefusalReason::Leaving`], which may arrive before the gossip about it.
     /// Never reset within an incarnation.
     pub(crate) refused_leaving: bool,
@@ -88,6 +91,7 @@
             paused_until: None,
             held_until: None,
             failures: 0,
+            loads: load_reports::LoadReports::default(),
             refused_leaving: false,
         }
     }
@@ -213,6 +217,11 @@
         }
     }
 
+    /// Returns the share of calls that the server gets while it is cold.
+    pub(crate) fn ramp_share(&self, now: time::Instant) -> f64 {
+        self.ramp.map_or(1.0, |ramp| ramp.share(now))
+    }
+
     /// Returns whether the server is in the caller's region.
     pub(crate) fn is_in_region(&self) -> bool {
         self.distance != server_location::ServerDistance::CrossRegion
--- a/crates/routing/tests/choices.rs
+++ b/crates/routing/tests/choices.rs
@@ -50,6 +50,7 @@
             cross_region,
             may_probe: true,
             exclude: &[],
+            latency_objective: None,
         };
         let RouteChoice::Use { key, .. } = self.table.choose(&request, self.now, &mut self.rng) else {
             return None;
--- a/crates/routing/tests/regions.rs
+++ b/crates/routing/tests/regions.rs
@@ -57,6 +57,7 @@
             cross_region: true,
             may_probe: false,
             exclude,
+            latency_objective: None,
         };
         let RouteChoice::Use { key, .. } = self.table.choose(&request, self.now, &mut self.rng) else {
             return None;
--- a/crates/routing/tests/request_rates.rs
+++ b/crates/routing/tests/request_rates.rs
@@ -92,6 +92,7 @@
             cross_region: true,
             may_probe: false,
             exclude: &tried,
+            latency_objective: None,
         };
         let RouteChoice::Use { key, .. } = entry.table.choose(&request, now, rng) else {
             return false;
--- a/crates/routing/tests/route_fuzz.rs
+++ b/crates/routing/tests/route_fuzz.rs
@@ -178,6 +178,7 @@
             cross_region,
             may_probe,
             exclude: &tried,
+            latency_objective: None,
         };
         let mut choice = self.table.choose(&request, self.now, &mut self.rng);
         if self.fault == Fault::ArbitraryServer
--- a/crates/routing/tests/stragglers.rs
+++ b/crates/routing/tests/stragglers.rs
@@ -166,6 +166,7 @@
             cross_region: true,
             may_probe: true,
             exclude: &[],
+            latency_objective: None,
         };
         let RouteChoice::Use { key, .. } = self.table.choose(&request, self.now, &mut self.rng) else {
             panic!("no candidate");
--- /dev/null
+++ b/crates/routing/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! Shared by the tests of this folder.
+
+pub mod capacity_world;
