Send reported loads in a header of their own

Cause: MessagePack decoding of a reply with more fields than the receiver knows fails, and the entry daemon treats such a response as one to a request that may have run. While daemons of two builds run, all responses of new daemons to old ones would have failed.

Change: the load is in the header damasktrack-peer-load, which earlier builds ignore. The callee daemon replaces a header of this name of its backend server, and the entry daemon removes it from the response.

--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -477,10 +477,14 @@
         .headers()
         .get(peer_call::REPLY_HEADER)
         .and_then(|value| peer_call::decode::<peer_call::CallReply>(value.as_bytes()));
+    let load = response
+        .headers()
+        .get(peer_call::LOAD_HEADER)
+        .and_then(|value| peer_call::decode::<peer_call::ReportedLoad>(value.as_bytes()));
     if let Some(reply) = &reply {
         node.core.ask(|core, now| {
             core.note_reply(daemon_id, reply, now);
-            if let Some(load) = reply.load {
+            if let Some(load) = load {
                 core.note_load(daemon_id, &entry.rule.name, load, now);
             }
         });
@@ -489,6 +493,7 @@
         return callee_call::CallResult::MayHaveRun;
     };
     parts.headers.remove(peer_call::REPLY_HEADER);
+    parts.headers.remove(peer_call::LOAD_HEADER);
     match reply.map(|reply| reply.verdict) {
         Some(peer_call::CallVerdict::Answered) => {
             callee_call::CallResult::Answered(Box::new(callee_call::forwarded_response(&parts, body)))
--- a/crates/forward/src/peer_call.rs
+++ b/crates/forward/src/peer_call.rs
@@ -16,6 +16,11 @@
 /// caller.
 pub const REPLY_HEADER: &str = "damasktrack-peer-reply";
 
+/// Header of a response between daemons with an encoded [`ReportedLoad`], if the configuration has a route with a latency
+/// objective. It is not a field of [`CallReply`], since earlier builds reject a reply with more fields than they know
+/// and treat the request as one that may have run.
+pub const LOAD_HEADER: &str = "damasktrack-peer-load";
+
 /// Metadata of a call from the entry daemon to the callee daemon.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -44,9 +49,6 @@
     pub verdict: CallVerdict,
     /// Notices of the backend server; `None` if the callee daemon knows none.
     pub hint: Option<server_hint::ServerHint>,
-    /// Load of the backend server; `None` unless the configuration has a route with a latency objective.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub load: Option<ReportedLoad>,
 }
 
 /// Load of the backend server beside the callee daemon, for a call of the class that arrives now.
--- a/crates/forward/src/peer_server.rs
+++ b/crates/forward/src/peer_server.rs
@@ -97,11 +97,17 @@
         let load = core.own_load(&head.class, head.priority, now);
         (core.server().hint(), load)
     });
-    let text = peer_call::encode(&peer_call::CallReply { verdict, hint, load }).ok();
+    let text = peer_call::encode(&peer_call::CallReply { verdict, hint }).ok();
     // The entry daemon treats a response without this header as one to a request that may have run.
     if let Some(value) = text.and_then(|text| header::HeaderValue::try_from(text).ok()) {
         response.headers_mut().insert(peer_call::REPLY_HEADER, value);
     }
+    // The header of a backend server's response is not a report.
+    response.headers_mut().remove(peer_call::LOAD_HEADER);
+    let load = load.and_then(|load| peer_call::encode(&load).ok());
+    if let Some(value) = load.and_then(|text| header::HeaderValue::try_from(text).ok()) {
+        response.headers_mut().insert(peer_call::LOAD_HEADER, value);
+    }
     response
 }
 
--- a/crates/forward/tests/states.rs
+++ b/crates/forward/tests/states.rs
@@ -3,6 +3,8 @@
 use std::time;
 
 use bytes::Bytes;
+use damasktrack_forward::capacity_log::CapacityLog;
+use damasktrack_forward::peer_call::{self, CallReply, CallVerdict, ReportedLoad};
 use damasktrack_forward::retry_share::RetryBounds;
 use damasktrack_forward::route_config::RouteTarget;
 use damasktrack_forward::server_hint::{HintTable, ServerHint};
@@ -380,3 +382,46 @@
     assert_eq!(own_row_version(&departed, Some((&own, 7)), Some(5)), None);
     assert_eq!(own_row_version(&departed, Some((&departed, 7)), Some(5)), Some(7));
 }
+
+/// Reply as builds without reported loads have it.
+#[derive(Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+struct EarlierReply {
+    verdict: CallVerdict,
+    hint: Option<ServerHint>,
+}
+
+/// Guards against a reply that a build without reported loads can't read, or the reverse. Either would count as a
+/// request that may have run, while daemons of both builds run.
+#[test]
+fn reply_is_that_of_earlier_builds() {
+    let earlier = EarlierReply {
+        verdict: CallVerdict::Answered,
+        hint: None,
+    };
+    let reply = CallReply {
+        verdict: CallVerdict::Answered,
+        hint: None,
+    };
+    let text = peer_call::encode(&reply).unwrap();
+    assert_eq!(peer_call::decode::<EarlierReply>(text.as_bytes()), Some(earlier));
+    let load = ReportedLoad { wait_ms: 120, free: 0 };
+    let text = peer_call::encode(&load).unwrap();
+    assert_eq!(peer_call::decode::<ReportedLoad>(text.as_bytes()), Some(load));
+}
+
+/// Guards against a log line for each call that leaves its region.
+#[test]
+fn only_the_start_of_a_departure_is_logged() {
+    let (mut log, start) = (CapacityLog::default(), time::Instant::now());
+    let (read, write) = (Bytes::from_static(b"read"), Bytes::from_static(b"write"));
+    assert!(log.begins(&read, start));
+    assert!(log.begins(&write, start));
+    let lines = (1..200).filter(|step| log.begins(&read, start + time::Duration::from_millis(step * 50)));
+    assert_eq!(lines.count(), 0, "calls leave without a pause");
+    assert!(log.begins(&read, start + time::Duration::from_secs(12)));
+    assert!(
+        !log.begins(&read, start + time::Duration::from_secs(14)),
+        "less than 5 s after a line"
+    );
+}
