Test the reported load and its use with arbitrary values

The fuzz of the route table gets reports of any wait, number of free slots and age, also of a server of another service, and runs with the region window as well. With the window, its oracle allows a call that stays in the region with an ejected server or that gets no server, which is the behaviour of a closed window without reports too.

--- a/crates/routing/tests/route_fuzz.rs
+++ b/crates/routing/tests/route_fuzz.rs
@@ -8,6 +8,8 @@
 use bytes::Bytes;
 use damasktrack_entity::call_outcome::RefusalReason;
 use damasktrack_entity::server_location::{ServerDistance, ServerLocation};
+use damasktrack_routing::completion_estimate::ServerLoad;
+use damasktrack_routing::region_window::RegionPolicy;
 use damasktrack_routing::route_candidate::{
     CallKey, CandidateState, RouteCandidate, RouteChoice, RouteLane, RouteRequest, RouteResult, ServerKey,
 };
@@ -20,6 +22,7 @@
 const CASES: u64 = 300;
 const STEPS: usize = 400;
 const SERVERS: u8 = 9;
+const OBJECTIVE: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 enum Step {
@@ -39,9 +42,19 @@
         cross_region: bool,
         may_probe: bool,
         long: bool,
+        has_objective: bool,
     },
     Retry {
         cross_region: bool,
+        has_objective: bool,
+    },
+    /// Reports of a load; the last number is the server of another service.
+    Report {
+        #[generator(0..=SERVERS)]
+        server: u8,
+        wait_us: u64,
+        free: u32,
+        age_ms: u16,
     },
     Finish {
         call: u8,
@@ -68,6 +81,7 @@
     now: Instant,
     rng: StdRng,
     fault: Fault,
+    policy: RegionPolicy,
     states: HashMap<u8, (CandidateState, u64, ServerKey)>,
     /// Servers that refused a call since they are leaving.
     refused_leaving: Vec<ServerKey>,
@@ -78,6 +92,21 @@
     /// Calls begun at a server since it was ejected.
     probes: Vec<(CallKey, ServerKey)>,
     tried: Vec<ServerKey>,
+    /// Calls that left the region for capacity.
+    departures: u64,
+}
+
+fn other_service() -> RouteCandidate {
+    RouteCandidate {
+        daemon_id: Bytes::from_static(b"vm-other"),
+        incarnation: 1,
+        service: Bytes::from_static(b"tides"),
+        address: ([10, 0, 1, 1], 7000).into(),
+        location: location(2),
+        slots: 4,
+        state: CandidateState::Ready,
+        ready_since: None,
+    }
 }
 
 fn location(server: u8) -> ServerLocation {
@@ -89,12 +118,15 @@
 }
 
 impl Oracle {
-    fn new(case: u64, fault: Fault) -> Self {
+    fn new(case: u64, fault: Fault, policy: RegionPolicy) -> Self {
+        let mut table = RouteTable::new(location(0));
+        table.set_region_policy(policy);
         Self {
-            table: RouteTable::new(location(0)),
+            table,
             now: Instant::now(),
             rng: StdRng::seed_from_u64(case),
             fault,
+            policy,
             states: HashMap::new(),
             refused_leaving: Vec::new(),
             paused: HashMap::new(),
@@ -102,6 +134,7 @@
             calls: Vec::new(),
             probes: Vec::new(),
             tried: Vec::new(),
+            departures: 0,
         }
     }
 
@@ -117,11 +150,21 @@
                 cross_region,
                 may_probe,
                 long,
+                has_objective,
             } => {
                 self.tried.clear();
-                self.call(cross_region, may_probe, long)?;
+                self.call(cross_region, may_probe, long, has_objective.then_some(OBJECTIVE))?;
             }
-            Step::Retry { cross_region } => self.call(cross_region, true, false)?,
+            Step::Retry {
+                cross_region,
+                has_objective,
+            } => self.call(cross_region, true, false, has_objective.then_some(OBJECTIVE))?,
+            Step::Report {
+                server,
+                wait_us,
+                free,
+                age_ms,
+            } => self.report(server, wait_us, free, age_ms),
             Step::Finish { call, result } => self.finish(call, result),
             Step::Advance { millis } => {
                 self.now += Duration::from_millis(u64::from(millis));
@@ -163,7 +206,35 @@
         self.states.insert(server, (state, incarnation, key));
     }
 
-    fn call(&mut self, cross_region: bool, may_probe: bool, long: bool) -> Result<(), String> {
+    /// Reports any load, of past and future times too, of the servers of one data centre.
+    fn report(&mut self, server: u8, wait_us: u64, free: u32, age_ms: u16) {
+        let load = ServerLoad {
+            wait: Duration::from_micros(wait_us >> (32 + free % 32)),
+            free,
+        };
+        let age = Duration::from_millis(u64::from(age_ms >> (4 + age_ms % 12)));
+        let at = if free.is_multiple_of(5) {
+            self.now + age
+        } else {
+            self.now.checked_sub(age).unwrap_or(self.now)
+        };
+        let group = self.states.iter().filter(|(other, _known)| **other % 3 == server % 3);
+        let mut keys: Vec<ServerKey> = group.map(|(_server, known)| known.2).collect();
+        if server == SERVERS {
+            keys = vec![self.table.upsert(other_service())];
+        }
+        for key in keys {
+            self.table.note_load(key, &Bytes::from_static(b"permit"), load, at);
+        }
+    }
+
+    fn call(
+        &mut self,
+        cross_region: bool,
+        may_probe: bool,
+        long: bool,
+        objective: Option<Duration>,
+    ) -> Result<(), String> {
         let (class, lane) = if long {
             ("ledger", RouteLane::Long)
         } else {
@@ -178,7 +249,7 @@
             cross_region,
             may_probe,
             exclude: &tried,
-            latency_objective: None,
+            latency_objective: objective,
         };
         let mut choice = self.table.choose(&request, self.now, &mut self.rng);
         if self.fault == Fault::ArbitraryServer
@@ -191,6 +262,7 @@
                 distance,
             };
         }
+        self.departures += u64::from(self.table.take_departure().is_some());
         let eligible: Vec<u8> = self
             .states
             .keys()
@@ -198,7 +270,8 @@
             .filter(|server| self.is_eligible(*server, cross_region))
             .collect();
         let RouteChoice::Use { key, probe, distance } = choice else {
-            return if eligible.is_empty() {
+            // A closed window refuses a call that has tried the servers of the region.
+            return if eligible.iter().all(|server| self.is_bounded(*server)) {
                 Ok(())
             } else {
                 Err(format!("no candidate although {eligible:?} are eligible"))
@@ -229,7 +302,8 @@
             .probe_wait_started
             .get(&key)
             .is_some_and(|probe_wait_started| self.now - *probe_wait_started >= Duration::from_secs(8));
-        let other = eligible.iter().any(|other| !ejected(other));
+        // A closed window keeps calls in the region, with an ejected server if it has no other.
+        let other = eligible.iter().any(|other| !ejected(other) && !self.is_bounded(*other));
         if ejected(&server) && other && !may_probe && !waited {
             return Err(format!("ejected vm-{server} was chosen although another is eligible"));
         }
@@ -253,6 +327,11 @@
         Ok(())
     }
 
+    /// Returns whether calls to a server are bounded by the region window.
+    fn is_bounded(&self, server: u8) -> bool {
+        self.policy == RegionPolicy::Windowed && location(server).region != location(0).region
+    }
+
     fn is_eligible(&self, server: u8, cross_region: bool) -> bool {
         let (state, _incarnation, key) = self.states[&server];
         let gets_calls = matches!(state, CandidateState::Ready | CandidateState::Suspect);
@@ -319,15 +398,16 @@
     }
 }
 
-fn fuzz(fault: Fault) -> Result<u64, String> {
+/// Returns the numbers of ejected servers over all steps and of calls that left the region for capacity.
+fn fuzz(fault: Fault, policy: RegionPolicy) -> Result<(u64, u64), String> {
     println!("seed {SEED}");
-    let mut ejections = 0;
+    let (mut ejections, mut departures) = (0, 0);
     for case in 0..CASES {
         let mut bytes = vec![0; STEPS * 8];
         StdRng::seed_from_u64(SEED ^ case).fill_bytes(&mut bytes);
         let options = Options::default();
         let mut driver = ByteSliceDriver::new(&bytes, &options);
-        let mut oracle = Oracle::new(case, fault);
+        let mut oracle = Oracle::new(case, fault, policy);
         for step in 0..STEPS {
             let Some(next) = Step::generate(&mut driver) else {
                 break;
@@ -338,9 +418,10 @@
             let keys = oracle.states.values().map(|known| known.2);
             ejections += keys.filter(|key| oracle.table.ejection(*key).is_some()).count() as u64;
         }
+        departures += oracle.departures;
     }
-    println!("{ejections} steps with an ejected server");
-    Ok(ejections)
+    println!("{ejections} steps with an ejected server, {departures} calls left the region for capacity");
+    Ok((ejections, departures))
 }
 
 /// Guards against calls to leaving, starting or ejected servers while another is eligible, against calls that cross
@@ -348,16 +429,24 @@
 /// servers being ejected as stragglers.
 #[test]
 fn choices_follow_the_oracle() {
-    let ejections = fuzz(Fault::None).unwrap();
+    let (ejections, _departures) = fuzz(Fault::None, RegionPolicy::Unbounded).unwrap();
     assert!(ejections > 1000, "too few steps have an ejected server: {ejections}");
 }
 
+/// Guards against reported loads, however wrong, that send a call to a server which is not of the service, leaving,
+/// starting, tried before or out of bounds.
+#[test]
+fn reports_lead_to_no_other_server() {
+    let (_ejections, departures) = fuzz(Fault::None, RegionPolicy::Windowed).unwrap();
+    assert!(departures > 100, "too few calls leave for capacity: {departures}");
+}
+
 #[test]
 fn arbitrary_choice_is_detected() {
-    fuzz(Fault::ArbitraryServer).unwrap_err();
+    fuzz(Fault::ArbitraryServer, RegionPolicy::Windowed).unwrap_err();
 }
 
 #[test]
 fn missing_leave_announcement_is_detected() {
-    fuzz(Fault::LeaveNotAnnounced).unwrap_err();
+    fuzz(Fault::LeaveNotAnnounced, RegionPolicy::Windowed).unwrap_err();
 }
