--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -306,8 +306,12 @@
                 daemon_id,
                 address,
                 distance,
+                for_capacity,
             } => {
                 node.metrics.count_attempt(&entry.rule.name, distance);
+                if for_capacity {
+                    node.metrics.count_capacity_departure(&entry.rule.name);
+                }
                 let guard = AttemptGuard::new(node, call);
                 let work = call_peer(node, entry, &daemon_id, address);
                 (server, await_attempt(work, entry.deadline, guard).await)
@@ -456,13 +460,23 @@
         .headers()
         .get(peer_call::REPLY_HEADER)
         .and_then(|value| peer_call::decode::<peer_call::CallReply>(value.as_bytes()));
+    let load = response
+        .headers()
+        .get(peer_call::LOAD_HEADER)
+        .and_then(|value| peer_call::decode::<peer_call::ReportedLoad>(value.as_bytes()));
     if let Some(reply) = &reply {
-        node.core.ask(|core, now| core.note_reply(daemon_id, reply, now));
+        node.core.ask(|core, now| {
+            core.note_reply(daemon_id, reply, now);
+            if let Some(load) = load {
+                core.note_load(daemon_id, &entry.rule.name, load, now);
+            }
+        });
     }
     let Ok((mut parts, body)) = message_body::receive(response, lease, entry.deadline, &node.account).await else {
         return callee_call::CallResult::MayHaveRun;
     };
     parts.headers.remove(peer_call::REPLY_HEADER);
+    parts.headers.remove(peer_call::LOAD_HEADER);
     match reply.map(|reply| reply.verdict) {
         Some(peer_call::CallVerdict::Answered) => {
             callee_call::CallResult::Answered(Box::new(callee_call::forwarded_response(&parts, body)))
--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -39,6 +39,7 @@
     quota_reports: metrics::Counter<u64>,
     quota_granted: metrics::Gauge<u64>,
     quota_held: metrics::Gauge<u64>,
+    capacity_departures: metrics::Counter<u64>,
     running: metrics::Gauge<u64>,
     queued: metrics::Gauge<u64>,
     config_version: metrics::Gauge<u64>,
@@ -134,6 +135,10 @@
                 .u64_gauge("damasktrack_quota_held")
                 .with_description("Credits that this daemon holds and has not spent")
                 .build(),
+            capacity_departures: meter
+                .u64_counter("damasktrack_capacity_departures")
+                .with_description("Requests sent to another region since its servers complete them sooner, by class")
+                .build(),
             running: meter
                 .u64_gauge("damasktrack_work_running")
                 .with_description("Calls that the backend server runs")
@@ -225,6 +230,13 @@
         self.quota_granted.record(granted, &[]);
     }
 
+    /// Counts a request that leaves its region for capacity.
+    pub fn count_capacity_departure(&self, class: &ids::ClassName) {
+        let class = ids::text(class).into_owned();
+        self.capacity_departures
+            .add(1, &[opentelemetry::KeyValue::new("class", class)]);
+    }
+
     /// Sets the gauges of the admission gate and of the configuration.
     pub fn record_state(&self, running: u32, queued: usize, config_version: ids::Revision) {
         self.running.record(u64::from(running), &[]);
--- a/crates/forward/src/peer_server.rs
+++ b/crates/forward/src/peer_server.rs
@@ -47,7 +47,7 @@
         // The entry daemon takes it for a refusal for want of capacity.
         internal_body::BodyResult::NoRoom => {
             let refused = callee_call::CallResult::NotRun(call_outcome::RefusalReason::QueueFull);
-            return call_response(&node, refused);
+            return call_response(&node, None, refused);
         }
     };
     if let Some(value) = parts.headers.get(peer_call::CALL_HEADER) {
@@ -100,11 +100,15 @@
         headers,
         body,
     };
-    call_response(node, callee_call::run(node, head, request).await)
+    call_response(node, Some(head), callee_call::run(node, head, request).await)
 }
 
-/// Returns the response to a call of an entry daemon.
-fn call_response(node: &node_context::NodeContext, result: callee_call::CallResult) -> http_server::ServerResponse {
+/// Returns the response to a call of an entry daemon. Without the `head` of the call, it reports no load.
+fn call_response(
+    node: &node_context::NodeContext,
+    head: Option<&peer_call::CallHead>,
+    result: callee_call::CallResult,
+) -> http_server::ServerResponse {
     let (verdict, mut response) = match result {
         callee_call::CallResult::Answered(response) => (peer_call::CallVerdict::Answered, *response),
         callee_call::CallResult::NotRun(reason) => (
@@ -116,12 +120,21 @@
             empty_response(hyper::StatusCode::BAD_GATEWAY),
         ),
     };
-    let hint = node.core.ask(|core, _now| core.server().hint());
+    let (hint, load) = node.core.ask(|core, now| {
+        let load = head.and_then(|head| core.own_load(&head.class, head.priority, now));
+        (core.server().hint(), load)
+    });
     let text = peer_call::encode(&peer_call::CallReply { verdict, hint }).ok();
     // The entry daemon treats a response without this header as one to a request that may have run.
     if let Some(value) = text.and_then(|text| header::HeaderValue::try_from(text).ok()) {
         response.headers_mut().insert(peer_call::REPLY_HEADER, value);
     }
+    // The header of a backend server's response is not a report.
+    response.headers_mut().remove(peer_call::LOAD_HEADER);
+    let load = load.and_then(|load| peer_call::encode(&load).ok());
+    if let Some(value) = load.and_then(|text| header::HeaderValue::try_from(text).ok()) {
+        response.headers_mut().insert(peer_call::LOAD_HEADER, value);
+    }
     response
 }
 
--- a/crates/forward/src/route_config.rs
+++ b/crates/forward/src/route_config.rs
@@ -43,6 +43,8 @@
     pub kind: RouteKind,
     /// Upper bound of a caller's deadline; `None` if the route sets none.
     pub timeout: Option<time::Duration>,
+    /// Latency objective of callers; with one, servers are chosen by expected time to completion.
+    pub latency_objective: Option<time::Duration>,
     /// Priority; 0 is the most important.
     pub priority: u8,
     /// Whether requests without a key are served where tenants are configured.
@@ -84,12 +86,15 @@
     /// Rules by host, those of one host from the longest prefix to the shortest.
     routes: collections::HashMap<Bytes, Vec<rc::Rc<RouteRule>>>,
     tenants: Option<tenant_config::TenantTable>,
+    /// Whether a rule has a latency objective.
+    latency_objectives: bool,
 }
 
 impl RouteConfig {
     /// Creates a configuration and orders the rules of each host by the length of the prefix.
     #[must_use]
     pub fn new(version: ids::Revision, limits: CallerLimits, rules: Vec<RouteRule>) -> Self {
+        let latency_objectives = rules.iter().any(|rule| rule.latency_objective.is_some());
         let mut routes: collections::HashMap<Bytes, Vec<rc::Rc<RouteRule>>> = collections::HashMap::new();
         for rule in rules {
             routes.entry(rule.host.clone()).or_default().push(rc::Rc::new(rule));
@@ -101,6 +106,7 @@
             version,
             limits,
             routes,
+            latency_objectives,
             tenants: None,
         }
     }
@@ -132,6 +138,12 @@
         self.tenants.as_ref()
     }
 
+    /// Returns whether a rule has a latency objective.
+    #[must_use]
+    pub fn has_latency_objective(&self) -> bool {
+        self.latency_objectives
+    }
+
     /// Returns the number of rules over all hosts.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/forward/tests/tenants.rs
+++ b/crates/forward/tests/tenants.rs
@@ -92,6 +92,7 @@
         prefix: name(prefix),
         kind: RouteKind::Idempotent,
         timeout: None,
+        latency_objective: None,
         priority: 3,
         allow_anonymous,
         targets: vec![RouteTarget {
