Keep a peer's request that is served when its connection is selected

Cause: on the internal listeners a connection can begin to serve a request between its selection for closing and the moment its task is woken. It was closed then, so a call that had been passed on lost its answer. At the entry port the demand to close also stayed set after such a case, so a later refusal would have closed the connection without a response.

Change: the internal listeners keep such a connection and count it again, as the entry port does; the demand is reset when it is read.

Result: found by reading; no test plays the race. The 22 crowd tests, and the tests of pipeline and forward pass.

--- a/crates/forward/src/internal_body.rs
+++ b/crates/forward/src/internal_body.rs
@@ -36,6 +36,7 @@
     /// Whether a body is being received that may be refused.
     receiving: cell::Cell<bool>,
     refused: Notify,
+    stage: cell::Cell<byte_account::HoldStage>,
 }
 
 impl InternalHold {
@@ -46,19 +47,24 @@
             hold,
             receiving: cell::Cell::new(false),
             refused: Notify::new(),
+            stage: cell::Cell::new(byte_account::HoldStage::Incomplete),
         };
         created.report(byte_account::HoldStage::Incomplete, 0, 0);
         rc::Rc::new(created)
     }
 
-    /// Waits until the connection has to be closed. Requests whose body is being received are refused without that.
+    /// Waits until the connection has to be closed. Requests whose body is being received are refused without that, and
+    /// one that began to be served after the selection is kept.
     pub async fn closed(&self) {
         loop {
             let demand = self.hold.given_up().await;
-            if demand == account_handle::HoldDemand::Close || !self.receiving.get() {
+            if self.stage.get() == byte_account::HoldStage::Serving {
+                self.hold.readmit();
+            } else if demand == account_handle::HoldDemand::Close || !self.receiving.get() {
                 return;
+            } else {
+                self.refused.notify_one();
             }
-            self.refused.notify_one();
         }
     }
 
@@ -68,6 +74,7 @@
     }
 
     fn report(&self, stage: byte_account::HoldStage, bytes: usize, received: usize) {
+        self.stage.set(stage);
         self.hold.update(byte_account::HoldState {
             stage,
             bytes: READ_BUFFER_BYTES + bytes,
--- a/crates/pipeline/src/account_handle.rs
+++ b/crates/pipeline/src/account_handle.rs
@@ -119,7 +119,7 @@
     /// Waits until the connection is to be given up.
     pub async fn given_up(&self) -> HoldDemand {
         self.waker.notify.notified().await;
-        if self.waker.closes.load(atomic::Ordering::Relaxed) {
+        if self.waker.closes.swap(false, atomic::Ordering::Relaxed) {
             HoldDemand::Close
         } else {
             HoldDemand::RefuseRequest
