--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -4,6 +4,7 @@
 
 use damasktrack_entity::ids;
 use damasktrack_entity::server_location;
+use damasktrack_pipeline::byte_account;
 use opentelemetry::metrics;
 use opentelemetry::metrics::MeterProvider;
 use prometheus::Encoder;
@@ -28,6 +29,9 @@
     queued: metrics::Gauge<u64>,
     config_version: metrics::Gauge<u64>,
     request_limit: metrics::Gauge<f64>,
+    held_bytes: metrics::Gauge<u64>,
+    open_connections: metrics::Gauge<u64>,
+    given_up: metrics::Gauge<u64>,
 }
 
 /// Why the instruments can't be created.
@@ -95,6 +99,19 @@
                 .f64_gauge("damasktrack_server_request_limit")
                 .with_description("Requests per second that the backend server takes; +Inf without a limit")
                 .build(),
+            held_bytes: meter
+                .u64_gauge("damasktrack_held_bytes")
+                .with_unit("By")
+                .with_description("Bytes held for requests and responses, by purpose")
+                .build(),
+            open_connections: meter
+                .u64_gauge("damasktrack_open_connections")
+                .with_description("Accepted connections that are open, by listener")
+                .build(),
+            given_up: meter
+                .u64_gauge("damasktrack_given_up")
+                .with_description("Requests refused and connections closed at a bound since the start, by kind")
+                .build(),
             _provider: provider,
         })
     }
@@ -146,6 +163,24 @@
         self.config_version.record(config_version, &[]);
     }
 
+    /// Sets the gauges of what callers occupy.
+    pub fn record_account(&self, account: &byte_account::ByteAccount) {
+        let (connections, forwarded) = account.held_bytes();
+        let (refused, closed) = account.given_up();
+        let open = |listener| account.open_connections(listener) as u64;
+        let set = |gauge: &metrics::Gauge<u64>, value: u64, name: &'static str, label: &'static str| {
+            gauge.record(value, &[opentelemetry::KeyValue::new(name, label)]);
+        };
+        set(&self.held_bytes, connections as u64, "purpose", "connections");
+        set(&self.held_bytes, forwarded as u64, "purpose", "forwarded");
+        let callers = open(byte_account::ListenerKind::Caller);
+        set(&self.open_connections, callers, "listener", "caller");
+        let internal = open(byte_account::ListenerKind::Internal);
+        set(&self.open_connections, internal, "listener", "internal");
+        set(&self.given_up, refused, "kind", "request");
+        set(&self.given_up, closed, "kind", "connection");
+    }
+
     /// Sets the gauge of the backend server's request limit; `None` if it names none.
     pub fn record_request_limit(&self, limit: Option<server_notice::RequestRate>) {
         self.request_limit.record(limit.unwrap_or(f64::INFINITY), &[]);
--- a/crates/forward/src/http_server.rs
+++ b/crates/forward/src/http_server.rs
@@ -30,9 +30,9 @@
 /// Largest request head of another daemon or of the platform, in bytes.
 const INTERNAL_HEADER_BYTES: usize = 64 * 1024;
 
-/// Receive buffer of a caller's connection where memory is limited, in bytes. The kernel keeps what callers send behind
-/// requests that are not answered yet, and grows the buffer to several MiB otherwise. At a round trip of 16 ms the buffer
-/// allows 8 MB/s.
+/// Receive buffer of a caller's connection where memory is limited, in bytes. The kernel keeps what callers send
+/// behind requests that are not answered yet, and grows the buffer to several MiB otherwise. At a round trip of 16 ms
+/// the buffer allows 8 MB/s.
 const CALLER_RECEIVE_BYTES: usize = 128 * 1024;
 
 /// Response of a request handler.
@@ -108,9 +108,9 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections and serves each with `serve` until `control` enters the phase `Closed`. Connections that are known
-/// to wait then are served as well, since closing the socket resets them. One that arrives after the last poll of the
-/// socket is still reset.
+/// Accepts connections and serves each with `serve` until `control` enters the phase `Closed`. Connections that are
+/// known to wait then are served as well, since closing the socket resets them. One that arrives after the last poll
+/// of the socket is still reset.
 pub async fn accept<F>(
     listener: tokio::net::TcpListener,
     control: ServerControl,
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -37,6 +37,9 @@
 /// Interval at which idle connections are closed and gauges are updated.
 const MAINTENANCE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
+/// Shortest time between two log lines about the bounds of the account.
+const BOUND_LOG_INTERVAL: time::Duration = time::Duration::from_secs(10);
+
 /// Limits of callers' connections while no configuration is in force.
 const DEFAULT_LIMITS: server_connection::ConnectionLimits = server_connection::ConnectionLimits {
     idle_timeout: time::Duration::from_mins(1),
@@ -207,8 +210,21 @@
 }
 
 async fn run_maintenance(node: rc::Rc<node_context::NodeContext>) {
+    let (mut logged, mut logged_at) = ((0, 0), None);
     loop {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
+        node.account.ask(|account| node.metrics.record_account(account));
+        let given_up = node.account.ask(byte_account::ByteAccount::given_up);
+        let due = logged_at.is_none_or(|at: time::Instant| at.elapsed() >= BOUND_LOG_INTERVAL);
+        if given_up != logged && due {
+            let (bytes, forwarded) = node.account.ask(byte_account::ByteAccount::held_bytes);
+            log::warn!(
+                requests = given_up.0 - logged.0, connections = given_up.1 - logged.1, bytes = bytes,
+                forwarded = forwarded;
+                "bound of memory or connections reached; incomplete requests were refused or connections closed"
+            );
+            (logged, logged_at) = (given_up, Some(time::Instant::now()));
+        }
         node.close_idle_links(time::Instant::now());
         let (counts, version, request_limit) = node.core.ask(|core, _now| {
             let version = core.config().map_or(0, |config| config.version);
--- a/crates/forward/src/process_limits.rs
+++ b/crates/forward/src/process_limits.rs
@@ -2,8 +2,8 @@
 
 use damasktrack_pipeline::byte_account;
 
-/// Memory of a daemon without callers, with its tables of members and routes, logs and metrics, in bytes. The crowd tests
-/// measured 13 MB; a member table of 100 daemons adds less than 1 MB.
+/// Memory of a daemon without callers, with its tables of members and routes, logs and metrics, in bytes. The crowd
+/// tests measured 13 MB; a member table of 100 daemons adds less than 1 MB.
 const BASE_BYTES: usize = 28_000_000;
 /// Share of the remaining memory that the account may count. The rest covers what is not counted: fragmentation of the
 /// heap, buffers between two reports, and outgoing connections. With 70 % the peak of one crowd test in six came within
--- a/crates/pipeline/src/byte_account.rs
+++ b/crates/pipeline/src/byte_account.rs
@@ -1,9 +1,10 @@
 //! Account of the bytes and connections that callers occupy in a process, and what is given up at its bounds.
 //!
-//! Load pattern: hundreds of connections send bodies of a few MiB each, stop just short of the end and stay open, or send
-//! nothing at all. Each is within the limits of the configuration, and together they exceed the memory or the descriptors
-//! of the process. At a bound, requests that have not arrived completely are refused, since none of them has run: the one
-//! whose bytes have waited longest for progress first. Requests that were forwarded are never given up.
+//! Load pattern: hundreds of connections send bodies of a few MiB each, stop just short of the end and stay open, or
+//! send nothing at all. Each is within the limits of the configuration, and together they exceed the memory or the
+//! descriptors of the process. At a bound, requests that have not arrived completely are refused, since none of them
+//! has run: the one whose bytes have waited longest for progress first. Requests that were forwarded are never given
+//! up.
 
 use std::collections;
 use std::time;
@@ -295,9 +296,9 @@
     (bounds.bytes / RESERVED_FRACTION).min(MAX_RESERVED_BYTES)
 }
 
-/// Selects the request to refuse: of the incomplete ones with at least `least` bytes, the one with the largest product of
-/// its bytes and the time without progress. A body that stopped just short of its end is refused before one of the same
-/// size that is still arriving, and a small request last.
+/// Selects the request to refuse: of the incomplete ones with at least `least` bytes, the one with the largest
+/// product of its bytes and the time without progress. A body that stopped just short of its end is refused before
+/// one of the same size that is still arriving, and a small request last.
 #[must_use]
 pub fn select_request(
     connections: &collections::BTreeMap<HoldId, HoldEntry>,
--- a/crates/pipeline/src/chunk_list.rs
+++ b/crates/pipeline/src/chunk_list.rs
@@ -1,7 +1,7 @@
 //! Bodies as lists of chunks.
 //!
-//! A buffer that grows with the body needs up to three times its bytes while it is copied. A list needs them once. Small
-//! chunks are joined, since an entry for each would cost many times its bytes.
+//! A buffer that grows with the body needs up to three times its bytes while it is copied. A list needs them once.
+//! Small chunks are joined, since an entry for each would cost many times its bytes.
 
 use std::pin;
 use std::sync;
--- a/crates/pipeline/tests/account.rs
+++ b/crates/pipeline/tests/account.rs
@@ -138,8 +138,8 @@
     assert_eq!(victim, Some(late));
 }
 
-/// 300 connections send nothing. Guards against descriptors that run out, and against a connection that serves a request
-/// being closed for a new one.
+/// 300 connections send nothing. Guards against descriptors that run out, and against a connection that serves a
+/// request being closed for a new one.
 #[test]
 fn connection_that_waits_longest_is_closed_at_the_bound() {
     let (start, mut account) = (Instant::now(), ByteAccount::new(Some(BOUNDS)));
@@ -222,7 +222,8 @@
     assert_eq!(body.as_ptr(), chunk.as_ptr());
 }
 
-/// Guards against forwarded bytes that stay in the account after the body was dropped, or leave it while a copy is used.
+/// Guards against forwarded bytes that stay in the account after the body was dropped, or leave it while a copy is
+/// used.
 #[test]
 fn forwarded_bytes_count_until_the_last_copy_is_dropped() {
     let account = AccountHandle::new(Some(BOUNDS));
