--- a/crates/forward/src/member_tasks.rs
+++ b/crates/forward/src/member_tasks.rs
@@ -20,7 +20,7 @@
 use crate::store_port;
 
 /// Time limit of one request of a member exchange, or for the configuration of a peer.
-const PEER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+pub(crate) const PEER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 /// Delay before the configuration of a peer is fetched, if one is in force. Most changes reach every daemon sooner
 /// through the store.
 const CONFIG_FETCH_DELAY: time::Duration = time::Duration::from_millis(300);
@@ -120,7 +120,7 @@
 
 /// Sends a request to a peer and returns the body of its response; `None` on a failure, a timeout, or a status other
 /// than 200.
-pub async fn post(
+pub(crate) async fn post(
     node: &node_context::NodeContext,
     address: net::SocketAddr,
     path: &'static str,
