Skip the search for sooner servers where no wait is reported

Cause: each choice of a class with a latency objective collected the usable servers of all regions, although no call leaves while the reported wait and the network delay are within the margin.

Change: the search ends before that. The decision is the same; only the sequence of random numbers differs. The tests of the routing crate pass.

--- a/crates/routing/src/completion_choice.rs
+++ b/crates/routing/src/completion_choice.rs
@@ -61,6 +61,9 @@
             return None;
         }
         let (nearest, _unknown) = self.best_of(pool, request.class, now)?;
+        if !completion_estimate::may_leave(&nearest) {
+            return None;
+        }
         let usable: Vec<route_candidate::ServerKey> = self.usable(request, now).collect();
         let region: Vec<route_candidate::ServerKey> = usable
             .iter()
--- a/crates/routing/src/completion_estimate.rs
+++ b/crates/routing/src/completion_estimate.rs
@@ -56,6 +56,12 @@
     }
 }
 
+/// Returns whether [`leave_share`] is above zero for any other servers; saves the search for them without a queue.
+#[must_use]
+pub fn may_leave(nearer: &CompletionEstimate) -> bool {
+    nearer.overhead() > MARGIN
+}
+
 /// Returns the share of the calls that leave the nearer servers for farther ones, given the best of each.
 ///
 /// Load pattern: the servers of one region get 1.3 times what they can run, while other regions have free slots. The
