--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -121,7 +121,7 @@
                 .build(),
             rejected: meter
                 .u64_counter("damasktrack_rejected")
-                .with_description("Heartbeats, deregistrations and member rows that failed validation, by kind")
+                .with_description("Heartbeats and deregistrations that failed validation, by kind")
                 .build(),
             quota_refusals: meter
                 .u64_counter("damasktrack_quota_refusals")
