Check the quota reports that are due at most every 20 ms

While no coordinator is known, the task looked for due reports every 5 ms. A request that waits for a credit still ends the sleep at once. The effect on processor time was not measured.

--- a/crates/forward/src/quota_tasks.rs
+++ b/crates/forward/src/quota_tasks.rs
@@ -23,7 +23,7 @@
 /// Longest sleep between two looks at the members.
 const MAX_SLEEP: time::Duration = time::Duration::from_secs(1);
 /// Shortest sleep between two looks at the reports that are due.
-const MIN_SLEEP: time::Duration = time::Duration::from_millis(5);
+const MIN_SLEEP: time::Duration = time::Duration::from_millis(20);
 
 /// Report with the group of its tenants, as sent.
 type ReportMessage<R> = (quota_state::GroupKey, R);
