--- a/crates/forward/tests/bounded_stream.rs
+++ b/crates/forward/tests/bounded_stream.rs
@@ -7,10 +7,9 @@
 use std::thread;
 use std::time::Duration;
 
-use bytes::Bytes;
 use damasktrack_forward::bounded_stream::{BoundedStream, InputMeter};
 use damasktrack_forward::http_link::{LinkError, LinkPolicy, LinkPool};
-use http_body_util::Full;
+use damasktrack_pipeline::chunk_list::ChunkedBody;
 use tokio::io::AsyncReadExt;
 
 const INFORMATIONAL_HEAD: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
@@ -84,7 +83,7 @@
         connect_timeout: Duration::from_secs(5),
         idle_limit: Duration::from_secs(5),
     };
-    let request = hyper::Request::new(Full::new(Bytes::new()));
+    let request = hyper::Request::new(ChunkedBody::default());
     let result = run(async move { LinkPool::new(address, policy).send(request, Duration::ZERO).await });
     assert!(matches!(result, Err(LinkError::NoResponse(_))), "{result:?}");
     assert!(server.join().unwrap(), "the connection stays open");
