Show that credits of refused requests are lost under overload

The room of the bucket is charged with each refund for up to 10 s. The bound on the sum isn't affected.

--- a/crates/quota/tests/quotas/failures.rs
+++ b/crates/quota/tests/quotas/failures.rs
@@ -341,24 +341,24 @@
     let (mut world, coordinator) = settled(Fault::None);
     let caller = others(coordinator)[0];
     let mut taken = Vec::new();
-    let (mut run, start) = (0, world.now);
+    let (mut ended, start) = (0, world.now);
     while world.now < start + Duration::from_secs(20) {
         for _request in 0..3 {
             if let Some(credit) = world.request(caller, 0) {
                 taken.push((credit, world.now));
-                run += 1;
             }
         }
+        taken.append(&mut world.late_credits);
         // Half of the requests are refused 300 ms later.
         while taken
             .first()
             .is_some_and(|(_credit, spent)| world.now.saturating_sub(*spent) >= Duration::from_millis(300))
         {
             let (credit, spent) = taken.remove(0);
-            if run % 2 == 0 {
+            ended += 1;
+            if ended % 2 == 0 {
                 world.refund(caller, 0, credit, spent);
             }
-            run += 1;
         }
         world.tick();
     }
--- a/crates/quota/tests/quotas/quota_world.rs
+++ b/crates/quota/tests/quotas/quota_world.rs
@@ -88,6 +88,8 @@
     pub refused: Vec<u64>,
     /// Requests that waited, with the result and the wait, by tenant.
     pub waits: Vec<Vec<(bool, Duration)>>,
+    /// Credits of requests that waited.
+    pub late_credits: Vec<(SpentCredit, Duration)>,
     pub reports: u64,
     pub bytes: u64,
     queue: Vec<Envelope>,
@@ -114,6 +116,7 @@
             spent: vec![Vec::new(); tenants],
             refused: vec![0; tenants],
             waits: vec![Vec::new(); tenants],
+            late_credits: Vec::new(),
             reports: 0,
             bytes: 0,
             queue: Vec::new(),
@@ -350,7 +353,8 @@
             let daemon = &mut self.daemons[index];
             let late = self.now.saturating_sub(since) >= MAX_WAIT;
             match daemon.holder.take(&name, &limit, local) {
-                TakeResult::Granted(_credit) => {
+                TakeResult::Granted(credit) => {
+                    self.late_credits.push((credit, self.now));
                     self.spent[tenant].push(self.now);
                     self.waits[tenant].push((true, self.now.saturating_sub(since)));
                 }
