Grant credits on demand to tenants that a daemon serves rarely

The callers of a small tenant send to all daemons. Each daemon kept at least two credits of it for 3 s, and a bucket fills only beside the credits that daemons hold, so most credits waited where the next request did not arrive.

Change: a holder wants credits for its waiting requests and 0.75 times the use of the last second, rounded down. A request may wait 250 ms instead of 100, since a report may first have to wait for the reply to the one before.

--- a/crates/forward/src/quota_gate.rs
+++ b/crates/forward/src/quota_gate.rs
@@ -12,8 +12,9 @@
 use crate::stall_watch;
 use crate::tenant_config;
 
-/// Longest wait of a request for a credit. The round trip between regions is 60 ms.
-const MAX_WAIT: time::Duration = time::Duration::from_millis(100);
+/// Longest wait of a request for a credit. The round trip between regions is 60 ms, and a report may have to wait for the
+/// reply to the one before.
+const MAX_WAIT: time::Duration = time::Duration::from_millis(250);
 /// `Retry-After` of a request that has waited for a credit in vain.
 const WAITED_RETRY: time::Duration = time::Duration::from_millis(200);
 /// Range of the factor by which each `Retry-After` is extended at random, to spread the retries.
@@ -60,7 +61,7 @@
     }
 }
 
-/// Takes a credit for a request of a tenant, and waits for one for at most 100 ms.
+/// Takes a credit for a request of a tenant, and waits for one for at most [`MAX_WAIT`].
 pub async fn admit(
     node: &rc::Rc<node_context::NodeContext>,
     rule: Option<&tenant_config::TenantRule>,
--- a/crates/quota/src/credit_holder.rs
+++ b/crates/quota/src/credit_holder.rs
@@ -20,10 +20,9 @@
 /// Longest time after a reply without credits in which no further reply is waited for, if it names a longer wait. At 86
 /// daemons a tenant above its limit then causes 172 further reports a second.
 const MAX_REFUSAL_AGE: time::Duration = time::Duration::from_millis(500);
-/// Unspent credits that a holder wants for each credit spent in the last second.
-const SPARE_FACTOR: f64 = 1.5;
-/// Least number of unspent credits that a holder of an active tenant wants.
-const MIN_WANTED: u32 = 2;
+/// Unspent credits that a holder wants for each credit spent in the last second. They cover the time to the next report
+/// and its reply. Credits that wait at one daemon can't be used at another, and the bucket fills only beside them.
+const SPARE_FACTOR: f64 = 0.75;
 /// `Retry-After` of a request that is refused without a coordinator and without an own share.
 const NO_SHARE_RETRY: time::Duration = time::Duration::from_secs(1);
 /// Longest `Retry-After`.
@@ -136,8 +135,8 @@
             clippy::cast_sign_loss,
             reason = "the value is not negative, and the cast saturates"
         )]
-        let spare = (f64::from(used) * SPARE_FACTOR).ceil() as u32;
-        spare.saturating_add(self.waiting).max(MIN_WANTED)
+        let spare = (f64::from(used) * SPARE_FACTOR) as u32;
+        spare.saturating_add(self.waiting)
     }
 
     fn is_active(&self, now: time::Duration) -> bool {
