Let refused connections release their bytes before others read on

Cause: a request that is selected at the bound stops counting at once, but its connection frees the bytes only when its task runs. Until then every other connection could read up to 1 MiB in its turn.

Change: bytes of selected requests are counted apart until they are released. While they take the process beyond the bound, a connection that has read yields to the event loop.

--- a/crates/forward/src/internal_body.rs
+++ b/crates/forward/src/internal_body.rs
@@ -49,7 +49,7 @@
             refused: Notify::new(),
             stage: cell::Cell::new(byte_account::HoldStage::Incomplete),
         };
-        created.report(byte_account::HoldStage::Incomplete, 0, 0);
+        let _pace = created.report(byte_account::HoldStage::Incomplete, 0, 0);
         rc::Rc::new(created)
     }
 
@@ -70,16 +70,16 @@
 
     /// States that a request has begun to arrive.
     pub fn begin(&self) {
-        self.report(byte_account::HoldStage::Incomplete, 0, 0);
+        let _pace = self.report(byte_account::HoldStage::Incomplete, 0, 0);
     }
 
-    fn report(&self, stage: byte_account::HoldStage, bytes: usize, received: usize) {
+    fn report(&self, stage: byte_account::HoldStage, bytes: usize, received: usize) -> byte_account::ReadPace {
         self.stage.set(stage);
         self.hold.update(byte_account::HoldState {
             stage,
             bytes: READ_BUFFER_BYTES + bytes,
             received,
-        });
+        })
     }
 }
 
@@ -103,14 +103,18 @@
         }
         let received = data.len();
         list.push(data);
-        hold.report(byte_account::HoldStage::Incomplete, list.capacity(), received);
+        if hold.report(byte_account::HoldStage::Incomplete, list.capacity(), received)
+            == byte_account::ReadPace::NextTurn
+        {
+            tokio::task::yield_now().await;
+        }
     };
     hold.receiving.set(false);
     if refused {
         let mut discarded = list.len();
         drop(list);
         hold.hold.readmit();
-        hold.report(byte_account::HoldStage::Incomplete, 0, 0);
+        let _pace = hold.report(byte_account::HoldStage::Incomplete, 0, 0);
         // An answer before the end of the body would close the connection, and the sender could lose it.
         while discarded <= max_bytes
             && let Some(Ok(frame)) = incoming.frame().await
@@ -120,13 +124,13 @@
         return BodyResult::NoRoom;
     }
     let forwarded = (!list.is_empty()).then(|| hold.hold.account().hold(list.capacity()));
-    hold.report(byte_account::HoldStage::Serving, 0, 0);
+    let _pace = hold.report(byte_account::HoldStage::Serving, 0, 0);
     BodyResult::Complete(list.finish(forwarded))
 }
 
 fn fail(hold: &InternalHold) -> BodyResult {
     hold.receiving.set(false);
-    hold.report(byte_account::HoldStage::Serving, 0, 0);
+    let _pace = hold.report(byte_account::HoldStage::Serving, 0, 0);
     BodyResult::Malformed
 }
 
@@ -141,14 +145,14 @@
     /// Wraps the body of a response.
     #[must_use]
     pub fn new(body: message_body::ReplyBody, hold: rc::Rc<InternalHold>) -> Self {
-        hold.report(byte_account::HoldStage::Serving, 0, 0);
+        let _pace = hold.report(byte_account::HoldStage::Serving, 0, 0);
         Self { body, hold }
     }
 }
 
 impl Drop for HeldReply {
     fn drop(&mut self) {
-        self.hold.report(byte_account::HoldStage::Incomplete, 0, 0);
+        let _pace = self.hold.report(byte_account::HoldStage::Incomplete, 0, 0);
     }
 }
 
--- a/crates/pipeline/src/account_handle.rs
+++ b/crates/pipeline/src/account_handle.rs
@@ -108,12 +108,14 @@
 }
 
 impl ConnectionHold {
-    /// Records the state of the connection, and wakes those that have to be given up for it.
-    pub fn update(&self, state: byte_account::HoldState) {
+    /// Records the state of the connection, wakes those that have to be given up for it, and returns when the connection
+    /// may read on.
+    pub fn update(&self, state: byte_account::HoldState) -> byte_account::ReadPace {
         let mut shared = self.handle.lock();
         let now = time::Instant::now();
         let victim = shared.account.update(self.id, state, now);
         shared.wake(victim, HoldDemand::RefuseRequest);
+        shared.account.read_pace()
     }
 
     /// Waits until the connection is to be given up.
--- a/crates/pipeline/src/byte_account.rs
+++ b/crates/pipeline/src/byte_account.rs
@@ -55,6 +55,15 @@
     Serving,
 }
 
+/// When a connection may read on after it has reported its state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadPace {
+    /// At once.
+    Continue,
+    /// In the next turn of the event loop.
+    NextTurn,
+}
+
 /// State of a connection, as it reports it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HoldState {
@@ -92,6 +101,8 @@
     connection_bytes: usize,
     /// As `connection_bytes`, for those with more than [`SMALL_BYTES`].
     large_bytes: usize,
+    /// Sum over the connections that were given up and have not released their bytes yet.
+    given_up_bytes: usize,
     /// Bytes of complete requests that are being forwarded, and of buffered responses.
     forwarded_bytes: usize,
     /// Number of connections of callers and of internal ones that were not given up.
@@ -182,6 +193,7 @@
         if let Some(mut entry) = self.connections.get(&id).copied()
             && entry.given_up
         {
+            self.subtract(&entry);
             entry.given_up = false;
             self.add(&entry);
             self.connections.insert(id, entry);
@@ -202,12 +214,14 @@
         if let Some(mut entry) = self.connections.get(&id).copied() {
             self.subtract(&entry);
             entry.given_up = true;
+            self.add(&entry);
             self.connections.insert(id, entry);
         }
     }
 
     fn add(&mut self, entry: &HoldEntry) {
         if entry.given_up {
+            self.given_up_bytes += entry.bytes;
             return;
         }
         self.connection_bytes += entry.bytes;
@@ -219,6 +233,7 @@
 
     fn subtract(&mut self, entry: &HoldEntry) {
         if entry.given_up {
+            self.given_up_bytes -= entry.bytes;
             return;
         }
         self.connection_bytes -= entry.bytes;
@@ -265,6 +280,18 @@
         self.bounds.is_some()
     }
 
+    /// Returns whether a connection may read on. While those that were given up still hold bytes beyond the bound, each
+    /// other one has to let them run first: a connection can read a MiB in one turn of the event loop.
+    #[must_use]
+    pub fn read_pace(&self) -> ReadPace {
+        let used = self.connection_bytes + self.forwarded_bytes + self.given_up_bytes;
+        if self.given_up_bytes > 0 && self.bounds.is_some_and(|bounds| used > bounds.bytes) {
+            ReadPace::NextTurn
+        } else {
+            ReadPace::Continue
+        }
+    }
+
     /// Returns whether further bytes fit beside the reserved part.
     #[must_use]
     pub fn has_room(&self, bytes: usize) -> bool {
--- a/crates/pipeline/src/server_connection.rs
+++ b/crates/pipeline/src/server_connection.rs
@@ -264,7 +264,9 @@
                 return step;
             }
             self.advance();
-            self.report_hold();
+            if self.report_hold() == byte_account::ReadPace::NextTurn {
+                tokio::task::yield_now().await;
+            }
             if self.is_finished() {
                 return ConnectionStep::Finish;
             }
@@ -376,7 +378,7 @@
     }
 
     /// Reports what the connection holds to the account.
-    fn report_hold(&mut self) {
+    fn report_hold(&mut self) -> byte_account::ReadPace {
         let length = self.reader.body_length();
         let received = length.saturating_sub(self.reported_length);
         self.reported_length = length;
@@ -389,7 +391,7 @@
             },
             bytes: self.reader.capacity() + self.out.remaining(),
             received,
-        });
+        })
     }
 
     fn reject_request(&mut self, fault: request_fault::RequestFault) {
--- a/crates/pipeline/tests/account.rs
+++ b/crates/pipeline/tests/account.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use damasktrack_pipeline::account_handle::AccountHandle;
 use damasktrack_pipeline::byte_account::{
-    AccountBounds, ByteAccount, CONNECTION_BYTES, HoldId, HoldStage, HoldState, ListenerKind,
+    AccountBounds, ByteAccount, CONNECTION_BYTES, HoldId, HoldStage, HoldState, ListenerKind, ReadPace,
 };
 use damasktrack_pipeline::chunk_list::ChunkList;
 use futures_util::FutureExt;
@@ -236,3 +236,22 @@
     drop(copy);
     assert_eq!(account.ask(|account| account.held_bytes().1), 0);
 }
+
+/// Guards against memory beyond the bound between the selection of a request and the turn in which its connection
+/// releases its bytes: the others wait for that turn.
+#[test]
+fn connections_wait_while_refused_requests_still_hold_bytes() {
+    let (start, mut account) = (Instant::now(), ByteAccount::new(Some(BOUNDS)));
+    let stopped = open(&mut account, start);
+    assert_eq!(account.update(stopped, incomplete(20 * MIB, 20 * MIB), start), None);
+    assert_eq!(account.read_pace(), ReadPace::Continue);
+    let other = open(&mut account, start);
+    let now = start + Duration::from_secs(1);
+    assert_eq!(
+        account.update(other, incomplete(14 * MIB, 14 * MIB), now),
+        Some(stopped)
+    );
+    assert_eq!(account.read_pace(), ReadPace::NextTurn);
+    account.close(stopped);
+    assert_eq!(account.read_pace(), ReadPace::Continue);
+}
