Count short chunks between long ones by their bytes

Cause: a chunk that is kept without a copy ends the block before it, and the block counted with its whole capacity of up to 64 KiB. A body in alternating chunks of 33 KiB and 100 bytes counted as 9,932,800 bytes instead of 3,389,200.

Change: a block that is less than half full is copied to its size.

--- a/crates/pipeline/src/chunk_list.rs
+++ b/crates/pipeline/src/chunk_list.rs
@@ -110,9 +110,17 @@
         count
     }
 
+    /// Moves the block behind the full ones. One that is mostly empty, since a chunk follows that is kept without a copy,
+    /// is copied to its size.
     fn flush_block(&mut self) {
-        if !self.block.is_empty() {
-            let block = std::mem::take(&mut self.block);
+        let block = std::mem::take(&mut self.block);
+        if block.is_empty() {
+            return;
+        }
+        if block.len() < block.capacity() / 2 {
+            self.capacity -= block.capacity() - block.len();
+            self.rest.push(Bytes::copy_from_slice(&block));
+        } else {
             self.rest.push(block.freeze());
         }
     }
--- a/crates/pipeline/tests/account.rs
+++ b/crates/pipeline/tests/account.rs
@@ -269,3 +269,18 @@
     let now = start + Duration::from_secs(1);
     assert_eq!(account.update(other, incomplete(MIB, MIB), now), Some(large));
 }
+
+/// Guards against a body that counts as many times its bytes, since short chunks between long ones each occupy a block.
+#[test]
+fn short_chunks_between_long_ones_occupy_little_more_than_their_bytes() {
+    let mut list = ChunkList::default();
+    for _chunk in 0..100 {
+        list.push(Bytes::from(vec![1; 33 * 1024]));
+        list.push(Bytes::from(vec![2; 100]));
+    }
+    assert_eq!(list.len(), 100 * (33 * 1024 + 100));
+    assert!(list.capacity() < list.len() + 128 * 1024, "{}", list.capacity());
+    let body = list.finish(None).into_bytes();
+    assert_eq!(body.len(), 100 * (33 * 1024 + 100));
+    assert!(body[33 * 1024..][..100].iter().all(|byte| *byte == 2));
+}
