Report only changed states of connections to the account

Cause: each event of a connection locked the account, looked the connection up twice and read the clock, though most events change neither its stage nor its buffers.

Change: a connection keeps the last state that it reported and skips one that is the same. A read of a whole buffer before the final head no longer initializes it.

--- a/crates/forward/src/bounded_stream.rs
+++ b/crates/forward/src/bounded_stream.rs
@@ -69,8 +69,11 @@
         buffer: &mut tokio::io::ReadBuf<'_>,
         allowed: usize,
     ) -> task::Poll<io::Result<()>> {
-        let size = buffer.remaining().min(allowed);
-        let mut part = tokio::io::ReadBuf::new(buffer.initialize_unfilled_to(size));
+        if buffer.remaining() <= allowed {
+            return pin::Pin::new(&mut self.stream).poll_read(context, buffer);
+        }
+        // A part of the buffer has to be initialized, which the usual read of a whole one avoids.
+        let mut part = tokio::io::ReadBuf::new(buffer.initialize_unfilled_to(allowed));
         let polled = pin::Pin::new(&mut self.stream).poll_read(context, &mut part);
         let length = part.filled().len();
         buffer.advance(length);
--- a/crates/forward/src/internal_body.rs
+++ b/crates/forward/src/internal_body.rs
@@ -36,7 +36,8 @@
     /// Whether a body is being received that may be refused.
     receiving: cell::Cell<bool>,
     refused: Notify,
-    stage: cell::Cell<byte_account::HoldStage>,
+    /// Last state that was reported to the account.
+    reported: cell::Cell<Option<byte_account::HoldState>>,
 }
 
 impl InternalHold {
@@ -47,7 +48,7 @@
             hold,
             receiving: cell::Cell::new(false),
             refused: Notify::new(),
-            stage: cell::Cell::new(byte_account::HoldStage::Incomplete),
+            reported: cell::Cell::new(None),
         };
         let _pace = created.report(byte_account::HoldStage::Incomplete, 0, 0);
         rc::Rc::new(created)
@@ -58,7 +59,8 @@
     pub async fn closed(&self) {
         loop {
             let demand = self.hold.given_up().await;
-            if self.stage.get() == byte_account::HoldStage::Serving {
+            let stage = self.reported.get().map(|state| state.stage);
+            if stage == Some(byte_account::HoldStage::Serving) {
                 self.hold.readmit();
             } else if demand == account_handle::HoldDemand::Close || !self.receiving.get() {
                 return;
@@ -74,12 +76,16 @@
     }
 
     fn report(&self, stage: byte_account::HoldStage, bytes: usize, received: usize) -> byte_account::ReadPace {
-        self.stage.set(stage);
-        self.hold.update(byte_account::HoldState {
+        let state = byte_account::HoldState {
             stage,
             bytes: READ_BUFFER_BYTES + bytes,
             received,
-        })
+        };
+        if self.reported.get() == Some(state) && received == 0 {
+            return byte_account::ReadPace::Continue;
+        }
+        self.reported.set(Some(state));
+        self.hold.update(state)
     }
 }
 
--- a/crates/pipeline/src/server_connection.rs
+++ b/crates/pipeline/src/server_connection.rs
@@ -144,6 +144,8 @@
     hold: account_handle::ConnectionHold,
     /// Length of the incomplete body at the last report to the account.
     reported_length: usize,
+    /// Last state that was reported to the account.
+    reported: Option<byte_account::HoldState>,
     /// Start of the current wait: for a request, for the end of a head, or for progress in sending.
     waiting_since: time::Instant,
     head_since: Option<time::Instant>,
@@ -184,6 +186,7 @@
         out: output_queue::OutputQueue::default(),
         hold,
         reported_length: 0,
+        reported: None,
         waiting_since: now,
         head_since: None,
     };
@@ -383,7 +386,7 @@
         let received = length.saturating_sub(self.reported_length);
         self.reported_length = length;
         let serving = !self.started.is_empty() || self.sending.is_some() || self.waiting.is_some();
-        self.hold.update(byte_account::HoldState {
+        let state = byte_account::HoldState {
             stage: if serving || self.out.has_remaining() {
                 byte_account::HoldStage::Serving
             } else {
@@ -391,7 +394,13 @@
             },
             bytes: self.reader.capacity() + self.out.remaining(),
             received,
-        })
+        };
+        // Most events change nothing that is counted.
+        if self.reported == Some(state) && received == 0 {
+            return byte_account::ReadPace::Continue;
+        }
+        self.reported = Some(state);
+        self.hold.update(state)
     }
 
     fn reject_request(&mut self, fault: request_fault::RequestFault) {
