--- a/crates/forward/tests/bounded_stream.rs
+++ b/crates/forward/tests/bounded_stream.rs
@@ -1,7 +1,7 @@
 //! Bounds on the input of one connection.
 
 use std::cell::Cell;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::thread;
@@ -69,6 +69,9 @@
     let address = listener.local_addr().unwrap();
     let server = thread::spawn(move || {
         let mut stream = listener.accept().unwrap().0;
+        // Heads before the request would end the connection while the request is still unsent.
+        let length = stream.read(&mut [0; 1024]).unwrap();
+        assert!(length > 0);
         let mut sent = 0;
         while stream.write_all(&INFORMATIONAL_HEAD.repeat(20)).is_ok() {
             sent += 20 * INFORMATIONAL_HEAD.len();
