Use the usual terms for calls that leave a region for capacity

Cause: 'departure' already names a backend server that leaves, and 'scout' is no term of the field.

Change: capacity spillover and load probe; the metric is damasktrack_capacity_spillovers.

Result: the workspace builds, the tests of routing pass; no behaviour changes.

--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -310,7 +310,7 @@
             } => {
                 node.metrics.count_attempt(&entry.rule.name, distance);
                 if for_capacity {
-                    node.metrics.count_capacity_departure(&entry.rule.name);
+                    node.metrics.count_capacity_spillover(&entry.rule.name);
                 }
                 let guard = AttemptGuard::new(node, call);
                 let work = call_peer(node, entry, &daemon_id, address);
--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -281,7 +281,7 @@
         };
         let departure = self.routes.take_departure();
         if let Some(departure) = &departure {
-            self.log_capacity_departure(&rule.name, departure, now);
+            self.log_capacity_spillover(&rule.name, departure, now);
         }
         match self.routes.candidate(server) {
             Some(candidate) if candidate.daemon_id == self.settings.daemon_id => AttemptChoice::Local { server, call },
--- a/crates/forward/src/forward_core/core_capacity.rs
+++ b/crates/forward/src/forward_core/core_capacity.rs
@@ -45,10 +45,10 @@
         }
     }
 
-    pub(super) fn log_capacity_departure(
+    pub(super) fn log_capacity_spillover(
         &mut self,
         class: &ids::ClassName,
-        departure: &completion_choice::CapacityDeparture,
+        departure: &completion_choice::CapacitySpillover,
         now: time::Instant,
     ) {
         if !self.capacity_log.begins(class, now) {
--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -40,7 +40,7 @@
     quota_reports: metrics::Counter<u64>,
     quota_granted: metrics::Gauge<u64>,
     quota_held: metrics::Gauge<u64>,
-    capacity_departures: metrics::Counter<u64>,
+    capacity_spillovers: metrics::Counter<u64>,
     running: metrics::Gauge<u64>,
     queued: metrics::Gauge<u64>,
     config_version: metrics::Gauge<u64>,
@@ -139,8 +139,8 @@
                 .u64_gauge("damasktrack_quota_held")
                 .with_description("Credits that this daemon holds and has not spent")
                 .build(),
-            capacity_departures: meter
-                .u64_counter("damasktrack_capacity_departures")
+            capacity_spillovers: meter
+                .u64_counter("damasktrack_capacity_spillovers")
                 .with_description("Requests sent to another region since its servers complete them sooner, by class")
                 .build(),
             running: meter
@@ -248,9 +248,9 @@
     }
 
     /// Counts a request that leaves its region for capacity.
-    pub fn count_capacity_departure(&self, class: &ids::ClassName) {
+    pub fn count_capacity_spillover(&self, class: &ids::ClassName) {
         let class = ids::text(class).into_owned();
-        self.capacity_departures
+        self.capacity_spillovers
             .add(1, &[opentelemetry::KeyValue::new("class", class)]);
     }
 
--- a/crates/forward/src/process_limits.rs
+++ b/crates/forward/src/process_limits.rs
@@ -2,12 +2,12 @@
 
 use damasktrack_pipeline::byte_account;
 
-/// Memory of a daemon without callers, with its tables of members and routes, logs and metrics, in bytes. The crowd
-/// tests measured 13 MB; a member table of 100 daemons adds less than 1 MB.
+/// Memory of a daemon without callers, in bytes: 13 MB for itself with logs and metrics, under 1 MB for the tables of 100
+/// daemons, and as much again as a reserve.
 const BASE_BYTES: usize = 28_000_000;
-/// Share of the remaining memory that the account may count. The rest covers what is not counted: fragmentation of the
-/// heap, buffers between two reports, and outgoing connections. With 70 % the peak of one crowd test in six came within
-/// 14 % of the limit. A body of 64 MiB at a limit of 160 MB needs 58 %.
+/// Share of the remaining memory that the account may count. The rest is for what is not counted: fragmentation of the
+/// heap, buffers between two reports, and outgoing connections. At 70 % the peak came within 14 % of the limit. A body of
+/// 64 MiB at a limit of 160 MB needs 58 %.
 const ACCOUNT_PERCENT: usize = 62;
 /// The account is never bounded below this, so that small requests are served.
 const MIN_ACCOUNT_BYTES: usize = 4_000_000;
--- a/crates/routing/src/completion_choice.rs
+++ b/crates/routing/src/completion_choice.rs
@@ -13,14 +13,14 @@
 use crate::server_state;
 
 /// Least time between two calls that one daemon sends to another region to learn the load of a server there.
-const SCOUT_INTERVAL: time::Duration = time::Duration::from_millis(200);
+const LOAD_PROBE_INTERVAL: time::Duration = time::Duration::from_millis(200);
 /// Upper bound of that time, which is doubled each time that no free slots were found.
-const MAX_SCOUT_INTERVAL: time::Duration = time::Duration::from_millis(3200);
+const MAX_LOAD_PROBE_INTERVAL: time::Duration = time::Duration::from_millis(3200);
 /// Calls that a server without a fresh report gets to learn its load. A server that does not reply costs no more.
 const UNKNOWN_CALLS: u32 = 2;
 /// A call that left its region since servers there complete it sooner.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct CapacityDeparture {
+pub struct CapacitySpillover {
     /// Best server of the region.
     pub nearer: completion_estimate::CompletionEstimate,
     /// Server that gets the call; `None` if its load is unknown and the call learns it.
@@ -29,16 +29,16 @@
 
 /// When the next call may learn the load of a server in another region.
 #[derive(Debug)]
-pub(crate) struct ScoutPause {
+pub(crate) struct LoadProbePause {
     due: Option<time::Instant>,
     interval: time::Duration,
 }
 
-impl Default for ScoutPause {
+impl Default for LoadProbePause {
     fn default() -> Self {
         Self {
             due: None,
-            interval: SCOUT_INTERVAL,
+            interval: LOAD_PROBE_INTERVAL,
         }
     }
 }
@@ -56,7 +56,7 @@
         pool: &mut Vec<route_candidate::ServerKey>,
         now: time::Instant,
         rng: &mut R,
-    ) -> Option<CapacityDeparture> {
+    ) -> Option<CapacitySpillover> {
         if pool.is_empty() || !pool.iter().all(|key| self.servers[*key].is_in_region()) {
             return None;
         }
@@ -79,7 +79,7 @@
         if let Some((key, farther)) = self.choose_farther(request, &usable, &nearer, now, rng) {
             pool.clear();
             pool.push(key);
-            return Some(CapacityDeparture { nearer, farther });
+            return Some(CapacitySpillover { nearer, farther });
         }
         if rng.random_bool(completion_estimate::leave_share(&nearest, &nearer)) {
             let sooner = |key: &route_candidate::ServerKey| {
@@ -128,7 +128,7 @@
         }
         let total: f64 = sooner.iter().map(|(.., weight)| weight).sum();
         if total > 0.0 {
-            self.set_scout_interval(request.service, SCOUT_INTERVAL);
+            self.set_load_probe_interval(request.service, LOAD_PROBE_INTERVAL);
             let mut draw = rng.random_range(0.0..total);
             let chosen = sooner.iter().find(|(.., weight)| {
                 draw -= weight;
@@ -137,7 +137,7 @@
             let (key, estimate, share, _weight) = chosen.or(sooner.last())?;
             return rng.random_bool(*share).then_some((*key, Some(*estimate)));
         }
-        if has_free || unknown.is_empty() || !self.take_scout(request.service, now) {
+        if has_free || unknown.is_empty() || !self.take_load_probe(request.service, now) {
             return None;
         }
         Some((unknown[rng.random_range(0..unknown.len())], None))
@@ -231,21 +231,21 @@
         }
     }
 
-    fn set_scout_interval(&mut self, service: &ids::ServiceName, interval: time::Duration) {
+    fn set_load_probe_interval(&mut self, service: &ids::ServiceName, interval: time::Duration) {
         if let Some(state) = self.services.get_mut(service) {
-            state.scout.interval = interval;
+            state.load_probe.interval = interval;
         }
     }
 
-    fn take_scout(&mut self, service: &ids::ServiceName, now: time::Instant) -> bool {
+    fn take_load_probe(&mut self, service: &ids::ServiceName, now: time::Instant) -> bool {
         let Some(state) = self.services.get_mut(service) else {
             return false;
         };
-        if state.scout.due.is_some_and(|due| now < due) {
+        if state.load_probe.due.is_some_and(|due| now < due) {
             return false;
         }
-        state.scout.due = Some(now + state.scout.interval);
-        state.scout.interval = (state.scout.interval * 2).min(MAX_SCOUT_INTERVAL);
+        state.load_probe.due = Some(now + state.load_probe.interval);
+        state.load_probe.interval = (state.load_probe.interval * 2).min(MAX_LOAD_PROBE_INTERVAL);
         true
     }
 }
--- a/crates/routing/src/route_table.rs
+++ b/crates/routing/src/route_table.rs
@@ -44,7 +44,7 @@
     /// Buffer reused by `choose`.
     pool: Vec<route_candidate::ServerKey>,
     /// Set by `choose` if the call leaves its region for capacity.
-    departure: Option<completion_choice::CapacityDeparture>,
+    departure: Option<completion_choice::CapacitySpillover>,
 }
 
 #[derive(Debug)]
@@ -57,7 +57,7 @@
     pub(crate) baselines: collections::BTreeMap<ids::ClassName, f64>,
     /// By class; empty unless the policy is [`region_window::RegionPolicy::Windowed`].
     pub(crate) windows: collections::BTreeMap<ids::ClassName, region_window::RegionWindow>,
-    pub(crate) scout: completion_choice::ScoutPause,
+    pub(crate) load_probe: completion_choice::LoadProbePause,
 }
 
 /// Commands.
@@ -161,7 +161,7 @@
     }
 
     /// Returns the inputs of the last choice if it sends the call to another region for capacity.
-    pub fn take_departure(&mut self) -> Option<completion_choice::CapacityDeparture> {
+    pub fn take_departure(&mut self) -> Option<completion_choice::CapacitySpillover> {
         self.departure.take()
     }
 
@@ -454,7 +454,7 @@
             reviewed: None,
             baselines: collections::BTreeMap::new(),
             windows: collections::BTreeMap::new(),
-            scout: completion_choice::ScoutPause::default(),
+            load_probe: completion_choice::LoadProbePause::default(),
         }
     }
 }
