--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -36,18 +36,13 @@
     repeats: metrics::Counter<u64>,
     rounds: metrics::Counter<u64>,
     rejected: metrics::Counter<u64>,
-    quota_refusals: metrics::Counter<u64>,
-    quota_reports: metrics::Counter<u64>,
-    quota_granted: metrics::Gauge<u64>,
-    quota_held: metrics::Gauge<u64>,
+    quotas: QuotaInstruments,
     capacity_spillovers: metrics::Counter<u64>,
+    account: AccountInstruments,
     running: metrics::Gauge<u64>,
     queued: metrics::Gauge<u64>,
     config_version: metrics::Gauge<u64>,
     request_limit: metrics::Gauge<f64>,
-    held_bytes: metrics::Gauge<u64>,
-    open_connections: metrics::Gauge<u64>,
-    given_up: metrics::Gauge<u64>,
 }
 
 /// Why the instruments can't be created.
@@ -65,6 +60,80 @@
     stream.with_cardinality_limit(TENANT_SERIES).build().ok()
 }
 
+/// Instruments of the quotas.
+#[derive(Clone, Debug)]
+struct QuotaInstruments {
+    refusals: metrics::Counter<u64>,
+    reports: metrics::Counter<u64>,
+    granted: metrics::Gauge<u64>,
+    held: metrics::Gauge<u64>,
+}
+
+impl QuotaInstruments {
+    fn new(meter: &metrics::Meter) -> Self {
+        Self {
+            refusals: counter(
+                meter,
+                "damasktrack_quota_refusals",
+                "Requests refused since their tenant is above its quota",
+            ),
+            reports: counter(
+                meter,
+                "damasktrack_quota_reports",
+                "Reports to the coordinators of the quotas",
+            ),
+            granted: gauge(
+                meter,
+                "damasktrack_quota_granted",
+                "Credits granted as coordinator since the start, by the coordinators in use",
+            ),
+            held: gauge(
+                meter,
+                "damasktrack_quota_held",
+                "Credits that this daemon holds and has not spent",
+            ),
+        }
+    }
+}
+
+/// Instruments of the account of bytes and connections.
+#[derive(Clone, Debug)]
+struct AccountInstruments {
+    held_bytes: metrics::Gauge<u64>,
+    open_connections: metrics::Gauge<u64>,
+    given_up: metrics::Gauge<u64>,
+}
+
+impl AccountInstruments {
+    fn new(meter: &metrics::Meter) -> Self {
+        Self {
+            held_bytes: meter
+                .u64_gauge("damasktrack_held_bytes")
+                .with_unit("By")
+                .with_description("Bytes held for requests and responses, by purpose")
+                .build(),
+            open_connections: gauge(
+                meter,
+                "damasktrack_open_connections",
+                "Accepted connections that are open, by listener",
+            ),
+            given_up: gauge(
+                meter,
+                "damasktrack_given_up",
+                "Requests refused and connections closed at a bound since the start, by kind",
+            ),
+        }
+    }
+}
+
+fn counter(meter: &metrics::Meter, name: &'static str, description: &'static str) -> metrics::Counter<u64> {
+    meter.u64_counter(name).with_description(description).build()
+}
+
+fn gauge(meter: &metrics::Meter, name: &'static str, description: &'static str) -> metrics::Gauge<u64> {
+    meter.u64_gauge(name).with_description(description).build()
+}
+
 /// Commands.
 impl ForwardMetrics {
     /// Creates the instruments.
@@ -91,87 +160,64 @@
                 .with_description("Time from the head of a caller's request to its response, by class and outcome")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
                 .build(),
-            tenant_requests: meter
-                .u64_counter(TENANT_REQUESTS)
-                .with_description("Requests of callers with a key, by tenant and outcome")
-                .build(),
+            tenant_requests: counter(
+                &meter,
+                TENANT_REQUESTS,
+                "Requests of callers with a key, by tenant and outcome",
+            ),
             tenant_duration: meter
                 .f64_histogram(TENANT_DURATION)
                 .with_unit("s")
                 .with_description("Time from the head of a request with a key to its response, by tenant")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
                 .build(),
-            attempts: meter
-                .u64_counter("damasktrack_attempts")
-                .with_description("Requests sent to a server's daemon, by class and distance")
-                .build(),
-            work: meter
-                .u64_counter("damasktrack_work")
-                .with_description(
-                    "Calls that reached this daemon's backend server or were refused before it, by outcome",
-                )
-                .build(),
-            repeats: meter
-                .u64_counter("damasktrack_repeats")
-                .with_description("Requests sent to another server after they may have run or were shed, by class")
-                .build(),
-            rounds: meter
-                .u64_counter("damasktrack_rounds")
-                .with_description("Further rounds of attempts after all tried servers lacked capacity, by class")
-                .build(),
-            rejected: meter
-                .u64_counter("damasktrack_rejected")
-                .with_description("Heartbeats and deregistrations that failed validation, by kind")
-                .build(),
-            quota_refusals: meter
-                .u64_counter("damasktrack_quota_refusals")
-                .with_description("Requests refused since their tenant is above its quota")
-                .build(),
-            quota_reports: meter
-                .u64_counter("damasktrack_quota_reports")
-                .with_description("Reports to the coordinators of the quotas")
-                .build(),
-            quota_granted: meter
-                .u64_gauge("damasktrack_quota_granted")
-                .with_description("Credits granted as coordinator since the start, by the coordinators in use")
-                .build(),
-            quota_held: meter
-                .u64_gauge("damasktrack_quota_held")
-                .with_description("Credits that this daemon holds and has not spent")
-                .build(),
-            capacity_spillovers: meter
-                .u64_counter("damasktrack_capacity_spillovers")
-                .with_description("Requests sent to another region since its servers complete them sooner, by class")
-                .build(),
-            running: meter
-                .u64_gauge("damasktrack_work_running")
-                .with_description("Calls that the backend server runs")
-                .build(),
-            queued: meter
-                .u64_gauge("damasktrack_work_queued")
-                .with_description("Calls that wait for the backend server")
-                .build(),
-            config_version: meter
-                .u64_gauge("damasktrack_config_version")
-                .with_description("Version of the configuration in force")
-                .build(),
+            attempts: counter(
+                &meter,
+                "damasktrack_attempts",
+                "Requests sent to a server's daemon, by class and distance",
+            ),
+            work: counter(
+                &meter,
+                "damasktrack_work",
+                "Calls that reached this daemon's backend server or were refused before it, by outcome",
+            ),
+            repeats: counter(
+                &meter,
+                "damasktrack_repeats",
+                "Requests sent to another server after they may have run or were shed, by class",
+            ),
+            rounds: counter(
+                &meter,
+                "damasktrack_rounds",
+                "Further rounds of attempts after all tried servers lacked capacity, by class",
+            ),
+            rejected: counter(
+                &meter,
+                "damasktrack_rejected",
+                "Heartbeats and deregistrations that failed validation, by kind",
+            ),
+            quotas: QuotaInstruments::new(&meter),
+            account: AccountInstruments::new(&meter),
+            capacity_spillovers: counter(
+                &meter,
+                "damasktrack_capacity_spillovers",
+                "Requests sent to another region since its servers complete them sooner, by class",
+            ),
+            running: gauge(&meter, "damasktrack_work_running", "Calls that the backend server runs"),
+            queued: gauge(
+                &meter,
+                "damasktrack_work_queued",
+                "Calls that wait for the backend server",
+            ),
+            config_version: gauge(
+                &meter,
+                "damasktrack_config_version",
+                "Version of the configuration in force",
+            ),
             request_limit: meter
                 .f64_gauge("damasktrack_server_request_limit")
                 .with_description("Requests per second that the backend server takes; +Inf without a limit")
                 .build(),
-            held_bytes: meter
-                .u64_gauge("damasktrack_held_bytes")
-                .with_unit("By")
-                .with_description("Bytes held for requests and responses, by purpose")
-                .build(),
-            open_connections: meter
-                .u64_gauge("damasktrack_open_connections")
-                .with_description("Accepted connections that are open, by listener")
-                .build(),
-            given_up: meter
-                .u64_gauge("damasktrack_given_up")
-                .with_description("Requests refused and connections closed at a bound since the start, by kind")
-                .build(),
             _provider: provider,
         })
     }
@@ -233,18 +279,18 @@
 
     /// Counts a request that is refused because its tenant is above its quota.
     pub fn count_quota_refusal(&self) {
-        self.quota_refusals.add(1, &[]);
+        self.quotas.refusals.add(1, &[]);
     }
 
     /// Counts a report to a coordinator of the quotas.
     pub fn count_quota_report(&self) {
-        self.quota_reports.add(1, &[]);
+        self.quotas.reports.add(1, &[]);
     }
 
     /// Sets the gauges of the quotas.
     pub fn record_quota(&self, held: u64, granted: u64) {
-        self.quota_held.record(held, &[]);
-        self.quota_granted.record(granted, &[]);
+        self.quotas.held.record(held, &[]);
+        self.quotas.granted.record(granted, &[]);
     }
 
     /// Counts a request that leaves its region for capacity.
@@ -269,14 +315,14 @@
         let set = |gauge: &metrics::Gauge<u64>, value: u64, name: &'static str, label: &'static str| {
             gauge.record(value, &[opentelemetry::KeyValue::new(name, label)]);
         };
-        set(&self.held_bytes, connections as u64, "purpose", "connections");
-        set(&self.held_bytes, forwarded as u64, "purpose", "forwarded");
+        set(&self.account.held_bytes, connections as u64, "purpose", "connections");
+        set(&self.account.held_bytes, forwarded as u64, "purpose", "forwarded");
         let callers = open(byte_account::ListenerKind::Caller);
-        set(&self.open_connections, callers, "listener", "caller");
+        set(&self.account.open_connections, callers, "listener", "caller");
         let internal = open(byte_account::ListenerKind::Internal);
-        set(&self.open_connections, internal, "listener", "internal");
-        set(&self.given_up, refused, "kind", "request");
-        set(&self.given_up, closed, "kind", "connection");
+        set(&self.account.open_connections, internal, "listener", "internal");
+        set(&self.account.given_up, refused, "kind", "request");
+        set(&self.account.given_up, closed, "kind", "connection");
     }
 
     /// Sets the gauge of the backend server's request limit; `None` if it names none.
--- a/crates/forward/src/internal_body.rs
+++ b/crates/forward/src/internal_body.rs
@@ -76,16 +76,16 @@
     }
 
     fn report(&self, stage: byte_account::HoldStage, bytes: usize, received: usize) -> byte_account::ReadPace {
-        let state = byte_account::HoldState {
+        let held = byte_account::HoldState {
             stage,
             bytes: READ_BUFFER_BYTES + bytes,
             received,
         };
-        if self.reported.get() == Some(state) && received == 0 {
+        if self.reported.get() == Some(held) && received == 0 {
             return byte_account::ReadPace::Continue;
         }
-        self.reported.set(Some(state));
-        self.hold.update(state)
+        self.reported.set(Some(held));
+        self.hold.update(held)
     }
 }
 
