Record the free space of a bucket in slots, so that refunds come back

Cause: `CreditBucket::refund` limited each refund by the least free space of up to the last 10 s and reduced all of it by the refund. Under a long overload a bucket got back about one capacity in this time, and most credits of requests that were refused after the next report were lost.

Change: the free space is recorded in slots of 50 ms over 5 s, and a refund is charged only to the slots since its credit was spent. The coordinator dates a refund at the earliest moment at which its credit can have been spent, and takes new refunds from the oldest of the list on. Refunds of an earlier bucket and refunds without an age are dropped.

--- a/crates/forward/src/quota_state.rs
+++ b/crates/forward/src/quota_state.rs
@@ -29,10 +29,6 @@
 /// Time without a refusal after which a tenant's next refusal is logged again.
 const REFUSAL_LOG_AGE: time::Duration = time::Duration::from_secs(10);
 
-/// Group of tenants, and the number of groups that it is one of. Daemons may have versions of the configuration with
-/// different numbers of groups.
-pub type GroupKey = (coordinator_choice::GroupIndex, u32);
-
 /// Holder of the credits of one group.
 #[derive(Debug)]
 struct GroupHolder {
@@ -50,7 +46,7 @@
 #[derive(Debug)]
 pub struct DueReport {
     /// Group of the tenants.
-    pub group: GroupKey,
+    pub group: coordinator_choice::GroupKey,
     /// Coordinator of the group.
     pub coordinator: ids::DaemonId,
     /// Peer address of the coordinator.
@@ -64,7 +60,7 @@
     known: known_daemons::KnownDaemons,
     /// Holders by group; empty while no tenant has a limit.
     holders: Vec<GroupHolder>,
-    coordinators: collections::HashMap<GroupKey, credit_coordinator::CreditCoordinator>,
+    coordinators: collections::HashMap<coordinator_choice::GroupKey, credit_coordinator::CreditCoordinator>,
     members_read: Option<stall_watch::BootTime>,
     pruned: stall_watch::BootTime,
     /// When requests of each tenant were last refused.
@@ -182,7 +178,7 @@
     /// Ends a report, with its reply if one arrived.
     pub fn finish_report(
         &self,
-        group: GroupKey,
+        group: coordinator_choice::GroupKey,
         sequence: u64,
         reply: Option<&credit_message::CreditReply>,
         now: stall_watch::BootTime,
@@ -204,7 +200,7 @@
     /// Handles a report as coordinator; `None` if it is older than one handled before.
     pub fn serve_report(
         &self,
-        group: GroupKey,
+        group: coordinator_choice::GroupKey,
         report: &credit_message::CreditReport,
         tenants: Option<&tenant_config::TenantTable>,
         now: stall_watch::BootTime,
--- a/crates/forward/src/quota_tasks.rs
+++ b/crates/forward/src/quota_tasks.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use bytes::Bytes;
+use damasktrack_quota::coordinator_choice;
 use damasktrack_quota::credit_holder;
 use damasktrack_quota::credit_message;
 use tokio::task;
@@ -25,9 +26,6 @@
 /// Shortest sleep between two looks at the reports that are due.
 const MIN_SLEEP: time::Duration = time::Duration::from_millis(20);
 
-/// Report with the group of its tenants, as sent.
-type ReportMessage<R> = (quota_state::GroupKey, R);
-
 /// Starts the task that sends reports, if the configuration in force has tenants with a limit and the settings have
 /// bounds for quotas. Due after each change of the configuration.
 pub fn sync_tenants(node: &rc::Rc<node_context::NodeContext>) {
@@ -88,8 +86,7 @@
         return;
     };
     let sequence = due.report.sequence;
-    let message: ReportMessage<&credit_message::CreditReport> = (due.group, &due.report);
-    let reply = match credit_message::encode(&message) {
+    let reply = match credit_message::encode_report(due.group, &due.report) {
         Ok(body) => member_tasks::post(&node, due.address, REPORT_PATH, body, REPORT_TIMEOUT).await,
         Err(error) => {
             log::warn!(error:% = error; "quota report can't be encoded");
@@ -105,7 +102,7 @@
 /// Serves the report of another daemon.
 #[must_use]
 pub fn serve_report(node: &node_context::NodeContext, body: &[u8]) -> http_server::ServerResponse {
-    let message = credit_message::decode::<ReportMessage<credit_message::CreditReport>>(body);
+    let message = credit_message::decode_report(body);
     let (Some(quota), Some((group, report))) = (&node.quota, message) else {
         return peer_server::empty_response(hyper::StatusCode::BAD_REQUEST);
     };
@@ -124,7 +121,7 @@
 fn serve(
     node: &node_context::NodeContext,
     quota: &quota_state::QuotaState,
-    group: quota_state::GroupKey,
+    group: coordinator_choice::GroupKey,
     report: &credit_message::CreditReport,
 ) -> Option<credit_message::CreditReply> {
     let config = node.core.ask(|core, _now| core.config().cloned());
--- a/crates/quota/src/coordinator_choice.rs
+++ b/crates/quota/src/coordinator_choice.rs
@@ -9,6 +9,10 @@
 /// Index of a group of tenants, from 0.
 pub type GroupIndex = u32;
 
+/// Group of tenants, and the number of groups that it is one of. Daemons may have versions of the configuration with
+/// different numbers of groups.
+pub type GroupKey = (GroupIndex, u32);
+
 /// Returns the number of groups for this many tenants with a limit.
 #[must_use]
 pub fn group_count(tenants: usize) -> u32 {
--- a/crates/quota/src/credit_bucket.rs
+++ b/crates/quota/src/credit_bucket.rs
@@ -2,8 +2,10 @@
 
 use std::time;
 
-/// Period of the record of free space. Tokens of a take older than this can't be put back.
-pub const REFUND_AGE: time::Duration = time::Duration::from_secs(5);
+use crate::room_record;
+
+/// Longest time after a take in which its tokens can be put back.
+pub const REFUND_AGE: time::Duration = room_record::RECORD_AGE;
 
 /// Token bucket.
 #[derive(Clone, Debug)]
@@ -12,9 +14,9 @@
     level: f64,
     /// Fill time up to which the bucket is filled, see [`Self::fill`].
     filled: f64,
-    /// Least free space in the current and in the previous period of [`REFUND_AGE`].
-    least_room: [f64; 2],
-    period_start: time::Duration,
+    /// Free space at each fill. Between two fills it is at least that of the later one.
+    rooms: room_record::RoomRecord,
+    created: time::Duration,
 }
 
 /// Commands.
@@ -25,8 +27,8 @@
         Self {
             level: 0.0,
             filled,
-            least_room: [f64::INFINITY; 2],
-            period_start: now,
+            rooms: room_record::RoomRecord::default(),
+            created: now,
         }
     }
 
@@ -36,11 +38,7 @@
         let space = space.max(0.0);
         self.level = (self.level + rate * (until - self.filled).max(0.0)).min(space);
         self.filled = until;
-        if now.saturating_sub(self.period_start) >= REFUND_AGE {
-            self.least_room = [f64::INFINITY, self.least_room[0]];
-            self.period_start = now;
-        }
-        self.least_room[0] = self.least_room[0].min(space - self.level);
+        self.rooms.note(space - self.level, now);
     }
 
     /// Takes tokens; at most as many as [`Self::level`] returns.
@@ -53,15 +51,16 @@
         self.level = (self.level + tokens).min(space.max(self.level));
     }
 
-    /// Puts back tokens that were taken at most [`REFUND_AGE`] ago, and returns how many. If the bucket would have been
-    /// full in the meantime without the take, the tokens would have been lost, so they aren't put back.
-    pub fn refund(&mut self, tokens: f64) -> f64 {
-        let room = self.least_room[0].min(self.least_room[1]).max(0.0);
-        let tokens = tokens.min(room);
-        self.level += tokens;
-        for room in &mut self.least_room {
-            *room -= tokens;
+    /// Puts back tokens that were taken at `taken` or later, and returns how many. If the bucket would have been full in
+    /// the meantime without the take, the tokens would have been lost, so they aren't put back. Neither are those taken
+    /// more than [`REFUND_AGE`] ago, nor those of an earlier bucket. The bucket must be filled up to a moment after the
+    /// take.
+    pub fn refund(&mut self, tokens: f64, taken: time::Duration, now: time::Duration) -> f64 {
+        if taken < self.created || now.saturating_sub(taken) > REFUND_AGE {
+            return 0.0;
         }
+        let tokens = self.rooms.use_since(tokens, taken);
+        self.level += tokens;
         tokens
     }
 }
--- a/crates/quota/src/credit_coordinator.rs
+++ b/crates/quota/src/credit_coordinator.rs
@@ -19,6 +19,9 @@
 const FORGET_AGE: time::Duration = time::Duration::from_secs(10);
 /// Maximum number of falls that are kept. Daemons that leave one after the other replace each other's.
 const MAX_FALLS: usize = 16;
+/// Time by which the age of a refund may be too low, beside the rounding: 2 % of [`credit_bucket::REFUND_AGE`] and of the
+/// time from the last reply to the spending, for clocks that run at different speeds.
+const REFUND_MARGIN: time::Duration = time::Duration::from_millis(125);
 /// Longest wait that a reply names.
 const MAX_WAIT_SECONDS: f64 = 60.0;
 
@@ -375,7 +378,9 @@
         tenant
             .bucket
             .put_back(change.returned as f64, limit.capacity * alive - counted(&account));
-        tenant.bucket.refund(change.refunded as f64);
+        for (taken, count) in refunds(report, line, change.refunded, now) {
+            tenant.bucket.refund(count as f64, taken, now);
+        }
         // Withdraws the credits that the capacity doesn't cover until their lease ends.
         let excess = (counted(&account) - limit.capacity * backing).max(0.0);
         let withdrawn = whole(excess.ceil()).min(account.unspent());
@@ -445,6 +450,31 @@
     }
 }
 
+/// Returns when the credits of the new refunds of a report were spent, at the earliest on this clock, and how many. The
+/// report may contain refunds again that are known. Since it is not known which, the oldest are taken, whose tokens have
+/// to fit in the bucket for the longest time. Refunds without an age are dropped.
+fn refunds(
+    report: &credit_message::CreditReport,
+    line: &credit_message::TenantReport,
+    new: u64,
+    now: time::Duration,
+) -> Vec<(time::Duration, u64)> {
+    let sent = time::Duration::from_millis(report.sent_ms).min(now);
+    let mut left = new;
+    let mut ages = line.refund_ages.clone();
+    ages.sort_unstable_by_key(|refund| std::cmp::Reverse(refund.slots));
+    let taken = |slots: u8| {
+        let age = time::Duration::from_millis(u64::from(slots) * credit_message::REFUND_SLOT_MS);
+        sent.saturating_sub(age + REFUND_MARGIN)
+    };
+    let part = |refund: &credit_message::RefundAge| {
+        let count = left.min(u64::from(refund.count));
+        left -= count;
+        (taken(refund.slots), count)
+    };
+    ages.iter().map(part).collect()
+}
+
 /// Returns the whole part of a number of credits; 0 for a negative one.
 #[expect(
     clippy::cast_possible_truncation,
--- a/crates/quota/src/credit_holder.rs
+++ b/crates/quota/src/credit_holder.rs
@@ -8,6 +8,7 @@
 use crate::credit_bucket;
 use crate::credit_limit;
 use crate::credit_message;
+use crate::refund_log;
 
 /// Interval of reports while credits are used.
 const BUSY_INTERVAL: time::Duration = time::Duration::from_millis(500);
@@ -75,6 +76,7 @@
     spent: u64,
     returned: u64,
     refunded: u64,
+    refunds: refund_log::RefundLog,
     /// Requests that wait for a reply.
     waiting: u32,
     /// Credits spent by half second, see [`Self::count_use`].
@@ -97,6 +99,7 @@
             spent: 0,
             returned: 0,
             refunded: 0,
+            refunds: refund_log::RefundLog::default(),
             waiting: 0,
             used: [0; 3],
             used_slot: 0,
@@ -303,7 +306,7 @@
         match credit.source {
             CreditSource::OwnShare => {
                 if let Some(own) = &mut account.own {
-                    own.refund(1.0);
+                    own.refund(1.0, credit.spent, now);
                 }
             }
             CreditSource::Coordinator { link, sequence } => {
@@ -315,6 +318,7 @@
                     account.spent -= 1;
                 } else {
                     account.refunded += 1;
+                    account.refunds.note(credit.spent, now);
                 }
             }
         }
@@ -355,6 +359,7 @@
                     returned: account.returned,
                     refunded: account.refunded,
                     wanted,
+                    refund_ages: account.refunds.begin_report(now),
                 });
             }
         }
@@ -406,6 +411,7 @@
             };
             account.granted = grant.granted;
             account.reported = *totals;
+            account.refunds.finish_report();
             if grant.wait_ms > 0 && account.available() == 0 {
                 let wait = time::Duration::from_millis(u64::from(grant.wait_ms));
                 account.credit_at = now + wait;
@@ -438,6 +444,7 @@
             account.spent = 0;
             account.returned = 0;
             account.refunded = 0;
+            account.refunds = refund_log::RefundLog::default();
             account.reported = (0, 0, 0);
         }
         self.next_report = now;
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -15,3 +15,5 @@
 pub mod credit_limit;
 pub mod credit_message;
 pub mod known_daemons;
+pub mod refund_log;
+pub mod room_record;
--- a/crates/quota/tests/quotas/failures.rs
+++ b/crates/quota/tests/quotas/failures.rs
@@ -204,6 +204,7 @@
             returned: line.1,
             refunded: 0,
             wanted: line.2,
+            refund_ages: Vec::new(),
         }],
     }
 }
@@ -368,6 +369,42 @@
     world.check().unwrap();
 }
 
+fn burst_that_has_not_run(fault: Fault) -> Result<(), String> {
+    let (mut world, coordinator) = settled(fault);
+    let caller = others(coordinator)[0];
+    let (mut taken, start) = (Vec::new(), world.now);
+    // The bucket is full, is emptied, and is nearly full again when the requests end without having run.
+    for round in 0..2 {
+        while world.now < start + Duration::from_millis(3500) * round + Duration::from_secs(1) {
+            let credits = (0..4).filter_map(|_request| world.request(caller, 0));
+            let credits: Vec<_> = credits.collect();
+            taken.extend(credits.into_iter().map(|credit| (credit, world.now)));
+            world.tick();
+            taken.append(&mut world.late_credits);
+        }
+        if round == 0 {
+            world.run(Duration::from_millis(2500));
+        }
+    }
+    let first = start + Duration::from_secs(1);
+    for (credit, spent) in taken.into_iter().filter(|(_credit, spent)| *spent < first) {
+        world.refund(caller, 0, credit, spent);
+    }
+    overload(&mut world, &[caller], Duration::from_secs(4));
+    println!(
+        "{fault:?}: {} in the largest window",
+        max_in_window(&world.spent[0], BOUNDS.window)
+    );
+    world.check()
+}
+
+/// Guards against tokens of requests that have not run which are put back although the bucket was full in the meantime.
+#[test]
+fn credits_come_back_only_into_space_that_was_free_all_the_time() {
+    burst_that_has_not_run(Fault::None).unwrap();
+    burst_that_has_not_run(Fault::UndatedRefunds).unwrap_err();
+}
+
 /// Guards against credits that stay in use above a lowered limit, and against others in place of withdrawn ones that the
 /// holder may still spend.
 #[test]
--- a/crates/quota/tests/quotas/fuzz.rs
+++ b/crates/quota/tests/quotas/fuzz.rs
@@ -12,7 +12,9 @@
 use crate::quota_world::{BOUNDS, Fault, QuotaWorld};
 
 const SEED: u64 = 20_261_206;
+/// Number of cases; [`CASES_VARIABLE`] sets another.
 const CASES: u64 = 60;
+const CASES_VARIABLE: &str = "QUOTA_FUZZ_CASES";
 const STEPS: usize = 250;
 const DAEMONS: u8 = 5;
 
@@ -45,6 +47,15 @@
         #[generator(1..40_u8)]
         count: u8,
     },
+    /// Load above the limit, whose first requests turn out not to have run after a wait and further requests.
+    NotRunLate {
+        #[generator(0..DAEMONS)]
+        daemon: u8,
+        #[generator(0..2_u8)]
+        tenant: u8,
+        /// In 16 ms.
+        wait: u8,
+    },
     Suspend {
         #[generator(0..DAEMONS)]
         daemon: u8,
@@ -91,6 +102,25 @@
         }
     }
 
+    fn not_run_late(&mut self, daemon: usize, tenant: usize, wait: u32) {
+        self.credits.clear();
+        self.overload(daemon, tenant, 40);
+        let first = std::mem::take(&mut self.credits);
+        self.world.run(Duration::from_millis(16) * wait);
+        self.overload(daemon, tenant, 40);
+        for (daemon, tenant, credit, spent) in first {
+            self.world.refund(daemon, tenant, credit, spent);
+        }
+        self.overload(daemon, tenant, 800);
+    }
+
+    fn overload(&mut self, daemon: usize, tenant: usize, ticks: usize) {
+        for _tick in 0..ticks {
+            self.request(daemon, tenant, 8);
+            self.world.tick();
+        }
+    }
+
     fn apply(&mut self, step: Step) {
         let world = &mut self.world;
         match step {
@@ -115,6 +145,9 @@
                     world.refund(daemon, tenant, credit, spent);
                 }
             }
+            Step::NotRunLate { daemon, tenant, wait } => {
+                self.not_run_late(usize::from(daemon), usize::from(tenant), u32::from(wait));
+            }
             Step::Suspend { daemon } => world.daemons[usize::from(daemon)].paused = true,
             Step::Resume => world.daemons.iter_mut().for_each(|daemon| daemon.paused = false),
             Step::Restart { daemon } => {
@@ -162,7 +195,8 @@
 fn fuzz(fault: Fault) -> Result<usize, String> {
     println!("seed {SEED}");
     let mut spent = 0;
-    for case in 0..CASES {
+    let cases = std::env::var(CASES_VARIABLE).map_or(CASES, |cases| cases.parse().unwrap());
+    for case in 0..cases {
         let mut bytes = vec![0; 1 << 13];
         StdRng::seed_from_u64(SEED + case).fill_bytes(&mut bytes);
         let options = Options::default();
@@ -200,3 +234,9 @@
 fn whole_limit_without_coordinator_is_detected() {
     fuzz(Fault::WholeLimitAlone).unwrap_err();
 }
+
+/// Guards against refunds that are charged to less than the time since their request.
+#[test]
+fn refunds_without_the_age_of_the_request_are_detected() {
+    println!("{}", fuzz(Fault::UndatedRefunds).unwrap_err());
+}
--- a/crates/quota/tests/quotas/main.rs
+++ b/crates/quota/tests/quotas/main.rs
@@ -5,3 +5,4 @@
 mod fuzz;
 mod messages;
 mod quota_world;
+mod refunds;
--- a/crates/quota/tests/quotas/quota_world.rs
+++ b/crates/quota/tests/quotas/quota_world.rs
@@ -36,6 +36,8 @@
     ShareAtOnce,
     /// Daemons without a coordinator use the whole limit.
     WholeLimitAlone,
+    /// Refunds are charged only to the time since the report that contains them.
+    UndatedRefunds,
 }
 
 pub struct SimDaemon {
@@ -270,8 +272,14 @@
         if self.fault == Fault::UndatedReports {
             report.sent_ms = u64::MAX;
         }
+        if self.fault == Fault::UndatedRefunds {
+            let lines = report.tenants.iter_mut();
+            lines
+                .flat_map(|line| &mut line.refund_ages)
+                .for_each(|refund| refund.slots = 0);
+        }
         self.reports += 1;
-        self.bytes += credit_message::encode(&report).unwrap().len() as u64;
+        self.bytes += credit_message::encode_report((0, 1), &report).unwrap().len() as u64;
         self.send(index, to, || Message::Report(report.clone()));
     }
 
