Bound unused buckets by the shares that a coordinator had before a rise

Cause: a bucket is filled when its tenant is next reported, and only the falls of the delegated shares since then were applied to it. A bucket that nobody used while the coordinator had a fifth of the shares was full with the whole capacity as soon as it had all of them, although the other shares may have been used up at another coordinator 2.5 s before. The internal bound is exceeded if the capacity is above 2.5 s of the rate divided by the part of the shares that moved.

Change: the coordinator keeps the lower side of each change. If there are more than 16, the two that differ least are merged, because rises would push the lowest one ahead otherwise.

--- a/crates/quota/src/credit_coordinator.rs
+++ b/crates/quota/src/credit_coordinator.rs
@@ -17,8 +17,9 @@
 const SWEEP_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Time after which a holder, or a tenant's account of a holder, that has sent nothing is forgotten.
 const FORGET_AGE: time::Duration = time::Duration::from_secs(10);
-/// Maximum number of falls that are kept. Daemons that leave one after the other replace each other's.
-const MAX_FALLS: usize = 16;
+/// Maximum number of bounds that are kept. If there are more, two are merged whose parts differ by at most a 16th, which
+/// may cost a bucket this part of its capacity once.
+const MAX_BOUNDS: usize = 16;
 /// Time by which the age of a refund may be too low, beside the rounding: 2 % of [`credit_bucket::REFUND_AGE`] and of the
 /// time from the last reply to the spending, for clocks that run at different speeds.
 const REFUND_MARGIN: time::Duration = time::Duration::from_millis(125);
@@ -150,13 +151,13 @@
 
     /// Fills the bucket. The credits that were outstanding at the last report bound it up to now, also if their lease has
     /// ended since, so this precedes [`Self::sweep`].
-    fn fill(&mut self, falls: &[ShareFall], fill_time: f64, alive: f64, now: time::Duration) {
+    fn fill(&mut self, bounds: &[ShareBound], fill_time: f64, alive: f64, now: time::Duration) {
         let outstanding = self.outstanding as f64;
         let filled = self.bucket.filled();
         let limit = self.limit;
-        for fall in falls.iter().filter(|fall| fall.fill_time >= filled) {
-            let space = limit.capacity * fall.alive - outstanding;
-            self.bucket.fill(limit.rate, fall.fill_time, space, now);
+        for bound in bounds.iter().filter(|bound| bound.fill_time >= filled) {
+            let space = limit.capacity * bound.alive - outstanding;
+            self.bucket.fill(limit.rate, bound.fill_time, space, now);
         }
         let space = limit.capacity * alive - outstanding;
         self.bucket.fill(limit.rate, fill_time, space, now);
@@ -211,17 +212,17 @@
     /// Seconds weighted with the delegated part of the limits, since the start.
     fill_time: f64,
     filled: time::Duration,
-    /// Falls of the delegated part of the limits that still bound a bucket, with rising parts. A bucket that is not
-    /// filled in the meantime had to lose tokens at each.
-    falls: Vec<ShareFall>,
+    /// Bounds from the past that still apply to a bucket, with rising parts. A bucket that is not filled in the meantime
+    /// had to lose tokens at each.
+    bounds: Vec<ShareBound>,
     /// Delegated part of the limits after the last report.
     last_alive: f64,
     granted: u64,
 }
 
-/// Fall of the delegated part of the limits.
+/// Delegated part of the limits up to this fill time, where it was lower than before or after.
 #[derive(Clone, Copy, Debug)]
-struct ShareFall {
+struct ShareBound {
     fill_time: f64,
     alive: f64,
 }
@@ -237,7 +238,7 @@
             tenants: collections::HashMap::new(),
             fill_time: 0.0,
             filled: now,
-            falls: Vec::new(),
+            bounds: Vec::new(),
             last_alive: 0.0,
             granted: 0,
         }
@@ -284,7 +285,7 @@
         let (fill_time, alive) = (self.fill_time, self.alive_share(now));
         self.tenants.retain(|_name, tenant| {
             if !tenant.accounts.is_empty() {
-                tenant.fill(&self.falls, fill_time, alive, now);
+                tenant.fill(&self.bounds, fill_time, alive, now);
                 tenant.sweep(now);
             }
             !tenant.is_idle(fill_time)
@@ -304,26 +305,34 @@
         self.note_share(now);
     }
 
-    /// Records a fall of the delegated part of the limits.
+    /// Records a change of the delegated part of the limits. Up to it, a bucket has lost the tokens above the lower part.
     fn note_share(&mut self, now: time::Duration) {
         let alive = self.alive_share(now);
-        if alive < self.last_alive {
-            let fall = ShareFall {
+        if alive.total_cmp(&self.last_alive).is_ne() {
+            let bound = ShareBound {
                 fill_time: self.fill_time,
-                alive,
+                alive: alive.min(self.last_alive),
             };
-            // A lower fall bounds more than the earlier ones.
-            self.falls.retain(|earlier| earlier.alive < alive);
-            self.falls.push(fall);
-            if self.falls.len() > MAX_FALLS {
-                // The bound of the oldest two together is below that of each.
-                let oldest = self.falls.remove(0);
-                self.falls[0].alive = oldest.alive;
+            // A lower bound includes the higher ones before it.
+            self.bounds.retain(|earlier| earlier.alive < bound.alive);
+            self.bounds.push(bound);
+            if self.bounds.len() > MAX_BOUNDS {
+                self.merge_bounds();
             }
         }
         self.last_alive = alive;
     }
 
+    /// Replaces the two successive bounds that differ least by the stricter side of both.
+    fn merge_bounds(&mut self) {
+        let step = |index: &usize| self.bounds[*index].alive - self.bounds[*index - 1].alive;
+        let index = (1..self.bounds.len()).min_by(|one, other| step(one).total_cmp(&step(other)));
+        if let Some(index) = index {
+            self.bounds[index].alive = self.bounds[index - 1].alive;
+            self.bounds.remove(index - 1);
+        }
+    }
+
     fn note_holder(&mut self, report: &credit_message::CreditReport, now: time::Duration) -> Option<()> {
         let order = (report.started_ms, report.incarnation);
         let known = self.holders.get(&report.daemon_id);
@@ -367,7 +376,7 @@
             .entry(line.tenant.clone())
             .or_insert_with(|| TenantState::new(*limit, now));
         tenant.limit = *limit;
-        tenant.fill(&self.falls, fill_time, alive, now);
+        tenant.fill(&self.bounds, fill_time, alive, now);
         if now.saturating_sub(tenant.swept) >= SWEEP_INTERVAL {
             tenant.sweep(now);
         }
--- a/crates/quota/tests/quotas/failures.rs
+++ b/crates/quota/tests/quotas/failures.rs
@@ -441,6 +441,27 @@
     assert_eq!(granted, 15, "half of the capacity of 30.8");
 }
 
+/// Guards against tokens beyond the shares of the past: a bucket that nobody used while the coordinator had few shares
+/// would be full as soon as it has all, although the other shares were used up elsewhere.
+#[test]
+fn unused_bucket_keeps_no_more_than_the_shares_of_its_past() {
+    let mut coordinator = CreditCoordinator::new(9, Duration::ZERO);
+    let limits = |_name: &Bytes| Some(limit(10.0, 10.0));
+    let mut now = Duration::ZERO;
+    for sequence in 1..120 {
+        now += Duration::from_millis(500);
+        let sent_ms = u64::try_from(now.as_millis()).unwrap();
+        let mut only = report("a", sequence, 9, sent_ms, (0, 0, 0));
+        (only.share, only.tenants) = (0.2, Vec::new());
+        coordinator.report(&only, limits, now).unwrap();
+    }
+    let sent_ms = u64::try_from(now.as_millis()).unwrap();
+    let mut joined = report("b", 1, 9, sent_ms, (0, 0, 100));
+    joined.share = 0.8;
+    let granted = coordinator.report(&joined, limits, now).unwrap().grants[0].granted;
+    assert_eq!(granted, 6, "a fifth of the capacity of 30.8");
+}
+
 /// Guards against credits that stay at a daemon whose callers have gone.
 #[test]
 fn idle_holder_returns_its_credits() {
