--- a/crates/standins/src/platform_store.rs
+++ b/crates/standins/src/platform_store.rs
@@ -93,9 +93,16 @@
     /// Writes a row with an empty part, as an operator does. Unlike `/rows-tx`, it can also write to the tables `op`
     /// and `servers`.
     pub fn put(&self, table: &str, key: &str, text: &str) {
-        let value = base64::engine::general_purpose::STANDARD.encode(text);
+        self.put_value(table, key, &base64::engine::general_purpose::STANDARD.encode(text));
+    }
+
+    /// Writes a row as [`Self::put`] does, with a value that need not be base64.
+    pub fn put_value(&self, table: &str, key: &str, value: &str) {
         let mut state = self.lock();
-        state.write((table.to_owned(), String::new(), key.to_owned()), Some(value));
+        state.write(
+            (table.to_owned(), String::new(), key.to_owned()),
+            Some(value.to_owned()),
+        );
         drop(state);
         self.shared.1.notify_all();
     }
