Refuse bodies over 64 MiB in the stand-ins

Cause (by reading): store and HTTP stand-ins read at most 64 MiB of a body and used the part as the whole. Change: the store responds with 413, and a chunked body over the limit ends the connection with an error. Result: body_over_the_limit_is_refused passes; it was not run on the former code.

--- a/crates/standins/src/http_exchange.rs
+++ b/crates/standins/src/http_exchange.rs
@@ -155,7 +155,10 @@
     let chunked = request.header("transfer-encoding");
     if chunked.is_some_and(|value| value.eq_ignore_ascii_case("chunked")) {
         let decoder = chunked_transfer::Decoder::new(reader);
-        decoder.take(MAX_BODY_BYTES).read_to_end(&mut body)?;
+        decoder.take(MAX_BODY_BYTES + 1).read_to_end(&mut body)?;
+        if body.len() as u64 > MAX_BODY_BYTES {
+            return Err(malformed("chunked body, which is too large"));
+        }
         return Ok(body);
     }
     let Some(length) = request.header("content-length") else {
--- a/crates/standins/src/store_server.rs
+++ b/crates/standins/src/store_server.rs
@@ -219,12 +219,19 @@
     fn handle(&self, request: &mut tiny_http::Request) -> ResponseStep {
         let mut body = Vec::new();
         let reader = request.as_reader();
-        if io::Read::read_to_end(&mut io::Read::take(reader, MAX_BODY_BYTES), &mut body).is_err() {
+        let read = io::Read::read_to_end(&mut io::Read::take(reader, MAX_BODY_BYTES + 1), &mut body);
+        if read.is_err() {
             return ResponseStep::Send(
                 StoreResponse::error(400, "request body can't be read"),
                 time::Duration::ZERO,
             );
         }
+        if body.len() as u64 > MAX_BODY_BYTES {
+            return ResponseStep::Send(
+                StoreResponse::error(413, "request body is too large"),
+                time::Duration::ZERO,
+            );
+        }
         let method = request.method().to_string();
         let (path, query) = http_query::split(request.url());
         let mut state = lock(&self.state);
--- a/crates/standins/tests/store.rs
+++ b/crates/standins/tests/store.rs
@@ -170,3 +170,19 @@
     assert_eq!(stats["unanswered"], json!(2));
     server.stop();
 }
+
+/// Guards against a body that is cut without an error, so that a test takes the part for the whole.
+#[test]
+fn body_over_the_limit_is_refused() {
+    let rates = store_server::StoreRates {
+        writes: 0.0,
+        reads: 0.0,
+    };
+    let server = store_server::StoreServer::start("127.0.0.1:0".parse().unwrap(), rates).unwrap();
+    // Without the time limit of `Client`, since 64 MiB may take longer on a busy machine.
+    let config = ureq::Agent::config_builder().http_status_as_error(false).build();
+    let agent = ureq::Agent::new_with_config(config);
+    let url = format!("http://{}/object/large", server.address());
+    let response = agent.put(url).send(vec![b'a'; 64 * 1024 * 1024 + 1]).unwrap();
+    assert_eq!(response.status().as_u16(), 413);
+}
