Let requests wait for the end of an outage of the quotas

Cause: after a restart of all daemons, or the loss of a coordinator, nobody may grant credits for the lease of 2.5 s, and the buckets fill from empty. Requests of tenants within their limits got 429, and their one retry came into the same time. Change: in such an outage a request waits for a credit for up to 0.6 of the time to its deadline, if the end of the outage is expected by then. A coordinator says in its replies that it has started recently. The credits and their bound are unchanged.

--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -235,7 +235,8 @@
     node: &rc::Rc<node_context::NodeContext>,
     entry: &EntryRequest,
 ) -> Result<hyper::Response<message_body::ReplyBody>, local_reply::LocalReply> {
-    let credit = match quota_gate::admit(node, entry.tenant.as_deref()).await {
+    let time_left = entry.deadline.saturating_duration_since(time::Instant::now());
+    let credit = match quota_gate::admit(node, entry.tenant.as_deref(), time_left).await {
         quota_gate::QuotaDecision::Admitted(credit) => credit,
         quota_gate::QuotaDecision::Refused(wait) => return Err(local_reply::LocalReply::OverQuota(wait)),
     };
--- a/crates/forward/src/quota_gate.rs
+++ b/crates/forward/src/quota_gate.rs
@@ -5,18 +5,15 @@
 
 use damasktrack_entity::ids;
 use damasktrack_quota::credit_holder;
+use damasktrack_quota::credit_wait;
 use rand::RngExt;
 
+use crate::forward_core;
 use crate::log_limiter;
 use crate::node_context;
 use crate::stall_watch;
 use crate::tenant_config;
 
-/// Longest wait of a request for a credit. The round trip between regions is 60 ms, and a report may have to wait for the
-/// reply to the one before.
-const MAX_WAIT: time::Duration = time::Duration::from_millis(250);
-/// `Retry-After` of a request that has waited for a credit in vain.
-const WAITED_RETRY: time::Duration = time::Duration::from_millis(200);
 /// Range of the factor by which each `Retry-After` is extended at random, to spread the retries.
 const RETRY_SPREAD: std::ops::Range<f64> = 1.0..1.5;
 
@@ -61,10 +58,11 @@
     }
 }
 
-/// Takes a credit for a request of a tenant, and waits for one for at most [`MAX_WAIT`].
+/// Takes a credit for a request of a tenant, and waits for one as long as [`credit_wait::CreditWait`] allows.
 pub async fn admit(
     node: &rc::Rc<node_context::NodeContext>,
     rule: Option<&tenant_config::TenantRule>,
+    time_left: time::Duration,
 ) -> QuotaDecision {
     let uncounted = QuotaDecision::Admitted(QuotaCredit { spent: None });
     let (Some(quota), Some(rule)) = (&node.quota, rule) else {
@@ -74,33 +72,40 @@
         return uncounted;
     };
     let tenant = &rule.name;
-    let deadline = tokio::time::Instant::now() + MAX_WAIT;
+    let mut wait = credit_wait::CreditWait::new(time_left, stall_watch::boot_time());
     let mut waiting = None;
     loop {
         let now = stall_watch::boot_time();
-        let wait = match quota.with_holder(tenant, |holder| holder.take(tenant, &limit, now)) {
-            // A newer configuration has no limits.
-            None => return uncounted,
-            Some(credit_holder::TakeResult::Granted(credit)) => {
-                let spent = Some((tenant.clone(), credit));
-                return QuotaDecision::Admitted(QuotaCredit { spent });
+        // A newer configuration may have no limits.
+        let Some(result) = quota.with_holder(tenant, |holder| holder.take(tenant, &limit, now)) else {
+            return uncounted;
+        };
+        let may_hold = node
+            .core
+            .ask(|core, _now| core.phase() == forward_core::LifePhase::Running);
+        let (is_urgent, pause) = match wait.decide(&result, may_hold, now) {
+            Some(credit_wait::WaitStep::Report(pause)) => (true, pause),
+            Some(credit_wait::WaitStep::Pause(pause)) => (false, pause),
+            Some(credit_wait::WaitStep::Refuse(retry)) => {
+                record_refusal(node, tenant, now);
+                return QuotaDecision::Refused(retry.mul_f64(rand::rng().random_range(RETRY_SPREAD)));
             }
-            Some(credit_holder::TakeResult::Refused(wait)) => wait,
-            Some(credit_holder::TakeResult::Wait) if tokio::time::Instant::now() < deadline => {
-                let Some(replied) = quota.request_report(tenant) else {
-                    return uncounted;
+            None => {
+                let spent = match result {
+                    credit_holder::TakeResult::Granted(credit) => Some((tenant.clone(), credit)),
+                    _ => None,
                 };
-                if waiting.is_none() {
-                    quota.with_holder(tenant, |holder| holder.begin_wait(tenant));
-                    waiting = Some(WaitGuard { node, tenant });
-                }
-                let _replied = tokio::time::timeout_at(deadline, replied.notified()).await;
-                continue;
+                return QuotaDecision::Admitted(QuotaCredit { spent });
             }
-            Some(credit_holder::TakeResult::Wait) => WAITED_RETRY,
         };
-        record_refusal(node, tenant, now);
-        return QuotaDecision::Refused(wait.mul_f64(rand::rng().random_range(RETRY_SPREAD)));
+        let Some(replied) = quota.await_report(tenant, is_urgent) else {
+            return uncounted;
+        };
+        if waiting.is_none() {
+            quota.with_holder(tenant, |holder| holder.begin_wait(tenant));
+            waiting = Some(WaitGuard { node, tenant });
+        }
+        let _replied = tokio::time::timeout(pause, replied.notified()).await;
     }
 }
 
--- a/crates/forward/src/quota_state.rs
+++ b/crates/forward/src/quota_state.rs
@@ -154,10 +154,10 @@
                 .retain(|_tenant, refused| now.saturating_sub(*refused) < REFUSAL_LOG_AGE);
         }
         let groups = u32::try_from(parts.holders.len()).unwrap_or(u32::MAX);
-        let share = parts.known.share(now);
+        let (share, expected) = (parts.known.share(now), parts.known.settled_at());
         let mut due = Vec::new();
         for (index, group) in (0..groups).zip(&mut parts.holders) {
-            group.holder.set_share(share, now);
+            group.holder.set_share(share, expected, now);
             let is_due = group.is_urgent || group.holder.next_report() <= now;
             let Some((coordinator, address)) = group.coordinator.as_ref().filter(|_chosen| is_due && !group.is_open)
             else {
@@ -224,13 +224,15 @@
         Some(step(&mut parts.group_mut(tenant)?.holder))
     }
 
-    /// Requests a report at once, and returns the notification of the next reply.
-    pub fn request_report(&self, tenant: &ids::TenantName) -> Option<rc::Rc<sync::Notify>> {
+    /// Returns the notification of the next reply. Requests a report at once if it is urgent.
+    pub fn await_report(&self, tenant: &ids::TenantName, is_urgent: bool) -> Option<rc::Rc<sync::Notify>> {
         let mut parts = self.parts.borrow_mut();
         let group = parts.group_mut(tenant)?;
-        group.is_urgent = true;
         let replied = rc::Rc::clone(&group.replied);
-        self.wake.notify_one();
+        if is_urgent {
+            group.is_urgent = true;
+            self.wake.notify_one();
+        }
         Some(replied)
     }
 
--- a/crates/quota/src/credit_coordinator.rs
+++ b/crates/quota/src/credit_coordinator.rs
@@ -23,6 +23,10 @@
 /// Time by which the age of a refund may be too low, beside the rounding: 2 % of [`credit_bucket::REFUND_AGE`] and of the
 /// time from the last reply to the spending, for clocks that run at different speeds.
 const REFUND_MARGIN: time::Duration = time::Duration::from_millis(125);
+/// Time after the first report in which empty buckets don't mean that a tenant is above its limit. The shares arrive within a
+/// lease, and the requests that waited for them take 1.5 times as long to be served at the rate of the limit, if the usual
+/// demand is 0.6 of it.
+const RECOVERY_TIME: time::Duration = time::Duration::from_millis(6500);
 /// Longest wait that a reply names.
 const MAX_WAIT_SECONDS: f64 = 60.0;
 
@@ -207,6 +211,8 @@
 #[derive(Debug)]
 pub struct CreditCoordinator {
     epoch: credit_message::CoordinatorEpoch,
+    /// Time of the first report since there was no holder.
+    began: Option<time::Duration>,
     holders: collections::HashMap<ids::DaemonId, HolderState>,
     tenants: collections::HashMap<ids::TenantName, TenantState>,
     /// Seconds weighted with the delegated part of the limits, since the start.
@@ -234,6 +240,7 @@
     pub fn new(epoch: credit_message::CoordinatorEpoch, now: time::Duration) -> Self {
         Self {
             epoch: epoch.max(1),
+            began: None,
             holders: collections::HashMap::new(),
             tenants: collections::HashMap::new(),
             fill_time: 0.0,
@@ -254,6 +261,7 @@
     ) -> Option<credit_message::CreditReply> {
         self.advance(now);
         self.note_holder(report, now)?;
+        self.began.get_or_insert(now);
         self.note_share(now);
         let mut grants = Vec::new();
         if report.epoch == self.epoch {
@@ -282,6 +290,9 @@
         self.advance(now);
         self.holders
             .retain(|_id, holder| now.saturating_sub(holder.heard) < FORGET_AGE);
+        if self.holders.is_empty() {
+            self.began = None;
+        }
         let (fill_time, alive) = (self.fill_time, self.alive_share(now));
         self.tenants.retain(|_name, tenant| {
             if !tenant.accounts.is_empty() {
@@ -409,7 +420,10 @@
         account.credit_end = now + credit_message::CREDIT_LEASE;
         tenant.outstanding = others + account.counted();
         self.granted += part;
-        let wait_ms = if line.wanted > 0 && account.unspent() == 0 {
+        let is_recovering = self.began.is_none_or(|began| now.saturating_sub(began) < RECOVERY_TIME);
+        let wait_ms = if line.wanted > 0 && account.unspent() == 0 && is_recovering {
+            credit_message::RECOVERING
+        } else if line.wanted > 0 && account.unspent() == 0 {
             let missing = (1.0 - tenant.bucket.level()).max(0.0);
             let seconds = (missing / (limit.rate * alive).max(f64::EPSILON)).min(MAX_WAIT_SECONDS);
             u32::try_from(whole(seconds * 1000.0)).unwrap_or(u32::MAX).max(1)
--- a/crates/quota/src/credit_holder.rs
+++ b/crates/quota/src/credit_holder.rs
@@ -24,8 +24,17 @@
 /// Unspent credits that a holder wants for each credit spent in the last second. They cover the time to the next report
 /// and its reply. Credits that wait at one daemon can't be used at another, and the bucket fills only beside them.
 const SPARE_FACTOR: f64 = 0.75;
-/// `Retry-After` of a request that is refused without a coordinator and without an own share.
-const NO_SHARE_RETRY: time::Duration = time::Duration::from_secs(1);
+/// Time from the moment at which a share may be delegated to the first credits: a report, its reply, and the same for
+/// the share itself.
+const FIRST_CREDIT_TIME: time::Duration = time::Duration::from_millis(300);
+/// Time after a reply of a recovering coordinator in which it still counts as recovering.
+const RECOVERY_AGE: time::Duration = time::Duration::from_secs(1);
+/// Time without a reply to a report after which the coordinator counts as lost. A reply takes 60 ms between regions.
+const REPLY_TIMEOUT: time::Duration = time::Duration::from_millis(200);
+/// Time after a reply of a recovering coordinator in which requests don't wait for another.
+const RECOVERY_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// Time after the return of the own share in which a coordinator is expected to take it.
+const RELINK_TIME: time::Duration = time::Duration::from_secs(1);
 /// Longest `Retry-After`.
 const MAX_RETRY: time::Duration = time::Duration::from_mins(1);
 
@@ -46,9 +55,15 @@
     /// The request may be sent.
     Granted(SpentCredit),
     /// There is no credit. A report should be sent at once, and its reply may grant one.
-    Wait,
+    Wait {
+        /// Whether the coordinator recovers, so that the tenant may be within its limit without a credit.
+        in_recovery: bool,
+    },
     /// There is no credit; the earliest time at which there may be one.
     Refused(time::Duration),
+    /// Nobody can grant a credit at present, whether or not the tenant is within its limit; the time until somebody is
+    /// expected to.
+    Outage(time::Duration),
 }
 
 /// Origin of a spent credit, to return it if the request does not run.
@@ -85,8 +100,10 @@
     last_use: time::Duration,
     /// Time before which no reply is waited for.
     refused_until: time::Duration,
-    /// Time at which the coordinator expects a credit.
-    credit_at: time::Duration,
+    /// Time at which the coordinator expects a credit; `None` while it recovers.
+    credit_at: Option<time::Duration>,
+    /// Time until which the coordinator counts as recovering.
+    recovery_end: time::Duration,
     /// Totals spent, returned and refunded of the last report whose reply arrived.
     reported: CreditTotals,
     own: Option<credit_bucket::CreditBucket>,
@@ -105,7 +122,8 @@
             used_slot: 0,
             last_use: now,
             refused_until: time::Duration::ZERO,
-            credit_at: time::Duration::ZERO,
+            credit_at: Some(time::Duration::ZERO),
+            recovery_end: time::Duration::ZERO,
             reported: (0, 0, 0),
             own: None,
         }
@@ -182,10 +200,14 @@
     link: Option<CoordinatorLink>,
     links: u64,
     open: Option<OpenReport>,
+    /// When the first report since the last reply of the link was sent.
+    unanswered_since: Option<time::Duration>,
     /// Time before which a coordinator may count the own share.
     share_end: time::Duration,
     /// Part of every limit that this daemon owns.
     share: f64,
+    /// When the share is expected to be above 0; `None` if that isn't known.
+    share_expected: Option<time::Duration>,
     accounts: collections::HashMap<ids::TenantName, TenantAccount>,
     next_report: time::Duration,
     last_use: time::Duration,
@@ -202,21 +224,28 @@
             link: None,
             links: 0,
             open: None,
+            unanswered_since: None,
             share_end: time::Duration::ZERO,
             share: 0.0,
+            share_expected: None,
             accounts: collections::HashMap::new(),
             next_report: now,
             last_use: time::Duration::ZERO,
         }
     }
 
-    /// Sets the part of every limit that this daemon owns.
-    pub fn set_share(&mut self, share: f64, now: time::Duration) {
+    /// Sets the part of every limit that this daemon owns, and when it is expected to own one.
+    pub fn set_share(&mut self, share: f64, expected: Option<time::Duration>, now: time::Duration) {
         if self.share <= 0.0 {
             // Nothing has been filled before.
             self.share_end = self.share_end.max(now);
+            if share > 0.0 {
+                // Requests may wait for credits that the share backs.
+                self.next_report = now;
+            }
         }
         self.share = share;
+        self.share_expected = expected;
     }
 
     /// Takes a credit for a request of this tenant.
@@ -236,7 +265,7 @@
             self.accounts.insert(tenant.clone(), TenantAccount::new(now));
         }
         let Some(account) = self.accounts.get_mut(tenant) else {
-            return TakeResult::Wait;
+            return TakeResult::Wait { in_recovery: false };
         };
         self.last_use = now;
         account.last_use = now;
@@ -264,20 +293,42 @@
                 let source = CreditSource::OwnShare;
                 return TakeResult::Granted(SpentCredit { source, spent: now });
             }
+            if linked.is_none() && now < self.share_end + RELINK_TIME {
+                return TakeResult::Outage(FIRST_CREDIT_TIME);
+            }
             if linked.is_none() {
                 let rate = limit.rate * self.share;
                 let seconds = ((1.0 - own.level()) / rate).clamp(0.0, MAX_RETRY.as_secs_f64());
                 return TakeResult::Refused(time::Duration::from_secs_f64(seconds));
             }
         }
-        if linked.is_none() {
-            return TakeResult::Refused(NO_SHARE_RETRY);
-        }
-        if now < account.refused_until {
-            let wait = account.credit_at.saturating_sub(now);
-            return TakeResult::Refused(wait.clamp(time::Duration::from_millis(10), MAX_RETRY));
+        let refused = now < account.refused_until;
+        let unanswered = self.unanswered_since;
+        match (linked, account.credit_at) {
+            (Some(_link), _) if unanswered.is_some_and(|since| now.saturating_sub(since) >= REPLY_TIMEOUT) => {
+                TakeResult::Outage(self.share_wait(now))
+            }
+            (Some(_link), Some(credit_at)) if refused => {
+                let wait = credit_at.saturating_sub(now);
+                TakeResult::Refused(wait.clamp(time::Duration::from_millis(10), MAX_RETRY))
+            }
+            (Some(_link), None) if refused && self.share > 0.0 => TakeResult::Outage(FIRST_CREDIT_TIME),
+            (Some(_link), None) if refused => TakeResult::Outage(self.share_wait(now)),
+            (Some(_link), _) => TakeResult::Wait {
+                in_recovery: now < account.recovery_end,
+            },
+            (None, _) => TakeResult::Outage(self.share_wait(now)),
         }
-        TakeResult::Wait
+    }
+
+    /// Returns the time until this daemon's share is expected to back credits.
+    fn share_wait(&self, now: time::Duration) -> time::Duration {
+        let free = if self.share > 0.0 {
+            self.share_end
+        } else {
+            self.share_expected.unwrap_or(now + credit_message::SHARE_LEASE)
+        };
+        free.saturating_sub(now) + FIRST_CREDIT_TIME
     }
 
     /// Counts a request that waits for a reply, after [`TakeResult::Wait`]. Its end has to be recorded with
@@ -363,6 +414,7 @@
                 });
             }
         }
+        self.unanswered_since.get_or_insert(now);
         let totals = |line: &credit_message::TenantReport| (line.spent, line.returned, line.refunded);
         self.open = Some(OpenReport {
             sequence: self.sequence,
@@ -399,6 +451,7 @@
             self.change_link(open, reply, now);
             return;
         }
+        self.unanswered_since = None;
         let Some(link) = &mut self.link else {
             return;
         };
@@ -412,9 +465,13 @@
             account.granted = grant.granted;
             account.reported = *totals;
             account.refunds.finish_report();
-            if grant.wait_ms > 0 && account.available() == 0 {
+            if grant.wait_ms == credit_message::RECOVERING && account.available() == 0 {
+                account.credit_at = None;
+                account.refused_until = now + RECOVERY_INTERVAL;
+                account.recovery_end = now + RECOVERY_AGE;
+            } else if grant.wait_ms > 0 && account.available() == 0 {
                 let wait = time::Duration::from_millis(u64::from(grant.wait_ms));
-                account.credit_at = now + wait;
+                account.credit_at = Some(now + wait);
                 account.refused_until = now + wait.clamp(REFUSAL_AGE, MAX_REFUSAL_AGE);
             } else {
                 account.refused_until = time::Duration::ZERO;
@@ -447,6 +504,7 @@
             account.refunds = refund_log::RefundLog::default();
             account.reported = (0, 0, 0);
         }
+        self.unanswered_since = None;
         self.next_report = now;
     }
 }
--- a/crates/quota/src/credit_message.rs
+++ b/crates/quota/src/credit_message.rs
@@ -15,6 +15,10 @@
 /// Length in milliseconds of the slots in which the ages of refunds are reported.
 pub const REFUND_SLOT_MS: u64 = 100;
 
+/// [`TenantGrant::wait_ms`] of a coordinator that has started recently, so that its buckets are empty whether or not a
+/// tenant is above its limit. Earlier builds take it for a long wait.
+pub const RECOVERING: u32 = u32::MAX;
+
 /// Random number that a coordinator draws at its start.
 pub type CoordinatorEpoch = u64;
 /// Time on the coordinator's clock.
@@ -103,7 +107,8 @@
 pub struct TenantGrant {
     /// Credits granted in total. It falls when credits are withdrawn.
     pub granted: u64,
-    /// Milliseconds until a credit is available; 0 if the holder has unspent credits or wants none.
+    /// Milliseconds until a credit is available, or [`RECOVERING`]; 0 if the holder has unspent credits or wants
+    /// none.
     pub wait_ms: u32,
 }
 
--- a/crates/quota/src/known_daemons.rs
+++ b/crates/quota/src/known_daemons.rs
@@ -57,6 +57,12 @@
         self.last_seen.len()
     }
 
+    /// Returns when this daemon owns its part of every limit; `None` without the list of members.
+    #[must_use]
+    pub fn settled_at(&self) -> Option<time::Duration> {
+        Some(self.listed? + SETTLE_TIME)
+    }
+
     /// Returns the part of every limit that this daemon owns.
     #[must_use]
     pub fn share(&self, now: time::Duration) -> f64 {
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod credit_holder;
 pub mod credit_limit;
 pub mod credit_message;
+pub mod credit_wait;
 pub mod known_daemons;
 pub mod refund_log;
 pub mod room_record;
--- a/crates/quota/tests/quotas/comparison.rs
+++ b/crates/quota/tests/quotas/comparison.rs
@@ -7,7 +7,9 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::quota_world::{BOUNDS, Fault, MAX_WAIT, QuotaWorld, TICK, max_in_window};
+use damasktrack_quota::credit_wait::MAX_WAIT;
+
+use crate::quota_world::{BOUNDS, Fault, QuotaWorld, TICK, max_in_window};
 
 const SEED: u64 = 20_261_206;
 const DAEMONS: usize = 86;
--- a/crates/quota/tests/quotas/failures.rs
+++ b/crates/quota/tests/quotas/failures.rs
@@ -9,6 +9,8 @@
 use damasktrack_quota::credit_limit::CreditLimit;
 use damasktrack_quota::credit_message::{CreditReport, TenantReport};
 
+use rand::RngExt;
+
 use crate::quota_world::{BOUNDS, Fault, QuotaWorld, TICK, max_in_window, tenant_name};
 
 const DAEMONS: usize = 9;
@@ -81,6 +83,7 @@
         world.request(holder, 0);
         world.run(2 * TICK);
     }
+    let held = world.daemons[holder].holder.held(Duration::ZERO);
     world.daemons[holder].paused = true;
     world.run(Duration::from_secs(3));
     // The coordinator counts the credits as spent and fills the bucket again.
@@ -88,7 +91,7 @@
     world.run(Duration::from_secs(5));
     world.daemons[holder].paused = false;
     // No more than it holds: a holder that wants further credits pays for those spent after their end.
-    for _request in 0..45 {
+    for _request in 0..held {
         world.request(holder, 0);
     }
     overload(&mut world, &others(holder), Duration::from_secs(5));
@@ -273,7 +276,7 @@
     let (mut coordinator, mut now) = coordinator_with_shares();
     let limits = |_name: &Bytes| Some(limit(10.0, 10.0));
     let mut holder = CreditHolder::new(identity, now);
-    holder.set_share(0.5, now);
+    holder.set_share(0.5, None, now);
     let id = Bytes::from_static(b"c");
     let mut exchange = |holder: &mut CreditHolder, now: Duration| {
         let mut report = holder.begin_report(&id, now);
@@ -285,7 +288,10 @@
         let (sequence, reply) = exchange(&mut holder, now);
         holder.finish_report(sequence, &reply, now);
     }
-    assert_eq!(holder.take(&tenant_name(0), &limit(10.0, 10.0), now), TakeResult::Wait);
+    assert!(matches!(
+        holder.take(&tenant_name(0), &limit(10.0, 10.0), now),
+        TakeResult::Wait { .. }
+    ));
     holder.begin_wait(&tenant_name(0));
     let (first, late) = exchange(&mut holder, now);
     assert!(late.grants[0].granted > 0);
@@ -475,3 +481,65 @@
     world.run(Duration::from_millis(4500));
     assert_eq!(world.daemons[caller].holder.held(Duration::ZERO), 0);
 }
+
+/// Lets each tenant send at 0.6 of its rate from all daemons, and returns how many requests were sent and refused.
+fn usual_demand(world: &mut QuotaWorld, time: Duration) -> (u64, u64) {
+    let before: u64 = world.refused.iter().sum();
+    let end = world.now + time;
+    let mut sent = 0;
+    let mut due = vec![0.0; world.limits.len()];
+    while world.now < end {
+        for tenant in 0..world.limits.len() {
+            due[tenant] += 0.6 * world.limits[tenant].rate * TICK.as_secs_f64();
+            while due[tenant] >= 1.0 {
+                due[tenant] -= 1.0;
+                sent += 1;
+                let daemon = world.rng.random_range(0..DAEMONS);
+                if world.daemons[daemon].live {
+                    world.request(daemon, tenant);
+                }
+            }
+        }
+        world.tick();
+    }
+    (sent, world.refused.iter().sum::<u64>() - before)
+}
+
+fn outage(fault: Fault, break_off: impl FnOnce(&mut QuotaWorld, usize)) -> (u64, u64) {
+    let limits = vec![limit(100.0, 100.0), limit(20.0, 20.0), limit(5.0, 5.0)];
+    let mut world = QuotaWorld::new(DAEMONS, limits, 7, fault);
+    world.run(Duration::from_secs(12));
+    let (_sent, refused) = usual_demand(&mut world, Duration::from_secs(6));
+    assert_eq!(refused, 0);
+    let chosen = coordinator_choice::choose(0, world.daemons.iter().map(|daemon| &daemon.id)).unwrap();
+    let coordinator = world.daemons.iter().position(|daemon| daemon.id == *chosen).unwrap();
+    break_off(&mut world, coordinator);
+    let result = usual_demand(&mut world, Duration::from_secs(8));
+    println!("{fault:?}: {} of {} refused", result.1, result.0);
+    world.check().unwrap();
+    result
+}
+
+/// Guards against refusals of tenants within their limits after a restart of all daemons: nobody grants credits for a
+/// lease, but callers with a deadline of 5 s can wait for it.
+#[test]
+fn requests_within_the_limit_wait_for_the_end_of_an_outage() {
+    let restart = |world: &mut QuotaWorld, _coordinator| (0..DAEMONS).for_each(|index| world.restart(index));
+    let (sent, refused) = outage(Fault::None, restart);
+    assert!(20 * refused <= sent, "{refused} of {sent}");
+    let (sent, refused) = outage(Fault::NoHold, restart);
+    assert!(5 * refused >= sent, "{refused} of {sent}");
+}
+
+/// Guards against refusals of tenants within their limits after the loss of their coordinator.
+#[test]
+fn requests_within_the_limit_wait_for_another_coordinator() {
+    let lose = |world: &mut QuotaWorld, coordinator: usize| {
+        world.daemons[coordinator].live = false;
+        hide(world, coordinator);
+    };
+    let (sent, refused) = outage(Fault::None, lose);
+    assert!(20 * refused <= sent, "{refused} of {sent}");
+    let (sent, refused) = outage(Fault::NoHold, lose);
+    assert!(20 * refused > sent, "{refused} of {sent}");
+}
--- a/crates/quota/tests/quotas/quota_world.rs
+++ b/crates/quota/tests/quotas/quota_world.rs
@@ -8,14 +8,15 @@
 use damasktrack_quota::credit_holder::{CreditHolder, HolderIdentity, SpentCredit, TakeResult};
 use damasktrack_quota::credit_limit::{CreditLimit, QuotaBounds};
 use damasktrack_quota::credit_message::{self, CreditReply, CreditReport};
+use damasktrack_quota::credit_wait::{CreditWait, WaitStep};
 use damasktrack_quota::known_daemons::KnownDaemons;
 use rand::rngs::StdRng;
 use rand::{Rng, RngExt, SeedableRng};
 
 /// Step of the virtual time.
 pub const TICK: Duration = Duration::from_millis(5);
-/// Longest wait of a request for a reply, as `forward::quota_gate` has it.
-pub const MAX_WAIT: Duration = Duration::from_millis(250);
+/// Time from the arrival of a request to its deadline.
+pub const TIME_LEFT: Duration = Duration::from_secs(5);
 /// Time after which a report without a reply counts as lost.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 pub const BOUNDS: QuotaBounds = QuotaBounds {
@@ -38,6 +39,8 @@
     WholeLimitAlone,
     /// Refunds are charged only to the time since the report that contains them.
     UndatedRefunds,
+    /// Requests don't wait for the end of an outage.
+    NoHold,
 }
 
 pub struct SimDaemon {
@@ -54,7 +57,17 @@
     incarnation: u64,
     open: Option<(u64, Duration)>,
     urgent: bool,
-    waiting: Vec<(usize, Duration)>,
+    /// Whether a reply has arrived since the waiting requests tried last.
+    replied: bool,
+    waiting: Vec<WaitingRequest>,
+}
+
+struct WaitingRequest {
+    tenant: usize,
+    since: Duration,
+    wait: CreditWait,
+    /// Time of the next try, on the daemon's clock; a reply comes sooner.
+    due: Duration,
 }
 
 enum Message {
@@ -161,6 +174,7 @@
             incarnation,
             open: None,
             urgent: false,
+            replied: false,
             waiting: Vec::new(),
         }
     }
@@ -189,24 +203,51 @@
             return None;
         }
         let local = self.local(index);
-        let limit = self.limits[tenant];
+        let request = WaitingRequest {
+            tenant,
+            since: self.now,
+            wait: CreditWait::new(TIME_LEFT, local),
+            due: local,
+        };
+        self.try_credit(index, request, true)
+    }
+
+    /// Takes a credit for a request, or lets it wait or refuses it.
+    fn try_credit(&mut self, index: usize, mut request: WaitingRequest, first: bool) -> Option<SpentCredit> {
+        let local = self.local(index);
+        let tenant = request.tenant;
+        let name = tenant_name(tenant);
+        let may_hold = self.fault != Fault::NoHold;
         let daemon = &mut self.daemons[index];
-        match daemon.holder.take(&tenant_name(tenant), &limit, local) {
-            TakeResult::Granted(credit) => {
+        let result = daemon.holder.take(&name, &self.limits[tenant], local);
+        let step = request.wait.decide(&result, may_hold, local);
+        let (urgent, pause) = match step {
+            Some(WaitStep::Report(pause)) => (true, pause),
+            Some(WaitStep::Pause(pause)) => (false, pause),
+            Some(WaitStep::Refuse(_)) | None => {
+                let waited = self.now.saturating_sub(request.since);
+                if !first {
+                    daemon.holder.end_wait(&name);
+                    self.waits[tenant].push((step.is_none(), waited));
+                }
+                let TakeResult::Granted(credit) = result else {
+                    self.refused[tenant] += 1;
+                    return None;
+                };
                 self.spent[tenant].push(self.now);
-                Some(credit)
-            }
-            TakeResult::Wait => {
-                daemon.holder.begin_wait(&tenant_name(tenant));
-                daemon.waiting.push((tenant, self.now));
-                daemon.urgent = true;
-                None
-            }
-            TakeResult::Refused(_retry) => {
-                self.refused[tenant] += 1;
-                None
+                if !first {
+                    self.late_credits.push((credit, self.now));
+                }
+                return Some(credit);
             }
+        };
+        if first {
+            daemon.holder.begin_wait(&name);
         }
+        daemon.urgent |= urgent && (first || daemon.open.is_none());
+        request.due = local + pause;
+        daemon.waiting.push(request);
+        None
     }
 
     /// Ends a request that has not run.
@@ -250,7 +291,7 @@
         if fault == Fault::WholeLimitAlone && daemon.holder.coordinator(local).is_none() {
             share = share.signum();
         }
-        daemon.holder.set_share(share, local);
+        daemon.holder.set_share(share, daemon.known.settled_at(), local);
         daemon.open = daemon
             .open
             .filter(|(_sequence, sent)| self.now.saturating_sub(*sent) < REPORT_TIMEOUT);
@@ -347,6 +388,7 @@
                 daemon.holder.finish_report(sequence, &reply, holder_time);
                 if matched {
                     daemon.open = None;
+                    daemon.replied = true;
                 }
             }
         }
@@ -355,28 +397,13 @@
     fn serve_waiting(&mut self, index: usize) {
         let waiting = std::mem::take(&mut self.daemons[index].waiting);
         let local = self.local(index);
-        for (tenant, since) in waiting {
-            let limit = self.limits[tenant];
-            let name = tenant_name(tenant);
-            let daemon = &mut self.daemons[index];
-            let late = self.now.saturating_sub(since) >= MAX_WAIT;
-            match daemon.holder.take(&name, &limit, local) {
-                TakeResult::Granted(credit) => {
-                    self.late_credits.push((credit, self.now));
-                    self.spent[tenant].push(self.now);
-                    self.waits[tenant].push((true, self.now.saturating_sub(since)));
-                }
-                TakeResult::Wait if !late => {
-                    daemon.waiting.push((tenant, since));
-                    daemon.urgent |= daemon.open.is_none();
-                    continue;
-                }
-                _ => {
-                    self.refused[tenant] += 1;
-                    self.waits[tenant].push((false, self.now.saturating_sub(since)));
-                }
+        let replied = std::mem::take(&mut self.daemons[index].replied);
+        for request in waiting {
+            if replied || request.due <= local {
+                self.try_credit(index, request, false);
+            } else {
+                self.daemons[index].waiting.push(request);
             }
-            daemon.holder.end_wait(&name);
         }
     }
 
