Show the limits, credits and refusals of tenants to operators

The daemons of the platform have no resource API, only the metrics port, and an operator could not see why a tenant is refused.

`damasktrack quotas` prints it for one or several daemons, without the operator's key. The log lines of a refused request have the source of the credits, so `explain-request` shows the tenant and the state of its quota.

--- a/crates/cli/src/api_client.rs
+++ b/crates/cli/src/api_client.rs
@@ -71,17 +71,35 @@
             Some(address) => *address,
             None => address_from_environment()?,
         };
+        Ok(Self {
+            key: read_key(matches)?,
+            ..Self::without_key(address)
+        })
+    }
+
+    /// Creates a client that sends no key.
+    #[must_use]
+    pub fn without_key(address: net::SocketAddr) -> Self {
         let config = ureq::Agent::config_builder()
             .http_status_as_error(false)
             // Daemons are reached directly by IP address. A proxy set in the environment is for other destinations.
             .proxy(None)
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .build();
-        Ok(Self {
+        Self {
             agent: ureq::Agent::new_with_config(config),
             address,
-            key: read_key(matches)?,
-        })
+            key: None,
+        }
+    }
+
+    /// Sends a `GET` request with a header.
+    pub fn query(&self, path: &str, header: Option<(&str, &str)>) -> Result<ApiResponse, ApiFailure> {
+        let mut request = ureq::http::Request::builder().uri(format!("http://{}{path}", self.address));
+        if let Some((name, value)) = header {
+            request = request.header(name, value);
+        }
+        self.run(request.body(""), REQUEST_TIMEOUT)
     }
 
     /// Sends a request and returns its response, whatever the status.
@@ -120,7 +138,14 @@
         if !body.is_empty() {
             request = request.header("Content-Type", "application/json");
         }
-        let built = request.body(body);
+        self.run(request.body(body), timeout)
+    }
+
+    fn run(
+        &self,
+        built: Result<ureq::http::Request<&str>, ureq::http::Error>,
+        timeout: time::Duration,
+    ) -> Result<ApiResponse, ApiFailure> {
         let request = built.map_err(|error| ApiFailure::NotSent(format!("invalid request: {error}")))?;
         let request = self
             .agent
--- a/crates/cli/src/cli_command.rs
+++ b/crates/cli/src/cli_command.rs
@@ -47,6 +47,7 @@
         .subcommands(change_commands())
         .subcommands(read_commands())
         .subcommands(log_commands())
+        .subcommand(quota_command())
 }
 
 fn settings_commands() -> [clap::Command; 4] {
@@ -166,6 +167,25 @@
     ]
 }
 
+fn quota_command() -> clap::Command {
+    clap::Command::new("quotas")
+        .about("Print the limits of the tenants with a rate, the credits held and granted, and the refusals at daemons")
+        .arg(
+            clap::Arg::new("metrics")
+                .long("metrics")
+                .value_name("ADDRESS")
+                .required(true)
+                .action(clap::ArgAction::Append)
+                .value_parser(clap::value_parser!(net::SocketAddr))
+                .help("Address of a daemon's metrics endpoint, as an IP address with a port; may be repeated"),
+        )
+        .arg(
+            clap::Arg::new("name")
+                .value_name("TENANT")
+                .help("Name of the only tenant to print"),
+        )
+}
+
 fn kind() -> clap::Arg {
     clap::Arg::new("kind")
         .value_name("KIND")
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod command_output;
 mod kind_names;
 mod log_commands;
+mod quota_commands;
 mod read_commands;
 mod settings_commands;
 
@@ -38,6 +39,7 @@
         "get" => read_commands::get(matches),
         "watch" => read_commands::watch(matches),
         "status" => read_commands::status(matches),
+        "quotas" => quota_commands::quotas(matches),
         "changes" => read_commands::change(matches),
         "explain-request" => log_commands::explain(matches),
         "refusals" => log_commands::refusals(matches),
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -19,6 +19,8 @@
     authorization: String,
     /// Header `Idempotency-Key`.
     change_id: String,
+    /// Header `damasktrack-tenant`.
+    tenant: String,
     body: Value,
 }
 
@@ -48,6 +50,7 @@
                     url: request.url().to_owned(),
                     authorization: header("Authorization"),
                     change_id: header("Idempotency-Key"),
+                    tenant: header("damasktrack-tenant"),
                     body: serde_json::from_str(&text).unwrap_or_default(),
                 });
                 let response = tiny_http::Response::from_string(body.to_string()).with_status_code(status);
@@ -308,3 +311,57 @@
     fs::remove_file(path).unwrap();
     assert!(run(&["explain-settings"]).stdout.contains("peer_listen"));
 }
+
+/// Guards against a view of the quotas without the figures of the daemon, or that sends the operator's key to the metrics
+/// endpoint, which needs none.
+#[test]
+fn quotas_prints_limits_credits_and_refusals() {
+    let tenant = json!({
+        "name": "viborg", "rate_per_s": 20.0, "burst": 30.0, "window_bound": 163.0, "coordinator": "vm-2",
+        "origin": "coordinator", "held": 7, "refused": 12, "last_refusal_s": 3.2,
+        "coordinated": { "share": 0.75, "granted": 9, "available": 4.25, "holders": 3 },
+    });
+    let document = |tenants: Value, matches: u32, left_out: u32| json!({ "daemon": "vm-1", "share": 0.25, "matches": matches, "left_out": left_out, "tenants": tenants });
+    let api = ScriptedApi::start(vec![
+        (200, document(json!([tenant]), 1, 0)),
+        (200, document(json!([]), 1003, 3)),
+        (200, document(json!([]), 0, 0)),
+        (404, Value::Null),
+    ]);
+    let address = api.address.to_string();
+    let result = run(&["quotas", "--metrics", &address, "viborg"]);
+    assert_eq!(result.code, Some(0), "{result:?}");
+    let lines: Vec<Vec<&str>> = result
+        .stdout
+        .lines()
+        .map(|line| line.split_whitespace().collect())
+        .collect();
+    assert_eq!(
+        lines[0].join(" "),
+        "daemon vm-1: 1 tenants with a limit, share of the limits 0.2500"
+    );
+    assert_eq!(lines[2].join(" "), "viborg 20.0 30.0 163 7 12 3 s ago coordinator vm-2");
+    assert_eq!(
+        lines[3].join(" "),
+        "coordinated here: share 0.7500, 9 credits granted to 3 daemons, 4.2 available"
+    );
+    let result = run(&["quotas", "--metrics", &address]);
+    assert!(result.stdout.contains("3 tenants left out"), "{result:?}");
+    let result = run(&["quotas", "--metrics", &address, "skive"]);
+    assert!(
+        result.code == Some(1) && result.stderr.contains("no tenant 'skive'"),
+        "{result:?}"
+    );
+    let result = run(&["quotas", "--metrics", &address]);
+    assert!(
+        result.code == Some(1) && result.stderr.contains("no bounds for quotas"),
+        "{result:?}"
+    );
+    let requests = api.into_requests();
+    assert_eq!(
+        (requests[0].url.as_str(), requests[0].tenant.as_str()),
+        ("/tenants", "viborg")
+    );
+    assert!(requests.iter().all(|request| request.authorization.is_empty()));
+    assert_eq!(requests[1].tenant, "");
+}
--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -237,7 +237,7 @@
 ) -> Result<hyper::Response<message_body::ReplyBody>, local_reply::LocalReply> {
     let credit = match quota_gate::admit(node, entry.tenant.as_deref()).await {
         quota_gate::QuotaDecision::Admitted(credit) => credit,
-        quota_gate::QuotaDecision::Refused(wait) => return Err(local_reply::LocalReply::OverQuota(wait)),
+        quota_gate::QuotaDecision::Refused(refusal) => return Err(local_reply::LocalReply::OverQuota(refusal)),
     };
     let result = attempt(node, entry).await;
     if matches!(result, Err(local_reply::LocalReply::NotRun(_))) {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod quota_gate;
 pub mod quota_state;
 pub mod quota_tasks;
+pub mod quota_view;
 pub mod request_end;
 pub mod retry_share;
 pub mod route_config;
--- a/crates/forward/src/local_reply.rs
+++ b/crates/forward/src/local_reply.rs
@@ -1,7 +1,5 @@
 //! Responses that the entry daemon generates when there is no backend server's response to forward.
 
-use std::time;
-
 use bytes::Bytes;
 use damasktrack_entity::call_outcome;
 use damasktrack_pipeline::request_fault;
@@ -9,6 +7,8 @@
 use rand::RngExt;
 
 use crate::message_body;
+use crate::quota_gate;
+use crate::quota_view;
 
 /// Range of the `Retry-After` values, from which each is drawn at random to spread the retries of refused callers.
 const RETRY_AFTER_SECONDS: std::ops::Range<f64> = 0.3..0.9;
@@ -26,8 +26,8 @@
     NoRoute,
     /// The request was not read completely.
     Rejected(request_fault::RequestFault),
-    /// The tenant is above its quota; the time after which a credit is expected.
-    OverQuota(time::Duration),
+    /// The tenant is above its quota.
+    OverQuota(quota_gate::QuotaRefusal),
     /// The request did not run and will not run later.
     NotRun(call_outcome::RefusalReason),
     /// The request may have run.
@@ -59,7 +59,9 @@
             Self::BadRequest => "malformed request".to_owned(),
             Self::Unauthorized => "unknown or missing key".to_owned(),
             Self::Unconfirmed => "configuration not confirmed".to_owned(),
-            Self::OverQuota(_) => "above the quota".to_owned(),
+            Self::OverQuota(refusal) => {
+                format!("above the quota, credits: {}", quota_view::origin_text(refusal.origin))
+            }
             Self::NoRoute => "no route".to_owned(),
             Self::Rejected(fault) => fault.to_string(),
             Self::NotRun(reason) => reason.to_string(),
@@ -88,7 +90,7 @@
         let mut response = hyper::Response::new(message_body::ReplyBody::whole(Bytes::new()));
         *response.status_mut() = self.status();
         let seconds = match self {
-            Self::OverQuota(wait) => Some(wait.as_secs_f64()),
+            Self::OverQuota(refusal) => Some(refusal.wait.as_secs_f64()),
             Self::NotRun(_)
             | Self::Unconfirmed
             | Self::Rejected(request_fault::RequestFault::Stopping | request_fault::RequestFault::NoRoom) => {
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -8,6 +8,7 @@
 use damasktrack_pipeline::byte_account;
 use damasktrack_pipeline::request_order;
 use damasktrack_pipeline::server_connection;
+use hyper::header;
 use rand::RngExt;
 use tokio::signal::unix;
 use tokio::sync::mpsc;
@@ -24,6 +25,7 @@
 use crate::message_body;
 use crate::node_context;
 use crate::peer_server;
+use crate::quota_view;
 use crate::stall_watch;
 use crate::store_port;
 
@@ -198,19 +200,42 @@
     let Some(address) = node.settings.metrics_listen else {
         return Ok(());
     };
-    let metrics = node.metrics.clone();
-    http_server::serve_internal(address, &node.account, move |_request, _hold| {
-        let response = match metrics.text() {
-            Ok(text) => hyper::Response::new(message_body::ReplyBody::whole(Bytes::from(text))),
-            Err(error) => {
-                log::warn!(error:% = error; "metrics can't be written");
-                peer_server::empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR)
-            }
+    let served = rc::Rc::clone(node);
+    http_server::serve_internal(address, &node.account, move |request, _hold| {
+        let response = if request.uri().path() == quota_view::TENANTS_PATH {
+            let name = request.headers().get(quota_view::TENANT_HEADER);
+            tenants_response(&served, name.map(header::HeaderValue::as_bytes))
+        } else {
+            metrics_response(&served)
         };
         std::future::ready(response)
     })
 }
 
+fn metrics_response(node: &node_context::NodeContext) -> http_server::ServerResponse {
+    match node.metrics.text() {
+        Ok(text) => hyper::Response::new(message_body::ReplyBody::whole(Bytes::from(text))),
+        Err(error) => {
+            log::warn!(error:% = error; "metrics can't be written");
+            peer_server::empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+/// Returns the quotas of the tenants; status 404 if the settings have no bounds for quotas.
+fn tenants_response(node: &node_context::NodeContext, name: Option<&[u8]>) -> http_server::ServerResponse {
+    let Some(document) = quota_view::document(node, name) else {
+        return peer_server::empty_response(hyper::StatusCode::NOT_FOUND);
+    };
+    match serde_json::to_vec(&document) {
+        Ok(bytes) => hyper::Response::new(message_body::ReplyBody::whole(Bytes::from(bytes))),
+        Err(error) => {
+            log::warn!(error:% = error; "quotas can't be written");
+            peer_server::empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
 async fn run_maintenance(node: rc::Rc<node_context::NodeContext>) {
     let (mut logged, mut logged_at) = ((0, 0), None);
     loop {
--- a/crates/forward/src/quota_gate.rs
+++ b/crates/forward/src/quota_gate.rs
@@ -9,6 +9,7 @@
 
 use crate::log_limiter;
 use crate::node_context;
+use crate::quota_view;
 use crate::stall_watch;
 use crate::tenant_config;
 
@@ -25,8 +26,17 @@
 pub enum QuotaDecision {
     /// The request may be sent.
     Admitted(QuotaCredit),
-    /// The tenant is above its quota; the time after which a credit is expected.
-    Refused(time::Duration),
+    /// The tenant is above its quota.
+    Refused(QuotaRefusal),
+}
+
+/// State of a tenant's quota when a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuotaRefusal {
+    /// Time after which a credit is expected.
+    pub wait: time::Duration,
+    /// Where the credits of this daemon come from.
+    pub origin: credit_holder::CreditOrigin,
 }
 
 /// Credit of an admitted request. It stays spent unless it is given back.
@@ -100,7 +110,10 @@
             Some(credit_holder::TakeResult::Wait) => WAITED_RETRY,
         };
         record_refusal(node, tenant, now);
-        return QuotaDecision::Refused(wait.mul_f64(rand::rng().random_range(RETRY_SPREAD)));
+        return QuotaDecision::Refused(QuotaRefusal {
+            wait: wait.mul_f64(rand::rng().random_range(RETRY_SPREAD)),
+            origin: quota.holder_credits(tenant, now).1,
+        });
     }
 }
 
@@ -116,7 +129,12 @@
         .log_limiter
         .decide(log_limiter::LogCategory::Failure, time::Instant::now());
     if let log_limiter::LogDecision::Write { left_out } = decision {
-        let tenant = ids::text(tenant);
-        log::info!(tenant:% = tenant, left_out = left_out; "requests of a tenant above its quota are refused");
+        let (coordinator, origin, _held) = quota.holder_credits(tenant, now);
+        let coordinator = coordinator.map_or_else(String::new, |id| ids::text(&id).into_owned());
+        let (tenant, origin) = (ids::text(tenant), quota_view::origin_text(origin));
+        log::info!(
+            tenant:% = tenant, coordinator = coordinator, credits = origin, left_out = left_out;
+            "requests of a tenant above its quota are refused"
+        );
     }
 }
--- a/crates/forward/src/quota_state.rs
+++ b/crates/forward/src/quota_state.rs
@@ -26,6 +26,8 @@
 const MEMBERS_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Interval at which coordinators forget holders and tenants without activity.
 const PRUNE_INTERVAL: time::Duration = time::Duration::from_secs(5);
+/// Time after the last refusal in which the number of a tenant's refusals is kept.
+const REFUSAL_COUNT_AGE: time::Duration = time::Duration::from_hours(24);
 /// Time without a refusal after which a tenant's next refusal is logged again.
 const REFUSAL_LOG_AGE: time::Duration = time::Duration::from_secs(10);
 
@@ -55,6 +57,15 @@
     pub report: credit_message::CreditReport,
 }
 
+/// Refusals of a tenant's requests at this daemon.
+#[derive(Clone, Copy, Debug)]
+pub struct RefusalCount {
+    /// Number of refusals.
+    pub count: u64,
+    /// Time of the last one.
+    pub last: stall_watch::BootTime,
+}
+
 #[derive(Debug, Default)]
 struct QuotaParts {
     known: known_daemons::KnownDaemons,
@@ -63,8 +74,7 @@
     coordinators: collections::HashMap<coordinator_choice::GroupKey, credit_coordinator::CreditCoordinator>,
     members_read: Option<stall_watch::BootTime>,
     pruned: stall_watch::BootTime,
-    /// When requests of each tenant were last refused.
-    refused: collections::HashMap<ids::TenantName, stall_watch::BootTime>,
+    refusals: collections::HashMap<ids::TenantName, RefusalCount>,
 }
 
 /// State of the quotas. Exists only with bounds for quotas in the settings.
@@ -150,8 +160,8 @@
             parts.coordinators.values_mut().for_each(|part| part.prune(now));
             parts.coordinators.retain(|_group, part| !part.is_idle());
             parts
-                .refused
-                .retain(|_tenant, refused| now.saturating_sub(*refused) < REFUSAL_LOG_AGE);
+                .refusals
+                .retain(|_tenant, refusals| now.saturating_sub(refusals.last) < REFUSAL_COUNT_AGE);
         }
         let groups = u32::try_from(parts.holders.len()).unwrap_or(u32::MAX);
         let share = parts.known.share(now);
@@ -236,8 +246,15 @@
 
     /// Records a refusal; returns whether it is the first one of the tenant for a while.
     pub fn note_refusal(&self, tenant: &ids::TenantName, now: stall_watch::BootTime) -> bool {
-        let before = self.parts.borrow_mut().refused.insert(tenant.clone(), now);
-        before.is_none_or(|before| now.saturating_sub(before) >= REFUSAL_LOG_AGE)
+        let refusals = &mut self.parts.borrow_mut().refusals;
+        let Some(known) = refusals.get_mut(tenant) else {
+            refusals.insert(tenant.clone(), RefusalCount { count: 1, last: now });
+            return true;
+        };
+        let is_first = now.saturating_sub(known.last) >= REFUSAL_LOG_AGE;
+        known.count += 1;
+        known.last = now;
+        is_first
     }
 }
 
@@ -249,6 +266,51 @@
         credit_limit::CreditLimit::new(rule.rate_per_s, rule.burst, &self.bounds)
     }
 
+    /// Returns the bounds of the quotas.
+    #[must_use]
+    pub fn bounds(&self) -> &credit_limit::QuotaBounds {
+        &self.bounds
+    }
+
+    /// Returns the part of every limit that this daemon owns.
+    #[must_use]
+    pub fn share(&self, now: stall_watch::BootTime) -> f64 {
+        self.parts.borrow().known.share(now)
+    }
+
+    /// Returns the refusals of a tenant's requests; `None` without one.
+    #[must_use]
+    pub fn refusals(&self, tenant: &ids::TenantName) -> Option<RefusalCount> {
+        self.parts.borrow().refusals.get(tenant).copied()
+    }
+
+    /// Returns the chosen coordinator of a tenant, where its credits come from, and the number of unspent ones.
+    #[must_use]
+    pub fn holder_credits(
+        &self,
+        tenant: &ids::TenantName,
+        now: stall_watch::BootTime,
+    ) -> (Option<ids::DaemonId>, credit_holder::CreditOrigin, u64) {
+        let parts = self.parts.borrow();
+        let Some(group) = parts.group_of(tenant).and_then(|key| parts.holders.get(key.0 as usize)) else {
+            return (None, credit_holder::CreditOrigin::NoShare, 0);
+        };
+        let coordinator = group.coordinator.as_ref().map(|chosen| chosen.0.clone());
+        (coordinator, group.holder.origin(now), group.holder.held_of(tenant, now))
+    }
+
+    /// Returns the credits of a tenant that this daemon coordinates; `None` for another.
+    #[must_use]
+    pub fn coordinated(
+        &self,
+        tenant: &ids::TenantName,
+        now: stall_watch::BootTime,
+    ) -> Option<credit_coordinator::TenantCredits> {
+        let parts = self.parts.borrow();
+        let coordinator = parts.coordinators.get(&parts.group_of(tenant)?)?;
+        coordinator.tenant_credits(tenant, now)
+    }
+
     /// Returns whether any tenant has a limit.
     #[must_use]
     pub fn has_limits(&self) -> bool {
@@ -277,9 +339,13 @@
 }
 
 impl QuotaParts {
-    fn group_mut(&mut self, tenant: &ids::TenantName) -> Option<&mut GroupHolder> {
+    fn group_of(&self, tenant: &ids::TenantName) -> Option<coordinator_choice::GroupKey> {
         let groups = u32::try_from(self.holders.len()).ok()?;
-        let index = coordinator_choice::group_of(tenant, groups);
+        Some((coordinator_choice::group_of(tenant, groups), groups))
+    }
+
+    fn group_mut(&mut self, tenant: &ids::TenantName) -> Option<&mut GroupHolder> {
+        let index = self.group_of(tenant)?.0;
         self.holders.get_mut(index as usize)
     }
 
--- a/crates/quota/src/credit_coordinator.rs
+++ b/crates/quota/src/credit_coordinator.rs
@@ -203,6 +203,19 @@
     }
 }
 
+/// Credits of one tenant at the coordinator, as of its last report.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TenantCredits {
+    /// Part of the limit that is delegated.
+    pub share: f64,
+    /// Credits that holders may still spend.
+    pub unspent: u64,
+    /// Credits that can be granted.
+    pub tokens: f64,
+    /// Number of holders that have reported the tenant lately.
+    pub holders: usize,
+}
+
 /// Coordinator of the limits of the tenants. A process has one, with a new epoch and empty buckets.
 #[derive(Debug)]
 pub struct CreditCoordinator {
@@ -436,6 +449,18 @@
         self.holders.is_empty()
     }
 
+    /// Returns the credits of a tenant; `None` if no holder has reported it lately.
+    #[must_use]
+    pub fn tenant_credits(&self, tenant: &ids::TenantName, now: time::Duration) -> Option<TenantCredits> {
+        let state = self.tenants.get(tenant)?;
+        Some(TenantCredits {
+            share: self.alive_share(now),
+            unspent: state.outstanding,
+            tokens: state.bucket.level(),
+            holders: state.accounts.len(),
+        })
+    }
+
     /// Returns the number of credits granted since the start.
     #[must_use]
     pub fn granted(&self) -> u64 {
--- a/crates/quota/src/credit_holder.rs
+++ b/crates/quota/src/credit_holder.rs
@@ -58,6 +58,17 @@
     spent: time::Duration,
 }
 
+/// Where the credits of a holder come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CreditOrigin {
+    /// From a coordinator.
+    Coordinator,
+    /// From the daemon's own share.
+    OwnShare,
+    /// From nowhere: a coordinator may still count the share, or the process has started lately.
+    NoShare,
+}
+
 /// Totals of the credits spent, returned and refunded.
 type CreditTotals = (u64, u64, u64);
 
@@ -474,6 +485,26 @@
         if linked { sum } else { 0 }
     }
 
+    /// Returns where credits come from.
+    #[must_use]
+    pub fn origin(&self, now: time::Duration) -> CreditOrigin {
+        if self.coordinator(now).is_some() {
+            CreditOrigin::Coordinator
+        } else if self.owns_share(now) {
+            CreditOrigin::OwnShare
+        } else {
+            CreditOrigin::NoShare
+        }
+    }
+
+    /// Returns the number of unspent credits of a tenant.
+    #[must_use]
+    pub fn held_of(&self, tenant: &ids::TenantName, now: time::Duration) -> u64 {
+        let linked = self.coordinator(now).is_some();
+        let account = self.accounts.get(tenant).filter(|_account| linked);
+        account.map_or(0, TenantAccount::available)
+    }
+
     /// Returns whether this daemon may use its own share: no coordinator counts it.
     #[must_use]
     pub fn owns_share(&self, now: time::Duration) -> bool {
--- a/crates/standins/src/platform_site.rs
+++ b/crates/standins/src/platform_site.rs
@@ -305,6 +305,18 @@
         response.ok()?.body_mut().read_to_string().ok()
     }
 
+    /// Returns the quotas of the tenants, or of one, at a VM's daemon; `None` if there is no such document.
+    #[must_use]
+    pub fn quotas(&self, vm: usize, tenant: Option<&str>) -> Option<serde_json::Value> {
+        let address = self.vms[vm].socket(METRICS_PORT);
+        let mut request = agent(CALL_TIMEOUT).get(format!("http://{address}/tenants"));
+        if let Some(tenant) = tenant {
+            request = request.header("damasktrack-tenant", tenant);
+        }
+        let text = request.call().ok()?.body_mut().read_to_string().ok()?;
+        serde_json::from_str(&text).ok()
+    }
+
     /// Returns the resident memory of a VM's daemon in KiB.
     ///
     /// # Errors
