--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -238,7 +238,7 @@
     let time_left = entry.deadline.saturating_duration_since(time::Instant::now());
     let credit = match quota_gate::admit(node, entry.tenant.as_deref(), time_left).await {
         quota_gate::QuotaDecision::Admitted(credit) => credit,
-        quota_gate::QuotaDecision::Refused(wait) => return Err(local_reply::LocalReply::OverQuota(wait)),
+        quota_gate::QuotaDecision::Refused(refusal) => return Err(local_reply::LocalReply::OverQuota(refusal)),
     };
     let result = attempt(node, entry).await;
     if matches!(result, Err(local_reply::LocalReply::NotRun(_))) {
--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -64,6 +64,7 @@
 #[derive(Clone, Debug)]
 struct QuotaInstruments {
     refusals: metrics::Counter<u64>,
+    holds: metrics::Counter<u64>,
     reports: metrics::Counter<u64>,
     granted: metrics::Gauge<u64>,
     held: metrics::Gauge<u64>,
@@ -77,6 +78,11 @@
                 "damasktrack_quota_refusals",
                 "Requests refused since their tenant is above its quota",
             ),
+            holds: counter(
+                meter,
+                "damasktrack_quota_holds",
+                "Requests that waited for the end of an outage of the quotas",
+            ),
             reports: counter(
                 meter,
                 "damasktrack_quota_reports",
@@ -282,6 +288,11 @@
         self.quotas.refusals.add(1, &[]);
     }
 
+    /// Counts a request that waits for the end of an outage of the quotas.
+    pub fn count_quota_hold(&self) {
+        self.quotas.holds.add(1, &[]);
+    }
+
     /// Counts a report to a coordinator of the quotas.
     pub fn count_quota_report(&self) {
         self.quotas.reports.add(1, &[]);
--- a/crates/forward/src/quota_gate.rs
+++ b/crates/forward/src/quota_gate.rs
@@ -11,6 +11,7 @@
 use crate::forward_core;
 use crate::log_limiter;
 use crate::node_context;
+use crate::quota_view;
 use crate::stall_watch;
 use crate::tenant_config;
 
@@ -22,8 +23,17 @@
 pub enum QuotaDecision {
     /// The request may be sent.
     Admitted(QuotaCredit),
-    /// The tenant is above its quota; the time after which a credit is expected.
-    Refused(time::Duration),
+    /// The tenant is above its quota.
+    Refused(QuotaRefusal),
+}
+
+/// State of a tenant's quota when a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuotaRefusal {
+    /// Time after which a credit is expected.
+    pub wait: time::Duration,
+    /// Where the credits of this daemon come from.
+    pub origin: credit_holder::CreditOrigin,
 }
 
 /// Credit of an admitted request. It stays spent unless it is given back.
@@ -74,6 +84,7 @@
     let tenant = &rule.name;
     let mut wait = credit_wait::CreditWait::new(time_left, stall_watch::boot_time());
     let mut waiting = None;
+    let mut is_held = false;
     loop {
         let now = stall_watch::boot_time();
         // A newer configuration may have no limits.
@@ -88,7 +99,10 @@
             Some(credit_wait::WaitStep::Pause(pause)) => (false, pause),
             Some(credit_wait::WaitStep::Refuse(retry)) => {
                 record_refusal(node, tenant, now);
-                return QuotaDecision::Refused(retry.mul_f64(rand::rng().random_range(RETRY_SPREAD)));
+                return QuotaDecision::Refused(QuotaRefusal {
+                    wait: retry.mul_f64(rand::rng().random_range(RETRY_SPREAD)),
+                    origin: quota.holder_credits(tenant, now).1,
+                });
             }
             None => {
                 let spent = match result {
@@ -105,10 +119,25 @@
             quota.with_holder(tenant, |holder| holder.begin_wait(tenant));
             waiting = Some(WaitGuard { node, tenant });
         }
+        if wait.in_outage() && !is_held {
+            is_held = true;
+            record_hold(node, tenant);
+        }
         let _replied = tokio::time::timeout(pause, replied.notified()).await;
     }
 }
 
+fn record_hold(node: &node_context::NodeContext, tenant: &ids::TenantName) {
+    node.metrics.count_quota_hold();
+    let decision = node
+        .log_limiter
+        .decide(log_limiter::LogCategory::Failure, time::Instant::now());
+    if let log_limiter::LogDecision::Write { left_out } = decision {
+        let tenant = ids::text(tenant);
+        log::info!(tenant:% = tenant, left_out = left_out; "request waits for the end of an outage of the quotas");
+    }
+}
+
 fn record_refusal(node: &node_context::NodeContext, tenant: &ids::TenantName, now: stall_watch::BootTime) {
     node.metrics.count_quota_refusal();
     let Some(quota) = &node.quota else {
@@ -121,7 +150,12 @@
         .log_limiter
         .decide(log_limiter::LogCategory::Failure, time::Instant::now());
     if let log_limiter::LogDecision::Write { left_out } = decision {
-        let tenant = ids::text(tenant);
-        log::info!(tenant:% = tenant, left_out = left_out; "requests of a tenant above its quota are refused");
+        let (coordinator, origin, _held) = quota.holder_credits(tenant, now);
+        let coordinator = coordinator.map_or_else(String::new, |id| ids::text(&id).into_owned());
+        let (tenant, origin) = (ids::text(tenant), quota_view::origin_text(origin));
+        log::info!(
+            tenant:% = tenant, coordinator = coordinator, credits = origin, left_out = left_out;
+            "requests of a tenant above its quota are refused"
+        );
     }
 }
--- a/crates/quota/src/credit_wait.rs
+++ b/crates/quota/src/credit_wait.rs
@@ -75,7 +75,7 @@
         };
         let step = match *result {
             credit_holder::TakeResult::Granted(_) => return None,
-            credit_holder::TakeResult::Wait { .. } if waited < limit => WaitStep::Report(limit - waited),
+            credit_holder::TakeResult::Wait { .. } if waited < limit => WaitStep::Report(limit.saturating_sub(waited)),
             credit_holder::TakeResult::Wait { .. } => WaitStep::Refuse(WAITED_RETRY),
             credit_holder::TakeResult::Outage(wait) if waited + wait < outage_limit => {
                 self.in_outage = true;
@@ -90,4 +90,10 @@
         };
         Some(step)
     }
+
+    /// Returns whether the request has met an outage.
+    #[must_use]
+    pub fn in_outage(&self) -> bool {
+        self.in_outage
+    }
 }
