--- a/crates/quota/tests/quotas/failures.rs
+++ b/crates/quota/tests/quotas/failures.rs
@@ -489,10 +489,10 @@
     let mut sent = 0;
     let mut due = vec![0.0; world.limits.len()];
     while world.now < end {
-        for tenant in 0..world.limits.len() {
-            due[tenant] += 0.6 * world.limits[tenant].rate * TICK.as_secs_f64();
-            while due[tenant] >= 1.0 {
-                due[tenant] -= 1.0;
+        for (tenant, due) in due.iter_mut().enumerate() {
+            *due += 0.6 * world.limits[tenant].rate * TICK.as_secs_f64();
+            while *due >= 1.0 {
+                *due -= 1.0;
                 sent += 1;
                 let daemon = world.rng.random_range(0..DAEMONS);
                 if world.daemons[daemon].live {
--- a/crates/quota/tests/quotas/quota_world.rs
+++ b/crates/quota/tests/quotas/quota_world.rs
@@ -57,8 +57,6 @@
     incarnation: u64,
     open: Option<(u64, Duration)>,
     urgent: bool,
-    /// Whether a reply has arrived since the waiting requests tried last.
-    replied: bool,
     waiting: Vec<WaitingRequest>,
 }
 
@@ -174,7 +172,6 @@
             incarnation,
             open: None,
             urgent: false,
-            replied: false,
             waiting: Vec::new(),
         }
     }
@@ -388,7 +385,8 @@
                 daemon.holder.finish_report(sequence, &reply, holder_time);
                 if matched {
                     daemon.open = None;
-                    daemon.replied = true;
+                    let waiting = daemon.waiting.iter_mut();
+                    waiting.for_each(|request| request.due = Duration::ZERO);
                 }
             }
         }
@@ -397,9 +395,8 @@
     fn serve_waiting(&mut self, index: usize) {
         let waiting = std::mem::take(&mut self.daemons[index].waiting);
         let local = self.local(index);
-        let replied = std::mem::take(&mut self.daemons[index].replied);
         for request in waiting {
-            if replied || request.due <= local {
+            if request.due <= local {
                 self.try_credit(index, request, false);
             } else {
                 self.daemons[index].waiting.push(request);
