Share the retries to a service by turns between tenants

Cause: the retry budget of a service at a daemon had no tenants. A tenant whose requests all fail used up the retries that another one needs now and then.

Change: while another tenant has asked for a retry in the last second, a tenant gets no two retries in succession, so it gets at most half of those of any period, and one. The budget itself is unchanged.

--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -10,7 +10,6 @@
 use damasktrack_pipeline::request_fault;
 use damasktrack_pipeline::request_order;
 use damasktrack_pipeline::server_connection;
-use damasktrack_routing::retry_budget;
 use damasktrack_routing::round_policy;
 use damasktrack_routing::route_candidate;
 use hyper::header;
@@ -356,11 +355,29 @@
 }
 
 fn repeat_allowed(node: &node_context::NodeContext, entry: &EntryRequest) -> bool {
-    let decision = node.core.ask(|core, now| core.may_repeat(&entry.service, now));
-    if decision == retry_budget::RetryDecision::Allowed {
-        node.metrics.count_repeat(&entry.rule.name);
+    let tenant = entry.tenant.as_ref().map(|tenant| &tenant.name);
+    let decision = node.core.ask(|core, now| core.may_repeat(&entry.service, tenant, now));
+    match decision {
+        forward_core::RepeatDecision::Allowed => node.metrics.count_repeat(&entry.rule.name),
+        forward_core::RepeatDecision::NoBudget => {}
+        forward_core::RepeatDecision::OthersFirst => record_yielded_repeat(node, entry),
+    }
+    decision == forward_core::RepeatDecision::Allowed
+}
+
+fn record_yielded_repeat(node: &node_context::NodeContext, entry: &EntryRequest) {
+    node.metrics.count_yielded_repeat(&entry.rule.name);
+    let decision = node
+        .log_limiter
+        .decide(log_limiter::LogCategory::Failure, time::Instant::now());
+    if let log_limiter::LogDecision::Write { left_out } = decision {
+        let tenant = entry.tenant.as_ref().map(|tenant| ids::text(&tenant.name));
+        let tenant = tenant.unwrap_or_default();
+        log::info!(
+            tenant:% = tenant, service:% = ids::text(&entry.service), left_out = left_out;
+            "request not sent again, since another tenant has the next repeat"
+        );
     }
-    decision == retry_budget::RetryDecision::Allowed
 }
 
 /// Records the end of an attempt when it is dropped, which includes cancellation by the caller.
--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -21,6 +21,7 @@
 use damasktrack_routing::region_window;
 use damasktrack_routing::request_hold;
 use damasktrack_routing::retry_budget;
+use damasktrack_routing::retry_turns;
 use damasktrack_routing::route_candidate;
 use damasktrack_routing::route_table;
 use rand::RngExt;
@@ -162,6 +163,17 @@
     pub started_ms: u64,
 }
 
+/// Whether a request may be sent to another server after one may have run it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatDecision {
+    /// A token of the service's retry budget was taken.
+    Allowed,
+    /// The budget has no token.
+    NoBudget,
+    /// The tenant had the last token, and another one asks.
+    OthersFirst,
+}
+
 type WorkWaiter = oneshot::Sender<Result<WorkPermit, call_outcome::RefusalReason>>;
 
 /// Decision state of a daemon.
@@ -179,6 +191,8 @@
     choices: collections::HashMap<ids::ClassName, weighted_choice::WeightedChoice>,
     routes: route_table::RouteTable,
     budgets: collections::HashMap<ids::ServiceName, retry_budget::RetryBudget>,
+    /// Turns of the tenants at each budget.
+    turns: collections::HashMap<ids::ServiceName, retry_turns::RetryTurns>,
     gossip: gossip_context::GossipContext,
     server: server_report::ServerState,
     /// Notices of the backend servers beside other daemons.
@@ -235,6 +249,7 @@
             config_text: config_text::ConfigText::default(),
             choices: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
+            turns: collections::HashMap::new(),
             server: server_report::ServerState::default(),
             hints: server_hint::HintTable::default(),
             throttle: pressure_throttle::PressureThrottle::default(),
@@ -328,9 +343,24 @@
         self.budget(service, now).first_attempt();
     }
 
-    /// Takes a token for another attempt from the service's retry budget, if there is one.
-    pub fn may_repeat(&mut self, service: &ids::ServiceName, now: time::Instant) -> retry_budget::RetryDecision {
-        self.budget(service, now).try_retry(now)
+    /// Takes a token for another attempt from the service's retry budget, if there is one and it is the tenant's turn.
+    pub fn may_repeat(
+        &mut self,
+        service: &ids::ServiceName,
+        tenant: Option<&ids::TenantName>,
+        now: time::Instant,
+    ) -> RepeatDecision {
+        let turns = self.turns.entry(service.clone()).or_default();
+        if turns.ask(tenant, now) == retry_turns::TurnDecision::OthersFirst {
+            return RepeatDecision::OthersFirst;
+        }
+        match self.budget(service, now).try_retry(now) {
+            retry_budget::RetryDecision::Denied => RepeatDecision::NoBudget,
+            retry_budget::RetryDecision::Allowed => {
+                self.turns.entry(service.clone()).or_default().note_grant(tenant);
+                RepeatDecision::Allowed
+            }
+        }
     }
 
     /// Admits, queues or refuses a call for the backend server.
--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -34,6 +34,7 @@
     attempts: metrics::Counter<u64>,
     work: metrics::Counter<u64>,
     repeats: metrics::Counter<u64>,
+    yielded_repeats: metrics::Counter<u64>,
     rounds: metrics::Counter<u64>,
     rejected: metrics::Counter<u64>,
     quotas: QuotaInstruments,
@@ -186,6 +187,11 @@
                 "damasktrack_repeats",
                 "Requests sent to another server after they may have run or were shed, by class",
             ),
+            yielded_repeats: counter(
+                &meter,
+                "damasktrack_repeats_yielded",
+                "Requests not sent to another server since another tenant comes first, by class",
+            ),
             rounds: counter(
                 &meter,
                 "damasktrack_rounds",
@@ -260,6 +266,13 @@
         self.work.add(1, &[opentelemetry::KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a request that isn't sent again, since another tenant has the next turn at the retry budget.
+    pub fn count_yielded_repeat(&self, class: &ids::ClassName) {
+        let class = ids::text(class).into_owned();
+        self.yielded_repeats
+            .add(1, &[opentelemetry::KeyValue::new("class", class)]);
+    }
+
     /// Counts another attempt of a request after one that a backend server may have run or shed.
     pub fn count_repeat(&self, class: &ids::ClassName) {
         let class = ids::text(class).into_owned();
--- a/crates/forward/tests/tenants.rs
+++ b/crates/forward/tests/tenants.rs
@@ -11,7 +11,7 @@
 use damasktrack_forward::caller_key::{CarriedKey, KeyDigest};
 use damasktrack_forward::config_check::{ConfigAge, confirmed_at};
 use damasktrack_forward::config_text::ConfigText;
-use damasktrack_forward::forward_core::{EntryDecision, ForwardCore, WorkDecision};
+use damasktrack_forward::forward_core::{EntryDecision, ForwardCore, RepeatDecision, WorkDecision};
 use damasktrack_forward::forward_settings::ForwardSettings;
 use damasktrack_forward::header_names::HeaderNames;
 use damasktrack_forward::peer_call::{self, CallHead};
@@ -470,3 +470,27 @@
     assert_eq!(confirmed_at(7, reply(7, None), s(100)), None);
     assert_eq!(confirmed_at(7, reply(7, Some(s(101))), s(100)), None);
 }
+
+/// Guards against a tenant with failing requests that uses up the retries of another one at the same service, and against
+/// retries withheld at a service where no other tenant asks.
+#[test]
+fn retries_of_a_service_take_turns_between_tenants() {
+    let now = Instant::now();
+    let mut core = core(None, now);
+    let [service, unshared] = [Bytes::from_static(b"stock"), Bytes::from_static(b"price")];
+    let [failing, other] = [Bytes::from_static(b"plum"), Bytes::from_static(b"pear")];
+    let mut counts = [0; 3];
+    for step in 0..1_000_u32 {
+        let now = now + Duration::from_millis(10) * step;
+        core.count_request(&service, now);
+        core.count_request(&unshared, now);
+        let asks = [(&service, &other), (&service, &failing), (&unshared, &failing)];
+        for (count, (service, tenant)) in counts.iter_mut().zip(asks) {
+            *count += u32::from(core.may_repeat(service, Some(tenant), now) == RepeatDecision::Allowed);
+        }
+    }
+    println!("{counts:?}");
+    let [other, failing, alone] = counts;
+    assert!(failing > 0 && other.abs_diff(failing) <= 1, "{counts:?}");
+    assert!(alone.abs_diff(other + failing) <= 1, "{counts:?}");
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod region_window;
 pub mod request_hold;
 pub mod retry_budget;
+pub mod retry_turns;
 pub mod round_policy;
 pub mod route_candidate;
 mod route_queries;
