--- a/crates/quota/tests/quotas/main.rs
+++ b/crates/quota/tests/quotas/main.rs
@@ -5,4 +5,5 @@
 mod fuzz;
 mod messages;
 mod quota_world;
+mod rates;
 mod refunds;
