Show the fault of unused buckets over all daemons

A coordinator with its own share alone keeps an unused bucket for 220 s. Another one grants nearly its whole capacity and is lost, and the other daemons delegate to the first one before the daemon with callers does.

--- a/crates/quota/tests/quotas/failures.rs
+++ b/crates/quota/tests/quotas/failures.rs
@@ -462,6 +462,33 @@
     assert_eq!(granted, 6, "a fifth of the capacity of 30.8");
 }
 
+/// Guards against the same fault over all daemons: a successor that had only its own share so far.
+#[test]
+fn successor_with_an_unused_bucket_adds_no_tokens_to_those_spent_before() {
+    let mut world = QuotaWorld::new(DAEMONS, vec![limit(10.0, 200.0)], 7, Fault::None);
+    let ids: Vec<Bytes> = world.daemons.iter().map(|daemon| daemon.id.clone()).collect();
+    let index_of = |id: &Bytes| ids.iter().position(|other| other == id).unwrap();
+    let lost = index_of(coordinator_choice::choose(0, ids.iter()).unwrap());
+    let staying = ids.iter().filter(|id| **id != ids[lost]);
+    let successor = index_of(coordinator_choice::choose(0, staying).unwrap());
+    world.daemons[successor].view[lost] = false;
+    // By its own share alone the bucket of the successor would be full after 212 s.
+    world.run(Duration::from_secs(220));
+    // The other daemons delegate their shares to the successor before the one with callers does.
+    let callers = others(lost).into_iter().filter(|index| *index != successor);
+    let callers: Vec<usize> = callers.take(1).collect();
+    overload(&mut world, &callers, Duration::from_millis(700));
+    world.daemons[lost].live = false;
+    hide(&mut world, lost);
+    overload(&mut world, &callers, Duration::from_secs(5));
+    println!(
+        "{} in the largest window of {}",
+        max_in_window(&world.spent[0], BOUNDS.window),
+        BOUNDS.max_requests(10.0, 200.0)
+    );
+    world.check().unwrap();
+}
+
 /// Guards against credits that stay at a daemon whose callers have gone.
 #[test]
 fn idle_holder_returns_its_credits() {
