--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -70,9 +70,11 @@
     port: store_port::StorePort,
     serve_platform: impl FnOnce(&rc::Rc<node_context::NodeContext>) -> io::Result<()>,
 ) -> Result<(), RunError> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let local = task::LocalSet::new();
-    local.block_on(&runtime, start(settings, port, serve_platform))
+    // A `LocalSet` would poll the main task, with its signals, on each wake-up of any other task.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build_local(tokio::runtime::LocalOptions::default())?;
+    runtime.block_on(start(settings, port, serve_platform))
 }
 
 async fn start(
