Keep the futures of requests in boxes

FuturesOrdered and hyper move the future of a request up to four times on its way to the heap. Since it has grown from 750 bytes to 4.3 KiB.

--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -151,7 +151,8 @@
         let [planning, serving, rejecting] = [&node; 3].map(rc::Rc::clone);
         let handlers = server_connection::ConnectionHandlers {
             plan: move |parts: &mut _| entry_call::plan(&planning, parts),
-            serve: move |request| entry_call::serve(rc::Rc::clone(&serving), request),
+            // The future has several KiB, which its way into the connection's list would copy four times.
+            serve: move |request| Box::pin(entry_call::serve(rc::Rc::clone(&serving), request)),
             reject: move |fault| entry_call::reject(&rejecting, fault),
         };
         server_connection::serve(stream, caller_limits(&node), phases.clone(), handlers, hold)
@@ -181,7 +182,8 @@
     let node = rc::Rc::clone(node);
     let account = node.account.clone();
     http_server::serve_internal(address, &account, move |request, hold| {
-        peer_server::serve(rc::Rc::clone(&node), request, hold)
+        // Hyper moves the future, which has several KiB.
+        Box::pin(peer_server::serve(rc::Rc::clone(&node), request, hold))
     })
 }
 
