End the turn of a connection with a read that empties its socket

The bytes of a response were counted as part of the turn in which the next head is read, so that the read was limited to less than hyper's buffer, and 8 KiB were initialized for it. After a partial read, tokio clears the readiness of the socket, and the next read is pending, which ends the turn.

--- a/crates/forward/src/bounded_stream.rs
+++ b/crates/forward/src/bounded_stream.rs
@@ -109,14 +109,16 @@
             self.turn_bytes = 0;
             return end_turn(cx);
         }
-        let before = buf.filled().len();
+        let (before, wanted) = (buf.filled().len(), buf.remaining().min(allowed));
         let polled = if head_left.is_some() {
             self.poll_head(cx, buf, allowed)
         } else {
             pin::Pin::new(&mut self.stream).poll_read(cx, buf)
         };
         let length = buf.filled().len() - before;
-        self.turn_bytes = if polled.is_pending() {
+        // A read that leaves a part of the buffer has emptied the socket, so that the next one waits for the runtime. The
+        // bytes of one response would otherwise limit the read of the next head, and `poll_head` would initialize 8 KiB.
+        self.turn_bytes = if polled.is_pending() || length < wanted {
             0
         } else {
             self.turn_bytes + length
