--- a/crates/routing/src/completion_choice.rs
+++ b/crates/routing/src/completion_choice.rs
@@ -209,7 +209,7 @@
         now: time::Instant,
     ) -> Option<completion_estimate::CompletionEstimate> {
         let server = self.servers.get(key)?;
-        let delay = self.network_delay(server);
+        let delay = server.network_delay();
         let (load, age) = server.loads.fresh(class, delay / 2, now)?;
         Some(completion_estimate::CompletionEstimate {
             load,
@@ -225,7 +225,7 @@
         completion_estimate::CompletionEstimate {
             load: completion_estimate::ServerLoad::default(),
             age: time::Duration::ZERO,
-            delay: self.network_delay(server),
+            delay: server.network_delay(),
             slots: server.candidate.slots,
             sent: 0,
         }
--- a/crates/routing/src/route_queries.rs
+++ b/crates/routing/src/route_queries.rs
@@ -3,7 +3,6 @@
 use std::time;
 
 use damasktrack_entity::ids;
-use damasktrack_entity::server_location;
 use rand::RngExt;
 
 use crate::route_candidate;
@@ -11,11 +10,6 @@
 use crate::server_state;
 use crate::straggler_ejection;
 
-/// Round-trip network delay assumed until one was measured: the one-way delays of the deployments are 0.5 ms
-/// between data centres and 30 ms between regions.
-const SAME_REGION_DELAY: time::Duration = time::Duration::from_millis(1);
-/// See [`SAME_REGION_DELAY`].
-const CROSS_REGION_DELAY: time::Duration = time::Duration::from_millis(60);
 /// Latency assumed for a class without observations.
 const DEFAULT_LATENCY_SECONDS: f64 = 0.01;
 
@@ -71,32 +65,18 @@
     pub fn median(&self, service: &ids::ServiceName, class: &ids::ClassName, now: time::Instant) -> Option<f64> {
         let servers = self.server_keys(service).iter().map(|key| &self.servers[*key]);
         let peers = servers.filter(|server| server.candidate.state != route_candidate::CandidateState::Leaving);
-        straggler_ejection::median(peers.filter_map(|server| self.sample(server, class, now)))
+        straggler_ejection::median(peers.filter_map(|server| server.sample(class, now)))
     }
 
     pub(crate) fn long_term_mean(&self, service: &ids::ServiceName, class: &ids::ClassName) -> Option<f64> {
         let servers = self.server_keys(service).iter().map(|key| &self.servers[*key]);
         let means = servers.filter_map(|server| {
             let long_term_mean = server.classes.get(class)?.long_term_mean()?;
-            Some((long_term_mean - self.network_delay(server).as_secs_f64()).max(0.0))
+            Some((long_term_mean - server.network_delay().as_secs_f64()).max(0.0))
         });
         means.min_by(f64::total_cmp)
     }
 
-    pub(crate) fn sample(
-        &self,
-        server: &server_state::ServerState,
-        class: &ids::ClassName,
-        now: time::Instant,
-    ) -> Option<straggler_ejection::StragglerSample> {
-        let estimate = server.classes.get(class)?;
-        Some(straggler_ejection::StragglerSample {
-            totals: estimate.recent(now),
-            long_term_mean: estimate.long_term_mean(),
-            network_delay: self.network_delay(server).as_secs_f64(),
-        })
-    }
-
     pub(crate) fn passes_probe(
         &self,
         call: &server_state::RunningCall,
@@ -117,24 +97,13 @@
             .and_then(|state| state.baselines.get(&call.class).copied());
         let median = self.median(service, &call.class, now).or(baseline);
         let median = median.or_else(|| self.long_term_mean(service, &call.class));
-        let sample = self.sample(server, &call.class, now);
+        let sample = server.sample(&call.class, now);
         match (sample, median) {
             (Some(sample), Some(median)) => sample.passes_probe(latency, median),
             _ => true,
         }
     }
 
-    pub(crate) fn network_delay(&self, server: &server_state::ServerState) -> time::Duration {
-        if let Some(network_delay) = self.network_delays.get(&server.candidate.location) {
-            return *network_delay;
-        }
-        match server.distance {
-            server_location::ServerDistance::SameDataCentre => time::Duration::ZERO,
-            server_location::ServerDistance::SameRegion => SAME_REGION_DELAY,
-            server_location::ServerDistance::CrossRegion => CROSS_REGION_DELAY,
-        }
-    }
-
     pub(crate) fn choice_for(&self, key: route_candidate::ServerKey) -> route_candidate::RouteChoice {
         let server = &self.servers[key];
         route_candidate::RouteChoice::Use {
@@ -276,7 +245,7 @@
             let long_term_mean = self
                 .long_term_mean(request.service, request.class)
                 .unwrap_or(DEFAULT_LATENCY_SECONDS);
-            long_term_mean + self.network_delay(server).as_secs_f64()
+            long_term_mean + server.network_delay().as_secs_f64()
         });
         let estimate = request
             .latency_objective
--- a/crates/routing/src/route_table.rs
+++ b/crates/routing/src/route_table.rs
@@ -39,7 +39,7 @@
     /// Ordered, so that choices are deterministic for a given sequence of events and random numbers.
     pub(crate) services: collections::BTreeMap<ids::ServiceName, ServiceState>,
     pub(crate) by_daemon: collections::HashMap<ids::DaemonId, route_candidate::ServerKey>,
-    pub(crate) network_delays: collections::HashMap<server_location::ServerLocation, time::Duration>,
+    network_delays: collections::HashMap<server_location::ServerLocation, time::Duration>,
     events: Vec<route_candidate::RouteEvent>,
     /// Buffer reused by `choose`.
     pool: Vec<route_candidate::ServerKey>,
@@ -110,7 +110,9 @@
         let distance = self.local.distance(&candidate.location);
         let daemon_id = candidate.daemon_id.clone();
         let service = candidate.service.clone();
-        let key = self.servers.insert(server_state::ServerState::new(candidate, distance));
+        let mut server = server_state::ServerState::new(candidate, distance);
+        server.measured_delay = self.network_delays.get(&server.candidate.location).copied();
+        let key = self.servers.insert(server);
         self.by_daemon.insert(daemon_id, key);
         let state = self.services.entry(service).or_insert_with(ServiceState::new);
         state.servers.push(key);
@@ -134,7 +136,13 @@
 
     /// Sets the measured round-trip network delay to the servers at a location.
     pub fn set_network_delay(&mut self, location: &server_location::ServerLocation, delay: time::Duration) {
-        self.network_delays.insert(location.clone(), delay);
+        if self.network_delays.insert(location.clone(), delay) == Some(delay) {
+            return;
+        }
+        let servers = self.servers.values_mut();
+        for server in servers.filter(|server| server.candidate.location == *location) {
+            server.measured_delay = Some(delay);
+        }
     }
 
     /// Prefers other servers, of any region, to this one until `until`.
@@ -303,7 +311,7 @@
                 if server.ejection.is_some() {
                     continue;
                 }
-                if let Some(sample) = self.sample(server, class, now) {
+                if let Some(sample) = server.sample(class, now) {
                     let ratio = sample.ratio(median);
                     if ratio > self.ejection_ratio {
                         stragglers.push((ratio, *key));
--- a/crates/routing/src/server_state.rs
+++ b/crates/routing/src/server_state.rs
@@ -25,11 +25,19 @@
 const IN_REGION_TRIES: usize = 2;
 /// Multiple of its slots up to which the concurrency limit of a server may rise.
 const SLOT_HEADROOM: f64 = 1.5;
+/// Round-trip network delay assumed until one was measured: the one-way delays of the deployments are 0.5 ms
+/// between data centres and 30 ms between regions.
+const SAME_REGION_DELAY: time::Duration = time::Duration::from_millis(1);
+/// See [`SAME_REGION_DELAY`].
+const CROSS_REGION_DELAY: time::Duration = time::Duration::from_millis(60);
 
 #[derive(Debug)]
 pub(crate) struct ServerState {
     pub(crate) candidate: route_candidate::RouteCandidate,
     pub(crate) distance: server_location::ServerDistance,
+    /// Measured round-trip network delay to the location, which is fixed; kept here since a choice compares the delays
+    /// of all servers of the service.
+    pub(crate) measured_delay: Option<time::Duration>,
     pub(crate) classes: collections::BTreeMap<ids::ClassName, latency_estimate::LatencyEstimate>,
     pub(crate) short_in_flight: u32,
     pub(crate) long_in_flight: u32,
@@ -82,6 +90,7 @@
         Self {
             candidate,
             distance,
+            measured_delay: None,
             classes: collections::BTreeMap::new(),
             short_in_flight: 0,
             long_in_flight: 0,
@@ -217,6 +226,29 @@
         }
     }
 
+    /// Returns the round-trip network delay to the server: as measured, or as assumed for its distance.
+    pub(crate) fn network_delay(&self) -> time::Duration {
+        self.measured_delay.unwrap_or(match self.distance {
+            server_location::ServerDistance::SameDataCentre => time::Duration::ZERO,
+            server_location::ServerDistance::SameRegion => SAME_REGION_DELAY,
+            server_location::ServerDistance::CrossRegion => CROSS_REGION_DELAY,
+        })
+    }
+
+    /// Returns what is known of the latency for a class; `None` without observations.
+    pub(crate) fn sample(
+        &self,
+        class: &ids::ClassName,
+        now: time::Instant,
+    ) -> Option<straggler_ejection::StragglerSample> {
+        let estimate = self.classes.get(class)?;
+        Some(straggler_ejection::StragglerSample {
+            totals: estimate.recent(now),
+            long_term_mean: estimate.long_term_mean(),
+            network_delay: self.network_delay().as_secs_f64(),
+        })
+    }
+
     /// Returns the share of calls that the server gets while it is cold.
     pub(crate) fn ramp_share(&self, now: time::Instant) -> f64 {
         self.ramp.map_or(1.0, |ramp| ramp.share(now))
