--- a/crates/forward/src/peer_call.rs
+++ b/crates/forward/src/peer_call.rs
@@ -7,19 +7,20 @@
 use damasktrack_entity::call_outcome;
 use damasktrack_entity::ids;
 use damasktrack_routing::completion_estimate;
+use hyper::header;
 
 use crate::server_hint;
 
 /// Header of a forwarded request with an encoded [`CallHead`]. The entry daemon removes it from callers' requests.
-pub const CALL_HEADER: &str = "damasktrack-peer-call";
+pub const CALL_HEADER: header::HeaderName = header::HeaderName::from_static("damasktrack-peer-call");
 /// Header of a response between daemons with an encoded [`CallReply`]. It is removed before the response reaches the
 /// caller.
-pub const REPLY_HEADER: &str = "damasktrack-peer-reply";
+pub const REPLY_HEADER: header::HeaderName = header::HeaderName::from_static("damasktrack-peer-reply");
 
 /// Header of a response between daemons with an encoded [`ReportedLoad`], if the configuration has a route with a latency
 /// objective. It is not a field of [`CallReply`], since earlier builds reject a reply with more fields than they know
 /// and treat the request as one that may have run.
-pub const LOAD_HEADER: &str = "damasktrack-peer-load";
+pub const LOAD_HEADER: header::HeaderName = header::HeaderName::from_static("damasktrack-peer-load");
 
 /// Metadata of a call from the entry daemon to the callee daemon.
 #[derive(Clone, Debug, PartialEq)]
