Sum the demand of a window only where it is used

While all levels are admitted and slots are idle, each window summed the arrivals of all levels for nothing.

--- a/crates/admission/src/level_controller.rs
+++ b/crates/admission/src/level_controller.rs
@@ -242,14 +242,19 @@
         let change = idle * IDLE_GAIN - refused_fraction * REFUSAL_GAIN;
         let change = change.clamp(CHANGE_RANGE.0, CHANGE_RANGE.1);
         self.idle_windows = if idle > 0.5 { self.idle_windows + 1 } else { 0 };
-        let demand: f32 = self.level_arrivals[self.level..].iter().sum();
+        // Most windows admit all levels and have idle slots, so that the demand is not needed.
         if change < 0.0 {
-            self.raise(-change * demand);
+            self.raise(-change * self.demand());
         } else if self.level > 0 {
-            self.lower(change * demand);
+            self.lower(change * self.demand());
         }
     }
 
+    /// Returns the decayed arrivals at or above the level.
+    fn demand(&self) -> f32 {
+        self.level_arrivals[self.level..].iter().sum()
+    }
+
     /// Raises the level until the demand at or above it has fallen by `amount`.
     fn raise(&mut self, amount: f32) {
         let top = if self.critical_refused {
