Update a connection of the account in place

An update looked the connection up twice, and subtracted and added its bytes also where only its stage changed.

--- a/crates/pipeline/src/byte_account.rs
+++ b/crates/pipeline/src/byte_account.rs
@@ -161,8 +161,8 @@
     /// Records the state of a connection, and returns the connection whose request has to be refused to keep the bound.
     /// The caller repeats the call with the same state and nothing received until it returns `None`.
     pub fn update(&mut self, id: HoldId, state: HoldState, now: time::Instant) -> Option<HoldId> {
-        let before = *self.connections.get(&id)?;
-        self.subtract(&before);
+        let slot = self.connections.get_mut(&id)?;
+        let before = *slot;
         let mut entry = before;
         entry.bytes = CONNECTION_BYTES + state.bytes;
         entry.received += state.received;
@@ -176,8 +176,11 @@
             entry.progress_at = now;
             entry.received = 0;
         }
-        self.add(&entry);
-        self.connections.insert(id, entry);
+        *slot = entry;
+        if entry.bytes != before.bytes {
+            self.subtract(&before);
+            self.add(&entry);
+        }
         if entry.bytes <= before.bytes {
             return None;
         }
