Parse the head of a request once

The head was parsed again after it was split from the buffer, since its values share the memory of the split part. The positions of the values are kept instead. The array of headers is no longer initialized for each head.

--- a/crates/pipeline/src/request_head.rs
+++ b/crates/pipeline/src/request_head.rs
@@ -1,5 +1,8 @@
 //! Parsing of a request head, and the framing of the body behind it.
 
+use std::mem;
+use std::ops;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 use hyper::header;
@@ -43,11 +46,11 @@
     Fault(request_fault::RequestFault),
 }
 
-/// Takes a head from the start of `buffer`, if it is there completely.
+/// Takes a head from the start of `buffer`, if it is there completely. The values of the headers share its memory.
 pub fn take(buffer: &mut BytesMut, max_bytes: usize) -> HeadStep {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut parsed = httparse::Request::new(&mut headers);
-    match parsed.parse(buffer) {
+    let mut headers = [const { mem::MaybeUninit::uninit() }; MAX_HEADERS];
+    let mut parsed = httparse::Request::new(&mut []);
+    match parsed.parse_with_uninit_headers(buffer, &mut headers) {
         Ok(httparse::Status::Partial) if buffer.len() > max_bytes => {
             HeadStep::Fault(request_fault::RequestFault::HeadTooLarge)
         }
@@ -56,8 +59,9 @@
             HeadStep::Fault(request_fault::RequestFault::HeadTooLarge)
         }
         Ok(httparse::Status::Complete(length)) => {
+            let decoded = decode(&parsed, buffer);
             let bytes = buffer.split_to(length).freeze();
-            match decode(&bytes) {
+            match decoded.and_then(|(parts, fields)| complete(parts, fields, &bytes)) {
                 Ok(head) => HeadStep::Complete(Box::new(head)),
                 Err(fault) => HeadStep::Fault(fault),
             }
@@ -67,13 +71,16 @@
     }
 }
 
-/// Decodes a complete head. The values of the headers share its memory.
-fn decode(bytes: &Bytes) -> Result<RequestHead, request_fault::RequestFault> {
+/// Name of a header, and the position of its value in the head.
+type FieldPosition = (header::HeaderName, ops::Range<usize>);
+
+/// Decodes a head that was parsed from the start of `buffer`, except for the values of its headers.
+fn decode(
+    parsed: &httparse::Request<'_, '_>,
+    buffer: &[u8],
+) -> Result<(request::Parts, Vec<FieldPosition>), request_fault::RequestFault> {
     let malformed = request_fault::RequestFault::Malformed;
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut parsed = httparse::Request::new(&mut headers);
-    let complete = parsed.parse(bytes).is_ok_and(|status| status.is_complete());
-    let (true, Some(method), Some(path), Some(version)) = (complete, parsed.method, parsed.path, parsed.version) else {
+    let (Some(method), Some(path), Some(version)) = (parsed.method, parsed.path, parsed.version) else {
         return Err(malformed);
     };
     let (mut parts, ()) = hyper::Request::new(()).into_parts();
@@ -84,10 +91,29 @@
     } else {
         hyper::Version::HTTP_11
     };
-    parts.headers.reserve(parsed.headers.len());
+    let mut fields = Vec::with_capacity(parsed.headers.len());
     for field in parsed.headers.iter() {
         let name = header::HeaderName::from_bytes(field.name.as_bytes()).map_err(|_invalid| malformed)?;
-        let value = header::HeaderValue::from_maybe_shared(bytes.slice_ref(field.value));
+        let start = if field.value.is_empty() {
+            0
+        } else {
+            field.value.as_ptr().addr() - buffer.as_ptr().addr()
+        };
+        fields.push((name, start..start + field.value.len()));
+    }
+    Ok((parts, fields))
+}
+
+/// Adds the headers to a head, whose text is `bytes`.
+fn complete(
+    mut parts: request::Parts,
+    fields: Vec<FieldPosition>,
+    bytes: &Bytes,
+) -> Result<RequestHead, request_fault::RequestFault> {
+    let malformed = request_fault::RequestFault::Malformed;
+    parts.headers.reserve(fields.len());
+    for (name, position) in fields {
+        let value = header::HeaderValue::from_maybe_shared(bytes.slice(position));
         parts.headers.append(name, value.map_err(|_invalid| malformed)?);
     }
     if parts.headers.get_all(header::HOST).iter().count() > 1 {
