Let the heads of successive requests share an input buffer

A head that was split from the buffer left it with less than 8 KiB, so that each request allocated a new one. Such an allocation also makes malloc consolidate its small chunks.

--- a/crates/pipeline/src/server_connection/connection_events.rs
+++ b/crates/pipeline/src/server_connection/connection_events.rs
@@ -19,8 +19,10 @@
 use crate::output_queue;
 use crate::request_order;
 
-/// Free space of the input buffer before each read.
+/// Capacity of a new input buffer.
 const READ_BYTES: usize = 8 * 1024;
+/// Least free space of the input buffer before each read. The heads of requests share a buffer until it has less left.
+const MIN_READ_BYTES: usize = 2 * 1024;
 /// Bytes of a response that may wait to be written before its body is read on.
 const MAX_OUTPUT_BYTES: usize = 64 * 1024;
 /// Interval at which a connection is checked for a disconnect while reading is paused.
@@ -56,7 +58,10 @@
         let closed = self.phase == request_order::ConnectionPhase::Closed;
         let (mut input, mut output) = stream.split();
         if wants_input {
-            self.reader.input().reserve(READ_BYTES);
+            let buffer = self.reader.input();
+            if buffer.capacity() - buffer.len() < MIN_READ_BYTES {
+                buffer.reserve(READ_BYTES);
+            }
         }
         tokio::select! {
             biased;
