Strip hop-by-hop headers in place

Each message was copied header by header to leave the hop-by-hop ones out, at two places of the entry daemon and two of the callee daemon. The list of their names was built anew for each header.

--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -230,7 +230,7 @@
                 }
                 drop(guard);
             }));
-            return CallResult::Answered(Box::new(forwarded_response(&parts, body)));
+            return CallResult::Answered(Box::new(forwarded_response(parts, body)));
         }
         Ok(Ok(Err(ResponseFault::NotExecuted | ResponseFault::OtherInstance))) => {
             guard.result = gate_report::FinishResult::ShedByBackendServer;
@@ -377,10 +377,11 @@
 /// Builds the response to forward, without hop-by-hop headers. A complete body loses its `Content-Length` header, which
 /// hyper sets from the size of the body.
 pub fn forwarded_response(
-    parts: &hyper::http::response::Parts,
+    parts: hyper::http::response::Parts,
     body: message_body::ReplyBody,
 ) -> hyper::Response<message_body::ReplyBody> {
-    let mut headers = message_body::end_to_end_headers(&parts.headers);
+    let mut headers = parts.headers;
+    message_body::strip_headers(&mut headers, &[]);
     if body.is_whole() {
         headers.remove(header::CONTENT_LENGTH);
     }
--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -167,7 +167,7 @@
     let (class, result) = match request.route.matched {
         Ok(matched) => {
             let class = matched.rule.name.clone();
-            let call = call_request(&node, &request.parts, request.body);
+            let call = call_request(&node, request.parts, request.body);
             let entry = EntryRequest {
                 rule: matched.rule,
                 service: matched.service,
@@ -198,22 +198,22 @@
 /// Builds the request for the backend server from that of a caller.
 fn call_request(
     node: &node_context::NodeContext,
-    parts: &request::Parts,
+    parts: request::Parts,
     body: chunk_list::ChunkedBody,
 ) -> callee_call::CallRequest {
     let names = &node.settings.headers;
-    let mut headers = message_body::end_to_end_headers(&parts.headers);
-    for name in [
+    let mut headers = parts.headers;
+    let has_length = headers.contains_key(header::CONTENT_LENGTH);
+    let others = [
         &names.target_instance,
         &names.caller_service,
         &names.not_executed,
         &names.response_seal,
-    ] {
-        headers.remove(name);
-    }
-    headers.remove(peer_call::CALL_HEADER);
-    headers.remove(header::EXPECT);
-    if body.is_empty() && !parts.headers.contains_key(header::CONTENT_LENGTH) {
+        &peer_call::CALL_HEADER,
+        &header::EXPECT,
+    ];
+    message_body::strip_headers(&mut headers, &others);
+    if body.is_empty() && !has_length {
         headers.remove(header::CONTENT_LENGTH);
     } else {
         headers.insert(header::CONTENT_LENGTH, header::HeaderValue::from(body.len()));
@@ -223,7 +223,7 @@
         .path_and_query()
         .map_or_else(|| parts.uri.clone(), |path| path.clone().into());
     callee_call::CallRequest {
-        method: parts.method.clone(),
+        method: parts.method,
         uri,
         headers,
         body,
@@ -479,7 +479,7 @@
     parts.headers.remove(peer_call::LOAD_HEADER);
     match reply.map(|reply| reply.verdict) {
         Some(peer_call::CallVerdict::Answered) => {
-            callee_call::CallResult::Answered(Box::new(callee_call::forwarded_response(&parts, body)))
+            callee_call::CallResult::Answered(Box::new(callee_call::forwarded_response(parts, body)))
         }
         Some(peer_call::CallVerdict::NotRun(reason)) => callee_call::CallResult::NotRun(reason),
         Some(peer_call::CallVerdict::MayHaveRun) | None => callee_call::CallResult::MayHaveRun,
--- a/crates/forward/src/message_body.rs
+++ b/crates/forward/src/message_body.rs
@@ -22,7 +22,7 @@
 const CLOSE_MARGIN: time::Duration = time::Duration::from_secs(2);
 
 /// Hop-by-hop headers, which apply to one connection only.
-const HOP_BY_HOP_HEADERS: [header::HeaderName; 8] = [
+static HOP_BY_HOP_HEADERS: [header::HeaderName; 8] = [
     header::CONNECTION,
     header::HeaderName::from_static("keep-alive"),
     header::HeaderName::from_static("proxy-connection"),
@@ -253,9 +253,8 @@
     }
 }
 
-/// Copies the end-to-end headers. Headers that `Connection` names are hop-by-hop as well.
-#[must_use]
-pub fn end_to_end_headers(headers: &header::HeaderMap) -> header::HeaderMap {
+/// Removes the hop-by-hop headers, to which those that `Connection` names belong, and the headers in `others`.
+pub fn strip_headers(headers: &mut header::HeaderMap, others: &[&header::HeaderName]) {
     let named: Vec<String> = headers
         .get_all(header::CONNECTION)
         .iter()
@@ -263,14 +262,13 @@
         .flat_map(|value| value.split(','))
         .map(|name| name.trim().to_ascii_lowercase())
         .collect();
-    let mut copied = header::HeaderMap::with_capacity(headers.len());
-    for (name, value) in headers {
-        let dropped = HOP_BY_HOP_HEADERS.contains(name) || named.iter().any(|other| other == name.as_str());
-        if !dropped {
-            copied.append(name.clone(), value.clone());
-        }
+    let is_stripped = |name: &&header::HeaderName| {
+        HOP_BY_HOP_HEADERS.contains(name) || others.contains(name) || named.iter().any(|other| other == name.as_str())
+    };
+    let stripped: Vec<header::HeaderName> = headers.keys().filter(is_stripped).cloned().collect();
+    for name in &stripped {
+        headers.remove(name);
     }
-    copied
 }
 
 fn closes_connection(headers: &header::HeaderMap) -> bool {
--- a/crates/forward/src/peer_server.rs
+++ b/crates/forward/src/peer_server.rs
@@ -54,7 +54,7 @@
         return match peer_call::decode::<peer_call::CallHead>(value.as_bytes()) {
             Some(mut head) => {
                 head.left = head.left.saturating_sub(waited + began.elapsed());
-                serve_call(&node, &head, &parts, body).await
+                serve_call(&node, &head, parts, body).await
             }
             None => empty_response(hyper::StatusCode::BAD_REQUEST),
         };
@@ -89,14 +89,14 @@
 async fn serve_call(
     node: &rc::Rc<node_context::NodeContext>,
     head: &peer_call::CallHead,
-    parts: &hyper::http::request::Parts,
+    parts: hyper::http::request::Parts,
     body: chunk_list::ChunkedBody,
 ) -> http_server::ServerResponse {
-    let mut headers = message_body::end_to_end_headers(&parts.headers);
-    headers.remove(peer_call::CALL_HEADER);
+    let mut headers = parts.headers;
+    message_body::strip_headers(&mut headers, &[&peer_call::CALL_HEADER]);
     let request = callee_call::CallRequest {
-        method: parts.method.clone(),
-        uri: parts.uri.clone(),
+        method: parts.method,
+        uri: parts.uri,
         headers,
         body,
     };
