Await an attempt without a second copy of its future

The future of an async function holds its arguments beside the variables that they are moved to, so the future of an attempt was held twice, and that of a request had 4.3 KiB.

--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -298,7 +298,8 @@
                 let guard = AttemptGuard::new(node, call);
                 let head = call_head(node, entry, None);
                 let work = callee_call::run(node, &head, entry.request.clone());
-                (server, await_attempt(work, entry.deadline, guard).await)
+                let awaited = tokio::time::timeout_at(entry.deadline.into(), work).await;
+                (server, finish_attempt(awaited, guard))
             }
             forward_core::AttemptChoice::Peer {
                 server,
@@ -314,7 +315,8 @@
                 }
                 let guard = AttemptGuard::new(node, call);
                 let work = call_peer(node, entry, &daemon_id, address);
-                (server, await_attempt(work, entry.deadline, guard).await)
+                let awaited = tokio::time::timeout_at(entry.deadline.into(), work).await;
+                (server, finish_attempt(awaited, guard))
             }
         };
         tried.push(server);
@@ -387,13 +389,12 @@
     }
 }
 
-/// Awaits an attempt until the request's deadline; `None` on timeout.
-async fn await_attempt(
-    work: impl Future<Output = callee_call::CallResult>,
-    deadline: time::Instant,
+/// Records the result of an attempt and returns it; `None` if the request's deadline passed.
+fn finish_attempt(
+    awaited: Result<callee_call::CallResult, tokio::time::error::Elapsed>,
     mut guard: AttemptGuard<'_>,
 ) -> Option<callee_call::CallResult> {
-    let result = tokio::time::timeout_at(deadline.into(), work).await.ok()?;
+    let result = awaited.ok()?;
     guard.result = match &result {
         callee_call::CallResult::Answered(_response) => route_candidate::RouteResult::Completed,
         callee_call::CallResult::NotRun(reason) => route_candidate::RouteResult::Refused(*reason),
