Review the servers of a service with one sample each

A review collected the classes of all servers in a new set, and computed each sample twice: for the median and for the ratio to it. The service now keeps the set of its classes.

--- a/crates/routing/src/route_table.rs
+++ b/crates/routing/src/route_table.rs
@@ -52,6 +52,8 @@
     pub(crate) servers: Vec<route_candidate::ServerKey>,
     pub(crate) calls: u64,
     reviewed: Option<time::Instant>,
+    /// Every class of which a server has an estimate; ones of servers that were removed may remain.
+    classes: collections::BTreeSet<ids::ClassName>,
     /// By class: slow moving average of the median, which replaces the median while fewer than three servers have a
     /// mean.
     pub(crate) baselines: collections::BTreeMap<ids::ClassName, f64>,
@@ -216,10 +218,16 @@
         });
         server.adjust_in_flight(lane, 1);
         server.loads.count_sent(now);
-        let estimate = server.classes.entry(class.clone());
-        estimate
-            .or_insert_with(|| latency_estimate::LatencyEstimate::new(now))
-            .begin(now);
+        if let Some(estimate) = server.classes.get_mut(class) {
+            estimate.begin(now);
+        } else {
+            let mut estimate = latency_estimate::LatencyEstimate::new(now);
+            estimate.begin(now);
+            server.classes.insert(class.clone(), estimate);
+            if let Some(state) = self.services.get_mut(&server.candidate.service) {
+                state.classes.insert(class.clone());
+            }
+        }
         if let Some(ejection) = &mut server.ejection {
             ejection.probe_sent(calls, now);
         }
@@ -296,29 +304,35 @@
 
     /// Ejects the slowest stragglers of a service within the ejection limit.
     fn review(&mut self, service: &ids::ServiceName, now: time::Instant) {
-        let keys = self.server_keys(service).to_vec();
-        let classes: collections::BTreeSet<ids::ClassName> = keys
-            .iter()
-            .flat_map(|key| self.servers[*key].classes.keys().cloned())
-            .collect();
+        let Some(state) = self.services.get_mut(service) else {
+            return;
+        };
+        let (keys, classes) = (state.servers.clone(), std::mem::take(&mut state.classes));
         let mut stragglers: Vec<(f64, route_candidate::ServerKey)> = Vec::new();
+        let mut samples: Vec<(route_candidate::ServerKey, straggler_ejection::StragglerSample)> = Vec::new();
         for class in &classes {
-            let Some(median) = self.update_baseline(service, class, now) else {
+            samples.clear();
+            samples.extend(
+                keys.iter()
+                    .filter_map(|key| Some((*key, self.servers[*key].sample(class, now)?))),
+            );
+            let peers = samples.iter().filter(|(key, _sample)| {
+                self.servers[*key].candidate.state != route_candidate::CandidateState::Leaving
+            });
+            let median = straggler_ejection::median(peers.map(|(_key, sample)| *sample));
+            let Some(median) = self.update_baseline(service, class, median) else {
                 continue;
             };
-            for key in &keys {
-                let server = &self.servers[*key];
-                if server.ejection.is_some() {
-                    continue;
-                }
-                if let Some(sample) = server.sample(class, now) {
-                    let ratio = sample.ratio(median);
-                    if ratio > self.ejection_ratio {
-                        stragglers.push((ratio, *key));
-                    }
+            for (key, sample) in &samples {
+                let ratio = sample.ratio(median);
+                if ratio > self.ejection_ratio && self.servers[*key].ejection.is_none() {
+                    stragglers.push((ratio, *key));
                 }
             }
         }
+        if let Some(state) = self.services.get_mut(service) {
+            state.classes = classes;
+        }
         stragglers.sort_by(|left, right| right.0.total_cmp(&left.0));
         let eligible = keys.iter().filter(|key| self.servers[**key].takes_calls()).count();
         let limit = straggler_ejection::ejection_limit(eligible);
@@ -358,9 +372,8 @@
         &mut self,
         service: &ids::ServiceName,
         class: &ids::ClassName,
-        now: time::Instant,
+        median: Option<f64>,
     ) -> Option<f64> {
-        let median = self.median(service, class, now);
         let state = self.services.get_mut(service)?;
         let baseline = state.baselines.get_mut(class);
         match (median, baseline) {
@@ -460,6 +473,7 @@
             servers: Vec::new(),
             calls: 0,
             reviewed: None,
+            classes: collections::BTreeSet::new(),
             baselines: collections::BTreeMap::new(),
             windows: collections::BTreeMap::new(),
             load_probe: completion_choice::LoadProbePause::default(),
