Compute the age of a load report once

The age of a report was computed up to three times for each estimate.

A choice has four estimates with two servers.

--- a/crates/routing/src/load_reports.rs
+++ b/crates/routing/src/load_reports.rs
@@ -58,17 +58,17 @@
         transit: time::Duration,
         now: time::Instant,
     ) -> Option<(completion_estimate::ServerLoad, time::Duration)> {
-        let age = |noted| now.saturating_duration_since(noted) + transit;
-        let fresh = |report: &(completion_estimate::ServerLoad, time::Instant)| {
-            age(report.1) <= completion_estimate::REPORT_LIFETIME
+        let fresh = |(load, noted): (completion_estimate::ServerLoad, time::Instant)| {
+            let age = now.saturating_duration_since(noted) + transit;
+            (age <= completion_estimate::REPORT_LIFETIME).then_some((load, age))
         };
-        let latest = self.latest.filter(fresh)?;
-        let (load, noted) = self.by_class.get(class).copied().filter(fresh).unwrap_or(latest);
+        let latest = fresh(self.latest?)?;
+        let (load, age) = self.by_class.get(class).copied().and_then(fresh).unwrap_or(latest);
         let load = completion_estimate::ServerLoad {
             free: latest.0.free,
             ..load
         };
-        Some((load, age(noted)))
+        Some((load, age))
     }
 
     /// Returns the calls sent since the latest report.
