Stop the decay of arrivals that are none

Decay by multiplication never reaches zero: the arrivals of each level ended at the smallest denormal number, so that an idle daemon multiplied all levels in each window, with slow arithmetic. Arrivals below 1e-20 now count as none. A window without any skips the decay. The level is at its lowest long before.

--- a/crates/admission/src/level_controller.rs
+++ b/crates/admission/src/level_controller.rs
@@ -19,6 +19,9 @@
 const CRITICAL_START: usize = LEVEL_COUNT - COHORTS_PER_BAND;
 /// Factor applied to the arrivals by level after each window. A single window holds too few calls to determine a level.
 const LEVEL_DECAY_FACTOR: f32 = 0.7;
+/// Decayed arrivals of a level below which they count as none, after about 130 windows. By then, the level of idle slots
+/// is the lowest. Decay by multiplication alone ends at the smallest denormal, with which arithmetic is slow.
+const MIN_LEVEL_ARRIVALS: f32 = 1e-20;
 /// Factor applied to the arrivals by band after each window. Calls below the level arrive only as probes, so a band has
 /// to remain in use for about 2 s.
 const BAND_DECAY_FACTOR: f32 = 0.95;
@@ -51,6 +54,8 @@
     level: usize,
     /// Arrivals by level, decayed by [`LEVEL_DECAY_FACTOR`] after each window.
     level_arrivals: Box<[f32]>,
+    /// Whether any of `level_arrivals` is above zero.
+    has_level_arrivals: bool,
     /// Arrivals by importance, decayed by [`BAND_DECAY_FACTOR`] after each window.
     band_arrivals: [f32; BAND_COUNT],
     window_start: Option<time::Instant>,
@@ -92,6 +97,7 @@
             window_calls,
             level: 0,
             level_arrivals: vec![0.0; LEVEL_COUNT].into_boxed_slice(),
+            has_level_arrivals: false,
             band_arrivals: [0.0; BAND_COUNT],
             window_start: None,
             arrivals: 0,
@@ -114,6 +120,7 @@
         let index = self.position(level, tenant);
         let band = index / COHORTS_PER_BAND;
         self.level_arrivals[index] += 1.0;
+        self.has_level_arrivals = true;
         self.band_arrivals[band] += 1.0;
         self.arrivals += 1;
         if index >= self.level {
@@ -229,14 +236,23 @@
         self.queue_refusals = 0;
         self.critical_refused = false;
         self.idle_time = 0.0;
-        for arrivals in &mut self.level_arrivals {
-            *arrivals *= LEVEL_DECAY_FACTOR;
+        if self.has_level_arrivals {
+            self.decay_level_arrivals();
         }
         for arrivals in &mut self.band_arrivals {
             *arrivals *= BAND_DECAY_FACTOR;
         }
     }
 
+    fn decay_level_arrivals(&mut self) {
+        self.has_level_arrivals = false;
+        for arrivals in &mut self.level_arrivals {
+            let decayed = *arrivals * LEVEL_DECAY_FACTOR;
+            *arrivals = if decayed < MIN_LEVEL_ARRIVALS { 0.0 } else { decayed };
+            self.has_level_arrivals |= *arrivals > 0.0;
+        }
+    }
+
     fn adapt(&mut self, idle: f32) {
         let refused_fraction = self.queue_refusals as f32 / self.admitted.max(self.queue_refusals).max(1) as f32;
         let change = idle * IDLE_GAIN - refused_fraction * REFUSAL_GAIN;
