End the search for the nearest queue at a server without one

A choice with a latency objective compared the reports of all servers in the pool, although one without a queue decides that the call stays.

--- a/crates/routing/src/completion_choice.rs
+++ b/crates/routing/src/completion_choice.rs
@@ -60,10 +60,17 @@
         if pool.is_empty() || !pool.iter().all(|key| self.servers[*key].is_in_region()) {
             return None;
         }
-        let (nearest, _unknown) = self.best_of(pool, request.class, now)?;
-        if !completion_estimate::may_leave(&nearest) {
-            return None;
+        let mut nearest: Option<completion_estimate::CompletionEstimate> = None;
+        for estimate in pool.iter().filter_map(|key| self.estimate(*key, request.class, now)) {
+            // The best is no worse. Without a queue, this ends the search at the first server.
+            if !completion_estimate::may_leave(&estimate) {
+                return None;
+            }
+            if nearest.is_none_or(|nearest| estimate.overhead() < nearest.overhead()) {
+                nearest = Some(estimate);
+            }
         }
+        let nearest = nearest?;
         let usable: Vec<route_candidate::ServerKey> = self.usable(request, now).collect();
         let region: Vec<route_candidate::ServerKey> = usable
             .iter()
