Forget the ramp of a server when it has ended

Each choice computed the share of every server in the pool for the life of the process, although it has been 1 since the end of the ramp. A review removes such ramps.

--- a/crates/routing/src/route_table.rs
+++ b/crates/routing/src/route_table.rs
@@ -308,6 +308,9 @@
             return;
         };
         let (keys, classes) = (state.servers.clone(), std::mem::take(&mut state.classes));
+        for key in &keys {
+            self.servers[*key].end_ramp(now);
+        }
         let mut stragglers: Vec<(f64, route_candidate::ServerKey)> = Vec::new();
         let mut samples: Vec<(route_candidate::ServerKey, straggler_ejection::StragglerSample)> = Vec::new();
         for class in &classes {
--- a/crates/routing/src/server_state.rs
+++ b/crates/routing/src/server_state.rs
@@ -128,6 +128,11 @@
         self.ramp = Some(cold_ramp::ColdRamp::new(now, cold_ramp::RETURN_RAMP_DURATION));
     }
 
+    /// Forgets a ramp that has ended, so that the choices don't compute its share.
+    pub(crate) fn end_ramp(&mut self, now: time::Instant) {
+        self.ramp = self.ramp.filter(|ramp| ramp.share(now) < 1.0);
+    }
+
     pub(crate) fn observe(&mut self, call: &RunningCall, result: route_candidate::RouteResult, now: time::Instant) {
         let Some(estimate) = self.classes.get_mut(&call.class) else {
             return;
