Wait for the account without a list of waiters

Each event of a connection put it into the list of a notification and took it out again. One task waits for a demand, so that a flag and its waker are enough.

--- a/crates/pipeline/src/account_handle.rs
+++ b/crates/pipeline/src/account_handle.rs
@@ -1,11 +1,12 @@
 //! Shared handles to the account of a process. They wake the connections that have to be given up.
 
 use std::collections;
+use std::future;
 use std::sync;
 use std::sync::atomic;
 use std::time;
 
-use tokio::sync::Notify;
+use futures_util::task;
 
 use crate::byte_account;
 
@@ -40,8 +41,24 @@
 /// Wakes the task of a connection.
 #[derive(Debug, Default)]
 struct HoldWaker {
-    notify: Notify,
+    /// Whether something is asked of the connection.
+    demands: atomic::AtomicBool,
     closes: atomic::AtomicBool,
+    /// The only task that waits. It is polled on each event of the connection, which a list of waiters makes expensive.
+    task: task::AtomicWaker,
+}
+
+impl HoldWaker {
+    fn poll_demand(&self, cx: &mut std::task::Context<'_>) -> std::task::Poll<()> {
+        if !self.demands.load(atomic::Ordering::Acquire) {
+            self.task.register(cx.waker());
+        }
+        if self.demands.swap(false, atomic::Ordering::AcqRel) {
+            std::task::Poll::Ready(())
+        } else {
+            std::task::Poll::Pending
+        }
+    }
 }
 
 /// Bytes of a complete request or of a response, counted until they are dropped.
@@ -102,7 +119,8 @@
             if demand == HoldDemand::Close {
                 waker.closes.store(true, atomic::Ordering::Relaxed);
             }
-            waker.notify.notify_one();
+            waker.demands.store(true, atomic::Ordering::Release);
+            waker.task.wake();
         }
     }
 }
@@ -121,7 +139,7 @@
 
     /// Waits until the connection is to be given up.
     pub async fn given_up(&self) -> HoldDemand {
-        self.waker.notify.notified().await;
+        future::poll_fn(|cx| self.waker.poll_demand(cx)).await;
         if self.waker.closes.swap(false, atomic::Ordering::Relaxed) {
             HoldDemand::Close
         } else {
