--- a/crates/pipeline/src/server_connection.rs
+++ b/crates/pipeline/src/server_connection.rs
@@ -190,7 +190,7 @@
         waiting_since: now,
         head_since: None,
     };
-    let step = connection.run(&mut stream, &mut phases).await;
+    let step = connection.run(&mut stream, phases).await;
     // Cancels the requests before the wait for the end of the input, during which the connection still counts.
     let hold = connection.into_hold();
     match step {
@@ -212,16 +212,18 @@
     async fn run(
         &mut self,
         stream: &mut tokio::net::TcpStream,
-        phases: &mut watch::Receiver<request_order::ConnectionPhase>,
+        phases: watch::Receiver<request_order::ConnectionPhase>,
     ) -> ConnectionStep {
         let mut timer = pin::pin!(tokio::time::sleep(self.limits.idle_timeout));
+        // Kept over the events, since its place in the list of waiters costs more than a poll.
+        let mut phase_change = pin::pin!(connection_events::next_phase(phases));
         loop {
             if let Some(deadline) = self.deadline().map(tokio::time::Instant::from)
                 && deadline < timer.deadline()
             {
                 timer.as_mut().reset(deadline);
             }
-            let step = match self.next_event(stream, phases, timer.as_mut()).await {
+            let step = match self.next_event(stream, phase_change.as_mut(), timer.as_mut()).await {
                 connection_events::ConnectionEvent::Read(Ok(0)) => self.handle_disconnect(),
                 connection_events::ConnectionEvent::Read(Ok(_count)) => {
                     self.read_requests();
@@ -241,7 +243,8 @@
                     ConnectionStep::Continue
                 }
                 connection_events::ConnectionEvent::Frame(frame) => self.handle_frame(frame),
-                connection_events::ConnectionEvent::PhaseChanged(phase) => {
+                connection_events::ConnectionEvent::PhaseChanged((phase, phases)) => {
+                    phase_change.set(connection_events::next_phase(phases));
                     self.phase = phase;
                     self.phase_since = time::Instant::now();
                     self.waiting_since = self.phase_since;
--- a/crates/pipeline/src/server_connection/connection_events.rs
+++ b/crates/pipeline/src/server_connection/connection_events.rs
@@ -28,13 +28,19 @@
 /// Interval at which a connection is checked for a disconnect while reading is paused.
 const DISCONNECT_POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
+/// A new phase, and the receiver for the next one.
+pub(super) type PhaseChange = (
+    request_order::ConnectionPhase,
+    watch::Receiver<request_order::ConnectionPhase>,
+);
+
 /// What happened to a connection.
 pub(super) enum ConnectionEvent<B> {
     Read(io::Result<usize>),
     Written(io::Result<usize>),
     Response(hyper::Response<B>),
     Frame(Option<Result<body::Frame<Bytes>, ()>>),
-    PhaseChanged(request_order::ConnectionPhase),
+    PhaseChanged(PhaseChange),
     Timer,
     /// The account selected the connection.
     GivenUp(account_handle::HoldDemand),
@@ -50,7 +56,7 @@
     pub(super) async fn next_event(
         &mut self,
         stream: &mut tokio::net::TcpStream,
-        phases: &mut watch::Receiver<request_order::ConnectionPhase>,
+        phase_change: pin::Pin<&mut impl Future<Output = PhaseChange>>,
         timer: pin::Pin<&mut tokio::time::Sleep>,
     ) -> ConnectionEvent<B> {
         let wants_input = self.wants_input();
@@ -73,7 +79,7 @@
             // Before reading, since input that never pauses would keep the request that has to be refused growing.
             demand = self.hold.given_up() => ConnectionEvent::GivenUp(demand),
             read = read(&mut input, self.reader.input()), if wants_input => ConnectionEvent::Read(read),
-            phase = next_phase(phases), if !closed => ConnectionEvent::PhaseChanged(phase),
+            change = phase_change, if !closed => ConnectionEvent::PhaseChanged(change),
             () = timer => ConnectionEvent::Timer,
             () = async { tokio::time::sleep(DISCONNECT_POLL_INTERVAL).await },
                 if !wants_input && !self.disconnected => ConnectionEvent::DisconnectPoll,
@@ -97,11 +103,12 @@
 }
 
 /// Waits for a change of the phase. A listener that is gone has closed its connections.
-async fn next_phase(phases: &mut watch::Receiver<request_order::ConnectionPhase>) -> request_order::ConnectionPhase {
-    match phases.changed().await {
+pub(super) async fn next_phase(mut phases: watch::Receiver<request_order::ConnectionPhase>) -> PhaseChange {
+    let phase = match phases.changed().await {
         Ok(()) => *phases.borrow_and_update(),
         Err(_closed) => request_order::ConnectionPhase::Closed,
-    }
+    };
+    (phase, phases)
 }
 
 async fn read(input: &mut tokio::net::tcp::ReadHalf<'_>, buffer: &mut bytes::BytesMut) -> io::Result<usize> {
