--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -72,9 +72,11 @@
     port: store_port::StorePort,
     serve_platform: impl FnOnce(&rc::Rc<node_context::NodeContext>) -> io::Result<()>,
 ) -> Result<(), RunError> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let local = task::LocalSet::new();
-    local.block_on(&runtime, start(settings, port, serve_platform))
+    // A `LocalSet` would poll the main task, with its signals, on each wake-up of any other task.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build_local(tokio::runtime::LocalOptions::default())?;
+    runtime.block_on(start(settings, port, serve_platform))
 }
 
 async fn start(
@@ -151,7 +153,8 @@
         let [planning, serving, rejecting] = [&node; 3].map(rc::Rc::clone);
         let handlers = server_connection::ConnectionHandlers {
             plan: move |parts: &mut _| entry_call::plan(&planning, parts),
-            serve: move |request| entry_call::serve(rc::Rc::clone(&serving), request),
+            // The future has several KiB, which its way into the connection's list would copy four times.
+            serve: move |request| Box::pin(entry_call::serve(rc::Rc::clone(&serving), request)),
             reject: move |fault| entry_call::reject(&rejecting, fault),
         };
         server_connection::serve(stream, caller_limits(&node), phases.clone(), handlers, hold)
@@ -181,7 +184,8 @@
     let node = rc::Rc::clone(node);
     let account = node.account.clone();
     http_server::serve_internal(address, &account, move |request, hold| {
-        peer_server::serve(rc::Rc::clone(&node), request, hold)
+        // Hyper moves the future, which has several KiB.
+        Box::pin(peer_server::serve(rc::Rc::clone(&node), request, hold))
     })
 }
 
--- a/crates/routing/src/completion_choice.rs
+++ b/crates/routing/src/completion_choice.rs
@@ -60,10 +60,17 @@
         if pool.is_empty() || !pool.iter().all(|key| self.servers[*key].is_in_region()) {
             return None;
         }
-        let (nearest, _unknown) = self.best_of(pool, request.class, now)?;
-        if !completion_estimate::may_leave(&nearest) {
-            return None;
+        let mut nearest: Option<completion_estimate::CompletionEstimate> = None;
+        for estimate in pool.iter().filter_map(|key| self.estimate(*key, request.class, now)) {
+            // The best is no worse. Without a queue, this ends the search at the first server.
+            if !completion_estimate::may_leave(&estimate) {
+                return None;
+            }
+            if nearest.is_none_or(|nearest| estimate.overhead() < nearest.overhead()) {
+                nearest = Some(estimate);
+            }
         }
+        let nearest = nearest?;
         let usable: Vec<route_candidate::ServerKey> = self.usable(request, now).collect();
         let region: Vec<route_candidate::ServerKey> = usable
             .iter()
@@ -209,7 +216,7 @@
         now: time::Instant,
     ) -> Option<completion_estimate::CompletionEstimate> {
         let server = self.servers.get(key)?;
-        let delay = self.network_delay(server);
+        let delay = server.network_delay();
         let (load, age) = server.loads.fresh(class, delay / 2, now)?;
         Some(completion_estimate::CompletionEstimate {
             load,
@@ -225,7 +232,7 @@
         completion_estimate::CompletionEstimate {
             load: completion_estimate::ServerLoad::default(),
             age: time::Duration::ZERO,
-            delay: self.network_delay(server),
+            delay: server.network_delay(),
             slots: server.candidate.slots,
             sent: 0,
         }
