Let rows of unknown services and foreign ports change nothing

A row of the member table with a service that no configuration names, or with another port than the peer port, was merged and could hide a server until its daemon overrode the row, for up to 3 s.

Rows are now decoded with all findings and judged by membership::row_filter. Invalid rows are counted (damasktrack_rejected, kind member_row) and logged. Rows of services that no configuration version has named, and all rows while there is no configuration, are held: their daemons are contacted, so that gossip still reaches them, and they count at once when a configuration names their service.

--- a/crates/forward/src/forward_core.rs
+++ b/crates/forward/src/forward_core.rs
@@ -18,6 +18,7 @@
 use damasktrack_entity::server_location;
 use damasktrack_membership::gossip_context;
 use damasktrack_membership::member_record;
+use damasktrack_membership::row_filter;
 use damasktrack_routing::region_window;
 use damasktrack_routing::request_hold;
 use damasktrack_routing::retry_budget;
@@ -180,6 +181,8 @@
     routes: route_table::RouteTable,
     budgets: collections::HashMap<ids::ServiceName, retry_budget::RetryBudget>,
     gossip: gossip_context::GossipContext,
+    /// Services of all configurations, by which rows of members are judged.
+    row_filter: row_filter::RowFilter,
     server: server_report::ServerState,
     /// Notices of the backend servers beside other daemons.
     hints: server_hint::HintTable,
@@ -223,6 +226,7 @@
         routes.set_region_policy(region_window::RegionPolicy::Windowed);
         Self {
             routes,
+            row_filter: row_filter::RowFilter::new(&record),
             gossip: gossip_context::GossipContext::new(record, incarnation, now),
             gate: admission_gate::AdmissionGate::new(gate_policy(DEFAULT_SLOTS)),
             confirmation: config_confirmation::ConfigConfirmation::new(settings.revoke_limit),
--- a/crates/forward/src/forward_core/core_config.rs
+++ b/crates/forward/src/forward_core/core_config.rs
@@ -1,6 +1,7 @@
 //! Configuration in force: the route and the tenant of a request.
 
 use std::rc;
+use std::time;
 
 use super::EntryDecision;
 use super::ForwardCore;
@@ -45,8 +46,16 @@
         }
     }
 
-    /// Puts a configuration in force unless its version is not newer than the current one.
-    pub fn adopt_config(&mut self, config: route_config::RouteConfig, text: config_text::ConfigText) {
+    /// Puts a configuration in force unless its version is not newer than the current one. Rows of members whose
+    /// services it names count from then on, whatever its version.
+    pub fn adopt_config(
+        &mut self,
+        config: route_config::RouteConfig,
+        text: config_text::ConfigText,
+        now: time::Instant,
+    ) {
+        let released = self.row_filter.add_services(config.services());
+        self.merge_released(&released, now);
         let current = self.config.as_ref().map(|config| config.version);
         if current.is_some_and(|current| current >= config.version) {
             return;
--- a/crates/forward/src/forward_core/core_members.rs
+++ b/crates/forward/src/forward_core/core_members.rs
@@ -7,6 +7,7 @@
 use damasktrack_membership::gossip_context;
 use damasktrack_membership::member_record;
 use damasktrack_membership::member_table;
+use damasktrack_membership::row_filter;
 use damasktrack_routing::route_candidate;
 use rand::seq::SliceRandom;
 
@@ -122,21 +123,40 @@
     }
 
     /// Merges the members that the store lists, and contacts a sample of them. The row of an earlier process of this
-    /// daemon has the departure that it acknowledged.
-    pub fn merge_members(&mut self, records: &[member_record::MemberRecord], now: time::Instant) {
-        let output = self.gossip.learn_rows(records, now);
+    /// daemon has the departure that it acknowledged. Returns the daemons of the rows that don't count, with the reason.
+    pub fn merge_members(
+        &mut self,
+        records: &[member_record::MemberRecord],
+        now: time::Instant,
+    ) -> Vec<(ids::DaemonId, row_filter::RowVerdict)> {
+        let rows = self.row_filter.sort_list(records);
+        let output = self.gossip.learn_rows(&rows.valid, now);
         self.apply(output, now);
         if !self.members_listed {
             self.members_listed = true;
             self.announce_server(now);
         }
-        let contacts = self.choose_contacts(records);
+        // A held row may be that of a sound daemon, which then answers for itself by gossip.
+        let mut contacts = self.choose_contacts(&rows.valid, MAX_CONTACTS);
+        let left = MAX_CONTACTS.saturating_sub(contacts.len());
+        contacts.extend(self.choose_contacts(&rows.held, left));
         self.contact(&contacts, now);
+        rows.findings
+    }
+
+    /// Merges rows that a configuration made valid. Their daemons have been contacted with the list.
+    pub(super) fn merge_released(&mut self, records: &[member_record::MemberRecord], now: time::Instant) {
+        if records.is_empty() {
+            return;
+        }
+        log::info!(members = records.len(); "members of a service that the configuration names");
+        let output = self.gossip.learn_rows(records, now);
+        self.apply(output, now);
     }
 
-    /// Draws at most [`MAX_CONTACTS`] addresses, two thirds of them from this daemon's region if it has enough members.
-    /// If either group is too small, the other one supplies the rest.
-    fn choose_contacts(&mut self, records: &[member_record::MemberRecord]) -> Vec<net::SocketAddr> {
+    /// Draws at most `limit` addresses, two thirds of them from this daemon's region if it has enough members. If either
+    /// group is too small, the other one supplies the rest.
+    fn choose_contacts(&mut self, records: &[member_record::MemberRecord], limit: usize) -> Vec<net::SocketAddr> {
         let others = records
             .iter()
             .filter(|record| record.daemon_id != self.settings.daemon_id);
@@ -147,12 +167,8 @@
         cross_region.shuffle(&mut self.rng);
         let in_region_count = in_region
             .len()
-            .min((MAX_CONTACTS * 2 / 3).max(MAX_CONTACTS.saturating_sub(cross_region.len())));
-        let chosen = in_region
-            .iter()
-            .take(in_region_count)
-            .chain(&cross_region)
-            .take(MAX_CONTACTS);
+            .min((limit * 2 / 3).max(limit.saturating_sub(cross_region.len())));
+        let chosen = in_region.iter().take(in_region_count).chain(&cross_region).take(limit);
         chosen.map(|record| record.address).collect()
     }
 
--- a/crates/forward/src/node_context.rs
+++ b/crates/forward/src/node_context.rs
@@ -42,6 +42,8 @@
     pub metrics: forward_metrics::ForwardMetrics,
     /// Rate limit of log lines about requests.
     pub log_limiter: log_limiter::LogLimiter,
+    /// Rate limit of log lines about rows of members.
+    pub row_limiter: log_limiter::LogLimiter,
     /// Bytes and connections that callers occupy.
     pub account: account_handle::AccountHandle,
     /// Departures of the backend server that the store has to keep.
@@ -73,6 +75,7 @@
             core,
             metrics,
             log_limiter: log_limiter::LogLimiter::default(),
+            row_limiter: log_limiter::LogLimiter::default(),
             departures: departure_log::DepartureLog::default(),
             in_flight: cell::Cell::new(0),
             peers: cell::RefCell::default(),
--- a/crates/forward/src/route_config.rs
+++ b/crates/forward/src/route_config.rs
@@ -85,6 +85,8 @@
     pub limits: CallerLimits,
     /// Rules by host, those of one host from the longest prefix to the shortest.
     routes: collections::HashMap<Bytes, Vec<rc::Rc<RouteRule>>>,
+    /// Services that the configuration names, also those without a share of requests.
+    services: collections::HashSet<ids::ServiceName>,
     tenants: Option<tenant_config::TenantTable>,
     /// Whether a rule has a latency objective.
     latency_objectives: bool,
@@ -94,6 +96,8 @@
     /// Creates a configuration and orders the rules of each host by the length of the prefix.
     #[must_use]
     pub fn new(version: ids::Revision, limits: CallerLimits, rules: Vec<RouteRule>) -> Self {
+        let targets = rules.iter().flat_map(|rule| &rule.targets);
+        let services = targets.map(|target| target.service.clone()).collect();
         let latency_objectives = rules.iter().any(|rule| rule.latency_objective.is_some());
         let mut routes: collections::HashMap<Bytes, Vec<rc::Rc<RouteRule>>> = collections::HashMap::new();
         for rule in rules {
@@ -106,11 +110,19 @@
             version,
             limits,
             routes,
+            services,
             latency_objectives,
             tenants: None,
         }
     }
 
+    /// Adds services that the configuration names outside its routes.
+    #[must_use]
+    pub fn with_services(mut self, services: impl IntoIterator<Item = ids::ServiceName>) -> Self {
+        self.services.extend(services);
+        self
+    }
+
     /// Sets the tenants, from which on requests need a key.
     #[must_use]
     pub fn with_tenants(self, tenants: tenant_config::TenantTable) -> Self {
@@ -132,6 +144,11 @@
         rules.iter().find(|rule| path.as_bytes().starts_with(&rule.prefix))
     }
 
+    /// Returns the services that the configuration names.
+    pub fn services(&self) -> impl Iterator<Item = &ids::ServiceName> {
+        self.services.iter()
+    }
+
     /// Returns the tenants; `None` if none are configured.
     #[must_use]
     pub fn tenants(&self) -> Option<&tenant_config::TenantTable> {
--- a/crates/forward/src/store_port.rs
+++ b/crates/forward/src/store_port.rs
@@ -13,10 +13,12 @@
 use damasktrack_membership::join_plan;
 use damasktrack_membership::member_record;
 use damasktrack_membership::member_row;
+use damasktrack_membership::row_filter;
 use rand::RngExt;
 use tokio::sync::watch;
 
 use crate::config_text;
+use crate::log_limiter;
 use crate::node_context;
 use crate::quota_tasks;
 use crate::route_config;
@@ -37,6 +39,9 @@
 /// Time limit for removing this daemon's row at a stop. If it fails, other daemons remove the row later.
 const REMOVE_TIMEOUT: time::Duration = time::Duration::from_millis(150);
 
+/// Longest part of a daemon id of another writer's row in a log line.
+const MAX_LOGGED_CHARS: usize = 100;
+
 /// Future of a call to the store.
 pub type StoreFuture<T> = pin::Pin<Box<dyn Future<Output = Result<T, StoreFailure>>>>;
 
@@ -69,11 +74,20 @@
     pub era: Option<StoreEra>,
 }
 
+/// Rows of the members as listed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct MemberList {
+    /// Rows that could be decoded.
+    pub members: Vec<StoredMember>,
+    /// Findings of each other row, with their place.
+    pub rejected: Vec<String>,
+}
+
 /// Member row of a daemon, with the version of its last write.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredMember {
-    /// Row as the daemon wrote it.
-    pub row: member_row::MemberRow,
+    /// Record in the row.
+    pub record: member_record::MemberRecord,
     /// Version of the row, expected by [`StorePort::remove_member`].
     pub version: StoreVersion,
 }
@@ -89,7 +103,7 @@
     /// Removes a daemon's row if it still has the given version.
     pub remove_member: Box<dyn Fn(ids::DaemonId, StoreVersion) -> StoreFuture<()>>,
     /// Lists the rows of all daemons.
-    pub list_members: Box<dyn Fn() -> StoreFuture<Vec<StoredMember>>>,
+    pub list_members: Box<dyn Fn() -> StoreFuture<MemberList>>,
     /// Newest era that a response of the store named; `None` before the first.
     pub era: watch::Receiver<Option<StoreEra>>,
     /// Decodes and validates a configuration. The error lists every finding with its place in the text.
@@ -106,7 +120,7 @@
 pub fn adopt(node: &rc::Rc<node_context::NodeContext>, port: &StorePort, text: config_text::ConfigText, source: &str) {
     match (port.decode_config)(text.bytes()) {
         Ok(config) => {
-            node.core.ask(|core, _now| core.adopt_config(config, text));
+            node.core.ask(|core, now| core.adopt_config(config, text, now));
             quota_tasks::sync_tenants(node);
         }
         Err(findings) => {
@@ -278,9 +292,11 @@
 }
 
 async fn list_rows(node: &node_context::NodeContext, port: &StorePort, own: &OwnRow) -> Result<(), StoreFailure> {
-    let members = (port.list_members)().await?;
-    let records: Vec<_> = members.iter().filter_map(ListedRow::of).collect();
-    merge_members(node, &records);
+    let list = (port.list_members)().await?;
+    for findings in &list.rejected {
+        reject_row(node, findings);
+    }
+    let records = merge_members(node, list.members);
     let own_record = node.core.ask(|core, _now| core.gossip().own_record().clone());
     let listed = records
         .iter()
@@ -312,38 +328,47 @@
     }
 }
 
-/// Decoded member row with its version.
-struct ListedRow {
-    record: member_record::MemberRecord,
-    version: StoreVersion,
-}
-
-impl ListedRow {
-    fn of(member: &StoredMember) -> Option<Self> {
-        let record = member.row.to_record().filter(member_record::MemberRecord::is_plausible);
-        let Some(record) = record else {
-            log::warn!(daemon:? = member.row.daemon_id; "member row with an implausible value ignored");
-            return None;
-        };
-        Some(Self {
-            record,
-            version: member.version,
-        })
+/// Counts and logs a row that changes nothing. Other writers may leave any number of them.
+fn reject_row(node: &node_context::NodeContext, findings: &str) {
+    node.metrics.count_rejected("member_row");
+    let decision = node
+        .row_limiter
+        .decide(log_limiter::LogCategory::Failure, time::Instant::now());
+    if let log_limiter::LogDecision::Write { left_out } = decision {
+        log::warn!(findings = findings, left_out = left_out; "member row rejected");
     }
 }
 
-fn merge_members(node: &node_context::NodeContext, rows: &[ListedRow]) {
+/// Merges the listed rows. Returns those with the peer port of the deployment.
+fn merge_members(node: &node_context::NodeContext, mut rows: Vec<StoredMember>) -> Vec<StoredMember> {
     let records: Vec<_> = rows.iter().map(|row| row.record.clone()).collect();
     log::info!(members = records.len(); "members listed");
+    let findings = node.core.ask(|core, now| core.merge_members(&records, now));
+    for (daemon, verdict) in &findings {
+        let name: String = ids::text(daemon).chars().take(MAX_LOGGED_CHARS).collect();
+        let place = format!("{}/{name}", member_row::MEMBERS_TABLE);
+        match verdict {
+            row_filter::RowVerdict::ForeignPort => {
+                reject_row(node, &format!("{place}.address: not the peer port of the deployment"));
+            }
+            _ => reject_row(
+                node,
+                &format!("{place}.service: no configuration names it; the row is held until one does"),
+            ),
+        }
+    }
+    let port = node.settings.peer_listen.port();
+    rows.retain(|row| row.record.address.port() == port);
     if let Some(quota) = &node.quota {
-        let daemons = records.iter().map(|record| &record.daemon_id);
+        // Held rows count: a daemon that runs requests without a share of its own would exceed the quotas.
+        let daemons = rows.iter().map(|row| &row.record.daemon_id);
         quota.note_list(daemons, &node.settings.daemon_id, stall_watch::boot_time());
     }
-    node.core.ask(|core, now| core.merge_members(&records, now));
+    rows
 }
 
 /// Removes rows of daemons that died or left long ago. Only few daemons, drawn at random, try to remove the same row.
-async fn remove_departed(node: &node_context::NodeContext, port: &StorePort, mut rows: Vec<ListedRow>) {
+async fn remove_departed(node: &node_context::NodeContext, port: &StorePort, mut rows: Vec<StoredMember>) {
     node.core.ask(|core, now| {
         let table = core.gossip().table();
         rows.retain(|row| join_plan::may_remove_row(&row.record, table, now, &mut rand::rng()));
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod member_record;
 pub mod member_row;
 pub mod member_table;
+pub mod row_filter;
 pub mod server_departure;
 pub mod traffic_count;
 pub mod update_queue;
