Ignore rows that their daemon can't override

A daemon overrides a row of another writer by the next start time or version. If the row had the largest one that counts, the own record became implausible to all other daemons, and the server stayed hidden for good.

Rows now have to stay 2^20 below the largest values; gossiped records keep their limits. row_at_the_end_of_a_range_can_be_overridden passes, and fails with the former limit for rows (left Joining, right Up).

--- a/crates/forward/tests/member_rows.rs
+++ b/crates/forward/tests/member_rows.rs
@@ -13,6 +13,7 @@
 use damasktrack_forward::process_limits::ProcessLimits;
 use damasktrack_forward::retry_share::RetryBounds;
 use damasktrack_forward::route_config::{CallerLimits, RouteConfig, RouteKind, RouteRule, RouteTarget};
+use damasktrack_membership::gossip_context::GossipContext;
 use damasktrack_membership::member_record::{MemberRecord, MemberState};
 use damasktrack_membership::row_filter::RowVerdict;
 use hyper::header::HeaderName;
@@ -251,3 +252,38 @@
     assert_eq!(service_of(&core, "vm-2"), Some(Bytes::from_static(b"beta")));
     assert_eq!(service_of(&core, "vm-3"), Some(Bytes::from_static(b"entry")));
 }
+
+/// Guards against a row of another writer that its daemon can't override, since its own record would then be taken as
+/// implausible: the server would stay hidden for good.
+#[test]
+fn row_at_the_end_of_a_range_can_be_overridden() {
+    let now = Instant::now();
+    for (started_ms, version) in [
+        (1 << 43, 1),
+        ((1 << 43) - (1 << 20), 1),
+        (1, 1 << 32),
+        (1, (1 << 32) - (1 << 20)),
+    ] {
+        let odd = MemberRecord {
+            started_ms,
+            version,
+            slots: 9,
+            ..row(1, "alpha")
+        };
+        let mut owner = GossipContext::new(row(1, "alpha"), 1, now);
+        let mut observer = GossipContext::new(row(2, "alpha"), 2, now);
+        observer.learn(&[row(1, "alpha")], now);
+        for context in [&mut owner, &mut observer] {
+            context.learn_rows(std::slice::from_ref(&odd), now);
+        }
+        owner.set_up(now);
+        let own = owner.own_record().clone();
+        observer.learn(std::slice::from_ref(&own), now);
+        let known = observer.table().find(&own.daemon_id).unwrap().record.clone();
+        assert_eq!(
+            (known.state, known.slots),
+            (MemberState::Up, own.slots),
+            "{started_ms} {version}"
+        );
+    }
+}
--- a/crates/membership/src/gossip_merge.rs
+++ b/crates/membership/src/gossip_merge.rs
@@ -57,7 +57,7 @@
     /// Merges a row of the table service. It is not gossiped on, since its member may have been dead for hours. An
     /// implausible one, which another writer left, is ignored.
     pub(crate) fn apply_row(&mut self, record: &member_record::MemberRecord, now: time::Instant) {
-        if !record.is_plausible() {
+        if !record.is_plausible_row() {
             return;
         }
         if record.daemon_id == self.own_record().daemon_id {
--- a/crates/membership/src/member_record.rs
+++ b/crates/membership/src/member_record.rs
@@ -16,6 +16,10 @@
 /// Largest version that counts. Members raise their version by a few a minute.
 const MAX_VERSION: u64 = 1 << 32;
 
+/// Distance of the values of a row from the largest ones. A daemon overrides a row of another writer by a later start or
+/// version, which the other daemons have to accept.
+const ROW_MARGIN: u64 = 1 << 20;
+
 /// State of a member. Of two records with the same version, the one with the greater state takes precedence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -139,6 +143,14 @@
         self.started_ms.max(departed_ms) <= MAX_STARTED_MS && self.version <= MAX_VERSION && self.address.port() != 0
     }
 
+    /// Returns whether a daemon can have written this record into its row, and can override it if another writer has.
+    #[must_use]
+    pub fn is_plausible_row(&self) -> bool {
+        let departed_ms = self.departure.as_ref().map_or(0, |departure| departure.started_ms);
+        let started = self.started_ms.max(departed_ms) <= MAX_STARTED_MS - ROW_MARGIN;
+        started && self.version <= MAX_VERSION - ROW_MARGIN && self.is_plausible()
+    }
+
     /// Returns whether the member may get calls according to its record.
     #[must_use]
     pub fn is_candidate(&self) -> bool {
