Close connections whose responses are not read when room is needed

Callers that read no response held its bytes up to the idle timeout. When the account was full, the incomplete requests of other callers were refused for them, and at the bound of connections new callers were closed.

A connection whose started requests are all answered and whose output has made no progress of 16 KiB for a second is now reset first, the one with the largest product of bytes and time first.

Tests: three in account.rs and one in connection.rs pass.

--- a/crates/forward/src/internal_body.rs
+++ b/crates/forward/src/internal_body.rs
@@ -79,7 +79,7 @@
         let held = byte_account::HoldState {
             stage,
             bytes: READ_BUFFER_BYTES + bytes,
-            received,
+            progressed: received,
         };
         if self.reported.get() == Some(held) && received == 0 {
             return byte_account::ReadPace::Continue;
--- a/crates/pipeline/src/account_handle.rs
+++ b/crates/pipeline/src/account_handle.rs
@@ -35,6 +35,8 @@
     RefuseRequest,
     /// Close the connection without a response, since its descriptor is needed.
     Close,
+    /// Close the connection, whose responses are not read.
+    CloseStalled,
 }
 
 /// Wakes the task of a connection.
@@ -42,6 +44,7 @@
 struct HoldWaker {
     notify: Notify,
     closes: atomic::AtomicBool,
+    closes_stalled: atomic::AtomicBool,
 }
 
 /// Bytes of a complete request or of a response, counted until they are dropped.
@@ -76,6 +79,13 @@
         }
     }
 
+    /// Closes the connection of a caller with the most stalled output, if there is one.
+    pub fn close_stalled(&self) {
+        let mut shared = self.lock();
+        let victim = shared.account.close_stalled(time::Instant::now());
+        shared.wake(victim, HoldDemand::CloseStalled);
+    }
+
     /// Counts bytes of a complete request or of a response.
     #[must_use]
     pub fn hold(&self, bytes: usize) -> ForwardedHold {
@@ -97,9 +107,13 @@
 }
 
 impl SharedAccount {
+    /// Wakes a selected connection. One that sends was selected since its output is stalled.
     fn wake(&self, id: Option<byte_account::HoldId>, demand: HoldDemand) {
-        if let Some(waker) = id.and_then(|id| self.wakers.get(&id)) {
-            if demand == HoldDemand::Close {
+        let selected = id.and_then(|id| Some((id, self.wakers.get(&id)?)));
+        if let Some((id, waker)) = selected {
+            if self.account.is_sending(id) {
+                waker.closes_stalled.store(true, atomic::Ordering::Relaxed);
+            } else if demand == HoldDemand::Close {
                 waker.closes.store(true, atomic::Ordering::Relaxed);
             }
             waker.notify.notify_one();
@@ -122,6 +136,9 @@
     /// Waits until the connection is to be given up.
     pub async fn given_up(&self) -> HoldDemand {
         self.waker.notify.notified().await;
+        if self.waker.closes_stalled.swap(false, atomic::Ordering::Relaxed) {
+            return HoldDemand::CloseStalled;
+        }
         if self.waker.closes.swap(false, atomic::Ordering::Relaxed) {
             HoldDemand::Close
         } else {
--- a/crates/pipeline/src/byte_account.rs
+++ b/crates/pipeline/src/byte_account.rs
@@ -2,9 +2,10 @@
 //!
 //! Load pattern: hundreds of connections send bodies of a few MiB each, stop just short of the end and stay open, or
 //! send nothing at all. Each is within the limits of the configuration, and together they exceed the memory or the
-//! descriptors of the process. At a bound, requests that have not arrived completely are refused, since none of them
-//! has run: the one whose bytes have waited longest for progress first. Requests that were forwarded are never given
-//! up.
+//! descriptors of the process. Callers that don't read their responses hold the bytes of these. At a bound, connections
+//! whose output is stalled are closed first, since their requests were answered. Then requests that have not arrived
+//! completely are refused, since none of them has run: the one whose bytes have waited longest for progress first.
+//! Requests that were forwarded are never given up.
 
 use std::collections;
 use std::time;
@@ -19,6 +20,8 @@
 /// Bytes of a body whose arrival counts as progress. Fewer ones would let a caller that sends single bytes hold a large
 /// body as if it were arriving.
 const PROGRESS_BYTES: usize = 16 * 1024;
+/// Time without progress after which output is stalled. A caller that reads 16 KiB in this time keeps its connection.
+const STALL_TIME: time::Duration = time::Duration::from_secs(1);
 /// Added to the time without progress, so that the sizes decide between requests that all make progress.
 const PROGRESS_TIME: time::Duration = time::Duration::from_millis(50);
 /// The reserved part is this fraction of the account, and at most [`MAX_RESERVED_BYTES`].
@@ -51,8 +54,10 @@
 pub enum HoldStage {
     /// It waits for a request, or for the end of one that has not arrived completely.
     Incomplete,
-    /// At least one of its requests is being served or answered.
+    /// At least one of its requests is being served.
     Serving,
+    /// All requests that it started are answered, and output waits to be written.
+    Sending,
 }
 
 /// When a connection may read on after it has reported its state.
@@ -71,8 +76,8 @@
     pub stage: HoldStage,
     /// Capacity of its buffers, in bytes.
     pub bytes: usize,
-    /// Bytes of bodies that arrived since the last report.
-    pub received: usize,
+    /// Bytes of bodies that arrived, or of output that was written, since the last report.
+    pub progressed: usize,
 }
 
 /// A connection in an account.
@@ -83,10 +88,10 @@
     bytes: usize,
     /// Start of the stage.
     since: time::Instant,
-    /// Start of the stage, or the last arrival of [`PROGRESS_BYTES`].
+    /// Start of the stage, or the last progress of [`PROGRESS_BYTES`].
     progress_at: time::Instant,
-    /// Bytes of bodies that arrived since `progress_at`; less than [`PROGRESS_BYTES`].
-    received: usize,
+    /// Bytes of progress since `progress_at`; less than [`PROGRESS_BYTES`].
+    progressed: usize,
     /// Whether the connection was selected and has not closed yet.
     given_up: bool,
 }
@@ -130,7 +135,9 @@
     pub fn open(&mut self, listener: ListenerKind, now: time::Instant) -> (HoldId, Option<HoldId>) {
         let victim = self
             .is_full(listener)
-            .then(|| select_connection(&self.connections, listener).unwrap_or(self.next_id));
+            .then(|| select_connection(&self.connections, listener))
+            .map(|idle| idle.or_else(|| select_stalled(&self.connections, listener, now)))
+            .map(|victim| victim.unwrap_or(self.next_id));
         let id = self.next_id;
         self.next_id += 1;
         let entry = HoldEntry {
@@ -139,7 +146,7 @@
             bytes: CONNECTION_BYTES,
             since: now,
             progress_at: now,
-            received: 0,
+            progressed: 0,
             given_up: false,
         };
         self.add(&entry);
@@ -158,23 +165,24 @@
         }
     }
 
-    /// Records the state of a connection, and returns the connection whose request has to be refused to keep the bound.
-    /// The caller repeats the call with the same state and nothing received until it returns `None`.
+    /// Records the state of a connection, and returns the connection that has to be given up to keep the bound: one whose
+    /// output is stalled is closed, and the request of another one is refused. The caller repeats the call with the same
+    /// state and no progress until it returns `None`.
     pub fn update(&mut self, id: HoldId, state: HoldState, now: time::Instant) -> Option<HoldId> {
         let before = *self.connections.get(&id)?;
         self.subtract(&before);
         let mut entry = before;
         entry.bytes = CONNECTION_BYTES + state.bytes;
-        entry.received += state.received;
+        entry.progressed += state.progressed;
         if entry.stage != state.stage {
             entry.stage = state.stage;
             entry.since = now;
             entry.progress_at = now;
-            entry.received = 0;
+            entry.progressed = 0;
         }
-        if entry.received >= PROGRESS_BYTES {
+        if entry.progressed >= PROGRESS_BYTES {
             entry.progress_at = now;
-            entry.received = 0;
+            entry.progressed = 0;
         }
         self.add(&entry);
         self.connections.insert(id, entry);
@@ -182,11 +190,25 @@
             return None;
         }
         let victim = self.over_bound().and_then(|least| {
-            let victim = select_request(&self.connections, least, now);
-            victim.or_else(|| select_request(&self.connections, 0, now))
+            let stalled = select_stalled(&self.connections, ListenerKind::Caller, now);
+            stalled
+                .or_else(|| select_request(&self.connections, least, now))
+                .or_else(|| select_request(&self.connections, 0, now))
         })?;
+        if self.is_sending(victim) {
+            self.closed += 1;
+        } else {
+            self.refused += 1;
+        }
+        self.give_up(victim);
+        Some(victim)
+    }
+
+    /// Selects the connection of a caller with the most stalled output, to free what its responses occupy elsewhere.
+    pub fn close_stalled(&mut self, now: time::Instant) -> Option<HoldId> {
+        let victim = select_stalled(&self.connections, ListenerKind::Caller, now)?;
         self.give_up(victim);
-        self.refused += 1;
+        self.closed += 1;
         Some(victim)
     }
 
@@ -278,6 +300,13 @@
         (self.refused, self.closed)
     }
 
+    /// Returns whether a connection has answered its requests and waits to write the responses.
+    #[must_use]
+    pub fn is_sending(&self, id: HoldId) -> bool {
+        let entry = self.connections.get(&id);
+        entry.is_some_and(|entry| entry.stage == HoldStage::Sending)
+    }
+
     /// Returns whether anything is bounded.
     #[must_use]
     pub fn is_bounded(&self) -> bool {
@@ -364,3 +393,20 @@
     let selected = candidates.min_by_key(|(_id, entry)| entry.since);
     selected.map(|(id, _entry)| *id)
 }
+
+/// Selects the connection of the listener with stalled output to close: the one with the largest product of its bytes and
+/// the time without progress. Output that makes progress is never selected.
+#[must_use]
+pub fn select_stalled(
+    connections: &collections::BTreeMap<HoldId, HoldEntry>,
+    listener: ListenerKind,
+    now: time::Instant,
+) -> Option<HoldId> {
+    let waited = |entry: &HoldEntry| now.saturating_duration_since(entry.progress_at);
+    let candidates = connections.iter().filter(|(_id, entry)| {
+        let sending = entry.listener == listener && entry.stage == HoldStage::Sending;
+        sending && !entry.given_up && waited(entry) >= STALL_TIME
+    });
+    let selected = candidates.max_by_key(|(_id, entry)| entry.bytes as u128 * waited(entry).as_millis());
+    selected.map(|(id, _entry)| *id)
+}
--- a/crates/pipeline/src/server_connection.rs
+++ b/crates/pipeline/src/server_connection.rs
@@ -144,6 +144,8 @@
     hold: account_handle::ConnectionHold,
     /// Length of the incomplete body at the last report to the account.
     reported_length: usize,
+    /// Bytes of output that were written since the last report to the account.
+    written: usize,
     /// Last state that was reported to the account.
     reported: Option<byte_account::HoldState>,
     /// Start of the current wait: for a request, for the end of a head, or for progress in sending.
@@ -186,6 +188,7 @@
         out: output_queue::OutputQueue::default(),
         hold,
         reported_length: 0,
+        written: 0,
         reported: None,
         waiting_since: now,
         head_since: None,
@@ -227,7 +230,8 @@
                     self.read_requests();
                     ConnectionStep::Continue
                 }
-                connection_events::ConnectionEvent::Written(Ok(_count)) => {
+                connection_events::ConnectionEvent::Written(Ok(count)) => {
+                    self.written += count;
                     self.waiting_since = time::Instant::now();
                     ConnectionStep::Continue
                 }
@@ -364,8 +368,16 @@
     }
 
     /// Refuses the request that is being read, or closes the connection if it waits for one. A request that is served
-    /// or waits for an earlier one is not given up.
+    /// or waits for an earlier one is not given up. A connection whose output is stalled is reset, which also frees the
+    /// output that the kernel holds.
     fn handle_given_up(&mut self, demand: account_handle::HoldDemand) -> ConnectionStep {
+        if demand == account_handle::HoldDemand::CloseStalled {
+            if self.stage() == byte_account::HoldStage::Sending {
+                return ConnectionStep::Reset;
+            }
+            self.hold.readmit();
+            return ConnectionStep::Continue;
+        }
         if !self.started.is_empty() || self.sending.is_some() || self.waiting.is_some() || self.out.has_remaining() {
             self.hold.readmit();
             return ConnectionStep::Continue;
@@ -385,18 +397,14 @@
         let length = self.reader.body_length();
         let received = length.saturating_sub(self.reported_length);
         self.reported_length = length;
-        let serving = !self.started.is_empty() || self.sending.is_some() || self.waiting.is_some();
+        let progressed = received + std::mem::take(&mut self.written);
         let state = byte_account::HoldState {
-            stage: if serving || self.out.has_remaining() {
-                byte_account::HoldStage::Serving
-            } else {
-                byte_account::HoldStage::Incomplete
-            },
+            stage: self.stage(),
             bytes: self.reader.capacity() + self.out.remaining(),
-            received,
+            progressed,
         };
         // Most events change nothing that is counted.
-        if self.reported == Some(state) && received == 0 {
+        if self.reported == Some(state) && progressed == 0 {
             return byte_account::ReadPace::Continue;
         }
         self.reported = Some(state);
@@ -602,6 +610,18 @@
         self.hold
     }
 
+    /// Returns what the connection does, for the account.
+    fn stage(&self) -> byte_account::HoldStage {
+        let serving = !self.started.is_empty() || self.sending.is_some() || self.waiting.is_some();
+        if self.out.has_remaining() && self.running.is_empty() {
+            byte_account::HoldStage::Sending
+        } else if serving || self.out.has_remaining() {
+            byte_account::HoldStage::Serving
+        } else {
+            byte_account::HoldStage::Incomplete
+        }
+    }
+
     /// Returns whether the connection waits for the start of a request and has nothing to send.
     fn is_idle(&self) -> bool {
         let reading = self.planned.is_some() || self.waiting.is_some() || self.fault.is_some();
--- a/crates/pipeline/tests/account.rs
+++ b/crates/pipeline/tests/account.rs
@@ -23,7 +23,7 @@
     HoldState {
         stage: HoldStage::Incomplete,
         bytes,
-        received,
+        progressed: received,
     }
 }
 
@@ -31,7 +31,7 @@
     HoldState {
         stage: HoldStage::Serving,
         bytes,
-        received: 0,
+        progressed: 0,
     }
 }
 
@@ -122,6 +122,71 @@
     }
 }
 
+fn sending(bytes: usize, progressed: usize) -> HoldState {
+    HoldState {
+        stage: HoldStage::Sending,
+        bytes,
+        progressed,
+    }
+}
+
+/// Guards against callers that read no response and thereby have the requests of others refused, and against one that
+/// reads 16 KiB a second and is closed before them.
+#[test]
+fn stalled_output_is_closed_before_requests_are_refused() {
+    let (start, mut account) = (Instant::now(), ByteAccount::new(Some(BOUNDS)));
+    let slow = open(&mut account, start);
+    assert_eq!(account.update(slow, sending(8 * MIB, 0), start), None);
+    let stalled: Vec<HoldId> = (0..4).map(|_caller| open(&mut account, start)).collect();
+    for (number, id) in (1..).zip(&stalled) {
+        assert_eq!(account.update(*id, sending(number * MIB, 0), start), None);
+    }
+    let late = start + Duration::from_secs(5);
+    let honest = open(&mut account, late);
+    let mut victims = Vec::new();
+    for step in 1..=30 {
+        let now = late + Duration::from_millis(100) * step;
+        let read = account.update(slow, sending(8 * MIB, 2 * 1024), now);
+        assert_eq!(read, None);
+        let victim = account.update(honest, incomplete(step as usize * MIB / 2, MIB / 2), now);
+        if let Some(victim) = victim {
+            assert!(account.is_sending(victim));
+            account.close(victim);
+            victims.push(victim);
+        }
+    }
+    // The one with the most bytes first.
+    let most_first: Vec<HoldId> = stalled.iter().rev().copied().collect();
+    assert!(!victims.is_empty() && most_first.starts_with(&victims), "{victims:?}");
+    let (refused, closed) = account.given_up();
+    assert_eq!((refused, closed), (0, victims.len() as u64));
+}
+
+/// Guards against output that is closed as stalled within the first second, and against a connection that still serves a
+/// request behind the stalled output.
+#[test]
+fn only_answered_connections_without_progress_are_stalled() {
+    let (start, mut account) = (Instant::now(), ByteAccount::new(Some(BOUNDS)));
+    let (serves, sends) = (open(&mut account, start), open(&mut account, start));
+    assert_eq!(account.update(serves, serving(MIB), start), None);
+    assert_eq!(account.update(sends, sending(MIB, 0), start), None);
+    assert_eq!(account.close_stalled(start + Duration::from_millis(999)), None);
+    assert_eq!(account.close_stalled(start + Duration::from_secs(1)), Some(sends));
+    assert_eq!(account.close_stalled(start + Duration::from_mins(1)), None);
+}
+
+/// Guards against callers that read no response and keep all others from connecting.
+#[test]
+fn stalled_output_makes_way_for_a_new_connection() {
+    let (start, mut account) = (Instant::now(), ByteAccount::new(Some(BOUNDS)));
+    for _caller in 0..BOUNDS.caller_connections {
+        let id = open(&mut account, start);
+        assert_eq!(account.update(id, sending(1, 0), start), None);
+    }
+    let (new, victim) = account.open(ListenerKind::Caller, start + Duration::from_secs(2));
+    assert!(victim.is_some_and(|victim| victim != new));
+}
+
 /// Guards against a forwarded request that is refused, which would break the guarantee of a refusal.
 #[test]
 fn request_that_is_served_is_never_given_up() {
--- a/crates/pipeline/tests/connection.rs
+++ b/crates/pipeline/tests/connection.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use damasktrack_pipeline::account_handle::AccountHandle;
-use damasktrack_pipeline::byte_account::ListenerKind;
+use damasktrack_pipeline::byte_account::{ByteAccount, ListenerKind};
 use damasktrack_pipeline::request_fault::RequestFault;
 use damasktrack_pipeline::request_order::{ConnectionPhase, StartOrder};
 use damasktrack_pipeline::server_connection::{
@@ -55,6 +55,15 @@
 
 /// Serves one connection and returns its client side.
 async fn connect(phases: watch::Receiver<ConnectionPhase>, log: &Rc<RefCell<Vec<RequestFault>>>) -> TcpStream {
+    connect_with(LIMITS, &AccountHandle::default(), phases, log).await
+}
+
+async fn connect_with(
+    limits: ConnectionLimits,
+    account: &AccountHandle,
+    phases: watch::Receiver<ConnectionPhase>,
+    log: &Rc<RefCell<Vec<RequestFault>>>,
+) -> TcpStream {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
     let (stream, _from) = listener.accept().await.unwrap();
@@ -81,10 +90,10 @@
     };
     tokio::task::spawn_local(serve(
         stream,
-        LIMITS,
+        limits,
         phases,
         handlers,
-        AccountHandle::default().open(ListenerKind::Caller),
+        account.open(ListenerKind::Caller),
     ));
     client
 }
@@ -162,6 +171,46 @@
     });
 }
 
+/// Guards against stalled output that is kept up to the idle timeout although its bytes are needed, and against output
+/// that is read and closed as well.
+#[test]
+fn stalled_output_is_closed_when_it_is_needed() {
+    run(async {
+        let limits = ConnectionLimits {
+            idle_timeout: Duration::from_mins(1),
+            ..LIMITS
+        };
+        let account = AccountHandle::default();
+        let (_control, phases) = watch::channel(ConnectionPhase::Serving);
+        let mut clients = Vec::new();
+        for _client in 0..2 {
+            let mut client = connect_with(limits, &account, phases.clone(), &Rc::default()).await;
+            client
+                .write_all(b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+                .await
+                .unwrap();
+            clients.push(client);
+        }
+        let (mut reading, mut stalled) = (clients.remove(1), clients.remove(0));
+        let (mut buffer, mut received) = (vec![0; 64 * 1024], 0);
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_millis(1_500) {
+            received += reading.read(&mut buffer).await.unwrap();
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        account.close_stalled();
+        account.close_stalled();
+        let end = tokio::time::timeout(Duration::from_secs(20), stalled.read_to_end(&mut Vec::new())).await;
+        assert!(end.unwrap().is_err(), "reset");
+        while received < 32 << 20 {
+            let count = reading.read(&mut buffer).await.unwrap();
+            assert_ne!(count, 0, "closed after {received} bytes");
+            received += count;
+        }
+        assert_eq!(account.ask(ByteAccount::given_up), (0, 1));
+    });
+}
+
 /// Guards against a response that is held in memory for a caller that never reads it.
 #[test]
 fn caller_that_does_not_read_is_disconnected() {
