Bound the outgoing connections

Each response that a caller doesn't read, and each running call, occupies a connection to another daemon or to the backend server. They weren't bounded: with MaxFds = 400, 96 callers with 8 requests each and responses of 1 MiB took the entry daemon to 854 descriptors, and requests that run for 400 ms to 504.

The last quarter of MaxFds less 200 is now the bound, half of it for the backend server and half for other daemons. Without MaxFds nothing is bounded.

--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -246,6 +246,11 @@
             let reason = call_outcome::RefusalReason::BackendServerDown;
             (error, CallResult::NotRun(reason))
         }
+        // Says nothing about the backend server.
+        Ok(Err(error @ http_link::LinkError::NoSlot)) => {
+            let reason = call_outcome::RefusalReason::QueueFull;
+            (error.to_string(), CallResult::NotRun(reason))
+        }
         Ok(Err(http_link::LinkError::NoResponse(error))) => {
             guard.result = gate_report::FinishResult::Failed;
             (error, CallResult::MayHaveRun)
--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -444,6 +444,9 @@
         Err(http_link::LinkError::NotSent(_error)) => {
             return callee_call::CallResult::NotRun(call_outcome::RefusalReason::BackendServerDown);
         }
+        Err(http_link::LinkError::NoSlot) => {
+            return callee_call::CallResult::NotRun(call_outcome::RefusalReason::QueueFull);
+        }
         Err(http_link::LinkError::NoResponse(error)) => {
             let lost = request_end::EndedRequest {
                 attempt_id: entry.request.headers.get(&node.settings.headers.attempt_id),
--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -9,6 +9,7 @@
 use opentelemetry::metrics::MeterProvider;
 use prometheus::Encoder;
 
+use crate::link_budget;
 use crate::server_notice;
 
 /// Upper bounds of the latency histogram, in seconds.
@@ -102,6 +103,7 @@
     held_bytes: metrics::Gauge<u64>,
     open_connections: metrics::Gauge<u64>,
     given_up: metrics::Gauge<u64>,
+    outgoing: metrics::Gauge<u64>,
 }
 
 impl AccountInstruments {
@@ -120,7 +122,12 @@
             given_up: gauge(
                 meter,
                 "damasktrack_given_up",
-                "Requests refused and connections closed at a bound since the start, by kind",
+                "Requests refused, connections closed and calls without a connection at a bound since the start, by kind",
+            ),
+            outgoing: gauge(
+                meter,
+                "damasktrack_outgoing_connections",
+                "Outgoing connections that are open where they are bounded, by receiver",
             ),
         }
     }
@@ -325,6 +332,20 @@
         set(&self.account.given_up, closed, "kind", "connection");
     }
 
+    /// Sets the gauges of the outgoing connections.
+    pub fn record_links(&self, server: &link_budget::LinkBudget, peer: &link_budget::LinkBudget) {
+        for (receiver, budget) in [("server", server), ("peer", peer)] {
+            let open = budget.open() as u64;
+            self.account
+                .outgoing
+                .record(open, &[opentelemetry::KeyValue::new("receiver", receiver)]);
+        }
+        let refused = server.refused() + peer.refused();
+        self.account
+            .given_up
+            .record(refused, &[opentelemetry::KeyValue::new("kind", "call")]);
+    }
+
     /// Sets the gauge of the backend server's request limit; `None` if it names none.
     pub fn record_request_limit(&self, limit: Option<server_notice::RequestRate>) {
         self.request_limit.record(limit.unwrap_or(f64::INFINITY), &[]);
--- a/crates/forward/src/http_link.rs
+++ b/crates/forward/src/http_link.rs
@@ -12,9 +12,11 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use tokio::sync::Notify;
 use tokio::task;
 
 use crate::bounded_stream;
+use crate::link_budget;
 
 /// Time after which unacknowledged data closes a connection (`TCP_USER_TIMEOUT`). A peer may become unreachable without
 /// a reset. The longest round trip between regions is 60 ms.
@@ -44,9 +46,12 @@
 #[derive(Debug)]
 #[derive(derive_more::Display)]
 pub enum LinkError {
-    /// The request was not sent.
+    /// The request was not sent, since the receiver can't be reached.
     #[display("not sent: {_0}")]
     NotSent(String),
+    /// The request was not sent, since the process may not open another connection.
+    #[display("not sent: bound of outgoing connections")]
+    NoSlot,
     /// The request was sent, completely or in part.
     #[display("no response: {_0}")]
     NoResponse(String),
@@ -78,8 +83,14 @@
 pub struct LinkPool {
     address: net::SocketAddr,
     policy: LinkPolicy,
+    budget: rc::Rc<link_budget::LinkBudget>,
+    /// In the order in which they became idle.
     idle: cell::RefCell<Vec<OpenLink>>,
     opened: cell::Cell<u64>,
+    /// Calls that wait for a connection to this address.
+    pub(crate) waiting: cell::Cell<usize>,
+    /// Wakes one of them when a connection became idle.
+    pub(crate) returned: Notify,
 }
 
 /// Connection leased to one request. Dropping the lease closes the connection, which cancels the request.
@@ -90,7 +101,7 @@
 }
 
 impl LinkLease {
-    /// Returns the connection to the pool. The caller must have read the response to its end.
+    /// Returns the connection to the pool, or closes it for a call that waits for one to another address. The caller must have read the response to its end.
     ///
     /// `idle_limit` is the time for which the server keeps an idle connection open, if known. The limit of the pool is
     /// the upper bound.
@@ -100,20 +111,30 @@
             .unwrap_or(self.pool.policy.idle_limit)
             .min(self.pool.policy.idle_limit);
         let pool = rc::Rc::clone(&self.pool);
-        pool.idle.borrow_mut().push(self.link);
+        if pool.waiting.get() > 0 {
+            pool.idle.borrow_mut().push(self.link);
+            pool.returned.notify_one();
+        } else if !pool.budget.has_waiting() {
+            pool.idle.borrow_mut().push(self.link);
+        }
     }
 }
 
 impl LinkPool {
-    /// Creates an empty pool.
+    /// Creates an empty pool, whose connections count in `budget`.
     #[must_use]
-    pub fn new(address: net::SocketAddr, policy: LinkPolicy) -> rc::Rc<Self> {
-        rc::Rc::new(Self {
+    pub fn new(address: net::SocketAddr, policy: LinkPolicy, budget: &rc::Rc<link_budget::LinkBudget>) -> rc::Rc<Self> {
+        let pool = rc::Rc::new(Self {
             address,
             policy,
+            budget: rc::Rc::clone(budget),
             idle: cell::RefCell::default(),
             opened: cell::Cell::new(0),
-        })
+            waiting: cell::Cell::new(0),
+            returned: Notify::new(),
+        });
+        budget.add(&pool);
+        pool
     }
 
     /// Sends a request on a connection that has been idle for at most `max_idle`, or on a new one.
@@ -126,21 +147,28 @@
         max_idle: time::Duration,
     ) -> Result<(hyper::Response<Incoming>, LinkLease), LinkError> {
         let mut request = request;
-        while let Some(mut link) = self.take_idle(max_idle) {
-            let ready = tokio::time::timeout(READY_TIMEOUT, link.sender.ready()).await;
-            if !matches!(ready, Ok(Ok(()))) {
-                continue;
+        let slot = loop {
+            while let Some(mut link) = self.take_idle(max_idle) {
+                let ready = tokio::time::timeout(READY_TIMEOUT, link.sender.ready()).await;
+                if !matches!(ready, Ok(Ok(()))) {
+                    continue;
+                }
+                link.meter.expect_head();
+                match link.sender.try_send_request(request).await {
+                    Ok(response) => return Ok((response, self.lease(link))),
+                    Err(mut error) => match error.take_message() {
+                        Some(unsent) => request = unsent,
+                        None => return Err(LinkError::NoResponse(error.into_error().to_string())),
+                    },
+                }
             }
-            link.meter.expect_head();
-            match link.sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, self.lease(link))),
-                Err(mut error) => match error.take_message() {
-                    Some(unsent) => request = unsent,
-                    None => return Err(LinkError::NoResponse(error.into_error().to_string())),
-                },
+            match self.budget.acquire(self).await {
+                link_budget::SlotResult::Slot(slot) => break slot,
+                link_budget::SlotResult::IdleLink => {}
+                link_budget::SlotResult::Refused => return Err(LinkError::NoSlot),
             }
-        }
-        let mut link = self.connect().await?;
+        };
+        let mut link = self.connect(slot).await?;
         link.meter.expect_head();
         match link.sender.try_send_request(request).await {
             Ok(response) => Ok((response, self.lease(link))),
@@ -163,6 +191,14 @@
         });
     }
 
+    /// Closes the connection that has been idle for longest.
+    pub(crate) fn close_oldest(&self) {
+        let mut idle = self.idle.borrow_mut();
+        if !idle.is_empty() {
+            idle.remove(0);
+        }
+    }
+
     fn take_idle(&self, max_idle: time::Duration) -> Option<OpenLink> {
         let now = time::Instant::now();
         let mut idle = self.idle.borrow_mut();
@@ -183,7 +219,7 @@
         }
     }
 
-    async fn connect(&self) -> Result<OpenLink, LinkError> {
+    async fn connect(&self, slot: link_budget::LinkSlot) -> Result<OpenLink, LinkError> {
         let connect = tokio::time::timeout(
             self.policy.connect_timeout,
             tokio::net::TcpStream::connect(self.address),
@@ -202,6 +238,8 @@
             .await
             .map_err(|error| LinkError::NotSent(error.to_string()))?;
         let task = task::spawn_local(async move {
+            // Dropped after the connection.
+            let _slot = slot;
             if let Err(error) = connection.await {
                 log::debug!(error:% = error; "connection ended");
             }
@@ -224,6 +262,11 @@
         self.address
     }
 
+    /// Returns since when the connection that has been idle for longest is idle; `None` if none is.
+    pub(crate) fn oldest_idle(&self) -> Option<time::Instant> {
+        self.idle.borrow().first().map(|link| link.idle_since)
+    }
+
     /// Returns the number of TCP connections opened since the pool was created.
     #[must_use]
     pub fn opened(&self) -> u64 {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod http_link;
 pub mod http_server;
 pub mod internal_body;
+pub mod link_budget;
 pub mod local_reply;
 pub mod log_limiter;
 pub mod log_output;
--- a/crates/forward/src/node_context.rs
+++ b/crates/forward/src/node_context.rs
@@ -15,6 +15,7 @@
 use crate::forward_metrics;
 use crate::forward_settings;
 use crate::http_link;
+use crate::link_budget;
 use crate::log_limiter;
 use crate::quota_state;
 
@@ -52,6 +53,10 @@
     pub in_flight: cell::Cell<usize>,
     /// Quotas of the tenants; `None` without bounds for them in the settings.
     pub quota: Option<quota_state::QuotaState>,
+    /// Bound of the connections to the backend server.
+    pub server_links: rc::Rc<link_budget::LinkBudget>,
+    /// Bound of the connections to other daemons.
+    pub peer_links: rc::Rc<link_budget::LinkBudget>,
     peers: cell::RefCell<collections::HashMap<net::SocketAddr, rc::Rc<http_link::LinkPool>>>,
 }
 
@@ -67,9 +72,15 @@
             connect_timeout: SERVER_CONNECT_TIMEOUT,
             idle_limit: SERVER_IDLE_TIMEOUT,
         };
+        let account = account_handle::AccountHandle::new(settings.process_limits.account_bounds());
+        let limit = settings.process_limits.outgoing_connections();
+        let server_links = link_budget::LinkBudget::new(limit, account.clone());
+        let peer_links = link_budget::LinkBudget::new(limit, account.clone());
         rc::Rc::new(Self {
-            account: account_handle::AccountHandle::new(settings.process_limits.account_bounds()),
-            server: http_link::LinkPool::new(settings.server_address, policy),
+            account,
+            server: http_link::LinkPool::new(settings.server_address, policy, &server_links),
+            server_links,
+            peer_links,
             quota: settings.quota_bounds.map(quota_state::QuotaState::new),
             settings,
             core,
@@ -92,7 +103,7 @@
         let mut peers = self.peers.borrow_mut();
         let pool = peers
             .entry(address)
-            .or_insert_with(|| http_link::LinkPool::new(address, policy));
+            .or_insert_with(|| http_link::LinkPool::new(address, policy, &self.peer_links));
         rc::Rc::clone(pool)
     }
 
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -212,18 +212,21 @@
 }
 
 async fn run_maintenance(node: rc::Rc<node_context::NodeContext>) {
-    let (mut logged, mut logged_at) = ((0, 0), None);
+    let (mut logged, mut logged_at) = ((0, 0, 0), None);
     loop {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
         node.account.ask(|account| node.metrics.record_account(account));
-        let given_up = node.account.ask(byte_account::ByteAccount::given_up);
+        node.metrics.record_links(&node.server_links, &node.peer_links);
+        let (requests, connections) = node.account.ask(byte_account::ByteAccount::given_up);
+        let calls = node.server_links.refused() + node.peer_links.refused();
+        let given_up = (requests, connections, calls);
         let due = logged_at.is_none_or(|at: time::Instant| at.elapsed() >= BOUND_LOG_INTERVAL);
         if given_up != logged && due {
             let (bytes, forwarded) = node.account.ask(byte_account::ByteAccount::held_bytes);
             log::warn!(
-                requests = given_up.0 - logged.0, connections = given_up.1 - logged.1, bytes = bytes,
-                forwarded = forwarded;
-                "bound of memory or connections reached; incomplete requests were refused or connections closed"
+                requests = requests - logged.0, connections = connections - logged.1, calls = calls - logged.2,
+                bytes = bytes, forwarded = forwarded;
+                "bound of memory or connections reached; incomplete requests or calls were refused, or connections closed"
             );
             (logged, logged_at) = (given_up, Some(time::Instant::now()));
         }
--- a/crates/forward/src/process_limits.rs
+++ b/crates/forward/src/process_limits.rs
@@ -38,13 +38,25 @@
         });
         // Half of the descriptors is for callers, a quarter for the internal listeners, and the rest for outgoing
         // connections.
-        let connections = self.max_fds.map_or(usize::MAX, |max_fds| {
-            usize::try_from(max_fds).unwrap_or(usize::MAX).saturating_sub(FILE_FDS)
-        });
+        let connections = self.connections().unwrap_or(usize::MAX);
         Some(byte_account::AccountBounds {
             bytes,
             caller_connections: (connections / 2).max(MIN_CONNECTIONS),
             internal_connections: (connections / 4).max(MIN_CONNECTIONS),
         })
     }
+
+    /// Returns how many connections to the backend server, and how many to other daemons, may be open; `None` if they are
+    /// not limited. The parts are apart, since daemons whose connections to each other have no end before a backend server
+    /// answers would otherwise wait for each other.
+    #[must_use]
+    pub fn outgoing_connections(&self) -> Option<usize> {
+        self.connections()
+            .map(|connections| (connections / 8).max(MIN_CONNECTIONS))
+    }
+
+    fn connections(&self) -> Option<usize> {
+        let max_fds = usize::try_from(self.max_fds?).unwrap_or(usize::MAX);
+        Some(max_fds.saturating_sub(FILE_FDS))
+    }
 }
--- a/crates/forward/tests/bounded_stream.rs
+++ b/crates/forward/tests/bounded_stream.rs
@@ -9,6 +9,7 @@
 
 use damasktrack_forward::bounded_stream::{BoundedStream, InputMeter};
 use damasktrack_forward::http_link::{LinkError, LinkPolicy, LinkPool};
+use damasktrack_forward::link_budget::LinkBudget;
 use damasktrack_pipeline::chunk_list::ChunkedBody;
 use tokio::io::AsyncReadExt;
 
@@ -87,7 +88,11 @@
         idle_limit: Duration::from_secs(5),
     };
     let request = hyper::Request::new(ChunkedBody::default());
-    let result = run(async move { LinkPool::new(address, policy).send(request, Duration::ZERO).await });
+    let result = run(async move {
+        LinkPool::new(address, policy, &LinkBudget::unbounded())
+            .send(request, Duration::ZERO)
+            .await
+    });
     assert!(matches!(result, Err(LinkError::NoResponse(_))), "{result:?}");
     assert!(server.join().unwrap(), "the connection stays open");
 }
