Reserve a part of the account and connections for heartbeats and readiness

Heartbeats and readiness checks shared the connections and the bytes of the internal listeners with the calls of other daemons. With all of these connections serving calls, a readiness check was refused, and the platform would have taken the daemon out of service.

The heartbeat and readiness listeners are now of the kind Control, with a sixteenth of the connections and an eighth of the bytes, at most 1 MiB, that no other listener uses and that bound them. The other internal listeners keep three sixteenths of the connections.

Tests: two in account.rs and the crowd test readiness_while_calls_occupy_the_peer_port pass. Without the kind the crowd test fails (the readiness check is refused); without the separate selection, the bound or the separate sum one unit test each fails. All 25 crowd tests pass.

--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -328,6 +328,8 @@
         set(&self.account.open_connections, callers, "listener", "caller");
         let internal = open(byte_account::ListenerKind::Internal);
         set(&self.account.open_connections, internal, "listener", "internal");
+        let control = open(byte_account::ListenerKind::Control);
+        set(&self.account.open_connections, control, "listener", "control");
         set(&self.account.given_up, refused, "kind", "request");
         set(&self.account.given_up, closed, "kind", "connection");
     }
--- a/crates/forward/src/http_server.rs
+++ b/crates/forward/src/http_server.rs
@@ -148,14 +148,15 @@
     }
 }
 
-/// Listens at an address and serves the requests of other daemons or of the platform, which are not pipelined, for the
-/// life of the process.
+/// Listens at an address and serves the requests of other daemons, of the backend server or of the platform, which are
+/// not pipelined, for the life of the process.
 ///
 /// # Errors
 /// Returns an error if the socket can't be bound.
 pub fn serve_internal<H, F>(
     address: net::SocketAddr,
     account: &account_handle::AccountHandle,
+    kind: byte_account::ListenerKind,
     handler: H,
 ) -> io::Result<()>
 where
@@ -164,7 +165,6 @@
 {
     let listener = listen(address)?;
     let serve = move |stream, hold| serve_connection(stream, hold, handler.clone());
-    let kind = byte_account::ListenerKind::Internal;
     task::spawn_local(accept(listener, ServerControl::default(), account.clone(), kind, serve));
     Ok(())
 }
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -178,37 +178,50 @@
     let address = node.settings.peer_listen;
     let node = rc::Rc::clone(node);
     let account = node.account.clone();
-    http_server::serve_internal(address, &account, move |request, hold| {
-        peer_server::serve(rc::Rc::clone(&node), request, hold)
-    })
+    http_server::serve_internal(
+        address,
+        &account,
+        byte_account::ListenerKind::Internal,
+        move |request, hold| peer_server::serve(rc::Rc::clone(&node), request, hold),
+    )
 }
 
 /// Starts the readiness listener, and the metrics listener if it is configured.
 fn serve_status(node: &rc::Rc<node_context::NodeContext>) -> io::Result<()> {
     let core = node.core.clone();
-    http_server::serve_internal(node.settings.ready_listen, &node.account, move |_request, _hold| {
-        let ready = core.ask(|core, now| core.is_ready(now));
-        let status = if ready {
-            hyper::StatusCode::OK
-        } else {
-            hyper::StatusCode::SERVICE_UNAVAILABLE
-        };
-        std::future::ready(peer_server::empty_response(status))
-    })?;
+    http_server::serve_internal(
+        node.settings.ready_listen,
+        &node.account,
+        byte_account::ListenerKind::Control,
+        move |_request, _hold| {
+            let ready = core.ask(|core, now| core.is_ready(now));
+            let status = if ready {
+                hyper::StatusCode::OK
+            } else {
+                hyper::StatusCode::SERVICE_UNAVAILABLE
+            };
+            std::future::ready(peer_server::empty_response(status))
+        },
+    )?;
     let Some(address) = node.settings.metrics_listen else {
         return Ok(());
     };
     let metrics = node.metrics.clone();
-    http_server::serve_internal(address, &node.account, move |_request, _hold| {
-        let response = match metrics.text() {
-            Ok(text) => hyper::Response::new(message_body::ReplyBody::whole(Bytes::from(text))),
-            Err(error) => {
-                log::warn!(error:% = error; "metrics can't be written");
-                peer_server::empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR)
-            }
-        };
-        std::future::ready(response)
-    })
+    http_server::serve_internal(
+        address,
+        &node.account,
+        byte_account::ListenerKind::Internal,
+        move |_request, _hold| {
+            let response = match metrics.text() {
+                Ok(text) => hyper::Response::new(message_body::ReplyBody::whole(Bytes::from(text))),
+                Err(error) => {
+                    log::warn!(error:% = error; "metrics can't be written");
+                    peer_server::empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR)
+                }
+            };
+            std::future::ready(response)
+        },
+    )
 }
 
 async fn run_maintenance(node: rc::Rc<node_context::NodeContext>) {
--- a/crates/forward/src/process_limits.rs
+++ b/crates/forward/src/process_limits.rs
@@ -36,13 +36,14 @@
             let memory = usize::try_from(memory_mb.saturating_mul(1_000_000)).unwrap_or(usize::MAX);
             (memory.saturating_sub(BASE_BYTES) / 100 * ACCOUNT_PERCENT).max(MIN_ACCOUNT_BYTES)
         });
-        // Half of the descriptors is for callers, a quarter for the internal listeners, and the rest for outgoing
-        // connections.
+        // Half of the descriptors is for callers, a quarter for the internal and the control listeners, and the rest for
+        // outgoing connections.
         let connections = self.connections().unwrap_or(usize::MAX);
         Some(byte_account::AccountBounds {
             bytes,
             caller_connections: (connections / 2).max(MIN_CONNECTIONS),
-            internal_connections: (connections / 4).max(MIN_CONNECTIONS),
+            internal_connections: (connections / 16 * 3).max(MIN_CONNECTIONS),
+            control_connections: (connections / 16).max(MIN_CONNECTIONS),
         })
     }
 
--- a/crates/pipeline/src/byte_account.rs
+++ b/crates/pipeline/src/byte_account.rs
@@ -29,6 +29,10 @@
 /// See [`RESERVED_FRACTION`]; enough for 128 connections with [`SMALL_BYTES`].
 const MAX_RESERVED_BYTES: usize = 8 << 20;
 
+/// Largest part of the account that is kept for the control listeners; enough for 16 connections with
+/// [`SMALL_BYTES`]. It is also at most the fraction [`RESERVED_FRACTION`] of the account.
+const MAX_CONTROL_BYTES: usize = 1 << 20;
+
 /// Bounds of an account.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AccountBounds {
@@ -38,6 +42,8 @@
     pub caller_connections: usize,
     /// Connections to the internal listeners that may be open.
     pub internal_connections: usize,
+    /// Connections to the control listeners that may be open.
+    pub control_connections: usize,
 }
 
 /// Listener that a connection belongs to.
@@ -45,8 +51,11 @@
 pub enum ListenerKind {
     /// Listener for callers.
     Caller,
-    /// Listener for other daemons, the backend server or the platform.
+    /// Listener for other daemons or for metrics.
     Internal,
+    /// Listener for heartbeats of the backend server or for readiness checks. Without them the daemon gets no more work,
+    /// so it has a part of the account and of the connections that the others can't use.
+    Control,
 }
 
 /// What a connection does.
@@ -102,8 +111,10 @@
     bounds: Option<AccountBounds>,
     connections: collections::BTreeMap<HoldId, HoldEntry>,
     next_id: HoldId,
-    /// Sum over the connections that were not given up.
+    /// Sum over the connections that were not given up, without the control connections.
     connection_bytes: usize,
+    /// As `connection_bytes`, for the control connections.
+    control_bytes: usize,
     /// As `connection_bytes`, for those with more than [`SMALL_BYTES`].
     large_bytes: usize,
     /// Number of connections in `large_bytes`.
@@ -112,9 +123,10 @@
     given_up_bytes: usize,
     /// Bytes of complete requests that are being forwarded, and of buffered responses.
     forwarded_bytes: usize,
-    /// Number of connections of callers and of internal ones that were not given up.
+    /// Numbers of connections that were not given up, by listener.
     caller_connections: usize,
     internal_connections: usize,
+    control_connections: usize,
     refused: u64,
     closed: u64,
 }
@@ -189,12 +201,12 @@
         if entry.bytes <= before.bytes {
             return None;
         }
-        let victim = self.over_bound().and_then(|least| {
-            let stalled = select_stalled(&self.connections, ListenerKind::Caller, now);
-            stalled
-                .or_else(|| select_request(&self.connections, least, now))
-                .or_else(|| select_request(&self.connections, 0, now))
-        })?;
+        let victim = if entry.listener == ListenerKind::Control {
+            self.select_control(now)
+        } else {
+            self.select_other(now)
+        };
+        let victim = victim?;
         if self.is_sending(victim) {
             self.closed += 1;
         } else {
@@ -234,6 +246,23 @@
         self.forwarded_bytes -= bytes;
     }
 
+    fn select_control(&self, now: time::Instant) -> Option<HoldId> {
+        let bounds = self.bounds?;
+        let is_control = |entry: &HoldEntry| entry.listener == ListenerKind::Control;
+        (self.control_bytes > control_part(bounds))
+            .then(|| select_request(&self.connections, 0, now, is_control))
+            .flatten()
+    }
+
+    fn select_other(&self, now: time::Instant) -> Option<HoldId> {
+        let least = self.over_bound()?;
+        let is_other = |entry: &HoldEntry| entry.listener != ListenerKind::Control;
+        let stalled = select_stalled(&self.connections, ListenerKind::Caller, now);
+        stalled
+            .or_else(|| select_request(&self.connections, least, now, is_other))
+            .or_else(|| select_request(&self.connections, 0, now, is_other))
+    }
+
     fn give_up(&mut self, id: HoldId) {
         if let Some(mut entry) = self.connections.get(&id).copied() {
             self.subtract(&entry);
@@ -248,12 +277,16 @@
             self.given_up_bytes += entry.bytes;
             return;
         }
+        *self.count_mut(entry.listener) += 1;
+        if entry.listener == ListenerKind::Control {
+            self.control_bytes += entry.bytes;
+            return;
+        }
         self.connection_bytes += entry.bytes;
         if entry.bytes > SMALL_BYTES {
             self.large_bytes += entry.bytes;
             self.large_connections += 1;
         }
-        *self.count_mut(entry.listener) += 1;
     }
 
     fn subtract(&mut self, entry: &HoldEntry) {
@@ -261,18 +294,23 @@
             self.given_up_bytes -= entry.bytes;
             return;
         }
+        *self.count_mut(entry.listener) -= 1;
+        if entry.listener == ListenerKind::Control {
+            self.control_bytes -= entry.bytes;
+            return;
+        }
         self.connection_bytes -= entry.bytes;
         if entry.bytes > SMALL_BYTES {
             self.large_bytes -= entry.bytes;
             self.large_connections -= 1;
         }
-        *self.count_mut(entry.listener) -= 1;
     }
 
     fn count_mut(&mut self, listener: ListenerKind) -> &mut usize {
         match listener {
             ListenerKind::Caller => &mut self.caller_connections,
             ListenerKind::Internal => &mut self.internal_connections,
+            ListenerKind::Control => &mut self.control_connections,
         }
     }
 }
@@ -282,7 +320,7 @@
     /// Returns the bytes held by connections, and those of complete requests and responses.
     #[must_use]
     pub fn held_bytes(&self) -> (usize, usize) {
-        (self.connection_bytes, self.forwarded_bytes)
+        (self.connection_bytes + self.control_bytes, self.forwarded_bytes)
     }
 
     /// Returns the number of open connections of a listener, without those that were given up.
@@ -291,6 +329,7 @@
         match listener {
             ListenerKind::Caller => self.caller_connections,
             ListenerKind::Internal => self.internal_connections,
+            ListenerKind::Control => self.control_connections,
         }
     }
 
@@ -318,7 +357,7 @@
     #[must_use]
     pub fn read_pace(&self) -> ReadPace {
         let used = self.connection_bytes + self.forwarded_bytes + self.given_up_bytes;
-        if self.given_up_bytes > 0 && self.bounds.is_some_and(|bounds| used > bounds.bytes) {
+        if self.given_up_bytes > 0 && self.bounds.is_some_and(|bounds| used > shared_part(bounds)) {
             ReadPace::NextTurn
         } else {
             ReadPace::Continue
@@ -330,7 +369,7 @@
     pub fn has_room(&self, bytes: usize) -> bool {
         self.bounds.is_none_or(|bounds| {
             let used = self.connection_bytes + self.forwarded_bytes;
-            used + bytes + reserved(bounds) <= bounds.bytes
+            used + bytes + reserved(bounds) <= shared_part(bounds)
         })
     }
 
@@ -338,13 +377,15 @@
         self.bounds.is_some_and(|bounds| match listener {
             ListenerKind::Caller => self.caller_connections >= bounds.caller_connections,
             ListenerKind::Internal => self.internal_connections >= bounds.internal_connections,
+            ListenerKind::Control => self.control_connections >= bounds.control_connections,
         })
     }
 
     /// Returns the least size of the request to refuse if a bound is exceeded.
     fn over_bound(&self) -> Option<usize> {
         let bounds = self.bounds?;
-        if self.connection_bytes + self.forwarded_bytes > bounds.bytes {
+        let shared = shared_part(bounds);
+        if self.connection_bytes + self.forwarded_bytes > shared {
             return Some(0);
         }
         // The largest body of the limits needs most of the account of the smallest VM, and how much its buffers take
@@ -352,15 +393,25 @@
         // preferred to it at the bound of all bytes.
         let alone = self.large_connections == 1 && self.forwarded_bytes == 0;
         let large = self.large_bytes + self.forwarded_bytes;
-        (!alone && large > bounds.bytes - reserved(bounds)).then_some(SMALL_BYTES + 1)
+        (!alone && large > shared - reserved(bounds)).then_some(SMALL_BYTES + 1)
     }
 }
 
+/// Returns the part of the account for control connections.
+fn control_part(bounds: AccountBounds) -> usize {
+    (bounds.bytes / RESERVED_FRACTION).min(MAX_CONTROL_BYTES)
+}
+
+/// Returns the part of the account for all others.
+fn shared_part(bounds: AccountBounds) -> usize {
+    bounds.bytes - control_part(bounds)
+}
+
 fn reserved(bounds: AccountBounds) -> usize {
     (bounds.bytes / RESERVED_FRACTION).min(MAX_RESERVED_BYTES)
 }
 
-/// Selects the request to refuse: of the incomplete ones with at least `least` bytes, the one with the largest
+/// Selects the request to refuse: of the incomplete ones of a group with at least `least` bytes, the one with the largest
 /// product of its bytes and the time without progress. A body that stopped just short of its end is refused before
 /// one of the same size that is still arriving, and a small request last.
 #[must_use]
@@ -368,9 +419,11 @@
     connections: &collections::BTreeMap<HoldId, HoldEntry>,
     least: usize,
     now: time::Instant,
+    is_in_group: impl Fn(&HoldEntry) -> bool,
 ) -> Option<HoldId> {
     let candidates = connections.iter().filter(|(_id, entry)| {
-        entry.stage == HoldStage::Incomplete && !entry.given_up && entry.bytes >= least.max(CONNECTION_BYTES + 1)
+        let large = entry.bytes >= least.max(CONNECTION_BYTES + 1);
+        entry.stage == HoldStage::Incomplete && !entry.given_up && large && is_in_group(entry)
     });
     let weight = |entry: &HoldEntry| {
         let waited = now.saturating_duration_since(entry.progress_at) + PROGRESS_TIME;
--- a/crates/pipeline/tests/account.rs
+++ b/crates/pipeline/tests/account.rs
@@ -17,6 +17,7 @@
     bytes: 32 * MIB,
     caller_connections: 100,
     internal_connections: 10,
+    control_connections: 4,
 };
 
 fn incomplete(bytes: usize, received: usize) -> HoldState {
@@ -349,3 +350,52 @@
     assert_eq!(body.len(), 100 * (33 * 1024 + 100));
     assert!(body[33 * 1024..][..100].iter().all(|byte| *byte == 2));
 }
+
+/// Guards against heartbeats and readiness checks that are refused since calls of other daemons hold all bytes and all
+/// connections of the internal listeners.
+#[test]
+fn control_connections_have_a_part_of_their_own() {
+    let (start, mut account) = (Instant::now(), ByteAccount::new(Some(BOUNDS)));
+    for _peer in 0..BOUNDS.internal_connections {
+        let (id, victim) = account.open(ListenerKind::Internal, start);
+        assert_eq!(victim, None);
+        assert_eq!(account.update(id, serving(3 * MIB), start), None);
+    }
+    account.hold_forwarded(8 * MIB);
+    let (peer, victim) = account.open(ListenerKind::Internal, start);
+    assert_eq!(victim, Some(peer), "all internal connections serve");
+    account.close(peer);
+    let late = start + Duration::from_mins(1);
+    for _beat in 0..BOUNDS.control_connections {
+        let (id, victim) = account.open(ListenerKind::Control, late);
+        assert_eq!(victim, None);
+        assert_eq!(account.update(id, incomplete(100 * 1024, 100 * 1024), late), None);
+    }
+    let caller = open(&mut account, late);
+    let victim = account.update(
+        caller,
+        incomplete(100 * 1024, 100 * 1024),
+        late + Duration::from_secs(1),
+    );
+    assert_eq!(victim, Some(caller), "a heartbeat was refused for a caller");
+}
+
+/// Guards against control connections that use more than their part.
+#[test]
+fn control_connections_are_bounded() {
+    let (start, mut account) = (Instant::now(), ByteAccount::new(Some(BOUNDS)));
+    let ids: Vec<HoldId> = (0..BOUNDS.control_connections)
+        .map(|_beat| account.open(ListenerKind::Control, start).0)
+        .collect();
+    let victims: Vec<Option<HoldId>> = ids
+        .iter()
+        .map(|id| account.update(*id, incomplete(400 * 1024, 0), start))
+        .collect();
+    assert_eq!(victims.iter().flatten().count(), 2, "{victims:?}");
+    let (held, _forwarded) = account.held_bytes();
+    assert!(held <= MIB, "{held}");
+    let readmitted = victims.iter().flatten().next().unwrap();
+    account.readmit(*readmitted);
+    let (new, victim) = account.open(ListenerKind::Control, start);
+    assert!(victim.is_none_or(|victim| ids.contains(&victim)) && !ids.contains(&new));
+}
