Report written output only with the state that it belongs to

The last report of a connection contained the bytes written before it, so the next event reported an unchanged state again. The tests of damasktrack-pipeline pass.

--- a/crates/pipeline/src/server_connection.rs
+++ b/crates/pipeline/src/server_connection.rs
@@ -146,7 +146,7 @@
     reported_length: usize,
     /// Bytes of output that were written since the last report to the account.
     written: usize,
-    /// Last state that was reported to the account.
+    /// Last state that was reported to the account, without the progress.
     reported: Option<byte_account::HoldState>,
     /// Start of the current wait: for a request, for the end of a head, or for progress in sending.
     waiting_since: time::Instant,
@@ -401,14 +401,14 @@
         let state = byte_account::HoldState {
             stage: self.stage(),
             bytes: self.reader.capacity() + self.out.remaining(),
-            progressed,
+            progressed: 0,
         };
         // Most events change nothing that is counted.
         if self.reported == Some(state) && progressed == 0 {
             return byte_account::ReadPace::Continue;
         }
         self.reported = Some(state);
-        self.hold.update(state)
+        self.hold.update(byte_account::HoldState { progressed, ..state })
     }
 
     fn reject_request(&mut self, fault: request_fault::RequestFault) {
