--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -183,37 +183,52 @@
     let address = node.settings.peer_listen;
     let node = rc::Rc::clone(node);
     let account = node.account.clone();
-    http_server::serve_internal(address, &account, move |request, hold| {
-        // Hyper moves the future, which has several KiB.
-        Box::pin(peer_server::serve(rc::Rc::clone(&node), request, hold))
-    })
+    http_server::serve_internal(
+        address,
+        &account,
+        byte_account::ListenerKind::Internal,
+        move |request, hold| {
+            // Hyper moves the future, which has several KiB.
+            Box::pin(peer_server::serve(rc::Rc::clone(&node), request, hold))
+        },
+    )
 }
 
 /// Starts the readiness listener, and the metrics listener if it is configured.
 fn serve_status(node: &rc::Rc<node_context::NodeContext>) -> io::Result<()> {
     let core = node.core.clone();
-    http_server::serve_internal(node.settings.ready_listen, &node.account, move |_request, _hold| {
-        let ready = core.ask(|core, now| core.is_ready(now));
-        let status = if ready {
-            hyper::StatusCode::OK
-        } else {
-            hyper::StatusCode::SERVICE_UNAVAILABLE
-        };
-        std::future::ready(peer_server::empty_response(status))
-    })?;
+    http_server::serve_internal(
+        node.settings.ready_listen,
+        &node.account,
+        byte_account::ListenerKind::Control,
+        move |_request, _hold| {
+            let ready = core.ask(|core, now| core.is_ready(now));
+            let status = if ready {
+                hyper::StatusCode::OK
+            } else {
+                hyper::StatusCode::SERVICE_UNAVAILABLE
+            };
+            std::future::ready(peer_server::empty_response(status))
+        },
+    )?;
     let Some(address) = node.settings.metrics_listen else {
         return Ok(());
     };
     let served = rc::Rc::clone(node);
-    http_server::serve_internal(address, &node.account, move |request, _hold| {
-        let response = if request.uri().path() == quota_view::TENANTS_PATH {
-            let name = request.headers().get(quota_view::TENANT_HEADER);
-            tenants_response(&served, name.map(header::HeaderValue::as_bytes))
-        } else {
-            metrics_response(&served)
-        };
-        std::future::ready(response)
-    })
+    http_server::serve_internal(
+        address,
+        &node.account,
+        byte_account::ListenerKind::Internal,
+        move |request, _hold| {
+            let response = if request.uri().path() == quota_view::TENANTS_PATH {
+                let name = request.headers().get(quota_view::TENANT_HEADER);
+                tenants_response(&served, name.map(header::HeaderValue::as_bytes))
+            } else {
+                metrics_response(&served)
+            };
+            std::future::ready(response)
+        },
+    )
 }
 
 fn metrics_response(node: &node_context::NodeContext) -> http_server::ServerResponse {
@@ -241,18 +256,21 @@
 }
 
 async fn run_maintenance(node: rc::Rc<node_context::NodeContext>) {
-    let (mut logged, mut logged_at) = ((0, 0), None);
+    let (mut logged, mut logged_at) = ((0, 0, 0), None);
     loop {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
         node.account.ask(|account| node.metrics.record_account(account));
-        let given_up = node.account.ask(byte_account::ByteAccount::given_up);
+        node.metrics.record_links(&node.server_links, &node.peer_links);
+        let (requests, connections) = node.account.ask(byte_account::ByteAccount::given_up);
+        let calls = node.server_links.refused() + node.peer_links.refused();
+        let given_up = (requests, connections, calls);
         let due = logged_at.is_none_or(|at: time::Instant| at.elapsed() >= BOUND_LOG_INTERVAL);
         if given_up != logged && due {
             let (bytes, forwarded) = node.account.ask(byte_account::ByteAccount::held_bytes);
             log::warn!(
-                requests = given_up.0 - logged.0, connections = given_up.1 - logged.1, bytes = bytes,
-                forwarded = forwarded;
-                "bound of memory or connections reached; incomplete requests were refused or connections closed"
+                requests = requests - logged.0, connections = connections - logged.1, calls = calls - logged.2,
+                bytes = bytes, forwarded = forwarded;
+                "bound of memory or connections reached; incomplete requests or calls were refused, or connections closed"
             );
             (logged, logged_at) = (given_up, Some(time::Instant::now()));
         }
--- a/crates/pipeline/src/account_handle.rs
+++ b/crates/pipeline/src/account_handle.rs
@@ -36,6 +36,8 @@
     RefuseRequest,
     /// Close the connection without a response, since its descriptor is needed.
     Close,
+    /// Close the connection, whose responses are not read.
+    CloseStalled,
 }
 
 /// Wakes the task of a connection.
@@ -44,6 +46,7 @@
     /// Whether something is asked of the connection.
     demands: atomic::AtomicBool,
     closes: atomic::AtomicBool,
+    closes_stalled: atomic::AtomicBool,
     /// The only task that waits. It is polled on each event of the connection, which a list of waiters makes expensive.
     task: task::AtomicWaker,
 }
@@ -93,6 +96,13 @@
         }
     }
 
+    /// Closes the connection of a caller with the most stalled output, if there is one.
+    pub fn close_stalled(&self) {
+        let mut shared = self.lock();
+        let victim = shared.account.close_stalled(time::Instant::now());
+        shared.wake(victim, HoldDemand::CloseStalled);
+    }
+
     /// Counts bytes of a complete request or of a response.
     #[must_use]
     pub fn hold(&self, bytes: usize) -> ForwardedHold {
@@ -114,9 +124,13 @@
 }
 
 impl SharedAccount {
+    /// Wakes a selected connection. One that sends was selected since its output is stalled.
     fn wake(&self, id: Option<byte_account::HoldId>, demand: HoldDemand) {
-        if let Some(waker) = id.and_then(|id| self.wakers.get(&id)) {
-            if demand == HoldDemand::Close {
+        let selected = id.and_then(|id| Some((id, self.wakers.get(&id)?)));
+        if let Some((id, waker)) = selected {
+            if self.account.is_sending(id) {
+                waker.closes_stalled.store(true, atomic::Ordering::Relaxed);
+            } else if demand == HoldDemand::Close {
                 waker.closes.store(true, atomic::Ordering::Relaxed);
             }
             waker.demands.store(true, atomic::Ordering::Release);
@@ -140,6 +154,9 @@
     /// Waits until the connection is to be given up.
     pub async fn given_up(&self) -> HoldDemand {
         future::poll_fn(|cx| self.waker.poll_demand(cx)).await;
+        if self.waker.closes_stalled.swap(false, atomic::Ordering::Relaxed) {
+            return HoldDemand::CloseStalled;
+        }
         if self.waker.closes.swap(false, atomic::Ordering::Relaxed) {
             HoldDemand::Close
         } else {
--- a/crates/pipeline/src/byte_account.rs
+++ b/crates/pipeline/src/byte_account.rs
@@ -2,9 +2,10 @@
 //!
 //! Load pattern: hundreds of connections send bodies of a few MiB each, stop just short of the end and stay open, or
 //! send nothing at all. Each is within the limits of the configuration, and together they exceed the memory or the
-//! descriptors of the process. At a bound, requests that have not arrived completely are refused, since none of them
-//! has run: the one whose bytes have waited longest for progress first. Requests that were forwarded are never given
-//! up.
+//! descriptors of the process. Callers that don't read their responses hold the bytes of these. At a bound, connections
+//! whose output is stalled are closed first, since their requests were answered. Then requests that have not arrived
+//! completely are refused, since none of them has run: the one whose bytes have waited longest for progress first.
+//! Requests that were forwarded are never given up.
 
 use std::collections;
 use std::time;
@@ -19,6 +20,8 @@
 /// Bytes of a body whose arrival counts as progress. Fewer ones would let a caller that sends single bytes hold a large
 /// body as if it were arriving.
 const PROGRESS_BYTES: usize = 16 * 1024;
+/// Time without progress after which output is stalled. A caller that reads 16 KiB in this time keeps its connection.
+const STALL_TIME: time::Duration = time::Duration::from_secs(1);
 /// Added to the time without progress, so that the sizes decide between requests that all make progress.
 const PROGRESS_TIME: time::Duration = time::Duration::from_millis(50);
 /// The reserved part is this fraction of the account, and at most [`MAX_RESERVED_BYTES`].
@@ -26,6 +29,10 @@
 /// See [`RESERVED_FRACTION`]; enough for 128 connections with [`SMALL_BYTES`].
 const MAX_RESERVED_BYTES: usize = 8 << 20;
 
+/// Largest part of the account that is kept for the control listeners; enough for 16 connections with
+/// [`SMALL_BYTES`]. It is also at most the fraction [`RESERVED_FRACTION`] of the account.
+const MAX_CONTROL_BYTES: usize = 1 << 20;
+
 /// Bounds of an account.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AccountBounds {
@@ -35,6 +42,8 @@
     pub caller_connections: usize,
     /// Connections to the internal listeners that may be open.
     pub internal_connections: usize,
+    /// Connections to the control listeners that may be open.
+    pub control_connections: usize,
 }
 
 /// Listener that a connection belongs to.
@@ -42,8 +51,11 @@
 pub enum ListenerKind {
     /// Listener for callers.
     Caller,
-    /// Listener for other daemons, the backend server or the platform.
+    /// Listener for other daemons or for metrics.
     Internal,
+    /// Listener for heartbeats of the backend server or for readiness checks. Without them the daemon gets no more work,
+    /// so it has a part of the account and of the connections that the others can't use.
+    Control,
 }
 
 /// What a connection does.
@@ -51,8 +63,10 @@
 pub enum HoldStage {
     /// It waits for a request, or for the end of one that has not arrived completely.
     Incomplete,
-    /// At least one of its requests is being served or answered.
+    /// At least one of its requests is being served.
     Serving,
+    /// All requests that it started are answered, and output waits to be written.
+    Sending,
 }
 
 /// When a connection may read on after it has reported its state.
@@ -71,8 +85,8 @@
     pub stage: HoldStage,
     /// Capacity of its buffers, in bytes.
     pub bytes: usize,
-    /// Bytes of bodies that arrived since the last report.
-    pub received: usize,
+    /// Bytes of bodies that arrived, or of output that was written, since the last report.
+    pub progressed: usize,
 }
 
 /// A connection in an account.
@@ -83,10 +97,10 @@
     bytes: usize,
     /// Start of the stage.
     since: time::Instant,
-    /// Start of the stage, or the last arrival of [`PROGRESS_BYTES`].
+    /// Start of the stage, or the last progress of [`PROGRESS_BYTES`].
     progress_at: time::Instant,
-    /// Bytes of bodies that arrived since `progress_at`; less than [`PROGRESS_BYTES`].
-    received: usize,
+    /// Bytes of progress since `progress_at`; less than [`PROGRESS_BYTES`].
+    progressed: usize,
     /// Whether the connection was selected and has not closed yet.
     given_up: bool,
 }
@@ -97,8 +111,10 @@
     bounds: Option<AccountBounds>,
     connections: collections::BTreeMap<HoldId, HoldEntry>,
     next_id: HoldId,
-    /// Sum over the connections that were not given up.
+    /// Sum over the connections that were not given up, without the control connections.
     connection_bytes: usize,
+    /// As `connection_bytes`, for the control connections.
+    control_bytes: usize,
     /// As `connection_bytes`, for those with more than [`SMALL_BYTES`].
     large_bytes: usize,
     /// Number of connections in `large_bytes`.
@@ -107,9 +123,10 @@
     given_up_bytes: usize,
     /// Bytes of complete requests that are being forwarded, and of buffered responses.
     forwarded_bytes: usize,
-    /// Number of connections of callers and of internal ones that were not given up.
+    /// Numbers of connections that were not given up, by listener.
     caller_connections: usize,
     internal_connections: usize,
+    control_connections: usize,
     refused: u64,
     closed: u64,
 }
@@ -130,7 +147,9 @@
     pub fn open(&mut self, listener: ListenerKind, now: time::Instant) -> (HoldId, Option<HoldId>) {
         let victim = self
             .is_full(listener)
-            .then(|| select_connection(&self.connections, listener).unwrap_or(self.next_id));
+            .then(|| select_connection(&self.connections, listener))
+            .map(|idle| idle.or_else(|| select_stalled(&self.connections, listener, now)))
+            .map(|victim| victim.unwrap_or(self.next_id));
         let id = self.next_id;
         self.next_id += 1;
         let entry = HoldEntry {
@@ -139,7 +158,7 @@
             bytes: CONNECTION_BYTES,
             since: now,
             progress_at: now,
-            received: 0,
+            progressed: 0,
             given_up: false,
         };
         self.add(&entry);
@@ -158,23 +177,24 @@
         }
     }
 
-    /// Records the state of a connection, and returns the connection whose request has to be refused to keep the bound.
-    /// The caller repeats the call with the same state and nothing received until it returns `None`.
+    /// Records the state of a connection, and returns the connection that has to be given up to keep the bound: one whose
+    /// output is stalled is closed, and the request of another one is refused. The caller repeats the call with the same
+    /// state and no progress until it returns `None`.
     pub fn update(&mut self, id: HoldId, state: HoldState, now: time::Instant) -> Option<HoldId> {
         let slot = self.connections.get_mut(&id)?;
         let before = *slot;
         let mut entry = before;
         entry.bytes = CONNECTION_BYTES + state.bytes;
-        entry.received += state.received;
+        entry.progressed += state.progressed;
         if entry.stage != state.stage {
             entry.stage = state.stage;
             entry.since = now;
             entry.progress_at = now;
-            entry.received = 0;
+            entry.progressed = 0;
         }
-        if entry.received >= PROGRESS_BYTES {
+        if entry.progressed >= PROGRESS_BYTES {
             entry.progress_at = now;
-            entry.received = 0;
+            entry.progressed = 0;
         }
         *slot = entry;
         if entry.bytes != before.bytes {
@@ -184,12 +204,26 @@
         if entry.bytes <= before.bytes {
             return None;
         }
-        let victim = self.over_bound().and_then(|least| {
-            let victim = select_request(&self.connections, least, now);
-            victim.or_else(|| select_request(&self.connections, 0, now))
-        })?;
+        let victim = if entry.listener == ListenerKind::Control {
+            self.select_control(now)
+        } else {
+            self.select_other(now)
+        };
+        let victim = victim?;
+        if self.is_sending(victim) {
+            self.closed += 1;
+        } else {
+            self.refused += 1;
+        }
+        self.give_up(victim);
+        Some(victim)
+    }
+
+    /// Selects the connection of a caller with the most stalled output, to free what its responses occupy elsewhere.
+    pub fn close_stalled(&mut self, now: time::Instant) -> Option<HoldId> {
+        let victim = select_stalled(&self.connections, ListenerKind::Caller, now)?;
         self.give_up(victim);
-        self.refused += 1;
+        self.closed += 1;
         Some(victim)
     }
 
@@ -215,6 +249,23 @@
         self.forwarded_bytes -= bytes;
     }
 
+    fn select_control(&self, now: time::Instant) -> Option<HoldId> {
+        let bounds = self.bounds?;
+        let is_control = |entry: &HoldEntry| entry.listener == ListenerKind::Control;
+        (self.control_bytes > control_part(bounds))
+            .then(|| select_request(&self.connections, 0, now, is_control))
+            .flatten()
+    }
+
+    fn select_other(&self, now: time::Instant) -> Option<HoldId> {
+        let least = self.over_bound()?;
+        let is_other = |entry: &HoldEntry| entry.listener != ListenerKind::Control;
+        let stalled = select_stalled(&self.connections, ListenerKind::Caller, now);
+        stalled
+            .or_else(|| select_request(&self.connections, least, now, is_other))
+            .or_else(|| select_request(&self.connections, 0, now, is_other))
+    }
+
     fn give_up(&mut self, id: HoldId) {
         if let Some(mut entry) = self.connections.get(&id).copied() {
             self.subtract(&entry);
@@ -229,12 +280,16 @@
             self.given_up_bytes += entry.bytes;
             return;
         }
+        *self.count_mut(entry.listener) += 1;
+        if entry.listener == ListenerKind::Control {
+            self.control_bytes += entry.bytes;
+            return;
+        }
         self.connection_bytes += entry.bytes;
         if entry.bytes > SMALL_BYTES {
             self.large_bytes += entry.bytes;
             self.large_connections += 1;
         }
-        *self.count_mut(entry.listener) += 1;
     }
 
     fn subtract(&mut self, entry: &HoldEntry) {
@@ -242,18 +297,23 @@
             self.given_up_bytes -= entry.bytes;
             return;
         }
+        *self.count_mut(entry.listener) -= 1;
+        if entry.listener == ListenerKind::Control {
+            self.control_bytes -= entry.bytes;
+            return;
+        }
         self.connection_bytes -= entry.bytes;
         if entry.bytes > SMALL_BYTES {
             self.large_bytes -= entry.bytes;
             self.large_connections -= 1;
         }
-        *self.count_mut(entry.listener) -= 1;
     }
 
     fn count_mut(&mut self, listener: ListenerKind) -> &mut usize {
         match listener {
             ListenerKind::Caller => &mut self.caller_connections,
             ListenerKind::Internal => &mut self.internal_connections,
+            ListenerKind::Control => &mut self.control_connections,
         }
     }
 }
@@ -263,7 +323,7 @@
     /// Returns the bytes held by connections, and those of complete requests and responses.
     #[must_use]
     pub fn held_bytes(&self) -> (usize, usize) {
-        (self.connection_bytes, self.forwarded_bytes)
+        (self.connection_bytes + self.control_bytes, self.forwarded_bytes)
     }
 
     /// Returns the number of open connections of a listener, without those that were given up.
@@ -272,6 +332,7 @@
         match listener {
             ListenerKind::Caller => self.caller_connections,
             ListenerKind::Internal => self.internal_connections,
+            ListenerKind::Control => self.control_connections,
         }
     }
 
@@ -281,6 +342,13 @@
         (self.refused, self.closed)
     }
 
+    /// Returns whether a connection has answered its requests and waits to write the responses.
+    #[must_use]
+    pub fn is_sending(&self, id: HoldId) -> bool {
+        let entry = self.connections.get(&id);
+        entry.is_some_and(|entry| entry.stage == HoldStage::Sending)
+    }
+
     /// Returns whether anything is bounded.
     #[must_use]
     pub fn is_bounded(&self) -> bool {
@@ -292,7 +360,7 @@
     #[must_use]
     pub fn read_pace(&self) -> ReadPace {
         let used = self.connection_bytes + self.forwarded_bytes + self.given_up_bytes;
-        if self.given_up_bytes > 0 && self.bounds.is_some_and(|bounds| used > bounds.bytes) {
+        if self.given_up_bytes > 0 && self.bounds.is_some_and(|bounds| used > shared_part(bounds)) {
             ReadPace::NextTurn
         } else {
             ReadPace::Continue
@@ -304,7 +372,7 @@
     pub fn has_room(&self, bytes: usize) -> bool {
         self.bounds.is_none_or(|bounds| {
             let used = self.connection_bytes + self.forwarded_bytes;
-            used + bytes + reserved(bounds) <= bounds.bytes
+            used + bytes + reserved(bounds) <= shared_part(bounds)
         })
     }
 
@@ -312,13 +380,15 @@
         self.bounds.is_some_and(|bounds| match listener {
             ListenerKind::Caller => self.caller_connections >= bounds.caller_connections,
             ListenerKind::Internal => self.internal_connections >= bounds.internal_connections,
+            ListenerKind::Control => self.control_connections >= bounds.control_connections,
         })
     }
 
     /// Returns the least size of the request to refuse if a bound is exceeded.
     fn over_bound(&self) -> Option<usize> {
         let bounds = self.bounds?;
-        if self.connection_bytes + self.forwarded_bytes > bounds.bytes {
+        let shared = shared_part(bounds);
+        if self.connection_bytes + self.forwarded_bytes > shared {
             return Some(0);
         }
         // The largest body of the limits needs most of the account of the smallest VM, and how much its buffers take
@@ -326,15 +396,25 @@
         // preferred to it at the bound of all bytes.
         let alone = self.large_connections == 1 && self.forwarded_bytes == 0;
         let large = self.large_bytes + self.forwarded_bytes;
-        (!alone && large > bounds.bytes - reserved(bounds)).then_some(SMALL_BYTES + 1)
+        (!alone && large > shared - reserved(bounds)).then_some(SMALL_BYTES + 1)
     }
 }
 
+/// Returns the part of the account for control connections.
+fn control_part(bounds: AccountBounds) -> usize {
+    (bounds.bytes / RESERVED_FRACTION).min(MAX_CONTROL_BYTES)
+}
+
+/// Returns the part of the account for all others.
+fn shared_part(bounds: AccountBounds) -> usize {
+    bounds.bytes - control_part(bounds)
+}
+
 fn reserved(bounds: AccountBounds) -> usize {
     (bounds.bytes / RESERVED_FRACTION).min(MAX_RESERVED_BYTES)
 }
 
-/// Selects the request to refuse: of the incomplete ones with at least `least` bytes, the one with the largest
+/// Selects the request to refuse: of the incomplete ones of a group with at least `least` bytes, the one with the largest
 /// product of its bytes and the time without progress. A body that stopped just short of its end is refused before
 /// one of the same size that is still arriving, and a small request last.
 #[must_use]
@@ -342,9 +422,11 @@
     connections: &collections::BTreeMap<HoldId, HoldEntry>,
     least: usize,
     now: time::Instant,
+    is_in_group: impl Fn(&HoldEntry) -> bool,
 ) -> Option<HoldId> {
     let candidates = connections.iter().filter(|(_id, entry)| {
-        entry.stage == HoldStage::Incomplete && !entry.given_up && entry.bytes >= least.max(CONNECTION_BYTES + 1)
+        let large = entry.bytes >= least.max(CONNECTION_BYTES + 1);
+        entry.stage == HoldStage::Incomplete && !entry.given_up && large && is_in_group(entry)
     });
     let weight = |entry: &HoldEntry| {
         let waited = now.saturating_duration_since(entry.progress_at) + PROGRESS_TIME;
@@ -367,3 +449,20 @@
     let selected = candidates.min_by_key(|(_id, entry)| entry.since);
     selected.map(|(id, _entry)| *id)
 }
+
+/// Selects the connection of the listener with stalled output to close: the one with the largest product of its bytes and
+/// the time without progress. Output that makes progress is never selected.
+#[must_use]
+pub fn select_stalled(
+    connections: &collections::BTreeMap<HoldId, HoldEntry>,
+    listener: ListenerKind,
+    now: time::Instant,
+) -> Option<HoldId> {
+    let waited = |entry: &HoldEntry| now.saturating_duration_since(entry.progress_at);
+    let candidates = connections.iter().filter(|(_id, entry)| {
+        let sending = entry.listener == listener && entry.stage == HoldStage::Sending;
+        sending && !entry.given_up && waited(entry) >= STALL_TIME
+    });
+    let selected = candidates.max_by_key(|(_id, entry)| entry.bytes as u128 * waited(entry).as_millis());
+    selected.map(|(id, _entry)| *id)
+}
--- a/crates/pipeline/tests/account.rs
+++ b/crates/pipeline/tests/account.rs
@@ -17,13 +17,14 @@
     bytes: 32 * MIB,
     caller_connections: 100,
     internal_connections: 10,
+    control_connections: 4,
 };
 
 fn incomplete(bytes: usize, received: usize) -> HoldState {
     HoldState {
         stage: HoldStage::Incomplete,
         bytes,
-        received,
+        progressed: received,
     }
 }
 
@@ -31,7 +32,7 @@
     HoldState {
         stage: HoldStage::Serving,
         bytes,
-        received: 0,
+        progressed: 0,
     }
 }
 
@@ -122,6 +123,71 @@
     }
 }
 
+fn sending(bytes: usize, progressed: usize) -> HoldState {
+    HoldState {
+        stage: HoldStage::Sending,
+        bytes,
+        progressed,
+    }
+}
+
+/// Guards against callers that read no response and thereby have the requests of others refused, and against one that
+/// reads 16 KiB a second and is closed before them.
+#[test]
+fn stalled_output_is_closed_before_requests_are_refused() {
+    let (start, mut account) = (Instant::now(), ByteAccount::new(Some(BOUNDS)));
+    let slow = open(&mut account, start);
+    assert_eq!(account.update(slow, sending(8 * MIB, 0), start), None);
+    let stalled: Vec<HoldId> = (0..4).map(|_caller| open(&mut account, start)).collect();
+    for (number, id) in (1..).zip(&stalled) {
+        assert_eq!(account.update(*id, sending(number * MIB, 0), start), None);
+    }
+    let late = start + Duration::from_secs(5);
+    let honest = open(&mut account, late);
+    let mut victims = Vec::new();
+    for step in 1..=30 {
+        let now = late + Duration::from_millis(100) * step;
+        let read = account.update(slow, sending(8 * MIB, 2 * 1024), now);
+        assert_eq!(read, None);
+        let victim = account.update(honest, incomplete(step as usize * MIB / 2, MIB / 2), now);
+        if let Some(victim) = victim {
+            assert!(account.is_sending(victim));
+            account.close(victim);
+            victims.push(victim);
+        }
+    }
+    // The one with the most bytes first.
+    let most_first: Vec<HoldId> = stalled.iter().rev().copied().collect();
+    assert!(!victims.is_empty() && most_first.starts_with(&victims), "{victims:?}");
+    let (refused, closed) = account.given_up();
+    assert_eq!((refused, closed), (0, victims.len() as u64));
+}
+
+/// Guards against output that is closed as stalled within the first second, and against a connection that still serves a
+/// request behind the stalled output.
+#[test]
+fn only_answered_connections_without_progress_are_stalled() {
+    let (start, mut account) = (Instant::now(), ByteAccount::new(Some(BOUNDS)));
+    let (serves, sends) = (open(&mut account, start), open(&mut account, start));
+    assert_eq!(account.update(serves, serving(MIB), start), None);
+    assert_eq!(account.update(sends, sending(MIB, 0), start), None);
+    assert_eq!(account.close_stalled(start + Duration::from_millis(999)), None);
+    assert_eq!(account.close_stalled(start + Duration::from_secs(1)), Some(sends));
+    assert_eq!(account.close_stalled(start + Duration::from_mins(1)), None);
+}
+
+/// Guards against callers that read no response and keep all others from connecting.
+#[test]
+fn stalled_output_makes_way_for_a_new_connection() {
+    let (start, mut account) = (Instant::now(), ByteAccount::new(Some(BOUNDS)));
+    for _caller in 0..BOUNDS.caller_connections {
+        let id = open(&mut account, start);
+        assert_eq!(account.update(id, sending(1, 0), start), None);
+    }
+    let (new, victim) = account.open(ListenerKind::Caller, start + Duration::from_secs(2));
+    assert!(victim.is_some_and(|victim| victim != new));
+}
+
 /// Guards against a forwarded request that is refused, which would break the guarantee of a refusal.
 #[test]
 fn request_that_is_served_is_never_given_up() {
@@ -284,3 +350,52 @@
     assert_eq!(body.len(), 100 * (33 * 1024 + 100));
     assert!(body[33 * 1024..][..100].iter().all(|byte| *byte == 2));
 }
+
+/// Guards against heartbeats and readiness checks that are refused since calls of other daemons hold all bytes and all
+/// connections of the internal listeners.
+#[test]
+fn control_connections_have_a_part_of_their_own() {
+    let (start, mut account) = (Instant::now(), ByteAccount::new(Some(BOUNDS)));
+    for _peer in 0..BOUNDS.internal_connections {
+        let (id, victim) = account.open(ListenerKind::Internal, start);
+        assert_eq!(victim, None);
+        assert_eq!(account.update(id, serving(3 * MIB), start), None);
+    }
+    account.hold_forwarded(8 * MIB);
+    let (peer, victim) = account.open(ListenerKind::Internal, start);
+    assert_eq!(victim, Some(peer), "all internal connections serve");
+    account.close(peer);
+    let late = start + Duration::from_mins(1);
+    for _beat in 0..BOUNDS.control_connections {
+        let (id, victim) = account.open(ListenerKind::Control, late);
+        assert_eq!(victim, None);
+        assert_eq!(account.update(id, incomplete(100 * 1024, 100 * 1024), late), None);
+    }
+    let caller = open(&mut account, late);
+    let victim = account.update(
+        caller,
+        incomplete(100 * 1024, 100 * 1024),
+        late + Duration::from_secs(1),
+    );
+    assert_eq!(victim, Some(caller), "a heartbeat was refused for a caller");
+}
+
+/// Guards against control connections that use more than their part.
+#[test]
+fn control_connections_are_bounded() {
+    let (start, mut account) = (Instant::now(), ByteAccount::new(Some(BOUNDS)));
+    let ids: Vec<HoldId> = (0..BOUNDS.control_connections)
+        .map(|_beat| account.open(ListenerKind::Control, start).0)
+        .collect();
+    let victims: Vec<Option<HoldId>> = ids
+        .iter()
+        .map(|id| account.update(*id, incomplete(400 * 1024, 0), start))
+        .collect();
+    assert_eq!(victims.iter().flatten().count(), 2, "{victims:?}");
+    let (held, _forwarded) = account.held_bytes();
+    assert!(held <= MIB, "{held}");
+    let readmitted = victims.iter().flatten().next().unwrap();
+    account.readmit(*readmitted);
+    let (new, victim) = account.open(ListenerKind::Control, start);
+    assert!(victim.is_none_or(|victim| ids.contains(&victim)) && !ids.contains(&new));
+}
