Serve all queued connections before the listener closes

Cause: at a planned stop, tokio's `accept` reports only connections that arrived before the last poll of the event loop. Others were in the accept queue and were reset by the close.

Change: `accept(2)` is called until the queue is empty, right before the close. The listener counts as an open socket, so that the process doesn't end before that. The log line `listener closed` states how many connections were found.

--- a/crates/forward/src/http_server.rs
+++ b/crates/forward/src/http_server.rs
@@ -38,7 +38,7 @@
 /// Response of a request handler.
 pub type ServerResponse = hyper::Response<message_body::ReplyBody>;
 
-/// Phase of a listener and its connections, with the number of the connections that are open.
+/// Phase of a listener and its connections, with the number of the sockets that are open.
 #[derive(Clone, Debug)]
 pub struct ServerControl {
     phase: watch::Sender<request_order::ConnectionPhase>,
@@ -67,9 +67,9 @@
         self.phase.subscribe()
     }
 
-    /// Returns the number of open connections.
+    /// Returns the number of open connections, and of the listener while it accepts.
     #[must_use]
-    pub fn open_connections(&self) -> usize {
+    pub fn open_sockets(&self) -> usize {
         self.open.get()
     }
 
@@ -81,7 +81,7 @@
     }
 }
 
-/// Counts an open connection until it is dropped.
+/// Counts an open socket until it is dropped.
 struct OpenGuard(rc::Rc<cell::Cell<usize>>);
 
 impl OpenGuard {
@@ -108,9 +108,9 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections and serves each with `serve` until `control` enters the phase `Closed`. Connections that are
-/// known to wait then are served as well, since closing the socket resets them. One that arrives after the last poll
-/// of the socket is still reset.
+/// Accepts connections and serves each with `serve` until `control` enters the phase `Closed`. All connections in the
+/// accept queue are served then as well, since closing the socket resets them. Only one that arrives in the microseconds
+/// between the last accept and the close is still reset.
 pub async fn accept<F>(
     listener: tokio::net::TcpListener,
     control: ServerControl,
@@ -120,32 +120,66 @@
 ) where
     F: Future<Output = ()> + 'static,
 {
+    let _listening = OpenGuard::new(&control.open);
+    let serve_stream = |stream: tokio::net::TcpStream| {
+        http_link::set_server_options(&stream);
+        let open = OpenGuard::new(&control.open);
+        if kind == byte_account::ListenerKind::Caller && account.ask(byte_account::ByteAccount::is_bounded) {
+            // Without the option, the buffer has the size that the kernel chooses.
+            let _failed = socket2::SockRef::from(&stream).set_recv_buffer_size(CALLER_RECEIVE_BYTES);
+        }
+        let connection = serve(stream, account.open(kind));
+        task::spawn_local(async move {
+            connection.await;
+            drop(open);
+        });
+    };
     loop {
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            () = control.closed() => return,
+            () = control.closed() => break,
         };
         match accepted {
-            Ok((stream, _from)) => {
-                http_link::set_server_options(&stream);
-                let open = OpenGuard::new(&control.open);
-                if kind == byte_account::ListenerKind::Caller && account.ask(byte_account::ByteAccount::is_bounded) {
-                    // Without the option, the buffer has the size that the kernel chooses.
-                    let _failed = socket2::SockRef::from(&stream).set_recv_buffer_size(CALLER_RECEIVE_BYTES);
-                }
-                let connection = serve(stream, account.open(kind));
-                task::spawn_local(async move {
-                    connection.await;
-                    drop(open);
-                });
-            }
+            Ok((stream, _from)) => serve_stream(stream),
             Err(error) => {
                 log::warn!(error:% = error; "connection can't be accepted");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    let queued = take_queued(&listener);
+    drop(listener);
+    log::info!(accepted = queued.len(); "listener closed");
+    queued.into_iter().for_each(serve_stream);
+}
+
+/// Accepts the connections in the accept queue. `TcpListener::accept` of tokio reports only those that arrived before
+/// the last poll of the event loop; under load, others were reset by the close.
+fn take_queued(listener: &tokio::net::TcpListener) -> Vec<tokio::net::TcpStream> {
+    let socket = socket2::SockRef::from(listener);
+    let mut queued = Vec::new();
+    loop {
+        match socket.accept().and_then(|(stream, _from)| into_stream(stream)) {
+            Ok(stream) => queued.push(stream),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return queued,
+            // The caller has given the connection up, or a signal arrived.
+            Err(error)
+                if matches!(
+                    error.kind(),
+                    io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted
+                ) => {}
+            Err(error) => {
+                log::warn!(error:% = error; "connections in the accept queue can't be accepted and are reset");
+                return queued;
+            }
+        }
+    }
+}
+
+fn into_stream(socket: socket2::Socket) -> io::Result<tokio::net::TcpStream> {
+    socket.set_nonblocking(true)?;
+    tokio::net::TcpStream::from_std(socket.into())
 }
 
 /// Listens at an address and serves the requests of other daemons or of the platform, which are not pipelined, for the
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -254,9 +254,9 @@
     loop {
         let running = node.core.ask(|core, _now| core.gate_counts().running);
         // A response is sent after its request has left `in_flight`.
-        let idle = running == 0 && node.in_flight.get() == 0 && callers.open_connections() == 0;
+        let idle = running == 0 && node.in_flight.get() == 0 && callers.open_sockets() == 0;
         if idle || time::Instant::now() >= deadline {
-            log::info!(requests = node.in_flight.get(), work = running, connections = callers.open_connections(); "stopped");
+            log::info!(requests = node.in_flight.get(), work = running, connections = callers.open_sockets(); "stopped");
             break;
         }
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
