Bound when requests are forwarded in a planned stop, and answer those that run at its end

Cause: the time for reading in the phase Closed began when the process entered the phase, so that requests were forwarded at any time after a pause in the middle of a stop. The end of the process was no event for requests that still ran: their connections closed without a response.

Change: `stop_schedule` counts the times of a stop from SIGTERM. A request that is read over 3 s after it is refused with 503, unrun. A request that runs until the end of the stop gets 504. The close of the listener (2.9 s) and the end of the process (0.3 s before Grace) are unchanged.

--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -176,7 +176,7 @@
                 arrived,
                 deadline,
             };
-            (class, admit(&node, &entry).await)
+            (class, admit_until_stop(&node, &entry).await)
         }
         Err(reply) => (Bytes::from_static(UNMATCHED_CLASS), Err(reply)),
     };
@@ -230,6 +230,21 @@
     }
 }
 
+/// Sends a request unless a planned stop leaves too little time. At the end of the stop, the request may have run.
+async fn admit_until_stop(
+    node: &rc::Rc<node_context::NodeContext>,
+    entry: &EntryRequest,
+) -> Result<hyper::Response<message_body::ReplyBody>, local_reply::LocalReply> {
+    if node.stop.is_late(time::Instant::now()) {
+        return Err(local_reply::LocalReply::NotRun(call_outcome::RefusalReason::Leaving));
+    }
+    tokio::select! {
+        biased;
+        result = admit(node, entry) => result,
+        () = node.stop.ended() => Err(local_reply::LocalReply::Timeout),
+    }
+}
+
 /// Sends a request if its tenant's quota admits it.
 async fn admit(
     node: &rc::Rc<node_context::NodeContext>,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod server_notice;
 pub mod server_report;
 pub mod stall_watch;
+pub mod stop_schedule;
 pub mod store_port;
 pub mod tenant_config;
 pub mod weighted_choice;
--- a/crates/forward/src/node_context.rs
+++ b/crates/forward/src/node_context.rs
@@ -17,6 +17,7 @@
 use crate::http_link;
 use crate::log_limiter;
 use crate::quota_state;
+use crate::stop_schedule;
 
 /// Longest wait for a connection to another daemon. The round trip between regions is 60 ms. A lost SYN is
 /// retransmitted only after a second, and trying another server is faster.
@@ -46,6 +47,8 @@
     pub account: account_handle::AccountHandle,
     /// Departures of the backend server that the store has to keep.
     pub departures: departure_log::DepartureLog,
+    /// Planned stop of this daemon, once it has begun.
+    pub stop: stop_schedule::PlannedStop,
     /// Number of callers' requests in flight.
     pub in_flight: cell::Cell<usize>,
     /// Quotas of the tenants; `None` without bounds for them in the settings.
@@ -74,6 +77,7 @@
             metrics,
             log_limiter: log_limiter::LogLimiter::default(),
             departures: departure_log::DepartureLog::default(),
+            stop: stop_schedule::PlannedStop::default(),
             in_flight: cell::Cell::new(0),
             peers: cell::RefCell::default(),
         })
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -25,14 +25,9 @@
 use crate::node_context;
 use crate::peer_server;
 use crate::stall_watch;
+use crate::stop_schedule;
 use crate::store_port;
 
-/// Time after SIGTERM during which new requests of callers are still accepted. The platform checks readiness once a
-/// second and stops routing after two failed checks. A request accepted later than 3 s might still run when the process
-/// is killed.
-const DRAIN_NOTICE: time::Duration = time::Duration::from_millis(2900);
-/// Time before the kill at which a graceful stop ends, even if requests are still running.
-const KILL_MARGIN: time::Duration = time::Duration::from_millis(300);
 /// Interval at which a stopping daemon polls whether all requests have ended.
 const STOP_POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// Interval at which idle connections are closed and gauges are updated.
@@ -242,25 +237,27 @@
 }
 
 /// Shuts down gracefully: accepts requests until the platform has stopped routing to this daemon, waits for running
-/// requests, and leaves the membership.
+/// requests, and leaves the membership. Requests that run until the end get a response before it.
 async fn shut_down(node: &node_context::NodeContext, callers: &http_server::ServerControl) {
-    let began = time::Instant::now();
-    let deadline = began + node.settings.stop_grace.saturating_sub(KILL_MARGIN);
-    log::info!("stopping: no new work for the backend server");
+    let paused = node.core.ask(|core, _now| core.longest_wait(stall_watch::boot_time()));
+    let schedule = stop_schedule::StopSchedule::new(time::Instant::now(), paused, node.settings.stop_grace);
+    node.stop.begin(schedule);
+    log::info!(paused_ms = paused.as_millis(); "stopping: no new work for the backend server");
     node.core.ask(forward_core::ForwardCore::stop);
     callers.enter(request_order::ConnectionPhase::Closing);
-    tokio::time::sleep_until((began + DRAIN_NOTICE).min(deadline).into()).await;
+    tokio::time::sleep_until(schedule.closes_at.into()).await;
     callers.enter(request_order::ConnectionPhase::Closed);
     loop {
         let running = node.core.ask(|core, _now| core.gate_counts().running);
         // A response is sent after its request has left `in_flight`.
         let idle = running == 0 && node.in_flight.get() == 0 && callers.open_sockets() == 0;
-        if idle || time::Instant::now() >= deadline {
+        if idle || time::Instant::now() >= schedule.ends_at {
             log::info!(requests = node.in_flight.get(), work = running, connections = callers.open_sockets(); "stopped");
             break;
         }
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
+    node.stop.end_requests();
     node.core.ask(forward_core::ForwardCore::leave);
     // Lets the connection tasks and the gossip socket send the last responses and datagrams.
     tokio::time::sleep(STOP_POLL_INTERVAL).await;
--- a/crates/forward/tests/closing.rs
+++ b/crates/forward/tests/closing.rs
@@ -1,10 +1,11 @@
-//! Close of a listener at a planned stop.
+//! Planned stop: times, and the close of a listener.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use damasktrack_forward::http_server::{ServerControl, accept, listen};
+use damasktrack_forward::stop_schedule::{PlannedStop, StopSchedule};
 use damasktrack_pipeline::account_handle::AccountHandle;
 use damasktrack_pipeline::byte_account::ListenerKind;
 use damasktrack_pipeline::request_order::ConnectionPhase;
@@ -59,3 +60,24 @@
         assert_eq!(control.open_sockets(), 0);
     });
 }
+
+/// Guards against requests that are forwarded over 3 s after SIGTERM, which the kill may interrupt. After a pause, SIGTERM
+/// may be as old as the pause.
+#[test]
+fn nothing_is_forwarded_late_in_a_stop() {
+    let now = Instant::now() + Duration::from_mins(1);
+    let at = |milliseconds| now + Duration::from_millis(milliseconds);
+    let stop = PlannedStop::default();
+    assert!(!stop.is_late(at(60_000)));
+    for (paused, last) in [(0, 2_999), (1_000, 1_999), (2_999, 0)] {
+        let grace = Duration::from_secs(6);
+        let schedule = StopSchedule::new(now, Duration::from_millis(paused), grace);
+        assert_eq!(schedule.closes_at, at(2_900));
+        assert_eq!(schedule.ends_at, at(5_700));
+        stop.begin(schedule);
+        assert!(!stop.is_late(at(last)));
+        assert!(stop.is_late(at(last + 1)));
+    }
+    let short = StopSchedule::new(now, Duration::ZERO, Duration::from_secs(2));
+    assert_eq!((short.closes_at, short.ends_at), (at(1_700), at(1_700)));
+}
