Log where a request waited that gets 504

server_that_announces_its_departure_in_responses_gets_no_new_work failed once with 504 in place of 200, and the log did not show where the request had waited. The line `attempt not answered by the deadline` names the daemon or server, the time of the attempt, and a pause of the process just before.

--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -307,13 +307,14 @@
         let choice = node
             .core
             .ask(|core, now| core.begin_attempt(&entry.rule, &entry.service, &tried, now));
-        let (server, result) = match choice {
+        let began = time::Instant::now();
+        let (server, peer, result) = match choice {
             forward_core::AttemptChoice::None => return Err(last),
             forward_core::AttemptChoice::Local { server, call } => {
                 let guard = AttemptGuard::new(node, call);
                 let head = call_head(node, entry, None);
                 let work = callee_call::run(node, &head, entry.request.clone());
-                (server, await_attempt(work, entry.deadline, guard).await)
+                (server, None, await_attempt(work, entry.deadline, guard).await)
             }
             forward_core::AttemptChoice::Peer {
                 server,
@@ -329,12 +330,15 @@
                 }
                 let guard = AttemptGuard::new(node, call);
                 let work = call_peer(node, entry, &daemon_id, address);
-                (server, await_attempt(work, entry.deadline, guard).await)
+                (server, Some(address), await_attempt(work, entry.deadline, guard).await)
             }
         };
         tried.push(server);
         let repeat = match result {
-            None => return Err(local_reply::LocalReply::Timeout),
+            None => {
+                ended_attempt(node, entry, began).log_timeout(node, peer);
+                return Err(local_reply::LocalReply::Timeout);
+            }
             Some(callee_call::CallResult::Answered(response)) => return Ok(*response),
             Some(callee_call::CallResult::NotRun(reason)) => {
                 // A refusal of a later attempt does not show that an earlier attempt did not run.
@@ -370,6 +374,20 @@
     Err(last)
 }
 
+/// Returns an attempt as an ended request, for its log line.
+fn ended_attempt<'a>(
+    node: &node_context::NodeContext,
+    entry: &'a EntryRequest,
+    began: time::Instant,
+) -> request_end::EndedRequest<'a> {
+    request_end::EndedRequest {
+        attempt_id: entry.request.headers.get(&node.settings.headers.attempt_id),
+        class: &entry.rule.name,
+        tenant: entry.tenant.as_ref().map(|tenant| &tenant.name),
+        arrived: began,
+    }
+}
+
 fn repeat_allowed(node: &node_context::NodeContext, entry: &EntryRequest) -> bool {
     let decision = node.core.ask(|core, now| core.may_repeat(&entry.service, now));
     if decision == retry_budget::RetryDecision::Allowed {
@@ -460,14 +478,8 @@
             return callee_call::CallResult::NotRun(call_outcome::RefusalReason::BackendServerDown);
         }
         Err(http_link::LinkError::NoResponse(error)) => {
-            let lost = request_end::EndedRequest {
-                attempt_id: entry.request.headers.get(&node.settings.headers.attempt_id),
-                class: &entry.rule.name,
-                tenant: entry.tenant.as_ref().map(|tenant| &tenant.name),
-                arrived: began,
-            };
             let (category, outcome) = (log_limiter::LogCategory::Failure, format!("{address}: {error}"));
-            lost.log(node, category, "daemon gave no response", &outcome);
+            ended_attempt(node, entry, began).log(node, category, "daemon gave no response", &outcome);
             return callee_call::CallResult::MayHaveRun;
         }
     };
--- a/crates/forward/src/request_end.rs
+++ b/crates/forward/src/request_end.rs
@@ -1,5 +1,6 @@
 //! Metrics and log lines at the end of a caller's request.
 
+use std::net;
 use std::time;
 
 use damasktrack_entity::ids;
@@ -9,6 +10,7 @@
 use crate::log_limiter;
 use crate::message_body;
 use crate::node_context;
+use crate::stall_watch;
 
 /// A request whose response is known.
 #[derive(Clone, Copy, Debug)]
@@ -67,6 +69,16 @@
         node.log_request(category, &line);
     }
 
+    /// Logs where an attempt waited until the deadline of its request, `None` for the own backend server, and a pause of
+    /// this process just before.
+    pub fn log_timeout(&self, node: &node_context::NodeContext, peer: Option<net::SocketAddr>) {
+        let paused = node.core.ask(|core, _now| core.longest_wait(stall_watch::boot_time()));
+        let place = peer.map_or_else(|| "own backend server".to_owned(), |peer| peer.to_string());
+        let outcome = format!("{place}; this process was paused for {} ms before", paused.as_millis());
+        let category = log_limiter::LogCategory::Failure;
+        self.log(node, category, "attempt not answered by the deadline", &outcome);
+    }
+
     fn count(&self, node: &node_context::NodeContext, outcome: &'static str) {
         let elapsed = self.arrived.elapsed();
         node.metrics.record_request(self.class, outcome, elapsed);
