--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -255,7 +255,8 @@
             log::info!(requests = node.in_flight.get(), work = running, connections = callers.open_sockets(); "stopped");
             break;
         }
-        tokio::time::sleep(STOP_POLL_INTERVAL).await;
+        let next = time::Instant::now() + STOP_POLL_INTERVAL;
+        tokio::time::sleep_until(next.min(schedule.ends_at).into()).await;
     }
     node.stop.end_requests();
     node.core.ask(forward_core::ForwardCore::leave);
