--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -175,7 +175,7 @@
                 arrived,
                 deadline,
             };
-            (class, admit(&node, &entry).await)
+            (class, admit_until_stop(&node, &entry).await)
         }
         Err(reply) => (Bytes::from_static(UNMATCHED_CLASS), Err(reply)),
     };
@@ -229,6 +229,21 @@
     }
 }
 
+/// Sends a request unless a planned stop leaves too little time. At the end of the stop, the request may have run.
+async fn admit_until_stop(
+    node: &rc::Rc<node_context::NodeContext>,
+    entry: &EntryRequest,
+) -> Result<hyper::Response<message_body::ReplyBody>, local_reply::LocalReply> {
+    if node.stop.is_late(time::Instant::now()) {
+        return Err(local_reply::LocalReply::NotRun(call_outcome::RefusalReason::Leaving));
+    }
+    tokio::select! {
+        biased;
+        result = admit(node, entry) => result,
+        () = node.stop.ended() => Err(local_reply::LocalReply::Timeout),
+    }
+}
+
 /// Sends a request if its tenant's quota admits it.
 async fn admit(
     node: &rc::Rc<node_context::NodeContext>,
@@ -292,14 +307,15 @@
         let choice = node
             .core
             .ask(|core, now| core.begin_attempt(&entry.rule, &entry.service, &tried, now));
-        let (server, result) = match choice {
+        let began = time::Instant::now();
+        let (server, peer, result) = match choice {
             forward_core::AttemptChoice::None => return Err(last),
             forward_core::AttemptChoice::Local { server, call } => {
                 let guard = AttemptGuard::new(node, call);
                 let head = call_head(node, entry, None);
                 let work = callee_call::run(node, &head, entry.request.clone());
                 let awaited = tokio::time::timeout_at(entry.deadline.into(), work).await;
-                (server, finish_attempt(awaited, guard))
+                (server, None, finish_attempt(awaited, guard))
             }
             forward_core::AttemptChoice::Peer {
                 server,
@@ -316,12 +332,15 @@
                 let guard = AttemptGuard::new(node, call);
                 let work = call_peer(node, entry, &daemon_id, address);
                 let awaited = tokio::time::timeout_at(entry.deadline.into(), work).await;
-                (server, finish_attempt(awaited, guard))
+                (server, Some(address), finish_attempt(awaited, guard))
             }
         };
         tried.push(server);
         let repeat = match result {
-            None => return Err(local_reply::LocalReply::Timeout),
+            None => {
+                ended_attempt(node, entry, began).log_timeout(node, peer);
+                return Err(local_reply::LocalReply::Timeout);
+            }
             Some(callee_call::CallResult::Answered(response)) => return Ok(*response),
             Some(callee_call::CallResult::NotRun(reason)) => {
                 // A refusal of a later attempt does not show that an earlier attempt did not run.
@@ -357,6 +376,20 @@
     Err(last)
 }
 
+/// Returns an attempt as an ended request, for its log line.
+fn ended_attempt<'a>(
+    node: &node_context::NodeContext,
+    entry: &'a EntryRequest,
+    began: time::Instant,
+) -> request_end::EndedRequest<'a> {
+    request_end::EndedRequest {
+        attempt_id: entry.request.headers.get(&node.settings.headers.attempt_id),
+        class: &entry.rule.name,
+        tenant: entry.tenant.as_ref().map(|tenant| &tenant.name),
+        arrived: began,
+    }
+}
+
 fn repeat_allowed(node: &node_context::NodeContext, entry: &EntryRequest) -> bool {
     let tenant = entry.tenant.as_ref().map(|tenant| &tenant.name);
     let decision = node.core.ask(|core, now| core.may_repeat(&entry.service, tenant, now));
@@ -467,14 +500,8 @@
             return callee_call::CallResult::NotRun(call_outcome::RefusalReason::QueueFull);
         }
         Err(http_link::LinkError::NoResponse(error)) => {
-            let lost = request_end::EndedRequest {
-                attempt_id: entry.request.headers.get(&node.settings.headers.attempt_id),
-                class: &entry.rule.name,
-                tenant: entry.tenant.as_ref().map(|tenant| &tenant.name),
-                arrived: began,
-            };
             let (category, outcome) = (log_limiter::LogCategory::Failure, format!("{address}: {error}"));
-            lost.log(node, category, "daemon gave no response", &outcome);
+            ended_attempt(node, entry, began).log(node, category, "daemon gave no response", &outcome);
             return callee_call::CallResult::MayHaveRun;
         }
     };
