--- a/crates/admission/src/level_controller.rs
+++ b/crates/admission/src/level_controller.rs
@@ -19,8 +19,8 @@
 const CRITICAL_START: usize = LEVEL_COUNT - COHORTS_PER_BAND;
 /// Factor applied to the arrivals by level after each window. A single window holds too few calls to determine a level.
 const LEVEL_DECAY_FACTOR: f32 = 0.7;
-/// Decayed arrivals of a level below which they count as none, after about 130 windows. By then, the level of idle slots
-/// is the lowest. Decay by multiplication alone ends at the smallest denormal, with which arithmetic is slow.
+/// Decayed arrivals of a level below which they count as none, after about 130 windows. By then, the level of idle
+/// slots is the lowest. Decay by multiplication alone ends at the smallest denormal, with which arithmetic is slow.
 const MIN_LEVEL_ARRIVALS: f32 = 1e-20;
 /// Factor applied to the arrivals by band after each window. Calls below the level arrive only as probes, so a band has
 /// to remain in use for about 2 s.
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -312,8 +312,8 @@
     assert!(run(&["explain-settings"]).stdout.contains("peer_listen"));
 }
 
-/// Guards against a view of the quotas without the figures of the daemon, or that sends the operator's key to the metrics
-/// endpoint, which needs none.
+/// Guards against a view of the quotas without the figures of the daemon, or that sends the operator's key to the
+/// metrics endpoint, which needs none.
 #[test]
 fn quotas_prints_limits_credits_and_refusals() {
     let tenant = json!({
--- a/crates/forward/src/bounded_stream.rs
+++ b/crates/forward/src/bounded_stream.rs
@@ -116,8 +116,9 @@
             pin::Pin::new(&mut self.stream).poll_read(cx, buf)
         };
         let length = buf.filled().len() - before;
-        // A read that leaves a part of the buffer has emptied the socket, so that the next one waits for the runtime. The
-        // bytes of one response would otherwise limit the read of the next head, and `poll_head` would initialize 8 KiB.
+        // A read that leaves a part of the buffer has emptied the socket, so that the next one waits for the runtime.
+        // The bytes of one response would otherwise limit the read of the next head, and `poll_head` would initialize 8
+        // KiB.
         self.turn_bytes = if polled.is_pending() || length < wanted {
             0
         } else {
--- a/crates/forward/src/forward_core/core_members.rs
+++ b/crates/forward/src/forward_core/core_members.rs
@@ -123,7 +123,8 @@
     }
 
     /// Merges the members that the store lists, and contacts a sample of them. The row of an earlier process of this
-    /// daemon has the departure that it acknowledged. Returns the daemons of the rows that don't count, with the reason.
+    /// daemon has the departure that it acknowledged. Returns the daemons of the rows that don't count, with the
+    /// reason.
     pub fn merge_members(
         &mut self,
         records: &[member_record::MemberRecord],
@@ -154,8 +155,8 @@
         self.apply(output, now);
     }
 
-    /// Draws at most `limit` addresses, two thirds of them from this daemon's region if it has enough members. If either
-    /// group is too small, the other one supplies the rest.
+    /// Draws at most `limit` addresses, two thirds of them from this daemon's region if it has enough members. If
+    /// either group is too small, the other one supplies the rest.
     fn choose_contacts(&mut self, records: &[member_record::MemberRecord], limit: usize) -> Vec<net::SocketAddr> {
         let others = records
             .iter()
--- a/crates/forward/src/http_link.rs
+++ b/crates/forward/src/http_link.rs
@@ -101,7 +101,8 @@
 }
 
 impl LinkLease {
-    /// Returns the connection to the pool, or closes it for a call that waits for one to another address. The caller must have read the response to its end.
+    /// Returns the connection to the pool, or closes it for a call that waits for one to another address. The caller
+    /// must have read the response to its end.
     ///
     /// `idle_limit` is the time for which the server keeps an idle connection open, if known. The limit of the pool is
     /// the upper bound.
--- a/crates/forward/src/http_server.rs
+++ b/crates/forward/src/http_server.rs
@@ -109,8 +109,8 @@
 }
 
 /// Accepts connections and serves each with `serve` until `control` enters the phase `Closed`. All connections in the
-/// accept queue are served then as well, since closing the socket resets them. Only one that arrives in the microseconds
-/// between the last accept and the close is still reset.
+/// accept queue are served then as well, since closing the socket resets them. Only one that arrives in the
+/// microseconds between the last accept and the close is still reset.
 pub async fn accept<F>(
     listener: tokio::net::TcpListener,
     control: ServerControl,
--- a/crates/forward/src/link_budget.rs
+++ b/crates/forward/src/link_budget.rs
@@ -1,8 +1,8 @@
 //! Bound of the outgoing connections of a process.
 //!
-//! Load pattern: callers read no responses, and each response occupies a connection to another daemon. Together they use
-//! up the descriptors of the process. At the bound an idle connection is closed for a new one, then one whose response a
-//! caller doesn't read. A call that gets no connection in time has not been sent.
+//! Load pattern: callers read no responses, and each response occupies a connection to another daemon. Together they
+//! use up the descriptors of the process. At the bound an idle connection is closed for a new one, then one whose
+//! response a caller doesn't read. A call that gets no connection in time has not been sent.
 
 use std::cell;
 use std::rc;
@@ -13,8 +13,8 @@
 
 use crate::http_link;
 
-/// Longest wait for a connection. It is that of a call in a queue that was recently empty; another daemon may have a free
-/// connection sooner.
+/// Longest wait for a connection. It is that of a call in a queue that was recently empty; another daemon may have a
+/// free connection sooner.
 const SLOT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Interval at which a waiting call looks for a connection that can be closed.
 const CLOSE_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -71,8 +71,8 @@
 }
 
 impl LinkBudget {
-    /// Creates a budget of `limit` connections; without one nothing is bounded. Callers' connections with stalled output
-    /// are closed through `account`.
+    /// Creates a budget of `limit` connections; without one nothing is bounded. Callers' connections with stalled
+    /// output are closed through `account`.
     #[must_use]
     pub fn new(limit: Option<usize>, account: account_handle::AccountHandle) -> rc::Rc<Self> {
         let bounded = limit.map(|limit| BoundedLinks {
--- a/crates/forward/src/peer_call.rs
+++ b/crates/forward/src/peer_call.rs
@@ -17,9 +17,9 @@
 /// caller.
 pub const REPLY_HEADER: header::HeaderName = header::HeaderName::from_static("damasktrack-peer-reply");
 
-/// Header of a response between daemons with an encoded [`ReportedLoad`], if the configuration has a route with a latency
-/// objective. It is not a field of [`CallReply`], since earlier builds reject a reply with more fields than they know
-/// and treat the request as one that may have run.
+/// Header of a response between daemons with an encoded [`ReportedLoad`], if the configuration has a route with a
+/// latency objective. It is not a field of [`CallReply`], since earlier builds reject a reply with more fields than
+/// they know and treat the request as one that may have run.
 pub const LOAD_HEADER: header::HeaderName = header::HeaderName::from_static("damasktrack-peer-load");
 
 /// Metadata of a call from the entry daemon to the callee daemon.
@@ -40,8 +40,8 @@
     pub caller_service: ids::ServiceName,
     /// What the entry daemon knows of the callee's backend server.
     pub hint: Option<server_hint::ServerHint>,
-    /// Tenant of the caller; `None` for the default tenant, and in calls of daemons of earlier builds. Left out if it is
-    /// `None`, since earlier builds reject a call with a further field.
+    /// Tenant of the caller; `None` for the default tenant, and in calls of daemons of earlier builds. Left out if it
+    /// is `None`, since earlier builds reject a call with a further field.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub tenant: Option<ids::TenantName>,
 }
--- a/crates/forward/src/process_limits.rs
+++ b/crates/forward/src/process_limits.rs
@@ -2,12 +2,12 @@
 
 use damasktrack_pipeline::byte_account;
 
-/// Memory of a daemon without callers, in bytes: 13 MB for itself with logs and metrics, under 1 MB for the tables of 100
-/// daemons, and as much again as a reserve.
+/// Memory of a daemon without callers, in bytes: 13 MB for itself with logs and metrics, under 1 MB for the tables of
+/// 100 daemons, and as much again as a reserve.
 const BASE_BYTES: usize = 28_000_000;
 /// Share of the remaining memory that the account may count. The rest is for what is not counted: fragmentation of the
-/// heap, buffers between two reports, and outgoing connections. At 70 % the peak came within 14 % of the limit. A body of
-/// 64 MiB at a limit of 160 MB needs 58 %.
+/// heap, buffers between two reports, and outgoing connections. At 70 % the peak came within 14 % of the limit. A body
+/// of 64 MiB at a limit of 160 MB needs 58 %.
 const ACCOUNT_PERCENT: usize = 62;
 /// The account is never bounded below this, so that small requests are served.
 const MIN_ACCOUNT_BYTES: usize = 4_000_000;
@@ -36,8 +36,8 @@
             let memory = usize::try_from(memory_mb.saturating_mul(1_000_000)).unwrap_or(usize::MAX);
             (memory.saturating_sub(BASE_BYTES) / 100 * ACCOUNT_PERCENT).max(MIN_ACCOUNT_BYTES)
         });
-        // Half of the descriptors is for callers, a quarter for the internal and the control listeners, and the rest for
-        // outgoing connections.
+        // Half of the descriptors is for callers, a quarter for the internal and the control listeners, and the rest
+        // for outgoing connections.
         let connections = self.connections().unwrap_or(usize::MAX);
         Some(byte_account::AccountBounds {
             bytes,
@@ -47,9 +47,9 @@
         })
     }
 
-    /// Returns how many connections to the backend server, and how many to other daemons, may be open; `None` if they are
-    /// not limited. The parts are apart, since daemons whose connections to each other have no end before a backend server
-    /// answers would otherwise wait for each other.
+    /// Returns how many connections to the backend server, and how many to other daemons, may be open; `None` if they
+    /// are not limited. The parts are apart, since daemons whose connections to each other have no end before a backend
+    /// server answers would otherwise wait for each other.
     #[must_use]
     pub fn outgoing_connections(&self) -> Option<usize> {
         self.connections()
--- a/crates/forward/src/request_end.rs
+++ b/crates/forward/src/request_end.rs
@@ -69,8 +69,8 @@
         node.log_request(category, &line);
     }
 
-    /// Logs where an attempt waited until the deadline of its request, `None` for the own backend server, and a pause of
-    /// this process just before.
+    /// Logs where an attempt waited until the deadline of its request, `None` for the own backend server, and a pause
+    /// of this process just before.
     pub fn log_timeout(&self, node: &node_context::NodeContext, peer: Option<net::SocketAddr>) {
         let paused = node.core.ask(|core, _now| core.longest_wait(stall_watch::boot_time()));
         let place = peer.map_or_else(|| "own backend server".to_owned(), |peer| peer.to_string());
--- a/crates/forward/src/stop_schedule.rs
+++ b/crates/forward/src/stop_schedule.rs
@@ -26,8 +26,8 @@
 }
 
 impl StopSchedule {
-    /// Plans a stop. The process handles SIGTERM `now`. It didn't run for the time `paused` before, in which SIGTERM may
-    /// have been sent. `grace` is the time from SIGTERM to the kill.
+    /// Plans a stop. The process handles SIGTERM `now`. It didn't run for the time `paused` before, in which SIGTERM
+    /// may have been sent. `grace` is the time from SIGTERM to the kill.
     #[must_use]
     pub fn new(now: time::Instant, paused: time::Duration, grace: time::Duration) -> Self {
         let earliest = now.checked_sub(paused).unwrap_or(now);
--- a/crates/forward/tests/bounded_stream.rs
+++ b/crates/forward/tests/bounded_stream.rs
@@ -62,8 +62,8 @@
     assert!(turns >= 12, "{turns} turns");
 }
 
-/// Guards against a server that sends heads for as long as they are read: its connection ends, and the request counts as
-/// one that may have run.
+/// Guards against a server that sends heads for as long as they are read: its connection ends, and the request counts
+/// as one that may have run.
 #[test]
 fn endless_heads_end_the_connection() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/forward/tests/closing.rs
+++ b/crates/forward/tests/closing.rs
@@ -61,8 +61,8 @@
     });
 }
 
-/// Guards against requests that are forwarded over 3 s after SIGTERM, which the kill may interrupt. After a pause, SIGTERM
-/// may be as old as the pause.
+/// Guards against requests that are forwarded over 3 s after SIGTERM, which the kill may interrupt. After a pause,
+/// SIGTERM may be as old as the pause.
 #[test]
 fn nothing_is_forwarded_late_in_a_stop() {
     let now = Instant::now() + Duration::from_mins(1);
--- a/crates/forward/tests/link_budget.rs
+++ b/crates/forward/tests/link_budget.rs
@@ -79,8 +79,8 @@
     LinkBudget::new(Some(limit), AccountHandle::default())
 }
 
-/// Guards against calls that fail although idle connections to other addresses could be closed, and against a bound that
-/// is exceeded meanwhile.
+/// Guards against calls that fail although idle connections to other addresses could be closed, and against a bound
+/// that is exceeded meanwhile.
 #[test]
 fn idle_connections_make_way_at_the_bound() {
     run(async {
@@ -102,8 +102,8 @@
     });
 }
 
-/// Guards against a call that is reported as not sent although the server got it, and against one that opens a connection
-/// beyond the bound.
+/// Guards against a call that is reported as not sent although the server got it, and against one that opens a
+/// connection beyond the bound.
 #[test]
 fn call_without_a_connection_has_not_been_sent() {
     run(async {
--- a/crates/forward/tests/member_rows.rs
+++ b/crates/forward/tests/member_rows.rs
@@ -215,8 +215,8 @@
     assert!(core.merge_members(&[row(2, "beta")], now).is_empty());
 }
 
-/// Guards against a daemon without a configuration that rejects the rows of sound daemons, or that contacts none of them,
-/// so that it neither joins the gossip nor gets a configuration.
+/// Guards against a daemon without a configuration that rejects the rows of sound daemons, or that contacts none of
+/// them, so that it neither joins the gossip nor gets a configuration.
 #[test]
 fn rows_are_undecided_without_a_configuration() {
     let now = Instant::now();
--- a/crates/forward/tests/starting.rs
+++ b/crates/forward/tests/starting.rs
@@ -161,8 +161,8 @@
     }
 }
 
-/// Guards against calls to a server that has departed, in the time until a restarted daemon has read its earlier row, and
-/// against a daemon that never uses its server since the store is away.
+/// Guards against calls to a server that has departed, in the time until a restarted daemon has read its earlier row,
+/// and against a daemon that never uses its server since the store is away.
 #[test]
 fn server_is_not_used_before_the_members_are_listed() {
     let now = Instant::now();
--- a/crates/forward/tests/tenants.rs
+++ b/crates/forward/tests/tenants.rs
@@ -1,4 +1,5 @@
-//! Rules of tenants without processes: keys, the tenant of a request, order at the gate, and the age of the configuration.
+//! Rules of tenants without processes: keys, the tenant of a request, order at the gate, and the age of the
+//! configuration.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -353,8 +354,8 @@
         }
     }
 
-    /// Ends running calls one after the other, each 1 ms after the one before, and returns the tenants and priorities of
-    /// the calls that start.
+    /// Ends running calls one after the other, each 1 ms after the one before, and returns the tenants and priorities
+    /// of the calls that start.
     fn end(&mut self, calls: usize) -> Vec<String> {
         let mut started = Vec::new();
         for _call in 0..calls {
@@ -377,8 +378,8 @@
     }
 }
 
-/// Guards against a tenant whose queue delays the calls of the others: its 40 calls came first, and without turns all of
-/// them would start first.
+/// Guards against a tenant whose queue delays the calls of the others: its 40 calls came first, and without turns all
+/// of them would start first.
 #[test]
 fn queued_calls_of_tenants_take_turns() {
     let mut gate = BusyGate::new();
@@ -424,8 +425,8 @@
     assert!(started[4..].contains(&"small-3".to_owned()), "{started:?}");
 }
 
-/// Guards against keys that stay in force although the daemon can't learn of their end, and against a daemon that refuses
-/// them longer than until the next confirmation.
+/// Guards against keys that stay in force although the daemon can't learn of their end, and against a daemon that
+/// refuses them longer than until the next confirmation.
 #[test]
 fn keys_are_refused_without_a_recent_confirmation() {
     let ms = Duration::from_millis;
@@ -475,8 +476,8 @@
     assert_eq!(confirmed_at(7, reply(7, Some(s(101))), s(100)), None);
 }
 
-/// Guards against a tenant with failing requests that uses up the retries of another one at the same service, and against
-/// retries withheld at a service where no other tenant asks.
+/// Guards against a tenant with failing requests that uses up the retries of another one at the same service, and
+/// against retries withheld at a service where no other tenant asks.
 #[test]
 fn retries_of_a_service_take_turns_between_tenants() {
     let now = Instant::now();
--- a/crates/membership/src/gossip_merge.rs
+++ b/crates/membership/src/gossip_merge.rs
@@ -143,9 +143,9 @@
         }
     }
 
-    /// Decides about a record of this daemon with a later start. Rows and gossip may carry one that another writer made,
-    /// so only the later process itself is believed. While this process runs, it holds the sockets of its own address,
-    /// so no other process has replaced it there.
+    /// Decides about a record of this daemon with a later start. Rows and gossip may carry one that another writer
+    /// made, so only the later process itself is believed. While this process runs, it holds the sockets of its own
+    /// address, so no other process has replaced it there.
     fn handle_later_start(&mut self, record: &member_record::MemberRecord, source: RecordSource, now: time::Instant) {
         let starting = now.saturating_duration_since(self.started) < CLOCK_STEP_WINDOW;
         if starting || record.address == self.own_record().address {
--- a/crates/membership/src/member_record.rs
+++ b/crates/membership/src/member_record.rs
@@ -16,8 +16,8 @@
 /// Largest version that counts. Members raise their version by a few a minute.
 const MAX_VERSION: u64 = 1 << 32;
 
-/// Distance of the values of a row from the largest ones. A daemon overrides a row of another writer by a later start or
-/// version, which the other daemons have to accept.
+/// Distance of the values of a row from the largest ones. A daemon overrides a row of another writer by a later start
+/// or version, which the other daemons have to accept.
 const ROW_MARGIN: u64 = 1 << 20;
 
 /// State of a member. Of two records with the same version, the one with the greater state takes precedence.
--- a/crates/pipeline/src/account_handle.rs
+++ b/crates/pipeline/src/account_handle.rs
@@ -140,8 +140,8 @@
 }
 
 impl ConnectionHold {
-    /// Records the state of the connection, wakes those that have to be given up for it, and returns when the connection
-    /// may read on.
+    /// Records the state of the connection, wakes those that have to be given up for it, and returns when the
+    /// connection may read on.
     #[must_use]
     pub fn update(&self, state: byte_account::HoldState) -> byte_account::ReadPace {
         let mut shared = self.handle.lock();
--- a/crates/pipeline/src/byte_account.rs
+++ b/crates/pipeline/src/byte_account.rs
@@ -53,8 +53,8 @@
     Caller,
     /// Listener for other daemons or for metrics.
     Internal,
-    /// Listener for heartbeats of the backend server or for readiness checks. Without them the daemon gets no more work,
-    /// so it has a part of the account and of the connections that the others can't use.
+    /// Listener for heartbeats of the backend server or for readiness checks. Without them the daemon gets no more
+    /// work, so it has a part of the account and of the connections that the others can't use.
     Control,
 }
 
@@ -177,9 +177,9 @@
         }
     }
 
-    /// Records the state of a connection, and returns the connection that has to be given up to keep the bound: one whose
-    /// output is stalled is closed, and the request of another one is refused. The caller repeats the call with the same
-    /// state and no progress until it returns `None`.
+    /// Records the state of a connection, and returns the connection that has to be given up to keep the bound: one
+    /// whose output is stalled is closed, and the request of another one is refused. The caller repeats the call with
+    /// the same state and no progress until it returns `None`.
     pub fn update(&mut self, id: HoldId, state: HoldState, now: time::Instant) -> Option<HoldId> {
         let slot = self.connections.get_mut(&id)?;
         let before = *slot;
@@ -414,9 +414,9 @@
     (bounds.bytes / RESERVED_FRACTION).min(MAX_RESERVED_BYTES)
 }
 
-/// Selects the request to refuse: of the incomplete ones of a group with at least `least` bytes, the one with the largest
-/// product of its bytes and the time without progress. A body that stopped just short of its end is refused before
-/// one of the same size that is still arriving, and a small request last.
+/// Selects the request to refuse: of the incomplete ones of a group with at least `least` bytes, the one with the
+/// largest product of its bytes and the time without progress. A body that stopped just short of its end is refused
+/// before one of the same size that is still arriving, and a small request last.
 #[must_use]
 pub fn select_request(
     connections: &collections::BTreeMap<HoldId, HoldEntry>,
@@ -450,8 +450,8 @@
     selected.map(|(id, _entry)| *id)
 }
 
-/// Selects the connection of the listener with stalled output to close: the one with the largest product of its bytes and
-/// the time without progress. Output that makes progress is never selected.
+/// Selects the connection of the listener with stalled output to close: the one with the largest product of its bytes
+/// and the time without progress. Output that makes progress is never selected.
 #[must_use]
 pub fn select_stalled(
     connections: &collections::BTreeMap<HoldId, HoldEntry>,
--- a/crates/pipeline/tests/account.rs
+++ b/crates/pipeline/tests/account.rs
@@ -163,8 +163,8 @@
     assert_eq!((refused, closed), (0, victims.len() as u64));
 }
 
-/// Guards against output that is closed as stalled within the first second, and against a connection that still serves a
-/// request behind the stalled output.
+/// Guards against output that is closed as stalled within the first second, and against a connection that still serves
+/// a request behind the stalled output.
 #[test]
 fn only_answered_connections_without_progress_are_stalled() {
     let (start, mut account) = (Instant::now(), ByteAccount::new(Some(BOUNDS)));
--- a/crates/quota/src/credit_bucket.rs
+++ b/crates/quota/src/credit_bucket.rs
@@ -51,10 +51,10 @@
         self.level = (self.level + tokens).min(space.max(self.level));
     }
 
-    /// Puts back tokens that were taken at `taken` or later, and returns how many. If the bucket would have been full in
-    /// the meantime without the take, the tokens would have been lost, so they aren't put back. Neither are those taken
-    /// more than [`REFUND_AGE`] ago, nor those of an earlier bucket. The bucket must be filled up to a moment after the
-    /// take.
+    /// Puts back tokens that were taken at `taken` or later, and returns how many. If the bucket would have been full
+    /// in the meantime without the take, the tokens would have been lost, so they aren't put back. Neither are those
+    /// taken more than [`REFUND_AGE`] ago, nor those of an earlier bucket. The bucket must be filled up to a moment
+    /// after the take.
     pub fn refund(&mut self, tokens: f64, taken: time::Duration, now: time::Duration) -> f64 {
         if taken < self.created || now.saturating_sub(taken) > REFUND_AGE {
             return 0.0;
--- a/crates/quota/src/credit_coordinator.rs
+++ b/crates/quota/src/credit_coordinator.rs
@@ -17,15 +17,15 @@
 const SWEEP_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Time after which a holder, or a tenant's account of a holder, that has sent nothing is forgotten.
 const FORGET_AGE: time::Duration = time::Duration::from_secs(10);
-/// Maximum number of bounds that are kept. If there are more, two are merged whose parts differ by at most a 16th, which
-/// may cost a bucket this part of its capacity once.
+/// Maximum number of bounds that are kept. If there are more, two are merged whose parts differ by at most a 16th,
+/// which may cost a bucket this part of its capacity once.
 const MAX_BOUNDS: usize = 16;
-/// Time by which the age of a refund may be too low, beside the rounding: 2 % of [`credit_bucket::REFUND_AGE`] and of the
-/// time from the last reply to the spending, for clocks that run at different speeds.
+/// Time by which the age of a refund may be too low, beside the rounding: 2 % of [`credit_bucket::REFUND_AGE`] and of
+/// the time from the last reply to the spending, for clocks that run at different speeds.
 const REFUND_MARGIN: time::Duration = time::Duration::from_millis(125);
-/// Time after the first report in which empty buckets don't mean that a tenant is above its limit. The shares arrive within a
-/// lease, and the requests that waited for them take 1.5 times as long to be served at the rate of the limit, if the usual
-/// demand is 0.6 of it.
+/// Time after the first report in which empty buckets don't mean that a tenant is above its limit. The shares arrive
+/// within a lease, and the requests that waited for them take 1.5 times as long to be served at the rate of the limit,
+/// if the usual demand is 0.6 of it.
 const RECOVERY_TIME: time::Duration = time::Duration::from_millis(6500);
 /// Longest wait that a reply names.
 const MAX_WAIT_SECONDS: f64 = 60.0;
@@ -153,8 +153,8 @@
         self.accounts.is_empty() && self.limit.rate * (fill_time - self.bucket.filled()) >= self.limit.capacity
     }
 
-    /// Fills the bucket. The credits that were outstanding at the last report bound it up to now, also if their lease has
-    /// ended since, so this precedes [`Self::sweep`].
+    /// Fills the bucket. The credits that were outstanding at the last report bound it up to now, also if their lease
+    /// has ended since, so this precedes [`Self::sweep`].
     fn fill(&mut self, bounds: &[ShareBound], fill_time: f64, alive: f64, now: time::Duration) {
         let outstanding = self.outstanding as f64;
         let filled = self.bucket.filled();
@@ -179,8 +179,8 @@
         });
     }
 
-    /// Returns how much of `available` a holder that wants `wanted` gets, if the wants of the other holders are satisfied
-    /// from the smallest on (max-min fairness).
+    /// Returns how much of `available` a holder that wants `wanted` gets, if the wants of the other holders are
+    /// satisfied from the smallest on (max-min fairness).
     fn fair_part(&self, holder: &ids::DaemonId, wanted: u64, available: u64, now: time::Duration) -> u64 {
         if wanted <= 1 || available <= 1 {
             return wanted.min(available);
@@ -231,8 +231,8 @@
     /// Seconds weighted with the delegated part of the limits, since the start.
     fill_time: f64,
     filled: time::Duration,
-    /// Bounds from the past that still apply to a bucket, with rising parts. A bucket that is not filled in the meantime
-    /// had to lose tokens at each.
+    /// Bounds from the past that still apply to a bucket, with rising parts. A bucket that is not filled in the
+    /// meantime had to lose tokens at each.
     bounds: Vec<ShareBound>,
     /// Delegated part of the limits after the last report.
     last_alive: f64,
@@ -329,7 +329,8 @@
         self.note_share(now);
     }
 
-    /// Records a change of the delegated part of the limits. Up to it, a bucket has lost the tokens above the lower part.
+    /// Records a change of the delegated part of the limits. Up to it, a bucket has lost the tokens above the lower
+    /// part.
     fn note_share(&mut self, now: time::Duration) {
         let alive = self.alive_share(now);
         if alive.total_cmp(&self.last_alive).is_ne() {
@@ -499,8 +500,8 @@
 }
 
 /// Returns when the credits of the new refunds of a report were spent, at the earliest on this clock, and how many. The
-/// report may contain refunds again that are known. Since it is not known which, the oldest are taken, whose tokens have
-/// to fit in the bucket for the longest time. Refunds without an age are dropped.
+/// report may contain refunds again that are known. Since it is not known which, the oldest are taken, whose tokens
+/// have to fit in the bucket for the longest time. Refunds without an age are dropped.
 fn refunds(
     report: &credit_message::CreditReport,
     line: &credit_message::TenantReport,
--- a/crates/quota/src/credit_message.rs
+++ b/crates/quota/src/credit_message.rs
@@ -41,8 +41,9 @@
     pub sequence: u64,
     /// Epoch of the coordinator that the counters and the stamp refer to; 0 if the holder knows none.
     pub epoch: CoordinatorEpoch,
-    /// [`CreditReply::stamp`] of the last reply plus the time since its arrival, in milliseconds. The coordinator's clock
-    /// shows at least this time when the report is sent, so a report that was delayed doesn't extend a delegation.
+    /// [`CreditReply::stamp`] of the last reply plus the time since its arrival, in milliseconds. The coordinator's
+    /// clock shows at least this time when the report is sent, so a report that was delayed doesn't extend a
+    /// delegation.
     pub sent_ms: u64,
     /// Part of every limit that the holder delegates; 0 for none.
     pub share: f64,
@@ -64,8 +65,8 @@
     pub refunded: u64,
     /// Number of unspent credits that the holder wants to have.
     pub wanted: u32,
-    /// Refunds since the last report that was replied to, oldest first. The sum of their counts is at least the number of
-    /// refunds that the coordinator doesn't know. Part of [`ReportTail`].
+    /// Refunds since the last report that was replied to, oldest first. The sum of their counts is at least the number
+    /// of refunds that the coordinator doesn't know. Part of [`ReportTail`].
     #[serde(skip)]
     pub refund_ages: Vec<RefundAge>,
 }
@@ -84,7 +85,8 @@
 #[derive(Debug, Default)]
 #[derive(serde::Serialize, serde::Deserialize)]
 struct ReportTail {
-    /// Position of each tenant with refunds in the report, and [`RefundAge::slots`] and [`RefundAge::count`] of each age.
+    /// Position of each tenant with refunds in the report, and [`RefundAge::slots`] and [`RefundAge::count`] of each
+    /// age.
     #[serde(default)]
     refunds: Vec<(u32, Vec<(u8, u32)>)>,
 }
@@ -148,8 +150,8 @@
     Ok(bytes)
 }
 
-/// Decodes a report and the group of its tenants; `None` if it is malformed. Without a tail, as from an earlier build, the
-/// refunds have no ages.
+/// Decodes a report and the group of its tenants; `None` if it is malformed. Without a tail, as from an earlier build,
+/// the refunds have no ages.
 #[must_use]
 pub fn decode_report(bytes: &[u8]) -> Option<(coordinator_choice::GroupKey, CreditReport)> {
     let mut rest = bytes;
--- a/crates/quota/src/credit_wait.rs
+++ b/crates/quota/src/credit_wait.rs
@@ -1,16 +1,16 @@
 //! Decision on a request that finds no credit: wait or refuse.
 //!
 //! Load: all daemons are restarted at once, or a coordinator is lost. Nobody may grant credits until the leases of the
-//! former processes have ended, 2.5 s, so requests of tenants within their limits would be refused although their callers
-//! can wait. Afterwards credits come at the rate of the limit, and the usual demand is below it, so those that waited are
-//! served with the later ones.
+//! former processes have ended, 2.5 s, so requests of tenants within their limits would be refused although their
+//! callers can wait. Afterwards credits come at the rate of the limit, and the usual demand is below it, so those that
+//! waited are served with the later ones.
 
 use std::time;
 
 use crate::credit_holder;
 
-/// Longest wait for a credit while a coordinator grants. The round trip between regions is 60 ms, and a report may have to
-/// wait for the reply to the one before.
+/// Longest wait for a credit while a coordinator grants. The round trip between regions is 60 ms, and a report may have
+/// to wait for the reply to the one before.
 pub const MAX_WAIT: time::Duration = time::Duration::from_millis(250);
 /// Part of the time to its deadline that a request may wait in an outage. The rest is left to run it.
 const OUTAGE_PART: f64 = 0.6;
@@ -53,8 +53,8 @@
         }
     }
 
-    /// Decides after a try for a credit; `None` if it was granted. `may_hold` is whether requests may wait for the end of an
-    /// outage: a daemon that stops must answer soon.
+    /// Decides after a try for a credit; `None` if it was granted. `may_hold` is whether requests may wait for the end
+    /// of an outage: a daemon that stops must answer soon.
     pub fn decide(
         &mut self,
         result: &credit_holder::TakeResult,
--- a/crates/quota/src/room_record.rs
+++ b/crates/quota/src/room_record.rs
@@ -20,8 +20,8 @@
 /// Least free space from each moment of the last [`RECORD_AGE`] until now.
 #[derive(Clone, Debug, Default)]
 pub struct RoomRecord {
-    /// Slots with less free space than all later ones, oldest first. At most one per slot of [`RECORD_AGE`], and usually
-    /// few.
+    /// Slots with less free space than all later ones, oldest first. At most one per slot of [`RECORD_AGE`], and
+    /// usually few.
     slots: Vec<RoomSlot>,
 }
 
--- a/crates/quota/tests/quotas/comparison.rs
+++ b/crates/quota/tests/quotas/comparison.rs
@@ -171,8 +171,8 @@
     compare(CallerSpread::Few);
 }
 
-/// Guards against small tenants that are refused below their rate because daemons hold unspent credits of a tenant whose
-/// next request goes to another daemon.
+/// Guards against small tenants that are refused below their rate because daemons hold unspent credits of a tenant
+/// whose next request goes to another daemon.
 #[test]
 fn small_tenants_with_callers_at_all_daemons_get_their_credit() {
     compare(CallerSpread::All);
--- a/crates/quota/tests/quotas/failures.rs
+++ b/crates/quota/tests/quotas/failures.rs
@@ -411,8 +411,8 @@
     burst_that_has_not_run(Fault::UndatedRefunds).unwrap_err();
 }
 
-/// Guards against credits that stay in use above a lowered limit, and against others in place of withdrawn ones that the
-/// holder may still spend.
+/// Guards against credits that stay in use above a lowered limit, and against others in place of withdrawn ones that
+/// the holder may still spend.
 #[test]
 fn credits_above_a_lowered_limit_are_withdrawn() {
     let (mut coordinator, now) = full_coordinator(limit(100.0, 200.0));
--- a/crates/quota/tests/quotas/messages.rs
+++ b/crates/quota/tests/quotas/messages.rs
@@ -152,8 +152,8 @@
     assert_eq!(rmp_serde::from_slice::<EarlierReply>(&bytes).unwrap(), sent);
 }
 
-/// Guards against a tail of a report that fails the whole report at a daemon that doesn't know all its fields, and against
-/// one that names a tenant that the report doesn't have.
+/// Guards against a tail of a report that fails the whole report at a daemon that doesn't know all its fields, and
+/// against one that names a tenant that the report doesn't have.
 #[test]
 fn fields_that_a_tail_has_in_addition_are_ignored() {
     #[derive(serde::Serialize)]
--- a/crates/quota/tests/quotas/refunds.rs
+++ b/crates/quota/tests/quotas/refunds.rs
@@ -203,7 +203,8 @@
     }
 }
 
-/// Guards against a refund that counts twice, or with the age of a later request, because the reply to a report was lost.
+/// Guards against a refund that counts twice, or with the age of a later request, because the reply to a report was
+/// lost.
 #[test]
 fn refunds_in_several_reports_count_once_with_the_highest_age() {
     let limit = |_name: &Bytes| CreditLimit::new(10.0, 10.0, &BOUNDS);
--- a/crates/routing/src/retry_turns.rs
+++ b/crates/routing/src/retry_turns.rs
@@ -4,8 +4,8 @@
 
 use damasktrack_entity::ids;
 
-/// Time after which a tenant that asked for a retry no longer counts as asking. At 20 requests a second a daemon's budget
-/// gains about one retry in this time.
+/// Time after which a tenant that asked for a retry no longer counts as asking. At 20 requests a second a daemon's
+/// budget gains about one retry in this time.
 const ASK_AGE: time::Duration = time::Duration::from_secs(1);
 
 /// Tenant of a request; `None` for the default tenant.
@@ -20,8 +20,8 @@
     OthersFirst,
 }
 
-/// Turns at the retry budget of one service. While another tenant asks, a tenant gets no two retries in succession, so it
-/// gets at most every second one.
+/// Turns at the retry budget of one service. While another tenant asks, a tenant gets no two retries in succession, so
+/// it gets at most every second one.
 #[derive(Clone, Debug, Default)]
 pub struct RetryTurns {
     last_granted: Option<TurnTenant>,
--- a/crates/routing/tests/retry_turns.rs
+++ b/crates/routing/tests/retry_turns.rs
@@ -46,8 +46,8 @@
     }
 }
 
-/// Returns the retries of a tenant whose requests all fail, and of one that needs a retry now and then. Both send for 60 s,
-/// and the first one alone for 60 s more.
+/// Returns the retries of a tenant whose requests all fail, and of one that needs a retry now and then. Both send for
+/// 60 s, and the first one alone for 60 s more.
 fn run(has_turns: bool) -> ([u32; 2], u32) {
     let mut rng = StdRng::seed_from_u64(SEED);
     let start = Instant::now();
