--- a/crates/quota/src/credit_coordinator.rs
+++ b/crates/quota/src/credit_coordinator.rs
@@ -5,6 +5,7 @@
 
 use damasktrack_entity::ids;
 
+use crate::credit_account;
 use crate::credit_bucket;
 use crate::credit_limit;
 use crate::credit_message;
@@ -42,95 +43,11 @@
     heard: time::Duration,
 }
 
-/// Credits of one tenant at one holder.
-#[derive(Clone, Debug, Default)]
-struct CreditAccount {
-    /// Incarnation and link of the holder that the totals belong to.
-    origin: (ids::Incarnation, u64),
-    granted: u64,
-    spent: u64,
-    returned: u64,
-    refunded: u64,
-    /// Credits withdrawn from the total that the holder may still spend until `withdrawn_end`, because the reply may be
-    /// lost.
-    withdrawn: u64,
-    withdrawn_end: time::Duration,
-    /// Time until which the holder may spend credits. Counted from the receipt of a report, so it is later than the
-    /// end on the holder's clock.
-    credit_end: time::Duration,
-    /// Credits wanted and not granted at `heard`.
-    unmet: u32,
-    heard: time::Duration,
-}
-
-impl CreditAccount {
-    /// Returns the granted credits that are neither spent, returned nor withdrawn.
-    fn unspent(&self) -> u64 {
-        self.granted.saturating_sub(self.spent.saturating_add(self.returned))
-    }
-
-    /// Returns the credits that the holder may still spend, at most.
-    fn counted(&self) -> u64 {
-        self.unspent() + self.withdrawn
-    }
-
-    /// Counts the credits as spent whose lease has ended.
-    fn end_leases(&mut self, now: time::Duration) {
-        if self.credit_end <= now {
-            self.granted -= self.unspent();
-        }
-        if self.withdrawn_end <= now {
-            self.withdrawn = 0;
-        }
-    }
-}
-
-/// Credits that a report gives back to the bucket.
-#[derive(Debug)]
-struct AccountChange {
-    /// Returned without being spent.
-    returned: u64,
-    /// Counted as spent before, and their requests did not run.
-    refunded: u64,
-}
-
-impl CreditAccount {
-    /// Applies the counters of a report.
-    fn update(
-        mut self,
-        origin: (ids::Incarnation, u64),
-        line: &credit_message::TenantReport,
-        now: time::Duration,
-    ) -> (Self, AccountChange) {
-        self.end_leases(now);
-        if self.origin != origin {
-            // The old process may spend its credits until its lease ends. They are not given to the new one.
-            self = Self {
-                origin,
-                granted: line.spent.saturating_add(line.returned),
-                spent: line.spent,
-                returned: line.returned,
-                refunded: line.refunded,
-                withdrawn: self.counted(),
-                withdrawn_end: self.credit_end.max(self.withdrawn_end),
-                ..Self::default()
-            };
-        }
-        let before = self.unspent();
-        self.returned = self.returned.max(line.returned);
-        let returned = before - self.unspent();
-        self.spent = self.spent.max(line.spent);
-        let refunded = line.refunded.saturating_sub(self.refunded);
-        self.refunded = self.refunded.max(line.refunded);
-        (self, AccountChange { returned, refunded })
-    }
-}
-
 #[derive(Debug)]
 struct TenantState {
     limit: credit_limit::CreditLimit,
     bucket: credit_bucket::CreditBucket,
-    accounts: collections::HashMap<ids::DaemonId, CreditAccount>,
+    accounts: collections::HashMap<ids::DaemonId, credit_account::CreditAccount>,
     /// Sum of the credits that holders may still spend.
     outstanding: u64,
     swept: time::Duration,
@@ -408,7 +325,7 @@
         let account = tenant.accounts.remove(&report.daemon_id).unwrap_or_default();
         let others = tenant.outstanding.saturating_sub(account.counted());
         let (mut account, change) = account.update((report.incarnation, report.link), line, now);
-        let counted = |account: &CreditAccount| (others + account.counted()) as f64;
+        let counted = |account: &credit_account::CreditAccount| (others + account.counted()) as f64;
         tenant
             .bucket
             .put_back(change.returned as f64, limit.capacity * alive - counted(&account));
--- a/crates/quota/src/credit_holder.rs
+++ b/crates/quota/src/credit_holder.rs
@@ -9,21 +9,17 @@
 use crate::credit_limit;
 use crate::credit_message;
 use crate::refund_log;
+use crate::tenant_account;
 
 /// Interval of reports while credits are used.
 const BUSY_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// Interval of reports while no credits are used.
 const IDLE_INTERVAL: time::Duration = time::Duration::from_secs(1);
-/// Time since the last use after which a daemon reports less often, and a tenant's unspent credits are returned.
-const IDLE_AGE: time::Duration = time::Duration::from_secs(3);
 /// Time after a reply without credits in which requests of the tenant don't wait for another.
 const REFUSAL_AGE: time::Duration = time::Duration::from_millis(200);
 /// Longest time after a reply without credits in which no further reply is waited for, if it names a longer wait. At 86
 /// daemons a tenant above its limit then causes 172 further reports a second.
 const MAX_REFUSAL_AGE: time::Duration = time::Duration::from_millis(500);
-/// Unspent credits that a holder wants for each credit spent in the last second. They cover the time to the next report
-/// and its reply. Credits that wait at one daemon can't be used at another, and the bucket fills only beside them.
-const SPARE_FACTOR: f64 = 0.75;
 /// Time from the moment at which a share may be delegated to the first credits: a report, its reply, and the same for
 /// the share itself.
 const FIRST_CREDIT_TIME: time::Duration = time::Duration::from_millis(300);
@@ -84,9 +80,6 @@
     NoShare,
 }
 
-/// Totals of the credits spent, returned and refunded.
-type CreditTotals = (u64, u64, u64);
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CreditSource {
     /// From the coordinator of this link, before the report with this number.
@@ -95,90 +88,6 @@
     OwnShare,
 }
 
-/// Credits of one tenant. The totals count from the start of the link.
-#[derive(Clone, Debug)]
-struct TenantAccount {
-    granted: u64,
-    spent: u64,
-    returned: u64,
-    refunded: u64,
-    refunds: refund_log::RefundLog,
-    /// Requests that wait for a reply.
-    waiting: u32,
-    /// Credits spent by half second, see [`Self::count_use`].
-    used: [u32; 3],
-    used_slot: u64,
-    last_use: time::Duration,
-    /// Time before which no reply is waited for.
-    refused_until: time::Duration,
-    /// Time at which the coordinator expects a credit; `None` while it recovers.
-    credit_at: Option<time::Duration>,
-    /// Time until which the coordinator counts as recovering.
-    recovery_end: time::Duration,
-    /// Totals spent, returned and refunded of the last report whose reply arrived.
-    reported: CreditTotals,
-    own: Option<credit_bucket::CreditBucket>,
-}
-
-impl TenantAccount {
-    fn new(now: time::Duration) -> Self {
-        Self {
-            granted: 0,
-            spent: 0,
-            returned: 0,
-            refunded: 0,
-            refunds: refund_log::RefundLog::default(),
-            waiting: 0,
-            used: [0; 3],
-            used_slot: 0,
-            last_use: now,
-            refused_until: time::Duration::ZERO,
-            credit_at: Some(time::Duration::ZERO),
-            recovery_end: time::Duration::ZERO,
-            reported: (0, 0, 0),
-            own: None,
-        }
-    }
-
-    fn available(&self) -> u64 {
-        self.granted.saturating_sub(self.spent + self.returned)
-    }
-
-    /// Counts credits in slots of half a second, of which the current and the two before are kept.
-    fn count_use(&mut self, now: time::Duration, count: u32) {
-        let slot = credit_message::millis(now) / 500;
-        let passed = usize::try_from(slot.saturating_sub(self.used_slot)).unwrap_or(3).min(3);
-        self.used.rotate_right(passed);
-        self.used[..passed].fill(0);
-        self.used_slot = slot;
-        self.used[0] = self.used[0].saturating_add(count);
-    }
-
-    /// Returns how many unspent credits the holder wants to have.
-    fn wanted(&mut self, now: time::Duration) -> u32 {
-        self.count_use(now, 0);
-        if now.saturating_sub(self.last_use) >= IDLE_AGE && self.waiting == 0 {
-            return 0;
-        }
-        // The current half second is incomplete.
-        let used = self.used[1] + self.used[0].max(self.used[2]);
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "the value is not negative, and the cast saturates"
-        )]
-        let spare = (f64::from(used) * SPARE_FACTOR) as u32;
-        spare.saturating_add(self.waiting)
-    }
-
-    fn is_active(&self, now: time::Duration) -> bool {
-        self.waiting > 0
-            || now.saturating_sub(self.last_use) < IDLE_AGE
-            || self.available() > 0
-            || (self.spent, self.returned, self.refunded) != self.reported
-    }
-}
-
 /// Connection to one process of one coordinator. Credits and totals belong to it.
 #[derive(Debug)]
 struct CoordinatorLink {
@@ -200,7 +109,7 @@
     /// Epoch that the report refers to; 0 for none.
     epoch: credit_message::CoordinatorEpoch,
     sent: time::Duration,
-    tenants: Vec<(ids::TenantName, CreditTotals)>,
+    tenants: Vec<(ids::TenantName, tenant_account::CreditTotals)>,
 }
 
 /// Credits of a daemon for one group of tenants.
@@ -219,7 +128,7 @@
     share: f64,
     /// When the share is expected to be above 0; `None` if that isn't known.
     share_expected: Option<time::Duration>,
-    accounts: collections::HashMap<ids::TenantName, TenantAccount>,
+    accounts: collections::HashMap<ids::TenantName, tenant_account::TenantAccount>,
     next_report: time::Duration,
     last_use: time::Duration,
 }
@@ -273,7 +182,8 @@
         });
         let owns_share = self.owns_share(now);
         if !self.accounts.contains_key(tenant) {
-            self.accounts.insert(tenant.clone(), TenantAccount::new(now));
+            self.accounts
+                .insert(tenant.clone(), tenant_account::TenantAccount::new(now));
         }
         let Some(account) = self.accounts.get_mut(tenant) else {
             return TakeResult::Wait { in_recovery: false };
@@ -434,7 +344,7 @@
             sent: now,
             tenants: tenants.iter().map(|line| (line.tenant.clone(), totals(line))).collect(),
         });
-        let busy = now.saturating_sub(self.last_use) < IDLE_AGE;
+        let busy = now.saturating_sub(self.last_use) < tenant_account::IDLE_AGE;
         self.next_report = now + if busy { BUSY_INTERVAL } else { IDLE_INTERVAL };
         if share <= 0.0 && self.share_end > now {
             // Another coordinator gets the share as soon as the previous one has stopped counting it.
@@ -539,7 +449,11 @@
     #[must_use]
     pub fn held(&self, now: time::Duration) -> u64 {
         let linked = self.link.as_ref().is_some_and(|link| now < link.credit_end);
-        let sum = self.accounts.values().map(TenantAccount::available).sum();
+        let sum = self
+            .accounts
+            .values()
+            .map(tenant_account::TenantAccount::available)
+            .sum();
         if linked { sum } else { 0 }
     }
 
@@ -560,7 +474,7 @@
     pub fn held_of(&self, tenant: &ids::TenantName, now: time::Duration) -> u64 {
         let linked = self.coordinator(now).is_some();
         let account = self.accounts.get(tenant).filter(|_account| linked);
-        account.map_or(0, TenantAccount::available)
+        account.map_or(0, tenant_account::TenantAccount::available)
     }
 
     /// Returns whether this daemon may use its own share: no coordinator counts it.
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -3,7 +3,7 @@
 //! Every daemon owns an equal share of every limit ([`known_daemons`]) and delegates it to a coordinator for the time
 //! of a lease. The coordinator ([`credit_coordinator`]) fills a bucket for each tenant in proportion to the delegated
 //! shares and grants credits out of it to the daemons ([`credit_holder`]), which spend one per request. A daemon
-//! without a coordinator uses its own share. `docs/design/quotas.md` shows why the credits spent in a window are
+//! without a coordinator uses its own share. [`credit_wait`] decides on requests that find no credit. `docs/design/quotas.md` shows why the credits spent in a window are
 //! bounded.
 //!
 //! The crate does no I/O and reads no clock. `now` is the time of a clock that includes suspensions of the machine; the
@@ -19,3 +19,6 @@
 pub mod known_daemons;
 pub mod refund_log;
 pub mod room_record;
+
+mod credit_account;
+mod tenant_account;
