Share the settings of the core's tests

Cause: three test files repeated the same settings of a daemon. Change: one function in tests/support, from which each file sets what differs.

--- a/crates/forward/tests/member_rows.rs
+++ b/crates/forward/tests/member_rows.rs
@@ -1,5 +1,7 @@
 //! Rows of the table of members that other writers left, and rows of services that a later configuration adds.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -9,14 +11,10 @@
 use damasktrack_forward::config_text::ConfigText;
 use damasktrack_forward::forward_core::{AttemptChoice, CoreEffect, ForwardCore};
 use damasktrack_forward::forward_settings::ForwardSettings;
-use damasktrack_forward::header_names::HeaderNames;
-use damasktrack_forward::process_limits::ProcessLimits;
-use damasktrack_forward::retry_share::RetryBounds;
 use damasktrack_forward::route_config::{CallerLimits, RouteConfig, RouteKind, RouteRule, RouteTarget};
 use damasktrack_membership::gossip_context::GossipContext;
 use damasktrack_membership::member_record::{MemberRecord, MemberState};
 use damasktrack_membership::row_filter::RowVerdict;
-use hyper::header::HeaderName;
 use tokio::sync::mpsc;
 
 const PEER_PORT: u16 = 10_000;
@@ -34,41 +32,9 @@
 
 /// Returns a daemon of service `entry`, whose service no configuration names, and the effects that it requests.
 fn core(now: Instant) -> (ForwardCore, mpsc::UnboundedReceiver<CoreEffect>) {
-    let header = HeaderName::from_static;
     let settings = ForwardSettings {
-        daemon_id: Bytes::from_static(b"vm-0"),
-        location: location(),
         service: Bytes::from_static(b"entry"),
-        entry_listen: address(1, 1_000),
-        ready_listen: address(1, 1_001),
-        peer_listen: address(1, PEER_PORT),
-        metrics_listen: None,
-        server_address: address(1, 1_002),
-        seeds: Vec::new(),
-        stop_grace: Duration::from_secs(6),
-        retry_bounds: RetryBounds {
-            ratio: 0.2,
-            extra: 50.0,
-            window: Duration::from_secs(10),
-        },
-        quota_bounds: None,
-        revoke_limit: None,
-        process_limits: ProcessLimits {
-            memory_mb: None,
-            max_fds: None,
-        },
-        headers: HeaderNames {
-            attempt_id: header("attempt-id"),
-            deadline_ms: header("deadline-ms"),
-            response_seal: header("response-seal"),
-            target_instance: header("target-instance"),
-            caller_service: header("caller-service"),
-            not_executed: header("not-executed"),
-            request_limit: header("request-limit"),
-            credential: header("credential"),
-            tenant: header("tenant"),
-            leaving: header("leaving"),
-        },
+        ..support::settings(address(1, PEER_PORT))
     };
     let (effects, queue) = mpsc::unbounded_channel();
     (
--- a/crates/forward/tests/starting.rs
+++ b/crates/forward/tests/starting.rs
@@ -1,5 +1,7 @@
 //! A starting daemon: which other daemons it contacts, and when it uses its backend server.
 
+mod support;
+
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,15 +11,10 @@
 use damasktrack_entity::call_outcome::RefusalReason;
 use damasktrack_entity::server_location::ServerLocation;
 use damasktrack_forward::forward_core::{CoreEffect, ForwardCore, WorkDecision};
-use damasktrack_forward::forward_settings::ForwardSettings;
-use damasktrack_forward::header_names::HeaderNames;
 use damasktrack_forward::peer_call::CallHead;
-use damasktrack_forward::process_limits::ProcessLimits;
-use damasktrack_forward::retry_share::RetryBounds;
 use damasktrack_forward::server_report::{ServerCondition, ServerReport};
 use damasktrack_membership::member_record::{MemberRecord, MemberState};
 use damasktrack_membership::server_departure::ServerDeparture;
-use hyper::header::HeaderName;
 use tokio::sync::mpsc;
 
 fn location(region: &'static str) -> ServerLocation {
@@ -33,45 +30,6 @@
     ([127, 0, high, low], 10_000).into()
 }
 
-fn settings() -> ForwardSettings {
-    let header = HeaderName::from_static;
-    ForwardSettings {
-        daemon_id: Bytes::from_static(b"vm-0"),
-        location: location("north"),
-        service: Bytes::from_static(b"alpha"),
-        entry_listen: address(1_000),
-        ready_listen: address(1_001),
-        peer_listen: address(0),
-        metrics_listen: None,
-        server_address: address(1_002),
-        seeds: Vec::new(),
-        stop_grace: Duration::from_secs(6),
-        retry_bounds: RetryBounds {
-            ratio: 0.2,
-            extra: 50.0,
-            window: Duration::from_secs(10),
-        },
-        quota_bounds: None,
-        revoke_limit: None,
-        process_limits: ProcessLimits {
-            memory_mb: None,
-            max_fds: None,
-        },
-        headers: HeaderNames {
-            attempt_id: header("attempt-id"),
-            deadline_ms: header("deadline-ms"),
-            response_seal: header("response-seal"),
-            target_instance: header("target-instance"),
-            caller_service: header("caller-service"),
-            not_executed: header("not-executed"),
-            request_limit: header("request-limit"),
-            credential: header("credential"),
-            tenant: header("tenant"),
-            leaving: header("leaving"),
-        },
-    }
-}
-
 fn member(index: u16) -> MemberRecord {
     MemberRecord {
         daemon_id: Bytes::from(format!("vm-{index}")),
@@ -93,7 +51,14 @@
 fn contacts(in_region: u16, cross_region: u16) -> HashSet<SocketAddr> {
     let (effects, mut queue) = mpsc::unbounded_channel();
     let now = Instant::now();
-    let mut core = ForwardCore::new(Rc::new(settings()), effects, 1, 1, now, Duration::ZERO);
+    let mut core = ForwardCore::new(
+        Rc::new(support::settings(address(0))),
+        effects,
+        1,
+        1,
+        now,
+        Duration::ZERO,
+    );
     let members = (1..=in_region + cross_region).map(|index| MemberRecord {
         location: location(if index <= in_region { "north" } else { "south" }),
         ..member(index)
@@ -128,7 +93,14 @@
 /// Returns a daemon that has just started and got a heartbeat, which may be a late one of a server that has departed.
 fn core_with_heartbeat(now: Instant) -> ForwardCore {
     let (effects, _queue) = mpsc::unbounded_channel();
-    let mut core = ForwardCore::new(Rc::new(settings()), effects, 2, 2, now, Duration::ZERO);
+    let mut core = ForwardCore::new(
+        Rc::new(support::settings(address(0))),
+        effects,
+        2,
+        2,
+        now,
+        Duration::ZERO,
+    );
     let report = ServerReport {
         instance: Bytes::from_static(b"i-1"),
         service: Bytes::from_static(b"alpha"),
--- a/crates/forward/tests/tenants.rs
+++ b/crates/forward/tests/tenants.rs
@@ -1,6 +1,8 @@
 //! Rules of tenants without processes: keys, the tenant of a request, order at the gate, and the age of the
 //! configuration.
 
+mod support;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,23 +10,18 @@
 
 use bytes::Bytes;
 use damasktrack_admission::gate_report::FinishResult;
-use damasktrack_entity::server_location::ServerLocation;
 use damasktrack_forward::caller_key::{CarriedKey, KeyDigest};
 use damasktrack_forward::config_check::{ConfigAge, confirmed_at};
 use damasktrack_forward::config_text::ConfigText;
 use damasktrack_forward::forward_core::{EntryDecision, ForwardCore, RepeatDecision, WorkDecision};
 use damasktrack_forward::forward_settings::ForwardSettings;
-use damasktrack_forward::header_names::HeaderNames;
 use damasktrack_forward::peer_call::{self, CallHead};
-use damasktrack_forward::process_limits::ProcessLimits;
-use damasktrack_forward::retry_share::RetryBounds;
 use damasktrack_forward::route_config::{CallerLimits, RouteConfig, RouteKind, RouteRule, RouteTarget};
 use damasktrack_forward::server_report::{ServerCondition, ServerReport};
 use damasktrack_forward::tenant_config::{self, TenantRule, TenantTable};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HeaderMap, HeaderValue};
 use tokio::sync::mpsc;
 
-const CREDENTIAL: HeaderName = HeaderName::from_static("credential");
 const SLOTS: u32 = 4;
 
 fn name(text: &str) -> Bytes {
@@ -36,44 +33,9 @@
 }
 
 fn settings(revoke_limit: Option<Duration>) -> ForwardSettings {
-    let header = HeaderName::from_static;
     ForwardSettings {
-        daemon_id: name("vm-0"),
-        location: ServerLocation {
-            region: name("north"),
-            data_centre: name("a"),
-        },
-        service: name("alpha"),
-        entry_listen: address(1_000),
-        ready_listen: address(1_001),
-        peer_listen: address(1_002),
-        metrics_listen: None,
-        server_address: address(1_003),
-        seeds: Vec::new(),
-        stop_grace: Duration::from_secs(6),
-        retry_bounds: RetryBounds {
-            ratio: 0.2,
-            extra: 50.0,
-            window: Duration::from_secs(10),
-        },
-        quota_bounds: None,
         revoke_limit,
-        process_limits: ProcessLimits {
-            memory_mb: None,
-            max_fds: None,
-        },
-        headers: HeaderNames {
-            attempt_id: header("attempt-id"),
-            deadline_ms: header("deadline-ms"),
-            response_seal: header("response-seal"),
-            target_instance: header("target-instance"),
-            caller_service: header("caller-service"),
-            not_executed: header("not-executed"),
-            request_limit: header("request-limit"),
-            credential: CREDENTIAL,
-            tenant: header("tenant"),
-            leaving: header("leaving"),
-        },
+        ..support::settings(address(1_003))
     }
 }
 
@@ -134,9 +96,9 @@
 fn carried(keys: &[&'static str]) -> CarriedKey {
     let mut headers = HeaderMap::new();
     for key in keys {
-        headers.append(CREDENTIAL, HeaderValue::from_static(key));
+        headers.append(support::CREDENTIAL, HeaderValue::from_static(key));
     }
-    let key = CarriedKey::take(&mut headers, &CREDENTIAL);
+    let key = CarriedKey::take(&mut headers, &support::CREDENTIAL);
     assert!(headers.is_empty());
     key
 }
