Name both waits in the comment on waiting requests

Cause: the comment named the wait for a reply only, and requests wait for the end of an outage as well. Result: no change of code; the formatter passes.

--- a/crates/quota/src/credit_holder.rs
+++ b/crates/quota/src/credit_holder.rs
@@ -252,8 +252,8 @@
         free.saturating_sub(now) + FIRST_CREDIT_TIME
     }
 
-    /// Counts a request that waits for a reply, after [`TakeResult::Wait`]. Its end has to be recorded with
-    /// [`Self::end_wait`].
+    /// Counts a request that waits for a credit, whether for a reply or for the end of an outage. The end of the wait has
+    /// to be recorded with [`Self::end_wait`].
     pub fn begin_wait(&mut self, tenant: &ids::TenantName) {
         if let Some(account) = self.accounts.get_mut(tenant) {
             account.waiting += 1;
