review: case 10, credits of a tenant are spent twice after its limit was taken back and set again

Cause: holders that are created anew start with the incarnation and the link number of the old ones, so that the coordinator takes their totals for those of the old link and names the old credits as granted once more.

--- a/review/standins-2/src/daemon.rs
+++ b/review/standins-2/src/daemon.rs
@@ -34,6 +34,8 @@
     pub region: &'a str,
     pub service: &'a str,
     pub memory_mb: u32,
+    /// Further lines of the section `Bounds`.
+    pub bounds: &'a str,
     pub folder: &'a Path,
 }
 
@@ -93,7 +95,7 @@
 BudgetWindow = "10s"
 BudgetExtraTries = 50
 Recovery = "15s"
-[Platform]
+{bounds}[Platform]
 Address = "{store}"
 form = "table"
 WritesPerS = 400
@@ -112,6 +114,7 @@
             region = plan.region,
             service = plan.service,
             memory = plan.memory_mb,
+            bounds = plan.bounds,
             store = plan.store,
         );
         let settings = plan.folder.join(format!("{}.toml", plan.name));
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -42,6 +42,18 @@
 impl Site {
     /// Starts a machine for each service, and waits until all daemons are ready.
     pub fn start(case: &str, record: &Record, config: &str, services: &[&str], memory_mb: u32) -> Result<Self, String> {
+        Self::start_with_bounds(case, record, config, services, memory_mb, "")
+    }
+
+    /// Starts a deployment as [`Self::start`] does; `bounds` has further lines of the section `Bounds` of the settings.
+    pub fn start_with_bounds(
+        case: &str,
+        record: &Record,
+        config: &str,
+        services: &[&str],
+        memory_mb: u32,
+        bounds: &str,
+    ) -> Result<Self, String> {
         let block = free_block().ok_or("no free loopback addresses")?;
         let ip = |last: u8| Ipv4Addr::new(block[0], block[1], block[2], last);
         let folder = std::env::temp_dir().join(format!("damasktrack-review-{case}-{}", std::process::id()));
@@ -57,7 +69,7 @@
             record: record.clone(),
         };
         for (index, service) in (1_u8..).zip(services) {
-            site.add(index, ip(index), service, memory_mb)
+            site.add(index, ip(index), service, memory_mb, bounds)
                 .map_err(|error| error.to_string())?;
         }
         for index in 0..services.len() {
@@ -68,7 +80,7 @@
         Ok(site)
     }
 
-    fn add(&mut self, index: u8, ip: Ipv4Addr, service: &str, memory_mb: u32) -> std::io::Result<()> {
+    fn add(&mut self, index: u8, ip: Ipv4Addr, service: &str, memory_mb: u32, bounds: &str) -> std::io::Result<()> {
         let name = format!("sidecar-{index}");
         let plan = DaemonPlan {
             name: &name,
@@ -78,6 +90,7 @@
             region: "dk-east",
             service,
             memory_mb,
+            bounds,
             folder: &self.folder,
         };
         let mut daemon = Daemon::new(&plan)?;
