--- a/review/standins-2/src/daemon.rs
+++ b/review/standins-2/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Daemon processes, started with the command of the deploy file.
 
 use std::fs;
+use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -39,6 +40,15 @@
     pub folder: &'a Path,
 }
 
+/// Adds a process to the list of which `run_case-2.sh` ends those that are left.
+fn note_process(id: u32) {
+    if let Some(path) = std::env::var_os("REVIEW_PIDS")
+        && let Ok(mut file) = fs::File::options().append(true).open(path)
+    {
+        let _ = writeln!(file, "{id}");
+    }
+}
+
 impl Daemon {
     pub fn new(plan: &DaemonPlan<'_>) -> std::io::Result<Self> {
         let ip = plan.ip;
@@ -138,6 +148,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        note_process(child.id());
         self.child = Some(child);
         Ok(())
     }
