--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -39,6 +39,8 @@
     pub state: Mutex<&'static str>,
     pub sequence: AtomicU64,
     pub runs: Mutex<Vec<Run>>,
+    /// Ids of the requests with a body whose head was read.
+    pub heads: Mutex<Vec<String>>,
     pub record: Record,
 }
 
@@ -105,6 +107,10 @@
         let mut writer = stream;
         while let Ok(Some(mut request)) = http::read_head(&mut reader) {
             if request.header("content-length").is_some_and(|length| length != "0") {
+                let id = request.header("damasktrack-attempt-id").unwrap_or("").to_owned();
+                self.record
+                    .line(&format!("server {} has the head of {id}", self.instance));
+                self.heads.lock().unwrap().push(id);
                 clock::sleep_ms(self.body_pause_ms.load(Ordering::SeqCst));
             }
             let read = http::read_body(&mut reader, &mut request);
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -108,6 +108,7 @@
             state: Mutex::new("ready"),
             sequence: AtomicU64::new(0),
             runs: Mutex::default(),
+            heads: Mutex::default(),
             record: self.record.clone(),
         };
         daemon.start()?;
