--- a/review/standins-2/src/bin/case10.rs
+++ b/review/standins-2/src/bin/case10.rs
@@ -51,7 +51,7 @@
         String::new()
     };
     format!(
-        r#"{{"Version":{version},"Routes":{{"work":{{"Host":"work.example","Prefix":"/work/","Kind":"non_idempotent",
+        r#"{{"Version":{version},"Routes":{{"work":{{"Host":"work.example","Prefix":"/orders/","Kind":"non_idempotent",
         "Timeout":"2000ms","TargetLatency":"2000ms","Priority":0,"Service":"beta","MaxAttempts":2}}}},
         "Services":{{"alpha":{{"HealthPath":"/health","MaxConnections":352,"Protocol":"h1","Tls":false}},
         "beta":{{"HealthPath":"/health","MaxConnections":352,"Protocol":"h1","Tls":false}}}},
@@ -147,7 +147,7 @@
             ];
             let open = kept.take().map_or_else(|| Connection::open(entry, 3_000), Ok);
             if let Ok(mut connection) = open {
-                match connection.call("POST /work/x HTTP/1.1", &headers, b"") {
+                match connection.call("POST /orders/x HTTP/1.1", &headers, b"") {
                     Ok(answer) => {
                         record.line(&format!("client: {id} -> {}", answer.status()));
                         kept = Some(connection);
--- a/review/standins-2/src/bin/case6.rs
+++ b/review/standins-2/src/bin/case6.rs
@@ -22,7 +22,7 @@
 
 fn config(version: u32, service: &str) -> String {
     format!(
-        r#"{{"Version":{version},"Routes":{{"work":{{"Host":"work.example","Prefix":"/work/","Kind":"non_idempotent",
+        r#"{{"Version":{version},"Routes":{{"work":{{"Host":"work.example","Prefix":"/orders/","Kind":"non_idempotent",
         "Timeout":"2000ms","TargetLatency":"2000ms","Priority":0,"Service":"{service}","MaxAttempts":2}}}},
         "Services":{{"alpha":{{"HealthPath":"/health","MaxConnections":352,"Protocol":"h1","Tls":false}},
         "beta":{{"HealthPath":"/health","MaxConnections":352,"Protocol":"h1","Tls":false}}}},
@@ -52,7 +52,7 @@
         return Err("not all daemons follow the store".to_owned());
     }
     clock::sleep_ms(STABILITY_MS);
-    record.line("operator: version 2, /work/ goes to beta");
+    record.line("operator: version 2, /orders/ goes to beta");
     if trouble {
         let silencer = site.store.clone();
         let silent = thread::spawn(move || silencer.silence_after(daemons));
@@ -73,7 +73,7 @@
     }
     site.store.configure(&config(3, "alpha"));
     let acknowledged = clock::run_ms();
-    record.line("operator: version 3, /work/ goes to alpha; acknowledged");
+    record.line("operator: version 3, /orders/ goes to alpha; acknowledged");
     let (mut sent, mut stale) = (0, 0);
     while clock::run_ms() < acknowledged + CHECK_MS {
         for index in 0..daemons {
@@ -102,7 +102,7 @@
         ("Damasktrack-Deadline-Ms", "2000"),
     ];
     let address = site.daemons[index].socket(daemon::OUTBOUND_PORT);
-    let answer = http::call(address, "POST /work/x HTTP/1.1", &headers, b"", 3_000);
+    let answer = http::call(address, "POST /orders/x HTTP/1.1", &headers, b"", 3_000);
     let (status, service) = match &answer {
         Ok(answer) => {
             let body = String::from_utf8_lossy(&answer.body).into_owned();
--- a/review/standins-2/src/bin/case8.rs
+++ b/review/standins-2/src/bin/case8.rs
@@ -24,7 +24,7 @@
 const LEAVING: usize = 1;
 const SERVICES: [&str; 3] = ["alpha", "beta", "beta"];
 
-const CONFIG: &str = r#"{"Version":1,"Routes":{"work":{"Host":"work.example","Prefix":"/work/","Kind":"non_idempotent",
+const CONFIG: &str = r#"{"Version":1,"Routes":{"work":{"Host":"work.example","Prefix":"/orders/","Kind":"non_idempotent",
     "Timeout":"2000ms","TargetLatency":"2000ms","Priority":0,"Service":"beta","MaxAttempts":2}},
     "Services":{"alpha":{"HealthPath":"/health","MaxConnections":352,"Protocol":"h1","Tls":false},
     "beta":{"HealthPath":"/health","MaxConnections":352,"Protocol":"h1","Tls":false}},
@@ -136,7 +136,7 @@
         ("Damasktrack-Deadline-Ms", "2000"),
     ];
     let address = site.daemons[index].socket(daemon::OUTBOUND_PORT);
-    let answer = http::call(address, "POST /work/x HTTP/1.1", &headers, b"", 3_000);
+    let answer = http::call(address, "POST /orders/x HTTP/1.1", &headers, b"", 3_000);
     let status = answer.map_or_else(|error| error.to_string(), |answer| answer.status().to_string());
     record.line(&format!("client at machine {}: {id} -> {status}", index + 1));
     status == "200"
