Detect and log the end of a backend server with calls in flight

Change: the daemon beside a server keeps the identity of each call in flight. After a connection failed with a call in flight, or was refused, it looks whether others are still open, and opens one. If that is refused, the server has ended: a log line with the digests of the requests that were in flight, and the counter damasktrack_server_ends. The digest covers the service of the caller, tenant, method, host, target and body. The connection is kept for the next call.

--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -11,7 +11,9 @@
 use damasktrack_pipeline::chunk_list;
 use hyper::header;
 use tokio::sync::oneshot;
+use tokio::task;
 
+use crate::crash_watch;
 use crate::forward_core;
 use crate::http_link;
 use crate::log_limiter;
@@ -190,8 +192,9 @@
     guard.sent = Some((now, deadline));
     let left = deadline.saturating_duration_since(now);
     let attempt_id = request.headers.get(&node.settings.headers.attempt_id).cloned();
-    // The connection may still have to send the last chunks when hyper has dropped the body.
-    let _body = request.body.clone();
+    // Its body is kept, since the connection may still have to send the last chunks when hyper has dropped it.
+    let identity =
+        crash_watch::CallIdentity::of_call(head, &request.method, &request.uri, &request.headers, &request.body);
     let Some(outgoing) = server_request(node, head, permit, request, left) else {
         return CallResult::NotRun(call_outcome::RefusalReason::NotDeclared);
     };
@@ -200,6 +203,7 @@
     } else {
         NON_REPEATABLE_MAX_IDLE
     };
+    let ticket = crash_watch::begin(node, identity);
     let exchange = async {
         let (response, lease) = node.server.send(outgoing, max_idle).await?;
         let checked = check_response(node, response.headers(), response.status(), attempt_id.as_ref());
@@ -224,35 +228,42 @@
             } else {
                 pressure_throttle::PressureOutcome::Completed
             };
-            body.at_end(Box::new(move |complete| {
-                if !complete {
+            body.at_end(Box::new(move |end| {
+                if end != message_body::BodyEnd::Complete {
                     guard.result = gate_report::FinishResult::Cancelled;
                 }
                 drop(guard);
+                end_ticket(ticket, end);
             }));
             return CallResult::Answered(Box::new(forwarded_response(parts, body)));
         }
         Ok(Ok(Err(ResponseFault::NotExecuted | ResponseFault::OtherInstance))) => {
             guard.result = gate_report::FinishResult::ShedByBackendServer;
+            ticket.finish();
             let reason = call_outcome::RefusalReason::ShedByBackendServer;
             ("not executed".to_owned(), CallResult::NotRun(reason))
         }
         Ok(Ok(Err(ResponseFault::Unusable(fault)))) => {
             guard.result = gate_report::FinishResult::Failed;
+            ticket.finish();
             (fault.to_owned(), CallResult::MayHaveRun)
         }
         Ok(Err(http_link::LinkError::NotSent(error))) => {
             node.core.ask(forward_core::ForwardCore::server_refused);
+            ticket.finish();
+            task::spawn_local(crash_watch::check(rc::Rc::clone(node)));
             let reason = call_outcome::RefusalReason::BackendServerDown;
             (error, CallResult::NotRun(reason))
         }
         // Says nothing about the backend server.
         Ok(Err(error @ http_link::LinkError::NoSlot)) => {
+            ticket.finish();
             let reason = call_outcome::RefusalReason::QueueFull;
             (error.to_string(), CallResult::NotRun(reason))
         }
         Ok(Err(http_link::LinkError::NoResponse(error))) => {
             guard.result = gate_report::FinishResult::Failed;
+            end_ticket(ticket, message_body::BodyEnd::Broken);
             (error, CallResult::MayHaveRun)
         }
         Err(_elapsed) => {
@@ -273,6 +284,15 @@
     result
 }
 
+/// Ends the watch of a call. If its connection broke, the server may have ended.
+fn end_ticket(ticket: crash_watch::CallTicket, end: message_body::BodyEnd) {
+    match end {
+        message_body::BodyEnd::Complete => ticket.finish(),
+        message_body::BodyEnd::Cancelled => drop(ticket),
+        message_body::BodyEnd::Broken => ticket.lose(),
+    }
+}
+
 /// Applies the notices of the backend server in the headers of its response to a call.
 fn note_notices(node: &node_context::NodeContext, permit: &forward_core::WorkPermit, headers: &header::HeaderMap) {
     let notice = server_notice::ServerNotice::read(&node.settings.headers, headers);
--- /dev/null
+++ b/crates/forward/src/crash_watch.rs
@@ -0,0 +1,223 @@
+//! Calls in flight at the backend server, and the detection of its end.
+//!
+//! A server that ends closes all its connections and refuses new ones. One that only closes a connection, as after a
+//! lost response, keeps others or accepts new ones.
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use damasktrack_entity::ids;
+use damasktrack_pipeline::chunk_list;
+use damasktrack_quarantine::request_digest;
+use hyper::header;
+use tokio::task;
+
+use crate::http_link;
+use crate::node_context;
+use crate::peer_call;
+
+/// Pauses before the connections are looked at again. Their ends arrive one after the other, and a busy process handles
+/// them late.
+const SETTLE_PAUSES: [time::Duration; 3] = [
+    time::Duration::from_millis(10),
+    time::Duration::from_millis(40),
+    time::Duration::from_millis(150),
+];
+/// Time after which a call that ended without a response is no longer related to the end of the server.
+const LOST_CALL_LIFETIME: time::Duration = time::Duration::from_secs(1);
+
+/// A call's request, as far as its identity needs it.
+#[derive(Clone, Debug)]
+pub struct CallIdentity {
+    caller: ids::ServiceName,
+    tenant: Option<ids::TenantName>,
+    method: hyper::Method,
+    uri: hyper::Uri,
+    host: Option<header::HeaderValue>,
+    body: chunk_list::ChunkedBody,
+}
+
+impl CallIdentity {
+    /// Returns the identity of a request that began at the service `caller`.
+    #[must_use]
+    pub fn new(
+        caller: &ids::ServiceName,
+        tenant: Option<&ids::TenantName>,
+        method: &hyper::Method,
+        uri: &hyper::Uri,
+        headers: &header::HeaderMap,
+        body: &chunk_list::ChunkedBody,
+    ) -> Self {
+        Self {
+            caller: caller.clone(),
+            tenant: tenant.cloned(),
+            method: method.clone(),
+            uri: uri.clone(),
+            host: headers.get(header::HOST).cloned(),
+            body: body.clone(),
+        }
+    }
+
+    /// Returns the identity of a forwarded call.
+    #[must_use]
+    pub fn of_call(
+        head: &peer_call::CallHead,
+        method: &hyper::Method,
+        uri: &hyper::Uri,
+        headers: &header::HeaderMap,
+        body: &chunk_list::ChunkedBody,
+    ) -> Self {
+        Self::new(&head.caller_service, head.tenant.as_ref(), method, uri, headers, body)
+    }
+
+    /// Returns the digest, which takes time in proportion to the body.
+    #[must_use]
+    pub fn digest(&self) -> request_digest::RequestDigest {
+        let target = self.uri.path_and_query();
+        let identity = request_digest::RequestIdentity {
+            caller: &self.caller,
+            tenant: self.tenant.as_ref(),
+            method: self.method.as_str(),
+            host: self.host.as_ref().map_or(&[][..], header::HeaderValue::as_bytes),
+            target: target.map_or("", |target| target.as_str()),
+        };
+        identity.digest(self.body.chunks())
+    }
+}
+
+/// Call that ended without a response of the server.
+#[derive(Clone, Copy, Debug)]
+struct LostCall {
+    digest: request_digest::RequestDigest,
+    at: time::Instant,
+}
+
+/// Calls that run at the backend server, and those that lately ended without a response.
+#[derive(Debug, Default)]
+pub struct CrashWatch {
+    /// Times at which the running calls were sent, in no order.
+    running: cell::RefCell<Vec<time::Instant>>,
+    /// In the order of their ends.
+    lost: cell::RefCell<Vec<LostCall>>,
+    /// Whether a check runs.
+    checking: cell::Cell<bool>,
+}
+
+/// Call at the backend server. Dropping it without [`Self::finish`] counts as an end without a response.
+#[derive(Debug)]
+pub struct CallTicket {
+    node: rc::Rc<node_context::NodeContext>,
+    identity: CallIdentity,
+    sent: time::Instant,
+    finished: bool,
+}
+
+/// Begins to watch a call that is sent now.
+#[must_use]
+pub fn begin(node: &rc::Rc<node_context::NodeContext>, identity: CallIdentity) -> CallTicket {
+    let sent = time::Instant::now();
+    node.crash_watch.running.borrow_mut().push(sent);
+    CallTicket {
+        node: rc::Rc::clone(node),
+        identity,
+        sent,
+        finished: false,
+    }
+}
+
+impl CallTicket {
+    /// Ends the watch of a call that the server completed or didn't get.
+    pub fn finish(mut self) {
+        self.finished = true;
+    }
+
+    /// Ends the watch of a call whose connection broke, which may be the end of the server.
+    pub fn lose(self) {
+        let node = rc::Rc::clone(&self.node);
+        drop(self);
+        task::spawn_local(check(node));
+    }
+
+    /// Returns the identity of the request.
+    #[must_use]
+    pub fn identity(&self) -> &CallIdentity {
+        &self.identity
+    }
+}
+
+impl Drop for CallTicket {
+    fn drop(&mut self) {
+        let watch = &self.node.crash_watch;
+        let mut running = watch.running.borrow_mut();
+        if let Some(position) = running.iter().position(|sent| *sent == self.sent) {
+            running.swap_remove(position);
+        }
+        if !self.finished {
+            let at = time::Instant::now();
+            let digest = self.identity.digest();
+            let mut lost = watch.lost.borrow_mut();
+            lost.retain(|call| at.saturating_duration_since(call.at) < LOST_CALL_LIFETIME);
+            lost.push(LostCall { digest, at });
+        }
+    }
+}
+
+/// Whether the backend server has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ServerEnd {
+    Ended,
+    Runs,
+    /// A connection that was open before the first lost one still is, so far.
+    Unsettled,
+}
+
+/// Checks, after a connection to the backend server failed with a call in flight or was refused, whether the server has
+/// ended, and records its end.
+pub async fn check(node: rc::Rc<node_context::NodeContext>) {
+    if node.crash_watch.lost.borrow().is_empty() || node.crash_watch.checking.replace(true) {
+        return;
+    }
+    let first_lost = time::Instant::now();
+    let mut end = ServerEnd::Unsettled;
+    for pause in SETTLE_PAUSES {
+        tokio::time::sleep(pause).await;
+        end = observe_end(&node, first_lost).await;
+        if end != ServerEnd::Unsettled {
+            break;
+        }
+    }
+    node.crash_watch.checking.set(false);
+    if end == ServerEnd::Ended {
+        node.core.ask(crate::forward_core::ForwardCore::server_refused);
+        record_end(&node);
+    }
+}
+
+async fn observe_end(node: &node_context::NodeContext, first_lost: time::Instant) -> ServerEnd {
+    let is_older = |sent: &time::Instant| *sent < first_lost;
+    if node.server.has_open_idle() || node.crash_watch.running.borrow().iter().any(is_older) {
+        return ServerEnd::Unsettled;
+    }
+    match node.server.probe().await {
+        http_link::ProbeResult::Refused => ServerEnd::Ended,
+        http_link::ProbeResult::Accepted | http_link::ProbeResult::Unknown => ServerEnd::Runs,
+    }
+}
+
+fn record_end(node: &node_context::NodeContext) {
+    let now = time::Instant::now();
+    let mut lost = std::mem::take(&mut *node.crash_watch.lost.borrow_mut());
+    lost.retain(|call| now.saturating_duration_since(call.at) < LOST_CALL_LIFETIME);
+    let mut requests: Vec<_> = lost.iter().map(|call| call.digest).collect();
+    requests.sort_unstable();
+    requests.dedup();
+    // The exit of a server that announced it interrupts calls for no fault of theirs.
+    let planned = node.core.ask(|core, _now| core.server().serving().is_none());
+    node.metrics.count_server_end(planned);
+    let digests: Vec<_> = requests.iter().map(|digest| format!("{digest:016x}")).collect();
+    log::warn!(
+        planned = planned, calls = lost.len(), requests = digests.join(" ");
+        "backend server ended with calls in flight"
+    );
+}
--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -38,6 +38,7 @@
     yielded_repeats: metrics::Counter<u64>,
     rounds: metrics::Counter<u64>,
     rejected: metrics::Counter<u64>,
+    server_ends: metrics::Counter<u64>,
     quotas: QuotaInstruments,
     capacity_spillovers: metrics::Counter<u64>,
     account: AccountInstruments,
@@ -215,6 +216,11 @@
                 "damasktrack_rejected",
                 "Heartbeats and deregistrations that failed validation, by kind",
             ),
+            server_ends: counter(
+                &meter,
+                "damasktrack_server_ends",
+                "Ends of the backend server with calls in flight, by whether it had announced its departure",
+            ),
             quotas: QuotaInstruments::new(&meter),
             account: AccountInstruments::new(&meter),
             capacity_spillovers: counter(
@@ -303,6 +309,12 @@
         self.rejected.add(1, &[opentelemetry::KeyValue::new("kind", kind)]);
     }
 
+    /// Counts an end of the backend server with calls in flight.
+    pub fn count_server_end(&self, planned: bool) {
+        self.server_ends
+            .add(1, &[opentelemetry::KeyValue::new("planned", planned)]);
+    }
+
     /// Counts a request that is refused because its tenant is above its quota.
     pub fn count_quota_refusal(&self) {
         self.quotas.refusals.add(1, &[]);
--- a/crates/forward/src/http_link.rs
+++ b/crates/forward/src/http_link.rs
@@ -4,6 +4,7 @@
 //! may be reported as refused.
 
 use std::cell;
+use std::io;
 use std::net;
 use std::rc;
 use std::time;
@@ -57,6 +58,29 @@
     NoResponse(String),
 }
 
+/// Why a connection can't be opened.
+#[derive(Debug)]
+#[derive(derive_more::Display)]
+enum ConnectError {
+    /// Nothing listens at the address.
+    #[display("{_0}")]
+    Refused(io::Error),
+    /// Any other reason.
+    #[display("{_0}")]
+    Failed(String),
+}
+
+/// Whether an address accepts connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeResult {
+    /// It does. The connection is idle in the pool.
+    Accepted,
+    /// Nothing listens there.
+    Refused,
+    /// No answer, or the process may not open another connection.
+    Unknown,
+}
+
 /// Task that drives a connection. Dropping it aborts the task, which closes the connection.
 #[derive(Debug)]
 struct ConnectionTask(task::JoinHandle<()>);
@@ -169,7 +193,8 @@
                 link_budget::SlotResult::Refused => return Err(LinkError::NoSlot),
             }
         };
-        let mut link = self.connect(slot).await?;
+        let connected = self.connect(slot).await;
+        let mut link = connected.map_err(|error| LinkError::NotSent(error.to_string()))?;
         link.meter.expect_head();
         match link.sender.try_send_request(request).await {
             Ok(response) => Ok((response, self.lease(link))),
@@ -185,6 +210,22 @@
         }
     }
 
+    /// Opens a connection that later requests use.
+    pub async fn probe(self: &rc::Rc<Self>) -> ProbeResult {
+        let link_budget::SlotResult::Slot(slot) = self.budget.acquire(self).await else {
+            return ProbeResult::Unknown;
+        };
+        match self.connect(slot).await {
+            Ok(link) => {
+                self.idle.borrow_mut().push(link);
+                self.returned.notify_one();
+                ProbeResult::Accepted
+            }
+            Err(ConnectError::Refused(_error)) => ProbeResult::Refused,
+            Err(ConnectError::Failed(_error)) => ProbeResult::Unknown,
+        }
+    }
+
     /// Closes connections that have been idle for longer than their limit.
     pub fn close_idle(&self, now: time::Instant) {
         self.idle.borrow_mut().retain(|link| {
@@ -220,15 +261,18 @@
         }
     }
 
-    async fn connect(&self, slot: link_budget::LinkSlot) -> Result<OpenLink, LinkError> {
+    async fn connect(&self, slot: link_budget::LinkSlot) -> Result<OpenLink, ConnectError> {
         let connect = tokio::time::timeout(
             self.policy.connect_timeout,
             tokio::net::TcpStream::connect(self.address),
         );
         let stream = match connect.await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(LinkError::NotSent(error.to_string())),
-            Err(_elapsed) => return Err(LinkError::NotSent("connect timeout".to_owned())),
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(ConnectError::Refused(error));
+            }
+            Ok(Err(error)) => return Err(ConnectError::Failed(error.to_string())),
+            Err(_elapsed) => return Err(ConnectError::Failed("connect timeout".to_owned())),
         };
         self.opened.set(self.opened.get() + 1);
         set_client_options(&stream);
@@ -237,7 +281,7 @@
         let (sender, connection) = http1::Builder::new()
             .handshake::<_, LinkBody>(TokioIo::new(stream))
             .await
-            .map_err(|error| LinkError::NotSent(error.to_string()))?;
+            .map_err(|error| ConnectError::Failed(error.to_string()))?;
         let task = task::spawn_local(async move {
             // Dropped after the connection.
             let _slot = slot;
@@ -263,6 +307,12 @@
         self.address
     }
 
+    /// Returns whether an idle connection is open.
+    #[must_use]
+    pub fn has_open_idle(&self) -> bool {
+        self.idle.borrow().iter().any(|link| !link.sender.is_closed())
+    }
+
     /// Returns since when the connection that has been idle for longest is idle; `None` if none is.
     pub(crate) fn oldest_idle(&self) -> Option<time::Instant> {
         self.idle.borrow().first().map(|link| link.idle_since)
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod config_confirmation;
 pub mod config_text;
 pub mod core_handle;
+pub mod crash_watch;
 pub mod departure_log;
 pub mod entry_call;
 pub mod forward_core;
--- a/crates/forward/src/message_body.rs
+++ b/crates/forward/src/message_body.rs
@@ -33,8 +33,19 @@
     header::UPGRADE,
 ];
 
-/// Callback at the end of a body; the argument is `true` if the body was complete.
-pub type EndAction = Box<dyn FnOnce(bool)>;
+/// How the rest of a body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// It was read to its end.
+    Complete,
+    /// The connection failed, or the body was truncated.
+    Broken,
+    /// It was dropped before its end, or the deadline passed.
+    Cancelled,
+}
+
+/// Callback at the end of a body.
+pub type EndAction = Box<dyn FnOnce(BodyEnd)>;
 
 /// Body of a response to a caller or daemon: buffered bytes, followed by the unread rest of a large body.
 pub struct ReplyBody {
@@ -96,18 +107,20 @@
     pub fn at_end(&mut self, action: EndAction) {
         match &mut self.rest {
             Some(rest) => rest.at_end = Some(action),
-            None => action(true),
+            None => action(BodyEnd::Complete),
         }
     }
 }
 
 impl RestBody {
-    fn end(&mut self, complete: bool) {
+    fn end(&mut self, end: BodyEnd) {
         if let Some(action) = self.at_end.take() {
-            action(complete);
+            action(end);
         }
         let lease = self.lease.take();
-        if complete && let Some(lease) = lease {
+        if end == BodyEnd::Complete
+            && let Some(lease) = lease
+        {
             lease.release(self.idle_limit, time::Instant::now());
         }
     }
@@ -115,7 +128,7 @@
 
 impl Drop for RestBody {
     fn drop(&mut self) {
-        self.end(false);
+        self.end(BodyEnd::Cancelled);
     }
 }
 
@@ -135,15 +148,15 @@
             return task::Poll::Ready(None);
         };
         if rest.deadline.as_mut().poll(cx).is_ready() {
-            rest.end(false);
+            rest.end(BodyEnd::Cancelled);
             return task::Poll::Ready(Some(Err(BodyError::Overdue)));
         }
         let polled = task::ready!(pin::Pin::new(&mut rest.incoming).poll_frame(cx));
         match &polled {
             Some(Ok(_frame)) => {}
-            Some(Err(_error)) => rest.end(false),
+            Some(Err(_error)) => rest.end(BodyEnd::Broken),
             None => {
-                rest.end(true);
+                rest.end(BodyEnd::Complete);
                 self.rest = None;
             }
         }
--- a/crates/forward/src/node_context.rs
+++ b/crates/forward/src/node_context.rs
@@ -11,6 +11,7 @@
 use hyper::header;
 
 use crate::core_handle;
+use crate::crash_watch;
 use crate::departure_log;
 use crate::forward_metrics;
 use crate::forward_settings;
@@ -50,6 +51,8 @@
     pub account: account_handle::AccountHandle,
     /// Departures of the backend server that the store has to keep.
     pub departures: departure_log::DepartureLog,
+    /// Calls at the backend server, by which its end is detected.
+    pub crash_watch: crash_watch::CrashWatch,
     /// Planned stop of this daemon, once it has begun.
     pub stop: stop_schedule::PlannedStop,
     /// Number of callers' requests in flight.
@@ -91,6 +94,7 @@
             log_limiter: log_limiter::LogLimiter::default(),
             row_limiter: log_limiter::LogLimiter::default(),
             departures: departure_log::DepartureLog::default(),
+            crash_watch: crash_watch::CrashWatch::default(),
             stop: stop_schedule::PlannedStop::default(),
             in_flight: cell::Cell::new(0),
             peers: cell::RefCell::default(),
--- a/crates/pipeline/src/chunk_list.rs
+++ b/crates/pipeline/src/chunk_list.rs
@@ -205,6 +205,12 @@
         joined.freeze()
     }
 
+    /// Returns the chunks that were not read, without a copy of their bytes.
+    pub fn chunks(&self) -> impl Iterator<Item = Bytes> + use<> {
+        let mut body = self.clone();
+        std::iter::from_fn(move || body.next_chunk())
+    }
+
     fn next_chunk(&mut self) -> Option<Bytes> {
         let chunk = if self.first.is_empty() {
             let chunk = self.shared.as_ref()?.rest.get(self.next)?.clone();
