--- a/crates/standins/src/platform_backend.rs
+++ b/crates/standins/src/platform_backend.rs
@@ -127,6 +127,8 @@
     pub caller_service: String,
     /// Time that the request left the server, in milliseconds; 0 if it is missing or malformed.
     pub deadline_ms: u64,
+    /// Path and query.
+    pub target: String,
     /// Names and values of all headers.
     pub headers: Vec<(String, String)>,
     /// Body, without its framing.
@@ -144,6 +146,19 @@
     }
 }
 
+/// A request that ends the server: it closes all connections, refuses new ones and starts again after a while.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashRule {
+    /// Path and query.
+    pub target: String,
+    /// Service of the daemon that received the request from the caller.
+    pub caller_service: String,
+    /// Time between the arrival of the request and the end.
+    pub delay: time::Duration,
+    /// Time between the end and the next start.
+    pub downtime: time::Duration,
+}
+
 /// Returns what the server does with a request, given the number of requests that arrived before it.
 pub type BackendScript = dyn Fn(usize) -> BackendStep + Send + Sync;
 
@@ -157,6 +172,13 @@
     notices: sync::Mutex<String>,
     /// Pause before each read of a connection, in milliseconds.
     read_pause_ms: atomic::AtomicU64,
+    crash_rules: sync::Mutex<Vec<CrashRule>>,
+    /// Open connections of the current start.
+    streams: sync::Mutex<Vec<net::TcpStream>>,
+    /// Number of ends by a [`CrashRule`].
+    crashes: atomic::AtomicU64,
+    /// Time between the last end and the next start, in milliseconds; 0 while the server runs.
+    downtime_ms: atomic::AtomicU64,
 }
 
 /// A running server; clones share its log. Its threads end with the process.
@@ -203,13 +225,82 @@
             script,
         };
         let acceptor = server.clone();
-        thread::spawn(move || {
+        thread::spawn(move || acceptor.accept(listener));
+        Ok(server)
+    }
+
+    /// Sets the requests that end the server.
+    pub fn set_crash_rules(&self, rules: &[CrashRule]) {
+        let mut known = self
+            .log
+            .crash_rules
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        *known = rules.to_vec();
+    }
+
+    /// Accepts connections, and starts again after each end.
+    fn accept(&self, mut listener: net::TcpListener) {
+        loop {
             for stream in listener.incoming().flatten() {
-                let server = acceptor.clone();
+                if self.is_down() {
+                    break;
+                }
+                if let Ok(stream) = stream.try_clone() {
+                    let mut streams = self.log.streams.lock().unwrap_or_else(sync::PoisonError::into_inner);
+                    streams.push(stream);
+                }
+                let server = self.clone();
                 thread::spawn(move || server.serve(&stream));
             }
-        });
-        Ok(server)
+            drop(listener);
+            self.close_streams();
+            let downtime = self.log.downtime_ms.load(atomic::Ordering::SeqCst);
+            thread::sleep(time::Duration::from_millis(downtime));
+            listener = loop {
+                match net::TcpListener::bind(self.address) {
+                    Ok(listener) => break listener,
+                    Err(_in_use) => thread::sleep(time::Duration::from_millis(20)),
+                }
+            };
+            self.log.downtime_ms.store(0, atomic::Ordering::SeqCst);
+        }
+    }
+
+    /// Ends the server as a crash of its process does.
+    fn crash(&self, downtime: time::Duration) {
+        let downtime_ms = u64::try_from(downtime.as_millis()).unwrap_or(u64::MAX).max(1);
+        let started =
+            self.log
+                .downtime_ms
+                .compare_exchange(0, downtime_ms, atomic::Ordering::SeqCst, atomic::Ordering::SeqCst);
+        if started.is_ok() {
+            self.log.crashes.fetch_add(1, atomic::Ordering::SeqCst);
+            // Wakes the acceptor, which closes the listener.
+            let _woken = net::TcpStream::connect(self.address);
+            self.close_streams();
+        }
+    }
+
+    fn close_streams(&self) {
+        let streams = std::mem::take(&mut *self.log.streams.lock().unwrap_or_else(sync::PoisonError::into_inner));
+        for stream in streams {
+            // An error means that the connection has already ended.
+            let _closed = stream.shutdown(net::Shutdown::Both);
+        }
+    }
+
+    fn crash_rule(&self, request: &http_exchange::HttpRequest) -> Option<CrashRule> {
+        let rules = self
+            .log
+            .crash_rules
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        let caller = request.header(CALLER_SERVICE).unwrap_or("");
+        let mut rules = rules.iter();
+        rules
+            .find(|rule| rule.target == request.target && rule.caller_service == caller)
+            .cloned()
     }
 
     /// Sets header lines that the later responses to requests of its instance have, each with its line break.
@@ -230,7 +321,7 @@
     pub fn send_heartbeat(&self, control: net::SocketAddr, state: &str, sequence: u64, slots: u32) -> Option<u16> {
         let body = json!({
             "Service": self.service, "Address": self.address.to_string(), "Zone": self.data_centre, "Version": "v1",
-            "Slots": slots, "State": state, "ColdLeft": "0ms", "Seq": sequence, "born": 1_000,
+            "Slots": slots, "State": state, "ColdLeft": "0ms", "Seq": sequence, "born": 1_000 + self.crashes(),
         });
         let call = format!("instances.heartbeat&of={}", self.instance);
         call_control(control, &call, &body.to_string())
@@ -290,11 +381,17 @@
                 .header(DEADLINE_MS)
                 .and_then(|text| text.parse().ok())
                 .unwrap_or(0),
+            target: request.target.clone(),
             headers: request.headers.clone(),
             body: request.body.clone(),
             at: time::Instant::now(),
         });
         drop(arrivals);
+        if let Some(rule) = self.crash_rule(request) {
+            thread::sleep(rule.delay);
+            self.crash(rule.downtime);
+            return Err(io::Error::other("server ended"));
+        }
         let running = self.log.running.fetch_add(1, atomic::Ordering::SeqCst) + 1;
         self.log.most_running.fetch_max(running, atomic::Ordering::SeqCst);
         match step {
@@ -374,6 +471,18 @@
         arrivals.unwrap_or_else(sync::PoisonError::into_inner).clone()
     }
 
+    /// Returns the number of ends by a [`CrashRule`].
+    #[must_use]
+    pub fn crashes(&self) -> u64 {
+        self.log.crashes.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Returns whether the server has ended and not started again.
+    #[must_use]
+    pub fn is_down(&self) -> bool {
+        self.log.downtime_ms.load(atomic::Ordering::SeqCst) > 0
+    }
+
     /// Returns the number of requests that run now.
     #[must_use]
     pub fn running(&self) -> usize {
--- a/crates/standins/src/platform_site.rs
+++ b/crates/standins/src/platform_site.rs
@@ -451,7 +451,7 @@
         thread::spawn(move || {
             for sequence in 1.. {
                 let reported = state.lock().unwrap_or_else(sync::PoisonError::into_inner).clone();
-                if !reported.is_empty() {
+                if !reported.is_empty() && !sender.is_down() {
                     // A failed heartbeat is not repeated, since the next one follows after `HEARTBEAT_INTERVAL`.
                     let _status = sender.send_heartbeat(control, &reported, sequence, slots);
                 }
