Quarantine requests that end the servers that run them

Cause: nothing relates the end of a server to the requests that ran there under an identity that outlasts one attempt. Each attempt of the client, at any machine, was new to all daemons.

Change: the daemon beside a server records its end with the digests of the requests in flight. All daemons hold the table of these ends: new ones are pushed to four random daemons, which push them on; tables are compared with random daemons while they aren't empty; a row in the store outlasts the processes. A request that was in flight at three ends, and that no server has completed since, is refused with 503 at its entry and beside the server. The merge joins ends by id and intersects their requests, so order, losses and repeats of messages don't matter. An end that the server announced counts against no request.

--- a/crates/entity/src/call_outcome.rs
+++ b/crates/entity/src/call_outcome.rs
@@ -77,6 +77,9 @@
     /// The backend server has got as many requests per second as it takes.
     #[display("request rate reached")]
     RateReached,
+    /// The request ended the servers that ran it.
+    #[display("quarantined")]
+    Quarantined,
 }
 
 /// Whether a refused call is worth sending to another server.
@@ -109,7 +112,8 @@
             | Self::TooDeep
             | Self::NotDeclared
             | Self::BodyMismatch
-            | Self::CallsBelowFail => RefusalAdvice::GiveUp,
+            | Self::CallsBelowFail
+            | Self::Quarantined => RefusalAdvice::GiveUp,
         }
     }
 }
--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -20,6 +20,7 @@
 use crate::message_body;
 use crate::node_context;
 use crate::peer_call;
+use crate::quarantine_state;
 use crate::server_notice;
 use crate::server_report;
 
@@ -110,6 +111,12 @@
     let deadline = arrived + head.left;
     let attempt_id = request.headers.get(&node.settings.headers.attempt_id).cloned();
     let refuse = |reason| refuse(node, head, attempt_id.as_ref(), arrived, reason);
+    let identity =
+        crash_watch::CallIdentity::of_call(head, &request.method, &request.uri, &request.headers, &request.body);
+    let is_quarantined = || node.quarantine.decide(&identity) != quarantine_state::QuarantineDecision::Admit;
+    if is_quarantined() {
+        return refuse(call_outcome::RefusalReason::Quarantined);
+    }
     let decision = node.core.ask(|core, now| core.offer_work(head, deadline, now));
     let guard = |call| WorkGuard {
         node: rc::Rc::clone(node),
@@ -128,12 +135,16 @@
         forward_core::WorkDecision::Wait(call, receiver) => {
             let guard = guard(call);
             match await_permit(node, receiver).await {
+                // It may have ended servers during its wait.
+                Ok(_permit) if is_quarantined() => {
+                    return refuse(call_outcome::RefusalReason::Quarantined);
+                }
                 Ok(permit) => (permit, guard),
                 Err(reason) => return refuse(reason),
             }
         }
     };
-    let result = send(node, head, &permit, request, deadline, guard).await;
+    let result = send(node, head, &permit, request, identity, deadline, guard).await;
     let outcome = match &result {
         CallResult::Answered(response) => response.status().as_str().to_owned(),
         CallResult::NotRun(reason) => reason.to_string(),
@@ -185,6 +196,7 @@
     head: &peer_call::CallHead,
     permit: &forward_core::WorkPermit,
     request: CallRequest,
+    identity: crash_watch::CallIdentity,
     deadline: time::Instant,
     mut guard: WorkGuard,
 ) -> CallResult {
@@ -192,9 +204,6 @@
     guard.sent = Some((now, deadline));
     let left = deadline.saturating_duration_since(now);
     let attempt_id = request.headers.get(&node.settings.headers.attempt_id).cloned();
-    // Its body is kept, since the connection may still have to send the last chunks when hyper has dropped it.
-    let identity =
-        crash_watch::CallIdentity::of_call(head, &request.method, &request.uri, &request.headers, &request.body);
     let Some(outgoing) = server_request(node, head, permit, request, left) else {
         return CallResult::NotRun(call_outcome::RefusalReason::NotDeclared);
     };
@@ -203,6 +212,7 @@
     } else {
         NON_REPEATABLE_MAX_IDLE
     };
+    // It keeps the body, since the connection may still have to send the last chunks when hyper has dropped it.
     let ticket = crash_watch::begin(node, identity);
     let exchange = async {
         let (response, lease) = node.server.send(outgoing, max_idle).await?;
@@ -239,25 +249,25 @@
         }
         Ok(Ok(Err(ResponseFault::NotExecuted | ResponseFault::OtherInstance))) => {
             guard.result = gate_report::FinishResult::ShedByBackendServer;
-            ticket.finish();
+            ticket.discard();
             let reason = call_outcome::RefusalReason::ShedByBackendServer;
             ("not executed".to_owned(), CallResult::NotRun(reason))
         }
         Ok(Ok(Err(ResponseFault::Unusable(fault)))) => {
             guard.result = gate_report::FinishResult::Failed;
-            ticket.finish();
+            ticket.discard();
             (fault.to_owned(), CallResult::MayHaveRun)
         }
         Ok(Err(http_link::LinkError::NotSent(error))) => {
             node.core.ask(forward_core::ForwardCore::server_refused);
-            ticket.finish();
+            ticket.discard();
             task::spawn_local(crash_watch::check(rc::Rc::clone(node)));
             let reason = call_outcome::RefusalReason::BackendServerDown;
             (error, CallResult::NotRun(reason))
         }
         // Says nothing about the backend server.
         Ok(Err(error @ http_link::LinkError::NoSlot)) => {
-            ticket.finish();
+            ticket.discard();
             let reason = call_outcome::RefusalReason::QueueFull;
             (error.to_string(), CallResult::NotRun(reason))
         }
@@ -287,7 +297,7 @@
 /// Ends the watch of a call. If its connection broke, the server may have ended.
 fn end_ticket(ticket: crash_watch::CallTicket, end: message_body::BodyEnd) {
     match end {
-        message_body::BodyEnd::Complete => ticket.finish(),
+        message_body::BodyEnd::Complete => ticket.complete(),
         message_body::BodyEnd::Cancelled => drop(ticket),
         message_body::BodyEnd::Broken => ticket.lose(),
     }
--- a/crates/forward/src/crash_watch.rs
+++ b/crates/forward/src/crash_watch.rs
@@ -16,6 +16,7 @@
 use crate::http_link;
 use crate::node_context;
 use crate::peer_call;
+use crate::quarantine_tasks;
 
 /// Pauses before the connections are looked at again. Their ends arrive one after the other, and a busy process handles
 /// them late.
@@ -104,7 +105,8 @@
     checking: cell::Cell<bool>,
 }
 
-/// Call at the backend server. Dropping it without [`Self::finish`] counts as an end without a response.
+/// Call at the backend server. Dropping it without [`Self::complete`] or
+/// [`Self::discard`] counts as an end without a response.
 #[derive(Debug)]
 pub struct CallTicket {
     node: rc::Rc<node_context::NodeContext>,
@@ -127,8 +129,15 @@
 }
 
 impl CallTicket {
-    /// Ends the watch of a call that the server completed or didn't get.
-    pub fn finish(mut self) {
+    /// Ends the watch of a call that the server completed.
+    pub fn complete(self) {
+        self.node.quarantine.note_completed(&self.identity);
+        self.discard();
+    }
+
+    /// Ends the watch of a call that says nothing about its request: the server didn't run it, or its response was
+    /// unusable.
+    pub fn discard(mut self) {
         self.finished = true;
     }
 
@@ -138,12 +147,6 @@
         drop(self);
         task::spawn_local(check(node));
     }
-
-    /// Returns the identity of the request.
-    #[must_use]
-    pub fn identity(&self) -> &CallIdentity {
-        &self.identity
-    }
 }
 
 impl Drop for CallTicket {
@@ -205,7 +208,7 @@
     }
 }
 
-fn record_end(node: &node_context::NodeContext) {
+fn record_end(node: &rc::Rc<node_context::NodeContext>) {
     let now = time::Instant::now();
     let mut lost = std::mem::take(&mut *node.crash_watch.lost.borrow_mut());
     lost.retain(|call| now.saturating_duration_since(call.at) < LOST_CALL_LIFETIME);
@@ -220,4 +223,7 @@
         planned = planned, calls = lost.len(), requests = digests.join(" ");
         "backend server ended with calls in flight"
     );
+    if !planned {
+        quarantine_tasks::record_crash(node, requests);
+    }
 }
--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -18,6 +18,7 @@
 
 use crate::callee_call;
 use crate::caller_key;
+use crate::crash_watch;
 use crate::forward_core;
 use crate::http_link;
 use crate::local_reply;
@@ -25,6 +26,7 @@
 use crate::message_body;
 use crate::node_context;
 use crate::peer_call;
+use crate::quarantine_state;
 use crate::quota_gate;
 use crate::request_end;
 use crate::route_config;
@@ -237,6 +239,9 @@
     if node.stop.is_late(time::Instant::now()) {
         return Err(local_reply::LocalReply::NotRun(call_outcome::RefusalReason::Leaving));
     }
+    if let Some(refusal) = quarantine_refusal(node, entry) {
+        return Err(refusal);
+    }
     tokio::select! {
         biased;
         result = admit(node, entry) => result,
@@ -255,7 +260,8 @@
         quota_gate::QuotaDecision::Refused(refusal) => return Err(local_reply::LocalReply::OverQuota(refusal)),
     };
     let result = attempt(node, entry).await;
-    if matches!(result, Err(local_reply::LocalReply::NotRun(_))) {
+    let not_run = local_reply::LocalReply::is_not_run;
+    if result.as_ref().is_err_and(not_run) {
         credit.give_back(node);
     }
     result
@@ -304,6 +310,15 @@
     let mut tried: Vec<route_candidate::ServerKey> = Vec::new();
     let mut last = local_reply::LocalReply::NotRun(call_outcome::RefusalReason::NoCandidate);
     while tried.len() < MAX_DAEMONS {
+        if !tried.is_empty()
+            && let Some(refusal) = quarantine_refusal(node, entry)
+        {
+            return Err(if last == local_reply::LocalReply::MayHaveRun {
+                last
+            } else {
+                refusal
+            });
+        }
         let choice = node
             .core
             .ask(|core, now| core.begin_attempt(&entry.rule, &entry.service, &tried, now));
@@ -345,10 +360,10 @@
             Some(callee_call::CallResult::NotRun(reason)) => {
                 // A refusal of a later attempt does not show that an earlier attempt did not run.
                 if last != local_reply::LocalReply::MayHaveRun {
-                    last = local_reply::LocalReply::NotRun(reason);
+                    last = not_run_reply(node, reason);
                 }
                 match reason {
-                    call_outcome::RefusalReason::DeadlineTooShort => false,
+                    call_outcome::RefusalReason::DeadlineTooShort | call_outcome::RefusalReason::Quarantined => false,
                     // The request reached a backend server, so the next attempt uses the retry budget although the
                     // request did not run.
                     call_outcome::RefusalReason::ShedByBackendServer => {
@@ -376,6 +391,34 @@
     Err(last)
 }
 
+/// Returns the refusal of a request that ended the servers that ran it; `None` for any other one.
+fn quarantine_refusal(node: &node_context::NodeContext, entry: &EntryRequest) -> Option<local_reply::LocalReply> {
+    let identity = crash_watch::CallIdentity::new(
+        &node.settings.service,
+        entry.tenant.as_ref().map(|tenant| &tenant.name),
+        &entry.request.method,
+        &entry.request.uri,
+        &entry.request.headers,
+        &entry.request.body,
+    );
+    match node.quarantine.decide(&identity) {
+        quarantine_state::QuarantineDecision::Admit => None,
+        quarantine_state::QuarantineDecision::Refuse { .. } => {
+            node.metrics.count_quarantine_refusal(&entry.rule.name);
+            Some(not_run_reply(node, call_outcome::RefusalReason::Quarantined))
+        }
+    }
+}
+
+fn not_run_reply(node: &node_context::NodeContext, reason: call_outcome::RefusalReason) -> local_reply::LocalReply {
+    match reason {
+        call_outcome::RefusalReason::Quarantined => local_reply::LocalReply::Quarantined {
+            hold: node.quarantine.policy().hold,
+        },
+        reason => local_reply::LocalReply::NotRun(reason),
+    }
+}
+
 /// Returns an attempt as an ended request, for its log line.
 fn ended_attempt<'a>(
     node: &node_context::NodeContext,
--- a/crates/forward/src/forward_core/core_queries.rs
+++ b/crates/forward/src/forward_core/core_queries.rs
@@ -1,5 +1,6 @@
 //! Queries of the decision state.
 
+use std::net;
 use std::rc;
 use std::time;
 
@@ -32,6 +33,14 @@
         self.stalls.longest_wait(now)
     }
 
+    /// Returns the peer addresses of the other daemons that are not known to be down.
+    #[must_use]
+    pub fn live_peers(&self) -> Vec<net::SocketAddr> {
+        let members = self.gossip.table().iter().map(|(_key, entry)| &entry.record);
+        let others = members.filter(|record| record.daemon_id != self.settings.daemon_id && record.state.is_live());
+        others.map(|record| record.address).collect()
+    }
+
     /// Returns the lifecycle phase.
     #[must_use]
     pub fn phase(&self) -> LifePhase {
--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -39,6 +39,8 @@
     rounds: metrics::Counter<u64>,
     rejected: metrics::Counter<u64>,
     server_ends: metrics::Counter<u64>,
+    quarantined: metrics::Gauge<u64>,
+    quarantine_refusals: metrics::Counter<u64>,
     quotas: QuotaInstruments,
     capacity_spillovers: metrics::Counter<u64>,
     account: AccountInstruments,
@@ -221,6 +223,16 @@
                 "damasktrack_server_ends",
                 "Ends of the backend server with calls in flight, by whether it had announced its departure",
             ),
+            quarantined: gauge(
+                &meter,
+                "damasktrack_quarantined_requests",
+                "Requests that are refused since they ended the servers that ran them",
+            ),
+            quarantine_refusals: counter(
+                &meter,
+                "damasktrack_quarantine_refusals",
+                "Requests of callers refused since they ended the servers that ran them, by class",
+            ),
             quotas: QuotaInstruments::new(&meter),
             account: AccountInstruments::new(&meter),
             capacity_spillovers: counter(
@@ -315,6 +327,18 @@
             .add(1, &[opentelemetry::KeyValue::new("planned", planned)]);
     }
 
+    /// Sets the gauge of the quarantined requests.
+    pub fn record_quarantine(&self, requests: usize) {
+        self.quarantined.record(requests as u64, &[]);
+    }
+
+    /// Counts a request of a caller that is refused since it is quarantined.
+    pub fn count_quarantine_refusal(&self, class: &ids::ClassName) {
+        let class = ids::text(class).into_owned();
+        self.quarantine_refusals
+            .add(1, &[opentelemetry::KeyValue::new("class", class)]);
+    }
+
     /// Counts a request that is refused because its tenant is above its quota.
     pub fn count_quota_refusal(&self) {
         self.quotas.refusals.add(1, &[]);
--- a/crates/forward/src/forward_settings.rs
+++ b/crates/forward/src/forward_settings.rs
@@ -5,6 +5,7 @@
 
 use damasktrack_entity::ids;
 use damasktrack_entity::server_location;
+use damasktrack_quarantine::quarantine_table;
 
 use crate::header_names;
 use crate::process_limits;
@@ -40,6 +41,8 @@
     /// Time since the last confirmation of the configuration after which requests with a key are refused; `None` if
     /// they are served without a limit.
     pub revoke_limit: Option<time::Duration>,
+    /// When a request that ends the servers that run it is refused.
+    pub quarantine: quarantine_table::QuarantinePolicy,
     /// Memory and descriptors of the process.
     pub process_limits: process_limits::ProcessLimits,
     /// Names of the headers that the deployment uses.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -38,6 +38,8 @@
 pub mod peer_call;
 pub mod peer_server;
 pub mod process_limits;
+pub mod quarantine_state;
+pub mod quarantine_tasks;
 pub mod quota_gate;
 pub mod quota_state;
 pub mod quota_tasks;
--- a/crates/forward/src/local_reply.rs
+++ b/crates/forward/src/local_reply.rs
@@ -1,5 +1,7 @@
 //! Responses that the entry daemon generates when there is no backend server's response to forward.
 
+use std::time;
+
 use bytes::Bytes;
 use damasktrack_entity::call_outcome;
 use damasktrack_pipeline::request_fault;
@@ -30,6 +32,11 @@
     OverQuota(quota_gate::QuotaRefusal),
     /// The request did not run and will not run later.
     NotRun(call_outcome::RefusalReason),
+    /// The request ended the servers that ran it before. It did not run and will not run later.
+    Quarantined {
+        /// Time after which it is tried again if it doesn't come meanwhile.
+        hold: time::Duration,
+    },
     /// The request may have run.
     MayHaveRun,
     /// No response by the deadline.
@@ -46,12 +53,18 @@
             Self::NoRoute => hyper::StatusCode::NOT_FOUND,
             Self::OverQuota(_) => hyper::StatusCode::TOO_MANY_REQUESTS,
             Self::Rejected(fault) => fault.status(),
-            Self::Unconfirmed | Self::NotRun(_) => hyper::StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unconfirmed | Self::NotRun(_) | Self::Quarantined { .. } => hyper::StatusCode::SERVICE_UNAVAILABLE,
             Self::MayHaveRun => hyper::StatusCode::BAD_GATEWAY,
             Self::Timeout => hyper::StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
+    /// Returns whether the request did not run and will not run later.
+    #[must_use]
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, Self::NotRun(_) | Self::Quarantined { .. })
+    }
+
     /// Returns the reason for the log.
     #[must_use]
     pub fn text(self) -> String {
@@ -65,6 +78,7 @@
             Self::NoRoute => "no route".to_owned(),
             Self::Rejected(fault) => fault.to_string(),
             Self::NotRun(reason) => reason.to_string(),
+            Self::Quarantined { .. } => call_outcome::RefusalReason::Quarantined.to_string(),
             Self::MayHaveRun => "no usable response".to_owned(),
             Self::Timeout => "timeout".to_owned(),
         }
@@ -78,7 +92,7 @@
             Self::Unauthorized => "unauthorized",
             Self::OverQuota(_) => "over_quota",
             Self::NoRoute => "no_route",
-            Self::Unconfirmed | Self::NotRun(_) => "refused",
+            Self::Unconfirmed | Self::NotRun(_) | Self::Quarantined { .. } => "refused",
             Self::MayHaveRun => "failed",
             Self::Timeout => "timeout",
         }
@@ -91,6 +105,7 @@
         *response.status_mut() = self.status();
         let seconds = match self {
             Self::OverQuota(refusal) => Some(refusal.wait.as_secs_f64()),
+            Self::Quarantined { hold } => Some(hold.as_secs_f64()),
             Self::NotRun(_)
             | Self::Unconfirmed
             | Self::Rejected(request_fault::RequestFault::Stopping | request_fault::RequestFault::NoRoom) => {
--- a/crates/forward/src/node_context.rs
+++ b/crates/forward/src/node_context.rs
@@ -8,7 +8,9 @@
 
 use damasktrack_entity::ids;
 use damasktrack_pipeline::account_handle;
+use damasktrack_quarantine::crash_report;
 use hyper::header;
+use tokio::sync::mpsc;
 
 use crate::core_handle;
 use crate::crash_watch;
@@ -18,6 +20,7 @@
 use crate::http_link;
 use crate::link_budget;
 use crate::log_limiter;
+use crate::quarantine_state;
 use crate::quota_state;
 use crate::stop_schedule;
 
@@ -53,6 +56,10 @@
     pub departures: departure_log::DepartureLog,
     /// Calls at the backend server, by which its end is detected.
     pub crash_watch: crash_watch::CrashWatch,
+    /// Requests that end the servers that run them.
+    pub quarantine: quarantine_state::QuarantineState,
+    /// Crashes of the backend server that the store has to keep.
+    pub crash_rows: mpsc::UnboundedSender<crash_report::CrashId>,
     /// Planned stop of this daemon, once it has begun.
     pub stop: stop_schedule::PlannedStop,
     /// Number of callers' requests in flight.
@@ -63,6 +70,7 @@
     pub server_links: rc::Rc<link_budget::LinkBudget>,
     /// Bound of the connections to other daemons.
     pub peer_links: rc::Rc<link_budget::LinkBudget>,
+    due_crash_rows: cell::RefCell<Option<mpsc::UnboundedReceiver<crash_report::CrashId>>>,
     peers: cell::RefCell<collections::HashMap<net::SocketAddr, rc::Rc<http_link::LinkPool>>>,
 }
 
@@ -82,11 +90,13 @@
         let limit = settings.process_limits.outgoing_connections();
         let server_links = link_budget::LinkBudget::new(limit, account.clone());
         let peer_links = link_budget::LinkBudget::new(limit, account.clone());
+        let (crash_rows, due_crash_rows) = mpsc::unbounded_channel();
         rc::Rc::new(Self {
             account,
             server: http_link::LinkPool::new(settings.server_address, policy, &server_links),
             server_links,
             peer_links,
+            quarantine: quarantine_state::QuarantineState::new(settings.quarantine),
             quota: settings.quota_bounds.map(quota_state::QuotaState::new),
             settings,
             core,
@@ -95,6 +105,8 @@
             row_limiter: log_limiter::LogLimiter::default(),
             departures: departure_log::DepartureLog::default(),
             crash_watch: crash_watch::CrashWatch::default(),
+            crash_rows,
+            due_crash_rows: cell::RefCell::new(Some(due_crash_rows)),
             stop: stop_schedule::PlannedStop::default(),
             in_flight: cell::Cell::new(0),
             peers: cell::RefCell::default(),
@@ -115,6 +127,12 @@
         rc::Rc::clone(pool)
     }
 
+    /// Returns the queue of crashes that the store has to keep; `None` after the first call.
+    #[must_use]
+    pub fn take_crash_rows(&self) -> Option<mpsc::UnboundedReceiver<crash_report::CrashId>> {
+        self.due_crash_rows.borrow_mut().take()
+    }
+
     /// Drops the connection pool of the daemon at this address, which closes its idle connections.
     pub fn close_links(&self, address: net::SocketAddr) {
         self.peers.borrow_mut().remove(&address);
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -25,6 +25,7 @@
 use crate::message_body;
 use crate::node_context;
 use crate::peer_server;
+use crate::quarantine_tasks;
 use crate::quota_view;
 use crate::stall_watch;
 use crate::stop_schedule;
@@ -114,6 +115,8 @@
     ));
     task::spawn_local(store_port::follow_config(rc::Rc::clone(&node), rc::Rc::clone(&port)));
     task::spawn_local(config_check::run(rc::Rc::clone(&node)));
+    task::spawn_local(quarantine_tasks::spread(rc::Rc::clone(&node)));
+    task::spawn_local(quarantine_tasks::keep_rows(rc::Rc::clone(&node), rc::Rc::clone(&port)));
     let own_row = store_port::OwnRow::default();
     let members = store_port::sync_members(rc::Rc::clone(&node), rc::Rc::clone(&port), rc::Rc::clone(&own_row));
     let members = task::spawn_local(members);
--- a/crates/forward/src/peer_server.rs
+++ b/crates/forward/src/peer_server.rs
@@ -18,6 +18,7 @@
 use crate::message_body;
 use crate::node_context;
 use crate::peer_call;
+use crate::quarantine_tasks;
 use crate::quota_tasks;
 use crate::stall_watch;
 
@@ -70,6 +71,8 @@
             }
             empty_response(hyper::StatusCode::OK)
         }
+        quarantine_tasks::PUSH_PATH => quarantine_tasks::serve_push(&node, &body),
+        quarantine_tasks::COMPARE_PATH => quarantine_tasks::serve_compare(&node, &body),
         quota_tasks::REPORT_PATH => quota_tasks::serve_report(&node, &body),
         CONFIG_PATH => {
             let text = node.core.ask(|core, _now| core.config_text().bytes().clone());
--- /dev/null
+++ b/crates/forward/src/quarantine_state.rs
@@ -0,0 +1,199 @@
+//! Requests that must not reach a server, as this daemon knows them.
+
+use std::cell;
+use std::time;
+
+use damasktrack_quarantine::crash_report;
+use damasktrack_quarantine::quarantine_table;
+use damasktrack_quarantine::request_digest;
+use tokio::sync::Notify;
+
+use crate::crash_watch;
+use crate::stall_watch;
+
+/// Table of crashes, and what of it the other daemons have to learn.
+#[derive(Debug)]
+pub struct QuarantineState {
+    table: cell::RefCell<quarantine_table::QuarantineTable>,
+    /// Crashes to be pushed to other daemons.
+    news: cell::RefCell<crash_report::CrashReport>,
+    /// Wakes the task that pushes news.
+    pub wake: Notify,
+    /// Time of the last change of the table.
+    changed: cell::Cell<Option<stall_watch::BootTime>>,
+}
+
+/// Whether a request may be sent to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuarantineDecision {
+    /// It may.
+    Admit,
+    /// It ended so many servers, and no server completed it since.
+    Refuse {
+        /// The request.
+        digest: request_digest::RequestDigest,
+        /// Ends of servers with the request in flight.
+        crashes: usize,
+    },
+}
+
+/// How soon news have to reach the other daemons.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NewsUrgency {
+    /// At once.
+    Prompt,
+    /// With the next comparison.
+    Deferred,
+}
+
+/// Commands.
+impl QuarantineState {
+    /// Creates an empty state.
+    #[must_use]
+    pub fn new(policy: quarantine_table::QuarantinePolicy) -> Self {
+        Self {
+            table: cell::RefCell::new(quarantine_table::QuarantineTable::new(policy)),
+            news: cell::RefCell::default(),
+            wake: Notify::new(),
+            changed: cell::Cell::new(None),
+        }
+    }
+
+    /// Decides on a request that is to be sent to a server. A refusal prolongs the quarantine.
+    pub fn decide(&self, identity: &crash_watch::CallIdentity) -> QuarantineDecision {
+        let mut table = self.table.borrow_mut();
+        if table.is_sound() {
+            return QuarantineDecision::Admit;
+        }
+        let digest = identity.digest();
+        let quarantine_table::RequestVerdict::Quarantined(crashes) = table.verdict(digest) else {
+            return QuarantineDecision::Admit;
+        };
+        let prolonged = table.note_refused(digest, stall_watch::boot_time());
+        drop(table);
+        self.announce(prolonged, NewsUrgency::Deferred);
+        QuarantineDecision::Refuse { digest, crashes }
+    }
+
+    /// Records that the backend server completed a request.
+    pub fn note_completed(&self, identity: &crash_watch::CallIdentity) {
+        let mut table = self.table.borrow_mut();
+        if table.is_sound() {
+            return;
+        }
+        let digest = identity.digest();
+        let urgency = match table.verdict(digest) {
+            quarantine_table::RequestVerdict::Quarantined(crashes) => {
+                log::info!(request = format!("{digest:016x}"), crashes = crashes; "quarantined request completed; released");
+                NewsUrgency::Prompt
+            }
+            _ => NewsUrgency::Deferred,
+        };
+        let changed = table.note_completed(digest, stall_watch::boot_time());
+        drop(table);
+        self.announce(changed, urgency);
+    }
+
+    /// Records the end of a server with these requests in flight.
+    pub fn record_crash(&self, id: crash_report::CrashId, suspects: Vec<request_digest::RequestDigest>) {
+        let now = stall_watch::boot_time();
+        let effect = self.table.borrow_mut().record_crash(id, suspects, now);
+        self.apply(effect, NewsUrgency::Prompt, "crash");
+    }
+
+    /// Merges crashes that another daemon or the store reported.
+    pub fn merge(&self, report: &[crash_report::CrashRecord], source: &str) {
+        let effect = self.table.borrow_mut().merge(report, stall_watch::boot_time());
+        self.apply(effect, NewsUrgency::Prompt, source);
+    }
+
+    /// Discards what has expired.
+    pub fn prune(&self) {
+        self.table.borrow_mut().prune(stall_watch::boot_time());
+    }
+
+    /// Returns the news to be pushed, and forgets them.
+    pub fn take_news(&self) -> crash_report::CrashReport {
+        let news = std::mem::take(&mut *self.news.borrow_mut());
+        let (table, now) = (self.table.borrow(), stall_watch::boot_time());
+        let mut ids: Vec<_> = news.iter().map(|crash| crash.id).collect();
+        ids.sort_unstable();
+        ids.dedup();
+        ids.into_iter().filter_map(|id| table.crash(id, now)).collect()
+    }
+
+    fn apply(&self, effect: quarantine_table::MergeEffect, urgency: NewsUrgency, source: &str) {
+        let policy = self.table.borrow().policy();
+        for (digest, crashes) in effect.quarantined {
+            log::warn!(
+                request = format!("{digest:016x}"), crashes = crashes, limit = policy.crashes,
+                hold_s = policy.hold.as_secs(), source = source;
+                "request quarantined: servers ended while it ran, and none has completed it since"
+            );
+        }
+        self.announce(effect.news, urgency);
+    }
+
+    fn announce(&self, report: crash_report::CrashReport, urgency: NewsUrgency) {
+        if report.is_empty() {
+            return;
+        }
+        self.changed.set(Some(stall_watch::boot_time()));
+        self.news.borrow_mut().extend(report);
+        if urgency == NewsUrgency::Prompt {
+            self.wake.notify_one();
+        }
+    }
+}
+
+/// Queries.
+impl QuarantineState {
+    /// Returns whether no crash is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.table.borrow().is_empty()
+    }
+
+    /// Returns the policy.
+    #[must_use]
+    pub fn policy(&self) -> quarantine_table::QuarantinePolicy {
+        self.table.borrow().policy()
+    }
+
+    /// Returns the number of quarantined requests.
+    #[must_use]
+    pub fn quarantined(&self) -> usize {
+        self.table.borrow().quarantined()
+    }
+
+    /// Returns the time since the last change of the table; `None` if there was none.
+    #[must_use]
+    pub fn unchanged_for(&self) -> Option<time::Duration> {
+        let changed = self.changed.get()?;
+        Some(stall_watch::boot_time().saturating_sub(changed))
+    }
+
+    /// Returns a crash; `None` if it isn't known.
+    #[must_use]
+    pub fn crash(&self, id: crash_report::CrashId) -> Option<crash_report::CrashRecord> {
+        self.table.borrow().crash(id, stall_watch::boot_time())
+    }
+
+    /// Returns the summary of the table, by which two daemons compare theirs.
+    #[must_use]
+    pub fn summary(&self) -> u64 {
+        self.table.borrow().summary()
+    }
+
+    /// Returns all crashes.
+    #[must_use]
+    pub fn report(&self) -> crash_report::CrashReport {
+        self.table.borrow().report(stall_watch::boot_time())
+    }
+
+    /// Returns the crashes that the report of another daemon lacks.
+    #[must_use]
+    pub fn missing_from(&self, other: &[crash_report::CrashRecord]) -> crash_report::CrashReport {
+        self.table.borrow().missing_from(other, stall_watch::boot_time())
+    }
+}
--- a/crates/forward/src/store_port.rs
+++ b/crates/forward/src/store_port.rs
@@ -14,6 +14,8 @@
 use damasktrack_membership::member_record;
 use damasktrack_membership::member_row;
 use damasktrack_membership::row_filter;
+use damasktrack_quarantine::crash_report;
+use damasktrack_quarantine::request_digest;
 use rand::RngExt;
 use tokio::sync::watch;
 
@@ -92,6 +94,26 @@
     pub version: StoreVersion,
 }
 
+/// End of a backend server, as the store keeps it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashRow {
+    /// Key of the row.
+    pub id: crash_report::CrashId,
+    /// Time of day of the end.
+    pub at: time::SystemTime,
+    /// Requests in flight, at most [`crash_report::MAX_SUSPECTS`].
+    pub suspects: Vec<request_digest::RequestDigest>,
+}
+
+/// Rows of the ends of backend servers as listed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CrashList {
+    /// Rows that could be decoded.
+    pub rows: Vec<CrashRow>,
+    /// Findings of each other row, with their place.
+    pub rejected: Vec<String>,
+}
+
 /// Calls to the store, and the decoder of the operators' configuration.
 pub struct StorePort {
     /// Reads the configuration.
@@ -104,6 +126,12 @@
     pub remove_member: Box<dyn Fn(ids::DaemonId, StoreVersion) -> StoreFuture<()>>,
     /// Lists the rows of all daemons.
     pub list_members: Box<dyn Fn() -> StoreFuture<MemberList>>,
+    /// Writes the row of an end of the backend server.
+    pub write_crash: Box<dyn Fn(CrashRow) -> StoreFuture<()>>,
+    /// Removes such a row.
+    pub remove_crash: Box<dyn Fn(crash_report::CrashId) -> StoreFuture<()>>,
+    /// Lists the rows of the ends of all backend servers.
+    pub list_crashes: Box<dyn Fn() -> StoreFuture<CrashList>>,
     /// Newest era that a response of the store named; `None` before the first.
     pub era: watch::Receiver<Option<StoreEra>>,
     /// Decodes and validates a configuration. The error lists every finding with its place in the text.
@@ -133,14 +161,14 @@
 
 /// Exponential backoff with jitter, doubled after each failure up to [`MAX_BACKOFF`].
 #[derive(Debug)]
-struct RetryBackoff(time::Duration);
+pub(crate) struct RetryBackoff(time::Duration);
 
 impl RetryBackoff {
-    fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self(MIN_BACKOFF)
     }
 
-    async fn wait(&mut self) {
+    pub(crate) async fn wait(&mut self) {
         let share = rand::rng().random_range(0.5..1.0);
         tokio::time::sleep(self.0.mul_f64(share)).await;
         self.0 = (self.0 * 2).min(MAX_BACKOFF);
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -39,6 +39,7 @@
         },
         quota_bounds: None,
         revoke_limit: None,
+        quarantine: damasktrack_quarantine::quarantine_table::QuarantinePolicy::default(),
         process_limits: ProcessLimits {
             memory_mb: None,
             max_fds: None,
--- a/crates/node/src/entry/entry_response.rs
+++ b/crates/node/src/entry/entry_response.rs
@@ -251,6 +251,7 @@
         | call_outcome::RefusalReason::StoreUnavailable
         | call_outcome::RefusalReason::AllowanceSpent
         | call_outcome::RefusalReason::TooDeep
-        | call_outcome::RefusalReason::RateReached => 503,
+        | call_outcome::RefusalReason::RateReached
+        | call_outcome::RefusalReason::Quarantined => 503,
     }
 }
