Try quarantined requests again, and save the end of a server at once

Callers would see: a request that was in flight at three ends which another one caused is refused for as long as it keeps coming, since no server can complete it, also after the servers have been mended.

Cause: the quarantine had no way out but an hour without the request.

Change: one daemon of the calling service, chosen by rendezvous hashing, sends it to one server once more, 30 s after its last end, then after 10 minutes, then after each hold. The trial is recorded like an end before it is sent, at all daemons and in the store, so that a daemon that is killed meanwhile doesn't repeat it. If a server completes it, the request is released everywhere. Rows of ends are written at once and corrected 2 s later, in place of 300 ms later.

--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -57,6 +57,15 @@
     MayHaveRun,
 }
 
+/// Whether a call may reach the backend server although its request is quarantined.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunKind {
+    /// It may not.
+    Usual,
+    /// It is the trial of a quarantined request.
+    Trial,
+}
+
 /// Records the end of a call when it is dropped, which includes cancellation by the caller.
 struct WorkGuard {
     node: rc::Rc<node_context::NodeContext>,
@@ -106,6 +115,7 @@
     node: &rc::Rc<node_context::NodeContext>,
     head: &peer_call::CallHead,
     request: CallRequest,
+    kind: RunKind,
 ) -> CallResult {
     let arrived = time::Instant::now();
     let deadline = arrived + head.left;
@@ -113,7 +123,8 @@
     let refuse = |reason| refuse(node, head, attempt_id.as_ref(), arrived, reason);
     let identity =
         crash_watch::CallIdentity::of_call(head, &request.method, &request.uri, &request.headers, &request.body);
-    let is_quarantined = || node.quarantine.decide(&identity) != quarantine_state::QuarantineDecision::Admit;
+    let is_quarantined =
+        || kind == RunKind::Usual && node.quarantine.decide(&identity) != quarantine_state::QuarantineDecision::Admit;
     if is_quarantined() {
         return refuse(call_outcome::RefusalReason::Quarantined);
     }
--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -1,5 +1,6 @@
 //! Entry side of a caller's request: route, attempts, and the response to the caller.
 
+use std::cell;
 use std::rc;
 use std::time;
 
@@ -10,6 +11,7 @@
 use damasktrack_pipeline::request_fault;
 use damasktrack_pipeline::request_order;
 use damasktrack_pipeline::server_connection;
+use damasktrack_quarantine::quarantine_table;
 use damasktrack_routing::round_policy;
 use damasktrack_routing::route_candidate;
 use hyper::header;
@@ -27,6 +29,7 @@
 use crate::node_context;
 use crate::peer_call;
 use crate::quarantine_state;
+use crate::quarantine_tasks;
 use crate::quota_gate;
 use crate::request_end;
 use crate::route_config;
@@ -71,6 +74,18 @@
     arrived: time::Instant,
     /// Latest time of the response to the caller.
     deadline: time::Instant,
+    /// Whether the request is quarantined and sent once all the same.
+    is_trial: cell::Cell<bool>,
+}
+
+impl EntryRequest {
+    fn run_kind(&self) -> callee_call::RunKind {
+        if self.is_trial.get() {
+            callee_call::RunKind::Trial
+        } else {
+            callee_call::RunKind::Usual
+        }
+    }
 }
 
 /// Counts a request as in flight until it is dropped.
@@ -176,6 +191,7 @@
                 request: call,
                 arrived,
                 deadline,
+                is_trial: cell::Cell::new(false),
             };
             (class, admit_until_stop(&node, &entry).await)
         }
@@ -211,6 +227,7 @@
         &names.not_executed,
         &names.response_seal,
         &peer_call::CALL_HEADER,
+        &peer_call::TRIAL_HEADER,
         &header::EXPECT,
     ];
     message_body::strip_headers(&mut headers, &others);
@@ -239,8 +256,13 @@
     if node.stop.is_late(time::Instant::now()) {
         return Err(local_reply::LocalReply::NotRun(call_outcome::RefusalReason::Leaving));
     }
-    if let Some(refusal) = quarantine_refusal(node, entry) {
-        return Err(refusal);
+    if let quarantine_state::QuarantineDecision::Refuse { digest, trial } = decide_quarantine(node, entry) {
+        let is_due = trial == quarantine_table::TrialDecision::Due;
+        if !is_due || !node.core.ask(|core, _now| core.tries_request(digest)) {
+            return Err(quarantine_refusal(node, entry));
+        }
+        quarantine_tasks::record_trial(node, digest);
+        entry.is_trial.set(true);
     }
     tokio::select! {
         biased;
@@ -310,14 +332,14 @@
     let mut tried: Vec<route_candidate::ServerKey> = Vec::new();
     let mut last = local_reply::LocalReply::NotRun(call_outcome::RefusalReason::NoCandidate);
     while tried.len() < MAX_DAEMONS {
+        let may_have_run = last == local_reply::LocalReply::MayHaveRun;
+        // It may have ended servers since the last attempt. A trial lasts until a server has got the request.
         if !tried.is_empty()
-            && let Some(refusal) = quarantine_refusal(node, entry)
+            && (may_have_run || !entry.is_trial.get())
+            && decide_quarantine(node, entry) != quarantine_state::QuarantineDecision::Admit
         {
-            return Err(if last == local_reply::LocalReply::MayHaveRun {
-                last
-            } else {
-                refusal
-            });
+            let refusal = quarantine_refusal(node, entry);
+            return Err(if may_have_run { last } else { refusal });
         }
         let choice = node
             .core
@@ -328,7 +350,7 @@
             forward_core::AttemptChoice::Local { server, call } => {
                 let guard = AttemptGuard::new(node, call);
                 let head = call_head(node, entry, None);
-                let work = callee_call::run(node, &head, entry.request.clone());
+                let work = callee_call::run(node, &head, entry.request.clone(), entry.run_kind());
                 let awaited = tokio::time::timeout_at(entry.deadline.into(), work).await;
                 (server, None, finish_attempt(awaited, guard))
             }
@@ -391,23 +413,23 @@
     Err(last)
 }
 
-/// Returns the refusal of a request that ended the servers that ran it; `None` for any other one.
-fn quarantine_refusal(node: &node_context::NodeContext, entry: &EntryRequest) -> Option<local_reply::LocalReply> {
-    let identity = crash_watch::CallIdentity::new(
-        &node.settings.service,
-        entry.tenant.as_ref().map(|tenant| &tenant.name),
-        &entry.request.method,
-        &entry.request.uri,
-        &entry.request.headers,
-        &entry.request.body,
-    );
-    match node.quarantine.decide(&identity) {
-        quarantine_state::QuarantineDecision::Admit => None,
-        quarantine_state::QuarantineDecision::Refuse { .. } => {
-            node.metrics.count_quarantine_refusal(&entry.rule.name);
-            Some(not_run_reply(node, call_outcome::RefusalReason::Quarantined))
-        }
-    }
+/// Decides whether a request ended too many servers.
+fn decide_quarantine(node: &node_context::NodeContext, entry: &EntryRequest) -> quarantine_state::QuarantineDecision {
+    node.quarantine.decide_with(|| {
+        crash_watch::CallIdentity::new(
+            &node.settings.service,
+            entry.tenant.as_ref().map(|tenant| &tenant.name),
+            &entry.request.method,
+            &entry.request.uri,
+            &entry.request.headers,
+            &entry.request.body,
+        )
+    })
+}
+
+fn quarantine_refusal(node: &node_context::NodeContext, entry: &EntryRequest) -> local_reply::LocalReply {
+    node.metrics.count_quarantine_refusal(&entry.rule.name);
+    not_run_reply(node, call_outcome::RefusalReason::Quarantined)
 }
 
 fn not_run_reply(node: &node_context::NodeContext, reason: call_outcome::RefusalReason) -> local_reply::LocalReply {
@@ -527,6 +549,9 @@
     };
     let mut headers = entry.request.headers.clone();
     headers.insert(peer_call::CALL_HEADER, value);
+    if entry.is_trial.get() {
+        headers.insert(peer_call::TRIAL_HEADER, header::HeaderValue::from_static("1"));
+    }
     let request = callee_call::request_of(
         entry.request.method.clone(),
         entry.request.uri.clone(),
--- a/crates/forward/src/forward_core/core_queries.rs
+++ b/crates/forward/src/forward_core/core_queries.rs
@@ -7,6 +7,7 @@
 use damasktrack_admission::gate_report;
 use damasktrack_entity::ids;
 use damasktrack_membership::gossip_context;
+use damasktrack_quarantine::request_digest;
 
 use super::ForwardCore;
 use super::LifePhase;
@@ -41,6 +42,19 @@
         others.map(|record| record.address).collect()
     }
 
+    /// Returns whether this daemon is the one of its service that tries a quarantined request, by rendezvous hashing over
+    /// the daemons that are not known to be down.
+    #[must_use]
+    pub fn tries_request(&self, digest: request_digest::RequestDigest) -> bool {
+        let weight = |daemon: &ids::DaemonId| request_digest::daemon_weight(digest, daemon);
+        let own = weight(&self.settings.daemon_id);
+        let mut members = self.gossip.table().iter().map(|(_key, entry)| &entry.record);
+        members.all(|record| {
+            let is_peer = record.service == self.settings.service && record.state.is_live();
+            !is_peer || record.daemon_id == self.settings.daemon_id || weight(&record.daemon_id) < own
+        })
+    }
+
     /// Returns the lifecycle phase.
     #[must_use]
     pub fn phase(&self) -> LifePhase {
--- a/crates/forward/src/peer_call.rs
+++ b/crates/forward/src/peer_call.rs
@@ -22,6 +22,10 @@
 /// they know and treat the request as one that may have run.
 pub const LOAD_HEADER: header::HeaderName = header::HeaderName::from_static("damasktrack-peer-load");
 
+/// Header of a forwarded request that is the trial of a quarantined request. The entry daemon removes it from callers'
+/// requests. It is not a field of [`CallHead`], which earlier builds reject with a further field.
+pub const TRIAL_HEADER: header::HeaderName = header::HeaderName::from_static("damasktrack-peer-trial");
+
 /// Metadata of a call from the entry daemon to the callee daemon.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/crates/forward/src/peer_server.rs
+++ b/crates/forward/src/peer_server.rs
@@ -96,14 +96,19 @@
     body: chunk_list::ChunkedBody,
 ) -> http_server::ServerResponse {
     let mut headers = parts.headers;
-    message_body::strip_headers(&mut headers, &[&peer_call::CALL_HEADER]);
+    let kind = if headers.contains_key(peer_call::TRIAL_HEADER) {
+        callee_call::RunKind::Trial
+    } else {
+        callee_call::RunKind::Usual
+    };
+    message_body::strip_headers(&mut headers, &[&peer_call::CALL_HEADER, &peer_call::TRIAL_HEADER]);
     let request = callee_call::CallRequest {
         method: parts.method,
         uri: parts.uri,
         headers,
         body,
     };
-    call_response(node, Some(head), callee_call::run(node, head, request).await)
+    call_response(node, Some(head), callee_call::run(node, head, request, kind).await)
 }
 
 /// Returns the response to a call of an entry daemon. Without the `head` of the call, it reports no load.
--- a/crates/forward/src/quarantine_state.rs
+++ b/crates/forward/src/quarantine_state.rs
@@ -28,12 +28,12 @@
 pub enum QuarantineDecision {
     /// It may.
     Admit,
-    /// It ended so many servers, and no server completed it since.
+    /// It ended several servers, and no server completed it since.
     Refuse {
         /// The request.
         digest: request_digest::RequestDigest,
-        /// Ends of servers with the request in flight.
-        crashes: usize,
+        /// Whether one daemon may send it once more.
+        trial: quarantine_table::TrialDecision,
     },
 }
 
@@ -61,18 +61,25 @@
 
     /// Decides on a request that is to be sent to a server. A refusal prolongs the quarantine.
     pub fn decide(&self, identity: &crash_watch::CallIdentity) -> QuarantineDecision {
+        self.decide_with(|| identity.clone())
+    }
+
+    /// As [`Self::decide`]; `identity` is called only if some request is suspected.
+    pub fn decide_with(&self, identity: impl FnOnce() -> crash_watch::CallIdentity) -> QuarantineDecision {
         let mut table = self.table.borrow_mut();
         if table.is_sound() {
             return QuarantineDecision::Admit;
         }
-        let digest = identity.digest();
-        let quarantine_table::RequestVerdict::Quarantined(crashes) = table.verdict(digest) else {
+        let digest = identity().digest();
+        let quarantine_table::RequestVerdict::Quarantined(_crashes) = table.verdict(digest) else {
             return QuarantineDecision::Admit;
         };
-        let prolonged = table.note_refused(digest, stall_watch::boot_time());
+        let now = stall_watch::boot_time();
+        let prolonged = table.note_refused(digest, now);
+        let trial = table.trial(digest, now);
         drop(table);
         self.announce(prolonged, NewsUrgency::Deferred);
-        QuarantineDecision::Refuse { digest, crashes }
+        QuarantineDecision::Refuse { digest, trial }
     }
 
     /// Records that the backend server completed a request.
@@ -101,6 +108,14 @@
         self.apply(effect, NewsUrgency::Prompt, "crash");
     }
 
+    /// Records that a quarantined request is sent once more.
+    pub fn record_trial(&self, id: crash_report::CrashId, digest: request_digest::RequestDigest) {
+        let now = stall_watch::boot_time();
+        let effect = self.table.borrow_mut().record_trial(id, digest, now);
+        log::info!(request = format!("{digest:016x}"); "quarantined request is tried once");
+        self.apply(effect, NewsUrgency::Prompt, "trial");
+    }
+
     /// Merges crashes that another daemon or the store reported.
     pub fn merge(&self, report: &[crash_report::CrashRecord], source: &str) {
         let effect = self.table.borrow_mut().merge(report, stall_watch::boot_time());
--- a/crates/forward/src/quarantine_tasks.rs
+++ b/crates/forward/src/quarantine_tasks.rs
@@ -38,8 +38,8 @@
 /// Interval at which a starting daemon looks for other daemons, and how often.
 const START_POLL: time::Duration = time::Duration::from_millis(200);
 const START_POLLS: usize = 50;
-/// Time between a crash and its row in the store. Requests that are completed meanwhile are left out.
-const SAVE_DELAY: time::Duration = time::Duration::from_millis(300);
+/// Time after which the row of a crash is corrected. Most requests that had nothing to do with it are completed by then.
+const CORRECTION_DELAY: time::Duration = time::Duration::from_secs(2);
 /// Age from which a row in the store is ignored and removed.
 const ROW_LIFETIME: time::Duration = time::Duration::from_hours(24);
 /// Largest share of the hold that has passed for a crash from the store. Refusals may have prolonged its quarantine.
@@ -54,6 +54,17 @@
 ) {
     let id = rand::rng().random();
     node.quarantine.record_crash(id, suspects);
+    save(node, id);
+}
+
+/// Records that a quarantined request is sent once more, here and in the store.
+pub fn record_trial(node: &node_context::NodeContext, digest: damasktrack_quarantine::request_digest::RequestDigest) {
+    let id = rand::rng().random();
+    node.quarantine.record_trial(id, digest);
+    save(node, id);
+}
+
+fn save(node: &node_context::NodeContext, id: crash_report::CrashId) {
     // Nothing reads the queue in tests of single parts.
     let _closed = node.crash_rows.send(id);
 }
@@ -180,24 +191,49 @@
     load.abort();
 }
 
+/// Writes the row of a crash, and once more if its requests have become fewer.
 async fn save_row(
     node: rc::Rc<node_context::NodeContext>,
     port: rc::Rc<store_port::StorePort>,
     id: crash_report::CrashId,
 ) {
+    let Some(saved) = write_row(&node, &port, id).await else {
+        return;
+    };
+    tokio::time::sleep(CORRECTION_DELAY).await;
+    match node.quarantine.crash(id) {
+        Some(record) if record.suspects.len() == saved => {}
+        Some(record) if !record.suspects.is_empty() => {
+            write_row(&node, &port, id).await;
+        }
+        _ => {
+            if let Err(failure) = (port.remove_crash)(id).await {
+                log::info!(failure:% = failure; "row of a crash without requests not removed");
+            }
+        }
+    }
+}
+
+/// Returns the number of requests in the row; `None` if there is nothing to write any more.
+async fn write_row(
+    node: &node_context::NodeContext,
+    port: &store_port::StorePort,
+    id: crash_report::CrashId,
+) -> Option<usize> {
     let mut backoff = store_port::RetryBackoff::new();
-    tokio::time::sleep(SAVE_DELAY).await;
-    // Ends when the crash has expired or all its requests have been completed.
-    while let Some(record) = node.quarantine.crash(id).filter(|crash| !crash.suspects.is_empty()) {
+    loop {
+        let record = node.quarantine.crash(id).filter(|crash| !crash.suspects.is_empty())?;
+        let requests = record.suspects.len();
         let row = store_port::CrashRow {
             id,
+            kind: record.kind,
             at: time::SystemTime::now()
                 .checked_sub(record.age)
                 .unwrap_or(time::UNIX_EPOCH),
             suspects: record.suspects,
         };
         match (port.write_crash)(row).await {
-            Ok(()) => return,
+            Ok(()) => return Some(requests),
             Err(failure) => log::warn!(failure:% = failure; "crash not saved"),
         }
         backoff.wait().await;
@@ -225,7 +261,9 @@
         .iter()
         .map(|row| crash_report::CrashRecord {
             id: row.id,
-            age: age(row).min(hold.mul_f64(MAX_ROW_AGE_SHARE)),
+            kind: row.kind,
+            age: age(row),
+            idle: age(row).min(hold.mul_f64(MAX_ROW_AGE_SHARE)),
             suspects: row.suspects.clone(),
         })
         .collect();
--- a/crates/forward/src/store_port.rs
+++ b/crates/forward/src/store_port.rs
@@ -99,6 +99,8 @@
 pub struct CrashRow {
     /// Key of the row.
     pub id: crash_report::CrashId,
+    /// What the row stands for.
+    pub kind: crash_report::RecordKind,
     /// Time of day of the end.
     pub at: time::SystemTime,
     /// Requests in flight, at most [`crash_report::MAX_SUSPECTS`].
--- a/crates/quarantine/src/crash_report.rs
+++ b/crates/quarantine/src/crash_report.rs
@@ -12,14 +12,29 @@
 /// Most crashes that a daemon keeps.
 pub const MAX_CRASHES: usize = 512;
 
-/// End of a server while requests were in flight there.
+/// What a record stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub enum RecordKind {
+    /// A server ended.
+    Crash,
+    /// A quarantined request is sent once more. The record is made before that and counts as a crash until the request
+    /// completes, so that a daemon which is killed meanwhile doesn't send it again.
+    Trial,
+}
+
+/// End of a server while requests were in flight there, or trial of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct CrashRecord {
     /// Identifies the crash.
     pub id: CrashId,
-    /// Time since the crash, or since one of its requests was last refused.
+    /// What the record stands for.
+    pub kind: RecordKind,
+    /// Time since the crash.
     pub age: time::Duration,
+    /// Time since the crash, or since one of its requests was last refused.
+    pub idle: time::Duration,
     /// Requests in flight that no server has completed since, in ascending order, each once; at most [`MAX_SUSPECTS`].
     /// The list only shrinks.
     pub suspects: Vec<request_digest::RequestDigest>,
--- a/crates/quarantine/src/quarantine_table.rs
+++ b/crates/quarantine/src/quarantine_table.rs
@@ -16,6 +16,10 @@
 /// Time on a clock that includes suspensions.
 pub type TableTime = time::Duration;
 
+/// Time from the last crash of a quarantined request to its first trial.
+const FIRST_TRIAL_DELAY: time::Duration = time::Duration::from_secs(30);
+/// Time from the first trial to the second. Later ones are due after the hold.
+const SECOND_TRIAL_DELAY: time::Duration = time::Duration::from_mins(10);
 /// Share of the hold by which a crash must have become younger to be spread again.
 const REFRESH_SHARE: f64 = 0.125;
 
@@ -48,6 +52,15 @@
     Quarantined(usize),
 }
 
+/// Whether a quarantined request may be sent to one server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TrialDecision {
+    /// Not yet.
+    Wait,
+    /// One daemon may send it once.
+    Due,
+}
+
 /// Effect of a merge.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct MergeEffect {
@@ -59,6 +72,8 @@
 
 #[derive(Clone, Debug)]
 struct CrashEntry {
+    kind: crash_report::RecordKind,
+    at: TableTime,
     /// Time of the crash, or of the last refusal of one of its suspects.
     refreshed: TableTime,
     /// In ascending order, each once.
@@ -97,12 +112,17 @@
         suspects: impl IntoIterator<Item = request_digest::RequestDigest>,
         now: TableTime,
     ) -> MergeEffect {
-        let record = crash_report::CrashRecord {
-            id,
-            age: time::Duration::ZERO,
-            suspects: suspects.into_iter().collect(),
-        };
-        self.merge(&[record], now)
+        self.record(id, crash_report::RecordKind::Crash, suspects.into_iter().collect(), now)
+    }
+
+    /// Records that a quarantined request is sent once more.
+    pub fn record_trial(
+        &mut self,
+        id: crash_report::CrashId,
+        digest: request_digest::RequestDigest,
+        now: TableTime,
+    ) -> MergeEffect {
+        self.record(id, crash_report::RecordKind::Trial, vec![digest], now)
     }
 
     /// Records that a server completed a request. Returns the changed crashes, for the other daemons.
@@ -142,7 +162,7 @@
     pub fn merge(&mut self, report: &[crash_report::CrashRecord], now: TableTime) -> MergeEffect {
         let mut effect = MergeEffect::default();
         let hold = self.policy.hold;
-        for crash in report.iter().filter(|crash| crash.age < hold) {
+        for crash in report.iter().filter(|crash| crash.idle < hold) {
             let changed = if self.crashes.contains_key(&crash.id) {
                 self.merge_known(crash, now)
             } else {
@@ -174,6 +194,23 @@
         }
     }
 
+    fn record(
+        &mut self,
+        id: crash_report::CrashId,
+        kind: crash_report::RecordKind,
+        suspects: Vec<request_digest::RequestDigest>,
+        now: TableTime,
+    ) -> MergeEffect {
+        let record = crash_report::CrashRecord {
+            id,
+            kind,
+            age: time::Duration::ZERO,
+            idle: time::Duration::ZERO,
+            suspects,
+        };
+        self.merge(&[record], now)
+    }
+
     fn add(
         &mut self,
         crash: &crash_report::CrashRecord,
@@ -191,8 +228,13 @@
                 quarantined.push((*digest, *count));
             }
         }
-        let refreshed = now.saturating_sub(crash.age);
-        self.crashes.insert(crash.id, CrashEntry { refreshed, suspects });
+        let entry = CrashEntry {
+            kind: crash.kind,
+            at: now.saturating_sub(crash.age),
+            refreshed: now.saturating_sub(crash.idle),
+            suspects,
+        };
+        self.crashes.insert(crash.id, entry);
     }
 
     /// Merges a crash that the table has. Returns whether it changed.
@@ -200,7 +242,7 @@
         let Some(entry) = self.crashes.get_mut(&crash.id) else {
             return false;
         };
-        let refreshed = now.saturating_sub(crash.age);
+        let refreshed = now.saturating_sub(crash.idle);
         // Half a step, since the transfer makes a crash look younger.
         let step = self.policy.hold.mul_f64(REFRESH_SHARE / 2.0);
         let prolonged = refreshed.saturating_sub(entry.refreshed) >= step;
@@ -246,6 +288,30 @@
         }
     }
 
+    /// Returns whether a trial of a quarantined request is due. A request may have been in flight at several crashes that
+    /// another one caused, and while it is refused, no server can complete it.
+    #[must_use]
+    pub fn trial(&self, digest: request_digest::RequestDigest, now: TableTime) -> TrialDecision {
+        let entries = self.crashes.values();
+        let entries = entries.filter(|entry| entry.suspects.binary_search(&digest).is_ok());
+        let mut trials = 0;
+        let mut newest = TableTime::ZERO;
+        for entry in entries {
+            trials += u32::from(entry.kind == crash_report::RecordKind::Trial);
+            newest = newest.max(entry.at);
+        }
+        let delay = match trials {
+            0 => FIRST_TRIAL_DELAY,
+            1 => SECOND_TRIAL_DELAY,
+            _ => self.policy.hold,
+        };
+        if now.saturating_sub(newest) >= delay.min(self.policy.hold) {
+            TrialDecision::Due
+        } else {
+            TrialDecision::Wait
+        }
+    }
+
     /// Returns whether no request is suspected.
     #[must_use]
     pub fn is_sound(&self) -> bool {
@@ -315,7 +381,9 @@
 fn record_of(id: crash_report::CrashId, entry: &CrashEntry, now: TableTime) -> crash_report::CrashRecord {
     crash_report::CrashRecord {
         id,
-        age: now.saturating_sub(entry.refreshed),
+        kind: entry.kind,
+        age: now.saturating_sub(entry.at),
+        idle: now.saturating_sub(entry.refreshed),
         suspects: entry.suspects.clone(),
     }
 }
--- a/crates/quarantine/src/request_digest.rs
+++ b/crates/quarantine/src/request_digest.rs
@@ -46,3 +46,9 @@
         hasher.digest()
     }
 }
+
+/// Returns the weight of a daemon for a request in rendezvous hashing.
+#[must_use]
+pub fn daemon_weight(digest: RequestDigest, daemon: &ids::DaemonId) -> u64 {
+    xxh3::xxh3_64_with_seed(daemon, digest)
+}
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use damasktrack_quarantine::crash_report::{self, CrashRecord};
-use damasktrack_quarantine::quarantine_table::{QuarantinePolicy, QuarantineTable, RequestVerdict};
+use damasktrack_quarantine::crash_report::{self, CrashRecord, RecordKind};
+use damasktrack_quarantine::quarantine_table::{QuarantinePolicy, QuarantineTable, RequestVerdict, TrialDecision};
 use damasktrack_quarantine::request_digest::RequestIdentity;
 
 const HOLD: Duration = Duration::from_secs(80);
@@ -57,7 +57,9 @@
     let mut table = QuarantineTable::new(POLICY);
     let record = |suspects: &[u64]| CrashRecord {
         id: 5,
+        kind: RecordKind::Crash,
         age: Duration::ZERO,
+        idle: Duration::ZERO,
         suspects: suspects.to_vec(),
     };
     assert_eq!(table.merge(&[record(&[7, 7, 9])], at(0)).news.len(), 1);
@@ -107,7 +109,9 @@
             .merge(
                 &[CrashRecord {
                     id: 1,
+                    kind: RecordKind::Crash,
                     age: huge,
+                    idle: huge,
                     suspects: vec![1]
                 }],
                 at(1)
@@ -181,3 +185,31 @@
     }
     assert_ne!(digest(&identity, &["body2"]), known);
 }
+
+/// Guards against trials that follow each other closely, and against a restart of the daemon that forgets one.
+#[test]
+fn trials_become_rarer() {
+    const LONG_HOLD: QuarantinePolicy = QuarantinePolicy {
+        crashes: 3,
+        hold: Duration::from_hours(1),
+    };
+    let mut table = QuarantineTable::new(LONG_HOLD);
+    for id in 1..=3 {
+        table.record_crash(id, [7], at(id));
+    }
+    let mut due = Vec::new();
+    for second in 4..9_000 {
+        table.note_refused(7, at(second));
+        if table.trial(7, at(second)) == TrialDecision::Due {
+            due.push(second);
+            table.record_trial(second, 7, at(second));
+            let mut restarted = QuarantineTable::new(LONG_HOLD);
+            restarted.merge(&table.report(at(second)), at(second));
+            table = restarted;
+        }
+    }
+    assert_eq!(due, [33, 633, 4_233, 7_833]);
+    assert_eq!(table.verdict(7), RequestVerdict::Quarantined(7));
+    table.note_completed(7, at(9_001));
+    assert!(table.is_sound());
+}
--- a/crates/standins/src/platform_backend.rs
+++ b/crates/standins/src/platform_backend.rs
@@ -174,7 +174,7 @@
     read_pause_ms: atomic::AtomicU64,
     crash_rules: sync::Mutex<Vec<CrashRule>>,
     /// Open connections of the current start.
-    streams: sync::Mutex<Vec<net::TcpStream>>,
+    streams: sync::Mutex<Vec<sync::Weak<net::TcpStream>>>,
     /// Number of ends by a [`CrashRule`].
     crashes: atomic::AtomicU64,
     /// Time between the last end and the next start, in milliseconds; 0 while the server runs.
@@ -246,10 +246,11 @@
                 if self.is_down() {
                     break;
                 }
-                if let Ok(stream) = stream.try_clone() {
-                    let mut streams = self.log.streams.lock().unwrap_or_else(sync::PoisonError::into_inner);
-                    streams.push(stream);
-                }
+                let stream = sync::Arc::new(stream);
+                let mut streams = self.log.streams.lock().unwrap_or_else(sync::PoisonError::into_inner);
+                streams.retain(|stream| stream.strong_count() > 0);
+                streams.push(sync::Arc::downgrade(&stream));
+                drop(streams);
                 let server = self.clone();
                 thread::spawn(move || server.serve(&stream));
             }
@@ -284,7 +285,7 @@
 
     fn close_streams(&self) {
         let streams = std::mem::take(&mut *self.log.streams.lock().unwrap_or_else(sync::PoisonError::into_inner));
-        for stream in streams {
+        for stream in streams.iter().filter_map(sync::Weak::upgrade) {
             // An error means that the connection has already ended.
             let _closed = stream.shutdown(net::Shutdown::Both);
         }
