Notice the end of a server while its daemon is suspended

Cause: the end of a server is noticed by a refused connection. A daemon that was suspended until its server was back finds only broken connections.

Change: if all connections broke while calls were in flight, and the address accepts new ones, the calls are kept for 10 s; the heartbeat of a later start shows that the server had ended.

--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -224,7 +224,7 @@
         NON_REPEATABLE_MAX_IDLE
     };
     // It keeps the body, since the connection may still have to send the last chunks when hyper has dropped it.
-    let ticket = crash_watch::begin(node, identity);
+    let ticket = crash_watch::begin(node, identity, permit.started_ms);
     let exchange = async {
         let (response, lease) = node.server.send(outgoing, max_idle).await?;
         let checked = check_response(node, response.headers(), response.status(), attempt_id.as_ref());
--- a/crates/forward/src/crash_watch.rs
+++ b/crates/forward/src/crash_watch.rs
@@ -13,6 +13,7 @@
 use hyper::header;
 use tokio::task;
 
+use crate::forward_core;
 use crate::http_link;
 use crate::node_context;
 use crate::peer_call;
@@ -27,6 +28,9 @@
 ];
 /// Time after which a call that ended without a response is no longer related to the end of the server.
 const LOST_CALL_LIFETIME: time::Duration = time::Duration::from_secs(1);
+/// As [`LOST_CALL_LIFETIME`], for calls whose connections all broke while the server's address accepts new ones. A server
+/// that has started again says so with its next heartbeat.
+const UNEXPLAINED_LIFETIME: time::Duration = time::Duration::from_secs(10);
 
 /// A call's request, as far as its identity needs it.
 #[derive(Clone, Debug)]
@@ -92,6 +96,8 @@
 struct LostCall {
     digest: request_digest::RequestDigest,
     at: time::Instant,
+    /// Start of the server that got the call, in milliseconds since 1970.
+    started_ms: u64,
 }
 
 /// Calls that run at the backend server, and those that lately ended without a response.
@@ -101,6 +107,9 @@
     running: cell::RefCell<Vec<time::Instant>>,
     /// In the order of their ends.
     lost: cell::RefCell<Vec<LostCall>>,
+    /// Calls whose connections all broke, although the server's address accepts new ones. It may have ended and started
+    /// again while this process was suspended.
+    unexplained: cell::RefCell<Vec<LostCall>>,
     /// Whether a check runs.
     checking: cell::Cell<bool>,
 }
@@ -112,18 +121,20 @@
     node: rc::Rc<node_context::NodeContext>,
     identity: CallIdentity,
     sent: time::Instant,
+    started_ms: u64,
     finished: bool,
 }
 
-/// Begins to watch a call that is sent now.
+/// Begins to watch a call that is sent now to the server with this start, in milliseconds since 1970.
 #[must_use]
-pub fn begin(node: &rc::Rc<node_context::NodeContext>, identity: CallIdentity) -> CallTicket {
+pub fn begin(node: &rc::Rc<node_context::NodeContext>, identity: CallIdentity, started_ms: u64) -> CallTicket {
     let sent = time::Instant::now();
     node.crash_watch.running.borrow_mut().push(sent);
     CallTicket {
         node: rc::Rc::clone(node),
         identity,
         sent,
+        started_ms,
         finished: false,
     }
 }
@@ -161,7 +172,11 @@
             let digest = self.identity.digest();
             let mut lost = watch.lost.borrow_mut();
             lost.retain(|call| at.saturating_duration_since(call.at) < LOST_CALL_LIFETIME);
-            lost.push(LostCall { digest, at });
+            lost.push(LostCall {
+                digest,
+                at,
+                started_ms: self.started_ms,
+            });
         }
     }
 }
@@ -191,9 +206,42 @@
         }
     }
     node.crash_watch.checking.set(false);
-    if end == ServerEnd::Ended {
-        node.core.ask(crate::forward_core::ForwardCore::server_refused);
-        record_end(&node);
+    let now = time::Instant::now();
+    let mut lost = std::mem::take(&mut *node.crash_watch.lost.borrow_mut());
+    lost.retain(|call| now.saturating_duration_since(call.at) < LOST_CALL_LIFETIME);
+    // The exit of a server that announced it interrupts calls for no fault of theirs.
+    let planned = node.core.ask(|core, _now| core.server().serving().is_none());
+    match end {
+        ServerEnd::Ended => {
+            node.core.ask(forward_core::ForwardCore::server_refused);
+            record_end(&node, &lost, planned);
+        }
+        ServerEnd::Runs if !planned => {
+            node.crash_watch.unexplained.borrow_mut().extend(lost);
+            review(&node);
+        }
+        ServerEnd::Runs | ServerEnd::Unsettled => {}
+    }
+}
+
+/// Records the end of an earlier start of the server, if calls that it got have no other explanation. Due after
+/// heartbeats.
+pub fn review(node: &rc::Rc<node_context::NodeContext>) {
+    let mut unexplained = node.crash_watch.unexplained.borrow_mut();
+    if unexplained.is_empty() {
+        return;
+    }
+    let now = time::Instant::now();
+    unexplained.retain(|call| now.saturating_duration_since(call.at) < UNEXPLAINED_LIFETIME);
+    let report = |core: &mut forward_core::ForwardCore, _now| core.server().report().map(|report| report.started_ms);
+    let Some(started_ms) = node.core.ask(report) else {
+        return;
+    };
+    let (ended, others): (Vec<_>, Vec<_>) = unexplained.iter().partition(|call| call.started_ms < started_ms);
+    *unexplained = others;
+    drop(unexplained);
+    if !ended.is_empty() {
+        record_end(node, &ended, false);
     }
 }
 
@@ -208,22 +256,17 @@
     }
 }
 
-fn record_end(node: &rc::Rc<node_context::NodeContext>) {
-    let now = time::Instant::now();
-    let mut lost = std::mem::take(&mut *node.crash_watch.lost.borrow_mut());
-    lost.retain(|call| now.saturating_duration_since(call.at) < LOST_CALL_LIFETIME);
+fn record_end(node: &rc::Rc<node_context::NodeContext>, lost: &[LostCall], planned: bool) {
     let mut requests: Vec<_> = lost.iter().map(|call| call.digest).collect();
     requests.sort_unstable();
     requests.dedup();
-    // The exit of a server that announced it interrupts calls for no fault of theirs.
-    let planned = node.core.ask(|core, _now| core.server().serving().is_none());
     node.metrics.count_server_end(planned);
     let digests: Vec<_> = requests.iter().map(|digest| format!("{digest:016x}")).collect();
     log::warn!(
         planned = planned, calls = lost.len(), requests = digests.join(" ");
         "backend server ended with calls in flight"
     );
-    if !planned {
+    if !planned && !requests.is_empty() {
         quarantine_tasks::record_crash(node, requests);
     }
 }
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -16,6 +16,7 @@
 
 use crate::config_check;
 use crate::core_handle;
+use crate::crash_watch;
 use crate::entry_call;
 use crate::forward_core;
 use crate::forward_metrics;
@@ -273,6 +274,7 @@
             (logged, logged_at) = (given_up, Some(time::Instant::now()));
         }
         node.close_idle_links(time::Instant::now());
+        crash_watch::review(&node);
         let (counts, version, request_limit) = node.core.ask(|core, _now| {
             let version = core.config().map_or(0, |config| config.version);
             (core.gate_counts(), version, core.server().request_limit())
