Take no response without a final status, and no refusal without an id on a kept connection

Callers saw, in tests: a server's response with status 101 as the response to their request (MIXED), and 503, which promises that the request did not run, although the server ran it (REFUSED): a server wrote an earlier refusal, without the id of an attempt, once more on a kept connection.

Cause: hyper rejects the status 000 and others below 100, but passes on 101 and 600 to 999. A refusal needed no id of the attempt. The connection of a refusal isn't used again, but another server connection may carry the copy.

Change: a status outside of 200 to 599 is unusable. On a connection that served other requests, a refusal without the id is unusable, too.

Evidence: response_with_an_impossible_status_reaches_no_caller and repeated_refusal_is_taken_for_no_other_request failed before and pass. Responses that break off in their head are incomplete already: cut_responses.rs ends five kinds of response at each byte, and passes without a change.

--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -227,7 +227,7 @@
     let ticket = crash_watch::begin(node, identity, permit.started_ms);
     let exchange = async {
         let (response, lease) = node.server.send(outgoing, max_idle).await?;
-        let checked = check_response(node, response.headers(), response.status(), attempt_id.as_ref());
+        let checked = check_response(node, &response, attempt_id.as_ref(), lease.origin());
         if checked.is_ok() || checked == Err(ResponseFault::NotExecuted) {
             note_notices(node, permit, response.headers());
         }
@@ -396,15 +396,22 @@
 
 fn check_response(
     node: &node_context::NodeContext,
-    headers: &header::HeaderMap,
-    status: hyper::StatusCode,
+    response: &hyper::Response<hyper::body::Incoming>,
     attempt_id: Option<&header::HeaderValue>,
+    origin: http_link::LinkOrigin,
 ) -> Result<(), ResponseFault> {
-    let names = &node.settings.headers;
+    let (names, headers, status) = (&node.settings.headers, response.headers(), response.status());
     let echoed = headers.get(&names.attempt_id);
     if echoed.is_some() && echoed != attempt_id {
         return Err(ResponseFault::Unusable("response to another request"));
     }
+    // A server may write an earlier refusal once more, which then arrives in place of the response.
+    let is_refusal = status == hyper::StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&names.not_executed);
+    if is_refusal && echoed.is_none() && origin == http_link::LinkOrigin::Kept {
+        return Err(ResponseFault::Unusable(
+            "refusal without attempt id on a kept connection",
+        ));
+    }
     if status == hyper::StatusCode::MISDIRECTED_REQUEST {
         return Err(ResponseFault::OtherInstance);
     }
@@ -414,12 +421,20 @@
     if !headers.contains_key(&names.response_seal) || echoed.is_none() {
         return Err(ResponseFault::Unusable("response without signature or attempt id"));
     }
+    if !is_final(status) {
+        return Err(ResponseFault::Unusable("response without a final status of HTTP"));
+    }
     if headers.contains_key(header::CONTENT_ENCODING) {
         return Err(ResponseFault::Unusable("response with a content encoding"));
     }
     Ok(())
 }
 
+/// Returns whether a response with this status may end a request. Informational ones don't, and no others are defined.
+fn is_final(status: hyper::StatusCode) -> bool {
+    status.is_success() || status.is_redirection() || status.is_client_error() || status.is_server_error()
+}
+
 /// Builds the response to forward, without hop-by-hop headers. A complete body loses its `Content-Length` header, which
 /// hyper sets from the size of the body.
 pub fn forwarded_response(
--- a/crates/forward/src/http_link.rs
+++ b/crates/forward/src/http_link.rs
@@ -122,9 +122,25 @@
 pub struct LinkLease {
     link: OpenLink,
     pool: rc::Rc<LinkPool>,
+    origin: LinkOrigin,
+}
+
+/// What a connection served before a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkOrigin {
+    /// Nothing.
+    Opened,
+    /// Other requests. Bytes that belong to them may still arrive.
+    Kept,
 }
 
 impl LinkLease {
+    /// Returns what the connection served before.
+    #[must_use]
+    pub fn origin(&self) -> LinkOrigin {
+        self.origin
+    }
+
     /// Returns the connection to the pool, or closes it for a call that waits for one to another address. The caller
     /// must have read the response to its end.
     ///
@@ -180,7 +196,7 @@
                 }
                 link.meter.expect_head();
                 match link.sender.try_send_request(request).await {
-                    Ok(response) => return Ok((response, self.lease(link))),
+                    Ok(response) => return Ok((response, self.lease(link, LinkOrigin::Kept))),
                     Err(mut error) => match error.take_message() {
                         Some(unsent) => request = unsent,
                         None => return Err(LinkError::NoResponse(error.into_error().to_string())),
@@ -197,7 +213,7 @@
         let mut link = connected.map_err(|error| LinkError::NotSent(error.to_string()))?;
         link.meter.expect_head();
         match link.sender.try_send_request(request).await {
-            Ok(response) => Ok((response, self.lease(link))),
+            Ok(response) => Ok((response, self.lease(link, LinkOrigin::Opened))),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let text = error.into_error().to_string();
@@ -253,11 +269,12 @@
         None
     }
 
-    fn lease(self: &rc::Rc<Self>, link: OpenLink) -> LinkLease {
+    fn lease(self: &rc::Rc<Self>, link: OpenLink, origin: LinkOrigin) -> LinkLease {
         link.meter.finish_head();
         LinkLease {
             link,
             pool: rc::Rc::clone(self),
+            origin,
         }
     }
 
--- a/crates/standins/src/platform_backend.rs
+++ b/crates/standins/src/platform_backend.rs
@@ -114,6 +114,21 @@
     Endless(EndlessPart),
     /// Runs it and responds 200 with a body of this many bytes `#`.
     ServeLarge(usize),
+    /// Runs it and writes this text, in which `{id}` stands for the id of the attempt.
+    Write {
+        /// Bytes of the text that are written.
+        length: usize,
+        /// Text of the response.
+        text: &'static str,
+        /// Whether the connection is closed afterwards.
+        closes: bool,
+    },
+    /// Does not run it and responds as [`Self::Shed`], without the id of the attempt. Writes the same response once more
+    /// after this time.
+    ShedTwice(time::Duration),
+    /// Runs it and responds 200. Writes the response of [`Self::Shed`], without the id of an attempt, after this time on
+    /// the same connection.
+    ServeThenShed(time::Duration),
 }
 
 /// A request that the server accepted as addressed to its instance.
@@ -369,14 +384,14 @@
         {
             return write!(
                 writer,
-                "HTTP/1.1 421 -\r\n{NOT_EXECUTED}: 1\r\nContent-Length: 0\r\n\r\n"
+                "HTTP/1.1 421 -\r\n{ATTEMPT_ID}: {id}\r\n{NOT_EXECUTED}: 1\r\nContent-Length: 0\r\n\r\n"
             );
         }
         let mut arrivals = self.log.arrivals.lock().unwrap_or_else(sync::PoisonError::into_inner);
         let step = (self.script)(arrivals.len());
         arrivals.push(BackendArrival {
             id: id.clone(),
-            ran: step != BackendStep::Shed,
+            ran: !matches!(step, BackendStep::Shed | BackendStep::ShedTwice(_)),
             caller_service: request.header(CALLER_SERVICE).unwrap_or("").to_owned(),
             deadline_ms: request
                 .header(DEADLINE_MS)
@@ -411,12 +426,13 @@
             )
         };
         let closed = io::Error::other("connection closed by the script");
+        let refusal = format!("HTTP/1.1 503 -\r\n{NOT_EXECUTED}: 1\r\nContent-Length: 0\r\n\r\n");
         match step {
             BackendStep::Serve(_duration) => writer.write_all(full_response(&id).as_bytes()),
             BackendStep::Shed => {
                 write!(
                     writer,
-                    "HTTP/1.1 503 -\r\n{notices}{NOT_EXECUTED}: 1\r\nContent-Length: 0\r\n\r\n"
+                    "HTTP/1.1 503 -\r\n{notices}{ATTEMPT_ID}: {id}\r\n{NOT_EXECUTED}: 1\r\nContent-Length: 0\r\n\r\n"
                 )
             }
             BackendStep::LoseAnswer | BackendStep::Endless(_) => Err(closed),
@@ -455,6 +471,21 @@
                 )?;
                 writer.write_all(&vec![b'#'; length])
             }
+            BackendStep::Write { length, text, closes } => {
+                let text = text.replace("{id}", &id);
+                writer.write_all(&text.as_bytes()[..length.min(text.len())])?;
+                if closes { Err(closed) } else { Ok(()) }
+            }
+            BackendStep::ShedTwice(pause) => {
+                writer.write_all(refusal.as_bytes())?;
+                thread::sleep(pause);
+                writer.write_all(refusal.as_bytes())
+            }
+            BackendStep::ServeThenShed(pause) => {
+                writer.write_all(full_response(&id).as_bytes())?;
+                thread::sleep(pause);
+                writer.write_all(refusal.as_bytes())
+            }
             BackendStep::Fail => write!(
                 writer,
                 "HTTP/1.1 500 -\r\n{notices}{ATTEMPT_ID}: {id}\r\n{RESPONSE_SEAL}: seal\r\nContent-Length: 0\r\n\r\n"
