Save the departure of a start that precedes its first report as one of that start

Cause: a server ends, starts again and deregisters before its first heartbeat has arrived. The departure was kept by the daemon, but saved in its member row as one of the earlier start, of the newest report. After a restart of the daemon, the server was in use again.

Change: the departure that is saved is the latest one known.

--- a/crates/forward/src/server_report.rs
+++ b/crates/forward/src/server_report.rs
@@ -259,23 +259,26 @@
         ready.then_some(report)
     }
 
-    /// Returns the start that has announced its departure, by a draining report, a deregistration or a response: that
-    /// of the newest report, or the latest known one before the first report. `None` if the server has not.
+    /// Returns the latest start that has announced its departure, by a draining report, a deregistration or a response;
+    /// `None` if the start of the newest report serves and no later one has. A departure may precede the first report of
+    /// its start.
     #[must_use]
     pub fn departure(&self) -> Option<server_departure::ServerDeparture> {
+        let announced = self.departures.iter().filter_map(|departure| {
+            Some(server_departure::ServerDeparture {
+                started_ms: departure.started_ms?,
+                instance: departure.instance.clone(),
+            })
+        });
         let Some(report) = &self.report else {
-            let known = self.departures.iter().filter_map(|departure| {
-                Some(server_departure::ServerDeparture {
-                    started_ms: departure.started_ms?,
-                    instance: departure.instance.clone(),
-                })
-            });
-            return known.max();
+            return announced.max();
         };
-        self.serving().is_none().then(|| server_departure::ServerDeparture {
+        let reported = self.serving().is_none().then(|| server_departure::ServerDeparture {
             started_ms: report.started_ms,
             instance: report.instance.clone(),
-        })
+        });
+        let later = announced.filter(|departure| departure.started_ms > report.started_ms);
+        reported.into_iter().chain(later).max()
     }
 
     /// Returns whether the backend server is serving and didn't refuse the last connection.
--- a/crates/forward/tests/states.rs
+++ b/crates/forward/tests/states.rs
@@ -324,6 +324,24 @@
     assert_eq!(state.departure(), Some(departure("i-2", 20)));
 }
 
+/// Guards against a departure that is saved as one of an earlier start, since it arrives before the first report of its own.
+/// After a restart of the daemon, the server would be in use again.
+#[test]
+fn departure_before_the_first_report_of_its_start_is_that_of_its_start() {
+    let mut state = ServerState::default();
+    state.apply_report(report("i-1", 10, 1, ServerCondition::Ready));
+    state.apply_departure(&Bytes::from_static(b"i-1"), Some(11));
+    assert_eq!(state.departure(), Some(departure("i-1", 11)));
+    state.apply_report(report("i-1", 11, 1, ServerCondition::Ready));
+    assert!(state.serving().is_none());
+    let mut replaced = ServerState::default();
+    replaced.apply_report(report("i-1", 10, 1, ServerCondition::Ready));
+    replaced.apply_departure(&Bytes::from_static(b"i-2"), Some(20));
+    assert_eq!(replaced.departure(), Some(departure("i-2", 20)));
+    replaced.apply_report(report("i-3", 30, 1, ServerCondition::Ready));
+    assert_eq!(replaced.departure(), None);
+}
+
 /// Guards against a member record with an old departure that hides the limit of the present server.
 #[test]
 fn departure_of_an_earlier_start_replaces_no_hint() {
