--- a/crates/standins/src/platform_backend.rs
+++ b/crates/standins/src/platform_backend.rs
@@ -27,6 +27,8 @@
 const TARGET_INSTANCE: &str = "Damasktrack-Target-Instance";
 const CALLER_SERVICE: &str = "Damasktrack-Caller-Service";
 const NOT_EXECUTED: &str = "Damasktrack-Not-Executed";
+/// Start time that the messages of a server name before its first end.
+const FIRST_START_MS: u64 = 1_000;
 /// Bound on a heartbeat or deregistration, from connecting to the end of the response.
 const CONTROL_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
@@ -337,7 +339,7 @@
     pub fn send_heartbeat(&self, control: net::SocketAddr, state: &str, sequence: u64, slots: u32) -> Option<u16> {
         let body = json!({
             "Service": self.service, "Address": self.address.to_string(), "Zone": self.data_centre, "Version": "v1",
-            "Slots": slots, "State": state, "ColdLeft": "0ms", "Seq": sequence, "born": 1_000 + self.crashes(),
+            "Slots": slots, "State": state, "ColdLeft": "0ms", "Seq": sequence, "born": self.started_ms(),
         });
         let call = format!("instances.heartbeat&of={}", self.instance);
         call_control(control, &call, &body.to_string())
@@ -358,7 +360,9 @@
     /// Deregisters the server at the daemon, and returns the status of the response; `None` if there is none.
     #[must_use]
     pub fn deregister(&self, control: net::SocketAddr) -> Option<u16> {
-        call_control(control, &format!("instances.deregister&of={}", self.instance), "")
+        let body = json!({"born": self.started_ms()});
+        let call = format!("instances.deregister&of={}", self.instance);
+        call_control(control, &call, &body.to_string())
     }
 
     fn serve(&self, stream: &net::TcpStream) {
@@ -509,6 +513,11 @@
         self.log.crashes.load(atomic::Ordering::SeqCst)
     }
 
+    /// Returns the start time that the server's messages name, in milliseconds since 1970.
+    fn started_ms(&self) -> u64 {
+        FIRST_START_MS + self.crashes()
+    }
+
     /// Returns whether the server has ended and not started again.
     #[must_use]
     pub fn is_down(&self) -> bool {
