Suspect no request that a server completed lately

Cause: only a completion after an end cleared a request, and while it is refused, none can follow but the trial 30 s later.

Change: each daemon keeps the digests of the requests that its server completed in the last 10 to 20 s. They are no suspects of an end, here or elsewhere.

--- a/crates/forward/src/quarantine_state.rs
+++ b/crates/forward/src/quarantine_state.rs
@@ -3,6 +3,7 @@
 use std::cell;
 use std::time;
 
+use damasktrack_quarantine::completion_log;
 use damasktrack_quarantine::crash_report;
 use damasktrack_quarantine::quarantine_table;
 use damasktrack_quarantine::request_digest;
@@ -15,6 +16,8 @@
 #[derive(Debug)]
 pub struct QuarantineState {
     table: cell::RefCell<quarantine_table::QuarantineTable>,
+    /// Requests that the backend server completed lately.
+    completions: cell::RefCell<completion_log::CompletionLog>,
     /// Crashes to be pushed to other daemons.
     news: cell::RefCell<crash_report::CrashReport>,
     /// Wakes the task that pushes news.
@@ -53,6 +56,7 @@
     pub fn new(policy: quarantine_table::QuarantinePolicy) -> Self {
         Self {
             table: cell::RefCell::new(quarantine_table::QuarantineTable::new(policy)),
+            completions: cell::RefCell::default(),
             news: cell::RefCell::default(),
             wake: Notify::new(),
             changed: cell::Cell::new(None),
@@ -84,11 +88,12 @@
 
     /// Records that the backend server completed a request.
     pub fn note_completed(&self, identity: &crash_watch::CallIdentity) {
+        let (digest, now) = (identity.digest(), stall_watch::boot_time());
+        self.completions.borrow_mut().note(digest, now);
         let mut table = self.table.borrow_mut();
         if table.is_sound() {
             return;
         }
-        let digest = identity.digest();
         let urgency = match table.verdict(digest) {
             quarantine_table::RequestVerdict::Quarantined(crashes) => {
                 log::info!(request = format!("{digest:016x}"), crashes = crashes; "quarantined request completed; released");
@@ -96,14 +101,15 @@
             }
             _ => NewsUrgency::Deferred,
         };
-        let changed = table.note_completed(digest, stall_watch::boot_time());
+        let changed = table.note_completed(digest, now);
         drop(table);
         self.announce(changed, urgency);
     }
 
     /// Records the end of a server with these requests in flight.
-    pub fn record_crash(&self, id: crash_report::CrashId, suspects: Vec<request_digest::RequestDigest>) {
+    pub fn record_crash(&self, id: crash_report::CrashId, mut suspects: Vec<request_digest::RequestDigest>) {
         let now = stall_watch::boot_time();
+        suspects.retain(|digest| !self.completions.borrow_mut().contains(*digest, now));
         let effect = self.table.borrow_mut().record_crash(id, suspects, now);
         self.apply(effect, NewsUrgency::Prompt, "crash");
     }
@@ -118,7 +124,15 @@
 
     /// Merges crashes that another daemon or the store reported.
     pub fn merge(&self, report: &[crash_report::CrashRecord], source: &str) {
-        let effect = self.table.borrow_mut().merge(report, stall_watch::boot_time());
+        let now = stall_watch::boot_time();
+        let mut report = report.to_vec();
+        // What this daemon's server completed lately isn't the cause of an end elsewhere.
+        for crash in &mut report {
+            crash
+                .suspects
+                .retain(|digest| !self.completions.borrow_mut().contains(*digest, now));
+        }
+        let effect = self.table.borrow_mut().merge(&report, now);
         self.apply(effect, NewsUrgency::Prompt, source);
     }
 
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use damasktrack_quarantine::completion_log::CompletionLog;
 use damasktrack_quarantine::crash_report::{self, CrashRecord, RecordKind};
 use damasktrack_quarantine::quarantine_table::{QuarantinePolicy, QuarantineTable, RequestVerdict, TrialDecision};
 use damasktrack_quarantine::request_digest::RequestIdentity;
@@ -186,6 +187,23 @@
     assert_ne!(digest(&identity, &["body2"]), known);
 }
 
+/// Guards against completions that are forgotten at once or kept for good, and against memory without bound.
+#[test]
+fn completions_are_known_for_a_while() {
+    let mut log = CompletionLog::default();
+    log.note(7, at(0));
+    for second in 0..10 {
+        assert!(log.contains(7, at(second)), "after {second} s");
+        log.note(8, at(second));
+    }
+    assert!(log.contains(8, at(19)));
+    assert!(!log.contains(7, at(31)) && !log.contains(8, at(31)));
+    for digest in 0..100_000 {
+        log.note(digest, at(32));
+    }
+    assert!(log.contains(0, at(32)) && !log.contains(99_999, at(32)));
+}
+
 /// Guards against trials that follow each other closely, and against a restart of the daemon that forgets one.
 #[test]
 fn trials_become_rarer() {
