--- a/crates/standins/src/platform_backend.rs
+++ b/crates/standins/src/platform_backend.rs
@@ -391,10 +391,29 @@
                 "HTTP/1.1 421 -\r\n{ATTEMPT_ID}: {id}\r\n{NOT_EXECUTED}: 1\r\nContent-Length: 0\r\n\r\n"
             );
         }
+        let step = self.note_arrival(request, &id);
+        if let Some(rule) = self.crash_rule(request) {
+            thread::sleep(rule.delay);
+            self.crash(rule.downtime);
+            return Err(io::Error::other("server ended"));
+        }
+        let running = self.log.running.fetch_add(1, atomic::Ordering::SeqCst) + 1;
+        self.log.most_running.fetch_max(running, atomic::Ordering::SeqCst);
+        match step {
+            BackendStep::Serve(duration) => thread::sleep(duration),
+            BackendStep::Endless(part) => write_endlessly(writer, part, &id),
+            _ => {}
+        }
+        self.log.running.fetch_sub(1, atomic::Ordering::SeqCst);
+        self.write_response(step, &id, writer)
+    }
+
+    /// Records a request and returns what to do with it.
+    fn note_arrival(&self, request: &http_exchange::HttpRequest, id: &str) -> BackendStep {
         let mut arrivals = self.log.arrivals.lock().unwrap_or_else(sync::PoisonError::into_inner);
         let step = (self.script)(arrivals.len());
         arrivals.push(BackendArrival {
-            id: id.clone(),
+            id: id.to_owned(),
             ran: !matches!(step, BackendStep::Shed | BackendStep::ShedTwice(_)),
             caller_service: request.header(CALLER_SERVICE).unwrap_or("").to_owned(),
             deadline_ms: request
@@ -406,20 +425,11 @@
             body: request.body.clone(),
             at: time::Instant::now(),
         });
-        drop(arrivals);
-        if let Some(rule) = self.crash_rule(request) {
-            thread::sleep(rule.delay);
-            self.crash(rule.downtime);
-            return Err(io::Error::other("server ended"));
-        }
-        let running = self.log.running.fetch_add(1, atomic::Ordering::SeqCst) + 1;
-        self.log.most_running.fetch_max(running, atomic::Ordering::SeqCst);
-        match step {
-            BackendStep::Serve(duration) => thread::sleep(duration),
-            BackendStep::Endless(part) => write_endlessly(writer, part, &id),
-            _ => {}
-        }
-        self.log.running.fetch_sub(1, atomic::Ordering::SeqCst);
+        step
+    }
+
+    /// Writes the response that a step decides on; an error ends the connection.
+    fn write_response(&self, step: BackendStep, id: &str, writer: &mut impl Write) -> io::Result<()> {
         let body = format!("{} {id}", self.service);
         let notices = self.log.notices.lock();
         let notices = notices.unwrap_or_else(sync::PoisonError::into_inner).clone();
@@ -432,7 +442,7 @@
         let closed = io::Error::other("connection closed by the script");
         let refusal = format!("HTTP/1.1 503 -\r\n{NOT_EXECUTED}: 1\r\nContent-Length: 0\r\n\r\n");
         match step {
-            BackendStep::Serve(_duration) => writer.write_all(full_response(&id).as_bytes()),
+            BackendStep::Serve(_duration) => writer.write_all(full_response(id).as_bytes()),
             BackendStep::Shed => {
                 write!(
                     writer,
@@ -441,7 +451,7 @@
             }
             BackendStep::LoseAnswer | BackendStep::Endless(_) => Err(closed),
             BackendStep::CutBody => {
-                let text = full_response(&id);
+                let text = full_response(id);
                 writer.write_all(&text.as_bytes()[..text.len() - 2])?;
                 Err(closed)
             }
@@ -452,14 +462,14 @@
                 body.len()
             ),
             BackendStep::AnswerTwice => {
-                writer.write_all(format!("{}{}", full_response(&id), full_response(&id)).as_bytes())
+                writer.write_all(format!("{}{}", full_response(id), full_response(id)).as_bytes())
             }
             BackendStep::CopyLate {
                 pause,
                 pieces,
                 truncated,
             } => {
-                let text = full_response(&id);
+                let text = full_response(id);
                 writer.write_all(text.as_bytes())?;
                 let parts: Vec<_> = text.as_bytes().chunks(text.len().div_ceil(pieces)).collect();
                 for part in &parts[..parts.len() - usize::from(truncated)] {
@@ -476,7 +486,7 @@
                 writer.write_all(&vec![b'#'; length])
             }
             BackendStep::Write { length, text, closes } => {
-                let text = text.replace("{id}", &id);
+                let text = text.replace("{id}", id);
                 writer.write_all(&text.as_bytes()[..length.min(text.len())])?;
                 if closes { Err(closed) } else { Ok(()) }
             }
@@ -486,7 +496,7 @@
                 writer.write_all(refusal.as_bytes())
             }
             BackendStep::ServeThenShed(pause) => {
-                writer.write_all(full_response(&id).as_bytes())?;
+                writer.write_all(full_response(id).as_bytes())?;
                 thread::sleep(pause);
                 writer.write_all(refusal.as_bytes())
             }
