Compare the table of ends with daemons that have become live again

Cause, found by reading: 30 s after the last change a daemon compares with one random daemon every 2 s. An end was also missed while a response of the ended server was still being read slowly by its caller.

Change: up to three of the daemons that have become live since the last look are compared with at once. If calls of before the end still run after 0.2 s and no idle connection is open, the server's address is tried. While no end is known, a daemon wakes up for this every 5 s. At most 256 ends are kept.

Measured: the seven tests of crashes.rs pass. No test shows the cut, which the process tests can't play.

--- a/crates/forward/src/crash_watch.rs
+++ b/crates/forward/src/crash_watch.rs
@@ -205,6 +205,10 @@
             break;
         }
     }
+    if end == ServerEnd::Unsettled && !node.server.has_open_idle() {
+        // A response that its caller reads slowly ends late.
+        end = probe_server(&node).await;
+    }
     node.crash_watch.checking.set(false);
     let now = time::Instant::now();
     let mut lost = std::mem::take(&mut *node.crash_watch.lost.borrow_mut());
@@ -250,6 +254,10 @@
     if node.server.has_open_idle() || node.crash_watch.running.borrow().iter().any(is_older) {
         return ServerEnd::Unsettled;
     }
+    probe_server(node).await
+}
+
+async fn probe_server(node: &node_context::NodeContext) -> ServerEnd {
     match node.server.probe().await {
         http_link::ProbeResult::Refused => ServerEnd::Ended,
         http_link::ProbeResult::Accepted | http_link::ProbeResult::Unknown => ServerEnd::Runs,
--- a/crates/forward/src/quarantine_tasks.rs
+++ b/crates/forward/src/quarantine_tasks.rs
@@ -1,6 +1,7 @@
 //! Spread of the table of crashes: pushes to random daemons, comparisons with random daemons, and rows in the store,
 //! which outlast the processes.
 
+use std::collections;
 use std::net;
 use std::rc;
 use std::time;
@@ -27,13 +28,15 @@
 const MESSAGE_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 /// Pause before a push, in which changes are collected.
 const PUSH_DELAY: time::Duration = time::Duration::from_millis(5);
-/// Interval between comparisons while the table has changed lately.
+/// Interval between comparisons while the table has changed lately, and between two looks at the other daemons.
 const SHORT_INTERVAL: time::Duration = time::Duration::from_millis(500);
-/// Interval between comparisons otherwise. A daemon that was away is compared with by all others.
-const LONG_INTERVAL: time::Duration = time::Duration::from_secs(2);
+/// Interval between two looks while no crash is known.
+const EMPTY_INTERVAL: time::Duration = time::Duration::from_secs(5);
+/// Looks for each comparison with a random daemon otherwise.
+const LOOKS_PER_COMPARISON: u32 = 4;
 /// Time since the last change of the table within which comparisons are frequent.
 const RECENT_CHANGE: time::Duration = time::Duration::from_secs(30);
-/// Daemons that a starting daemon asks for their table.
+/// Daemons that a starting daemon asks for their table, and most that are compared with since they have become live.
 const START_CONTACTS: usize = 3;
 /// Interval at which a starting daemon looks for other daemons, and how often.
 const START_POLL: time::Duration = time::Duration::from_millis(200);
@@ -72,25 +75,49 @@
 /// Pushes news and compares tables; never returns. Sends nothing while no crash is known, except at the start.
 pub async fn spread(node: rc::Rc<node_context::NodeContext>) {
     ask_at_start(&node).await;
+    let mut known = collections::HashSet::new();
+    let mut looks = 0;
     loop {
-        let recent = node.quarantine.unchanged_for().is_some_and(|time| time < RECENT_CHANGE);
-        let interval = if recent { SHORT_INTERVAL } else { LONG_INTERVAL };
+        let empty = node.quarantine.is_empty();
+        let interval = if empty { EMPTY_INTERVAL } else { SHORT_INTERVAL };
         let interval = interval.mul_f64(rand::rng().random_range(0.8..1.2));
         let woken = tokio::time::timeout(interval, node.quarantine.wake.notified()).await;
         tokio::time::sleep(PUSH_DELAY).await;
         push_news(&node);
         if woken.is_err() {
+            looks += 1;
             node.quarantine.prune();
             node.metrics.record_quarantine(node.quarantine.quarantined());
-            if !node.quarantine.is_empty() {
-                for address in random_members(&node, 1) {
-                    task::spawn_local(compare(rc::Rc::clone(&node), address));
-                }
+            if node.quarantine.is_empty() {
+                continue;
             }
+            let live = live_peers(&node);
+            for address in choose_contacts(&node, &known, &live, looks) {
+                task::spawn_local(compare(rc::Rc::clone(&node), address));
+            }
+            known = live;
         }
     }
 }
 
+/// Returns the daemons to compare with: some of those that have become live since the last look, which may have missed
+/// pushes, and a random one if it is due.
+fn choose_contacts(
+    node: &node_context::NodeContext,
+    known: &collections::HashSet<net::SocketAddr>,
+    live: &collections::HashSet<net::SocketAddr>,
+    looks: u32,
+) -> Vec<net::SocketAddr> {
+    let mut contacts: Vec<_> = live.difference(known).copied().collect();
+    contacts.shuffle(&mut rand::rng());
+    contacts.truncate(START_CONTACTS);
+    let recent = node.quarantine.unchanged_for().is_some_and(|time| time < RECENT_CHANGE);
+    if recent || looks.is_multiple_of(LOOKS_PER_COMPARISON) {
+        contacts.extend(random_members(node, 1));
+    }
+    contacts
+}
+
 async fn ask_at_start(node: &rc::Rc<node_context::NodeContext>) {
     for _poll in 0..START_POLLS {
         let members = random_members(node, START_CONTACTS);
@@ -172,6 +199,10 @@
     }
 }
 
+fn live_peers(node: &node_context::NodeContext) -> collections::HashSet<net::SocketAddr> {
+    node.core.ask(|core, _now| core.live_peers()).into_iter().collect()
+}
+
 fn random_members(node: &node_context::NodeContext, count: usize) -> Vec<net::SocketAddr> {
     let mut addresses = node.core.ask(|core, _now| core.live_peers());
     addresses.shuffle(&mut rand::rng());
--- a/crates/quarantine/src/crash_report.rs
+++ b/crates/quarantine/src/crash_report.rs
@@ -10,7 +10,7 @@
 /// Most requests of one crash that are kept. More were in flight at none of the servers that the design is made for.
 pub const MAX_SUSPECTS: usize = 512;
 /// Most crashes that a daemon keeps.
-pub const MAX_CRASHES: usize = 512;
+pub const MAX_CRASHES: usize = 256;
 
 /// What a record stands for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
