Release the body of a request while its response is streamed

The identity of a call in flight kept the request's body until the end of the response; before the detection of ends it was kept until the response began.

--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -224,7 +224,7 @@
         NON_REPEATABLE_MAX_IDLE
     };
     // It keeps the body, since the connection may still have to send the last chunks when hyper has dropped it.
-    let ticket = crash_watch::begin(node, identity, permit.started_ms);
+    let mut ticket = crash_watch::begin(node, identity, permit.started_ms);
     let exchange = async {
         let (response, lease) = node.server.send(outgoing, max_idle).await?;
         let checked = check_response(node, &response, attempt_id.as_ref(), lease.origin());
@@ -249,6 +249,9 @@
             } else {
                 pressure_throttle::PressureOutcome::Completed
             };
+            if !body.is_whole() {
+                ticket.release_body();
+            }
             body.at_end(Box::new(move |end| {
                 if end != message_body::BodyEnd::Complete {
                     guard.result = gate_report::FinishResult::Cancelled;
--- a/crates/forward/src/crash_watch.rs
+++ b/crates/forward/src/crash_watch.rs
@@ -114,12 +114,25 @@
     checking: cell::Cell<bool>,
 }
 
-/// Call at the backend server. Dropping it without [`Self::complete`] or
-/// [`Self::discard`] counts as an end without a response.
+/// Identity of a call's request.
+#[derive(Debug)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "most calls end with the large variant, and a box would be allocated for each"
+)]
+enum TicketIdentity {
+    /// Its parts, with the body.
+    Parts(CallIdentity),
+    /// Its digest.
+    Digest(request_digest::RequestDigest),
+}
+
+/// Call at the backend server. Dropping it without [`Self::complete`] or [`Self::discard`] counts as an end without a
+/// response.
 #[derive(Debug)]
 pub struct CallTicket {
     node: rc::Rc<node_context::NodeContext>,
-    identity: CallIdentity,
+    identity: TicketIdentity,
     sent: time::Instant,
     started_ms: u64,
     finished: bool,
@@ -132,7 +145,7 @@
     node.crash_watch.running.borrow_mut().push(sent);
     CallTicket {
         node: rc::Rc::clone(node),
-        identity,
+        identity: TicketIdentity::Parts(identity),
         sent,
         started_ms,
         finished: false,
@@ -142,10 +155,15 @@
 impl CallTicket {
     /// Ends the watch of a call that the server completed.
     pub fn complete(self) {
-        self.node.quarantine.note_completed(&self.identity);
+        self.node.quarantine.note_completed(self.digest());
         self.discard();
     }
 
+    /// Releases the body of the request, which the server has read.
+    pub fn release_body(&mut self) {
+        self.identity = TicketIdentity::Digest(self.digest());
+    }
+
     /// Ends the watch of a call that says nothing about its request: the server didn't run it, or its response was
     /// unusable.
     pub fn discard(mut self) {
@@ -160,6 +178,15 @@
     }
 }
 
+impl CallTicket {
+    fn digest(&self) -> request_digest::RequestDigest {
+        match &self.identity {
+            TicketIdentity::Parts(identity) => identity.digest(),
+            TicketIdentity::Digest(digest) => *digest,
+        }
+    }
+}
+
 impl Drop for CallTicket {
     fn drop(&mut self) {
         let watch = &self.node.crash_watch;
@@ -169,7 +196,7 @@
         }
         if !self.finished {
             let at = time::Instant::now();
-            let digest = self.identity.digest();
+            let digest = self.digest();
             let mut lost = watch.lost.borrow_mut();
             lost.retain(|call| at.saturating_duration_since(call.at) < LOST_CALL_LIFETIME);
             lost.push(LostCall {
--- a/crates/forward/src/quarantine_state.rs
+++ b/crates/forward/src/quarantine_state.rs
@@ -87,8 +87,8 @@
     }
 
     /// Records that the backend server completed a request.
-    pub fn note_completed(&self, identity: &crash_watch::CallIdentity) {
-        let (digest, now) = (identity.digest(), stall_watch::boot_time());
+    pub fn note_completed(&self, digest: request_digest::RequestDigest) {
+        let now = stall_watch::boot_time();
         self.completions.borrow_mut().note(digest, now);
         let mut table = self.table.borrow_mut();
         if table.is_sound() {
