Keep deadly requests deadly at all servers of the soak

Trace: from 5 s on only VM 1 ends, since the servers that name a limit or depart had their rules removed and completed the request, which releases it. A request that some servers complete is none that ends the servers that run it. Such servers refuse it unrun now; those attempts count, and only the ones that ran count as ends.

--- a/crates/standins/src/platform_backend.rs
+++ b/crates/standins/src/platform_backend.rs
@@ -163,13 +163,24 @@
     }
 }
 
-/// A request that ends the server: it closes all connections, refuses new ones and starts again after a while.
+/// What a server does with the request of a [`CrashRule`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashEffect {
+    /// It ends: it closes all connections, refuses new ones and starts again after a while.
+    End,
+    /// It does not run the request, and responds as [`BackendStep::Shed`].
+    Refuse,
+}
+
+/// A request that ends the server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashRule {
     /// Path and query.
     pub target: String,
     /// Service of the daemon that received the request from the caller.
     pub caller_service: String,
+    /// What the server does with it.
+    pub effect: CrashEffect,
     /// Time between the arrival of the request and the end.
     pub delay: time::Duration,
     /// Time between the end and the next start.
@@ -391,8 +402,10 @@
                 "HTTP/1.1 421 -\r\n{ATTEMPT_ID}: {id}\r\n{NOT_EXECUTED}: 1\r\nContent-Length: 0\r\n\r\n"
             );
         }
-        let step = self.note_arrival(request, &id);
-        if let Some(rule) = self.crash_rule(request) {
+        let rule = self.crash_rule(request);
+        let refused = rule.as_ref().is_some_and(|rule| rule.effect == CrashEffect::Refuse);
+        let step = self.note_arrival(request, &id, refused);
+        if let Some(rule) = rule.filter(|_rule| !refused) {
             thread::sleep(rule.delay);
             self.crash(rule.downtime);
             return Err(io::Error::other("server ended"));
@@ -409,9 +422,13 @@
     }
 
     /// Records a request and returns what to do with it.
-    fn note_arrival(&self, request: &http_exchange::HttpRequest, id: &str) -> BackendStep {
+    fn note_arrival(&self, request: &http_exchange::HttpRequest, id: &str, refused: bool) -> BackendStep {
         let mut arrivals = self.log.arrivals.lock().unwrap_or_else(sync::PoisonError::into_inner);
-        let step = (self.script)(arrivals.len());
+        let step = if refused {
+            BackendStep::Shed
+        } else {
+            (self.script)(arrivals.len())
+        };
         arrivals.push(BackendArrival {
             id: id.to_owned(),
             ran: !matches!(step, BackendStep::Shed | BackendStep::ShedTwice(_)),
