--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -231,3 +231,19 @@
     table.note_completed(7, at(9_001));
     assert!(table.is_sound());
 }
+
+/// Guards against messages that outgrow the control traffic of a daemon.
+#[test]
+fn crash_takes_few_bytes_on_the_wire() {
+    let mut table = QuarantineTable::new(POLICY);
+    let requests = (0..20).map(|number| u64::MAX - number);
+    let news = table.record_crash(u64::MAX, requests, at(0)).news;
+    let bytes = crash_report::encode(&news).unwrap();
+    assert!(bytes.len() <= 40 + 20 * 9, "{} bytes", bytes.len());
+    let late = table.report(at(70));
+    assert_eq!(
+        crash_report::decode::<crash_report::CrashReport>(&crash_report::encode(&late).unwrap()),
+        Some(late)
+    );
+    assert_eq!(crash_report::decode::<crash_report::CrashReport>(&bytes[1..]), None);
+}
