--- a/crates/entity/src/call_outcome.rs
+++ b/crates/entity/src/call_outcome.rs
@@ -77,7 +77,7 @@
     /// The backend server has got as many requests per second as it takes.
     #[display("request rate reached")]
     RateReached,
-    /// The request ended the servers that ran it.
+    /// The request crashed the servers that ran it.
     #[display("quarantined")]
     Quarantined,
 }
--- a/crates/forward/src/crash_watch.rs
+++ b/crates/forward/src/crash_watch.rs
@@ -26,7 +26,7 @@
     time::Duration::from_millis(40),
     time::Duration::from_millis(150),
 ];
-/// Time after which a call that ended without a response is no longer related to the end of the server.
+/// Time after which a call that ended without a response is no longer related to the crash of the server.
 const LOST_CALL_LIFETIME: time::Duration = time::Duration::from_secs(1);
 /// As [`LOST_CALL_LIFETIME`], for calls whose connections all broke while the server's address accepts new ones. A server
 /// that has started again says so with its next heartbeat.
@@ -127,7 +127,7 @@
     Digest(request_digest::RequestDigest),
 }
 
-/// Call at the backend server. Dropping it without [`Self::complete`] or [`Self::discard`] counts as an end without a
+/// Call at the backend server. Dropping it without [`Self::complete`] or [`Self::discard`] counts as a crash without a
 /// response.
 #[derive(Debug)]
 pub struct CallTicket {
@@ -170,7 +170,7 @@
         self.finished = true;
     }
 
-    /// Ends the watch of a call whose connection broke, which may be the end of the server.
+    /// Ends the watch of a call whose connection broke, which may be the crash of the server.
     pub fn lose(self) {
         let node = rc::Rc::clone(&self.node);
         drop(self);
@@ -255,7 +255,7 @@
     }
 }
 
-/// Records the end of an earlier start of the server, if calls that it got have no other explanation. Due after
+/// Records the crash of an earlier start of the server, if calls that it got have no other explanation. Due after
 /// heartbeats.
 pub fn review(node: &rc::Rc<node_context::NodeContext>) {
     let mut unexplained = node.crash_watch.unexplained.borrow_mut();
--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -333,7 +333,7 @@
     let mut last = local_reply::LocalReply::NotRun(call_outcome::RefusalReason::NoCandidate);
     while tried.len() < MAX_DAEMONS {
         let may_have_run = last == local_reply::LocalReply::MayHaveRun;
-        // It may have ended servers since the last attempt. A trial lasts until a server has got the request.
+        // It may have crashed servers since the last attempt. A trial lasts until a server has got the request.
         if !tried.is_empty()
             && (may_have_run || !entry.is_trial.get())
             && decide_quarantine(node, entry) != quarantine_state::QuarantineDecision::Admit
@@ -382,7 +382,7 @@
             Some(callee_call::CallResult::NotRun(reason)) => {
                 // A refusal of a later attempt does not show that an earlier attempt did not run.
                 if last != local_reply::LocalReply::MayHaveRun {
-                    last = not_run_reply(node, reason);
+                    last = not_run_reply(node, entry, reason);
                 }
                 match reason {
                     call_outcome::RefusalReason::DeadlineTooShort | call_outcome::RefusalReason::Quarantined => false,
@@ -413,29 +413,37 @@
     Err(last)
 }
 
-/// Decides whether a request ended too many servers.
+/// Decides whether a request crashed too many servers.
 fn decide_quarantine(node: &node_context::NodeContext, entry: &EntryRequest) -> quarantine_state::QuarantineDecision {
-    node.quarantine.decide_with(|| {
-        crash_watch::CallIdentity::new(
-            &node.settings.service,
-            entry.tenant.as_ref().map(|tenant| &tenant.name),
-            &entry.request.method,
-            &entry.request.uri,
-            &entry.request.headers,
-            &entry.request.body,
-        )
-    })
+    node.quarantine.decide_with(|| identity(node, entry))
+}
+
+/// Returns the identity of a request, as the callee daemon sees it.
+fn identity(node: &node_context::NodeContext, entry: &EntryRequest) -> crash_watch::CallIdentity {
+    crash_watch::CallIdentity::new(
+        &node.settings.service,
+        entry.tenant.as_ref().map(|tenant| &tenant.name),
+        &entry.request.method,
+        &entry.request.uri,
+        &entry.request.headers,
+        &entry.request.body,
+    )
 }
 
 fn quarantine_refusal(node: &node_context::NodeContext, entry: &EntryRequest) -> local_reply::LocalReply {
     node.metrics.count_quarantine_refusal(&entry.rule.name);
-    not_run_reply(node, call_outcome::RefusalReason::Quarantined)
+    not_run_reply(node, entry, call_outcome::RefusalReason::Quarantined)
 }
 
-fn not_run_reply(node: &node_context::NodeContext, reason: call_outcome::RefusalReason) -> local_reply::LocalReply {
+fn not_run_reply(
+    node: &node_context::NodeContext,
+    entry: &EntryRequest,
+    reason: call_outcome::RefusalReason,
+) -> local_reply::LocalReply {
     match reason {
         call_outcome::RefusalReason::Quarantined => local_reply::LocalReply::Quarantined {
             hold: node.quarantine.policy().hold,
+            digest: identity(node, entry).digest(),
         },
         reason => local_reply::LocalReply::NotRun(reason),
     }
--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -226,12 +226,12 @@
             quarantined: gauge(
                 &meter,
                 "damasktrack_quarantined_requests",
-                "Requests that are refused since they ended the servers that ran them",
+                "Requests that are refused since they crashed the servers that ran them",
             ),
             quarantine_refusals: counter(
                 &meter,
                 "damasktrack_quarantine_refusals",
-                "Requests of callers refused since they ended the servers that ran them, by class",
+                "Requests of callers refused since they crashed the servers that ran them, by class",
             ),
             quotas: QuotaInstruments::new(&meter),
             account: AccountInstruments::new(&meter),
@@ -321,7 +321,7 @@
         self.rejected.add(1, &[opentelemetry::KeyValue::new("kind", kind)]);
     }
 
-    /// Counts an end of the backend server with calls in flight.
+    /// Counts a crash of the backend server with calls in flight.
     pub fn count_server_end(&self, planned: bool) {
         self.server_ends
             .add(1, &[opentelemetry::KeyValue::new("planned", planned)]);
--- a/crates/forward/src/forward_settings.rs
+++ b/crates/forward/src/forward_settings.rs
@@ -41,7 +41,7 @@
     /// Time since the last confirmation of the configuration after which requests with a key are refused; `None` if
     /// they are served without a limit.
     pub revoke_limit: Option<time::Duration>,
-    /// When a request that ends the servers that run it is refused.
+    /// When a request that crashes the servers that run it is refused.
     pub quarantine: quarantine_table::QuarantinePolicy,
     /// Memory and descriptors of the process.
     pub process_limits: process_limits::ProcessLimits,
--- a/crates/forward/src/local_reply.rs
+++ b/crates/forward/src/local_reply.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use damasktrack_entity::call_outcome;
 use damasktrack_pipeline::request_fault;
+use damasktrack_quarantine::request_digest;
 use hyper::header;
 use rand::RngExt;
 
@@ -32,10 +33,12 @@
     OverQuota(quota_gate::QuotaRefusal),
     /// The request did not run and will not run later.
     NotRun(call_outcome::RefusalReason),
-    /// The request ended the servers that ran it before. It did not run and will not run later.
+    /// The request crashed the servers that ran it before. It did not run and will not run later.
     Quarantined {
         /// Time after which it is tried again if it doesn't come meanwhile.
         hold: time::Duration,
+        /// The request.
+        digest: request_digest::RequestDigest,
     },
     /// The request may have run.
     MayHaveRun,
@@ -78,7 +81,9 @@
             Self::NoRoute => "no route".to_owned(),
             Self::Rejected(fault) => fault.to_string(),
             Self::NotRun(reason) => reason.to_string(),
-            Self::Quarantined { .. } => call_outcome::RefusalReason::Quarantined.to_string(),
+            Self::Quarantined { digest, .. } => {
+                format!("{}, digest {digest:016x}", call_outcome::RefusalReason::Quarantined)
+            }
             Self::MayHaveRun => "no usable response".to_owned(),
             Self::Timeout => "timeout".to_owned(),
         }
@@ -105,7 +110,7 @@
         *response.status_mut() = self.status();
         let seconds = match self {
             Self::OverQuota(refusal) => Some(refusal.wait.as_secs_f64()),
-            Self::Quarantined { hold } => Some(hold.as_secs_f64()),
+            Self::Quarantined { hold, .. } => Some(hold.as_secs_f64()),
             Self::NotRun(_)
             | Self::Unconfirmed
             | Self::Rejected(request_fault::RequestFault::Stopping | request_fault::RequestFault::NoRoom) => {
--- a/crates/forward/src/node_context.rs
+++ b/crates/forward/src/node_context.rs
@@ -56,7 +56,7 @@
     pub departures: departure_log::DepartureLog,
     /// Calls at the backend server, by which its end is detected.
     pub crash_watch: crash_watch::CrashWatch,
-    /// Requests that end the servers that run them.
+    /// Requests that crash the servers that run them.
     pub quarantine: quarantine_state::QuarantineState,
     /// Crashes of the backend server that the store has to keep.
     pub crash_rows: mpsc::UnboundedSender<crash_report::CrashId>,
--- a/crates/forward/src/quarantine_state.rs
+++ b/crates/forward/src/quarantine_state.rs
@@ -31,7 +31,7 @@
 pub enum QuarantineDecision {
     /// It may.
     Admit,
-    /// It ended several servers, and no server completed it since.
+    /// It crashed several servers, and no server completed it since.
     Refuse {
         /// The request.
         digest: request_digest::RequestDigest,
@@ -106,7 +106,7 @@
         self.announce(changed, urgency);
     }
 
-    /// Records the end of a server with these requests in flight.
+    /// Records the crash of a server with these requests in flight.
     pub fn record_crash(&self, id: crash_report::CrashId, mut suspects: Vec<request_digest::RequestDigest>) {
         let now = stall_watch::boot_time();
         suspects.retain(|digest| !self.completions.borrow_mut().contains(*digest, now));
@@ -126,7 +126,7 @@
     pub fn merge(&self, report: &[crash_report::CrashRecord], source: &str) {
         let now = stall_watch::boot_time();
         let mut report = report.to_vec();
-        // What this daemon's server completed lately isn't the cause of an end elsewhere.
+        // What this daemon's server completed lately isn't the cause of a crash elsewhere.
         for crash in &mut report {
             crash
                 .suspects
@@ -157,7 +157,7 @@
             log::warn!(
                 request = format!("{digest:016x}"), crashes = crashes, limit = policy.crashes,
                 hold_s = policy.hold.as_secs(), source = source;
-                "request quarantined: servers ended while it ran, and none has completed it since"
+                "request quarantined: servers crashed while it ran, and none has completed it since"
             );
         }
         self.announce(effect.news, urgency);
--- a/crates/forward/src/quarantine_tasks.rs
+++ b/crates/forward/src/quarantine_tasks.rs
@@ -50,7 +50,7 @@
 /// Share of the starting daemons that remove expired rows.
 const REMOVE_SHARE: f64 = 0.2;
 
-/// Records the end of the backend server with these requests in flight, here and in the store.
+/// Records the crash of the backend server with these requests in flight, here and in the store.
 pub fn record_crash(
     node: &rc::Rc<node_context::NodeContext>,
     suspects: Vec<damasktrack_quarantine::request_digest::RequestDigest>,
--- a/crates/forward/src/store_port.rs
+++ b/crates/forward/src/store_port.rs
@@ -94,7 +94,7 @@
     pub version: StoreVersion,
 }
 
-/// End of a backend server, as the store keeps it.
+/// Crash of a backend server, as the store keeps it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashRow {
     /// Key of the row.
@@ -107,7 +107,7 @@
     pub suspects: Vec<request_digest::RequestDigest>,
 }
 
-/// Rows of the ends of backend servers as listed.
+/// Rows of the crashes of backend servers as listed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashList {
     /// Rows that could be decoded.
@@ -128,7 +128,7 @@
     pub remove_member: Box<dyn Fn(ids::DaemonId, StoreVersion) -> StoreFuture<()>>,
     /// Lists the rows of all daemons.
     pub list_members: Box<dyn Fn() -> StoreFuture<MemberList>>,
-    /// Writes the row of an end of the backend server.
+    /// Writes the row of a crash of the backend server.
     pub write_crash: Box<dyn Fn(CrashRow) -> StoreFuture<()>>,
     /// Removes such a row.
     pub remove_crash: Box<dyn Fn(crash_report::CrashId) -> StoreFuture<()>>,
--- a/crates/quarantine/src/completion_log.rs
+++ b/crates/quarantine/src/completion_log.rs
@@ -7,14 +7,14 @@
 use crate::request_digest;
 
 /// Least time for which a completed request is known. A request that doesn't come as often is hardly in flight at several
-/// ends of servers by chance.
+/// crashes of servers by chance.
 const LIFETIME: time::Duration = time::Duration::from_secs(10);
 /// Most requests of one generation; later ones are left out.
 const MAX_REQUESTS: usize = 8_192;
 
 /// Digests of the requests that were completed in the last [`LIFETIME`], up to twice of it.
 ///
-/// A popular request is in flight at most ends of servers. That it was completed shortly before shows that it isn't their
+/// A popular request is in flight at most crashes of servers. That it was completed shortly before shows that it isn't their
 /// cause, also when they follow each other faster than servers complete it.
 #[derive(Debug, Default)]
 pub struct CompletionLog {
--- a/crates/quarantine/src/crash_report.rs
+++ b/crates/quarantine/src/crash_report.rs
@@ -1,10 +1,10 @@
-//! Messages in which daemons tell each other about ends of servers.
+//! Messages in which daemons tell each other about crashes of servers.
 
 use std::time;
 
 use crate::request_digest;
 
-/// Identifies one end of one server. Drawn at random by the daemon beside the server.
+/// Identifies one crash of one server. Drawn at random by the daemon beside the server.
 pub type CrashId = u64;
 
 /// Most requests of one crash that are kept. More were in flight at none of the servers that the design is made for.
@@ -16,14 +16,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub enum RecordKind {
-    /// A server ended.
+    /// A server crashed.
     Crash,
     /// A quarantined request is sent once more. The record is made before that and counts as a crash until the request
     /// completes, so that a daemon which is killed meanwhile doesn't send it again.
     Trial,
 }
 
-/// End of a server while requests were in flight there, or trial of a request.
+/// Crash of a server while requests were in flight there, or trial of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct CrashRecord {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,8 +1,8 @@
-//! Requests that end the servers that run them.
+//! Requests that crash the servers that run them.
 //!
 //! [`request_digest`] identifies a request independent of the attempt, so that a request which a client sends again at
-//! another machine is recognized. [`quarantine_table`] relates requests to the ends of servers: one that was in flight
-//! when several servers ended, and that no server completes, is quarantined. [`completion_log`] has the requests that
+//! another machine is recognized. [`quarantine_table`] relates requests to the crashes of servers: one that was in flight
+//! when several servers crashed, and that no server completes, is quarantined. [`completion_log`] has the requests that
 //! servers completed lately. All daemons hold the same table, whose
 //! merge is commutative and idempotent; [`crash_report`] has the messages.
 //!
--- a/crates/quarantine/src/quarantine_table.rs
+++ b/crates/quarantine/src/quarantine_table.rs
@@ -1,7 +1,7 @@
-//! Which requests end the servers that run them.
+//! Which requests crash the servers that run them.
 //!
-//! Load pattern: a request ends each server that begins to run it, and its client sends it again, at any machine. Every
-//! end fails all other requests in flight there, and sends them to the servers that are left. The table counts the
+//! Load pattern: a request crashes each server that begins to run it, and its client sends it again, at any machine. Every
+//! crash fails all other requests in flight there, and sends them to the servers that are left. The table counts the
 //! crashes at which a request was in flight. A request that a server completes afterwards is not the cause, so a popular
 //! request isn't refused for the company that it was in.
 
@@ -105,7 +105,7 @@
         }
     }
 
-    /// Records the end of a server and the requests in flight there.
+    /// Records the crash of a server and the requests in flight there.
     pub fn record_crash(
         &mut self,
         id: crash_report::CrashId,
--- a/crates/standins/src/platform_backend.rs
+++ b/crates/standins/src/platform_backend.rs
@@ -27,7 +27,7 @@
 const TARGET_INSTANCE: &str = "Damasktrack-Target-Instance";
 const CALLER_SERVICE: &str = "Damasktrack-Caller-Service";
 const NOT_EXECUTED: &str = "Damasktrack-Not-Executed";
-/// Start time that the messages of a server name before its first end.
+/// Start time that the messages of a server name before its first crash.
 const FIRST_START_MS: u64 = 1_000;
 /// Bound on a heartbeat or deregistration, from connecting to the end of the response.
 const CONTROL_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -172,7 +172,7 @@
     Refuse,
 }
 
-/// A request that ends the server.
+/// A request that crashes the server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashRule {
     /// Path and query.
@@ -205,7 +205,7 @@
     streams: sync::Mutex<Vec<sync::Weak<net::TcpStream>>>,
     /// Number of ends by a [`CrashRule`].
     crashes: atomic::AtomicU64,
-    /// Time between the last end and the next start, in milliseconds; 0 while the server runs.
+    /// Time between the last crash and the next start, in milliseconds; 0 while the server runs.
     downtime_ms: atomic::AtomicU64,
 }
 
@@ -257,7 +257,7 @@
         Ok(server)
     }
 
-    /// Sets the requests that end the server.
+    /// Sets the requests that crash the server.
     pub fn set_crash_rules(&self, rules: &[CrashRule]) {
         let mut known = self
             .log
