Notice lost calls for the configuration within a stated bound

Cause: the call that waits for changes had one time limit, 22 s, for the time that the store may hold it and for noticing that it was lost. All daemons ask again within milliseconds of a change, so a short silence loses all of these calls at the same time.

Evidence: no daemon logs `store lost` before 22 s have passed.

Change: three daemons, spread over the regions, wait for a quarter of StabilityWindow in each call; the others wait 10 to 20 s, at random. A daemon that puts a version in force announces it to eight others, which fetch the text. The backoff of the calls for the configuration counts from the start of the failed call. A call without a response closes the idle connections to the store, which may be silent as well.

--- a/crates/forward/src/forward_core/core_config.rs
+++ b/crates/forward/src/forward_core/core_config.rs
@@ -61,9 +61,10 @@
             return;
         }
         log::info!(version = config.version, before:? = current, routes = config.len(); "configuration in force");
-        self.gossip.set_revision(config.version);
+        let announcement = self.gossip.announce_revision(config.version, now);
         self.config = Some(rc::Rc::new(config));
         self.config_text = text;
+        self.apply(announcement, now);
     }
 
     /// Records that the configuration in force was confirmed by the store at `at`.
--- a/crates/forward/src/forward_core/core_queries.rs
+++ b/crates/forward/src/forward_core/core_queries.rs
@@ -14,6 +14,7 @@
 use super::MEMBER_LIST_TIMEOUT;
 use crate::config_confirmation;
 use crate::config_text;
+use crate::feed_schedule;
 use crate::forward_settings;
 use crate::route_config;
 use crate::server_hint;
@@ -42,6 +43,13 @@
         others.map(|record| record.address).collect()
     }
 
+    /// Returns how closely this daemon follows the store.
+    #[must_use]
+    pub fn feed_role(&self) -> feed_schedule::FeedRole {
+        let members = self.gossip.table().iter().map(|(_key, entry)| &entry.record);
+        feed_schedule::role_of(&self.settings.daemon_id, members)
+    }
+
     /// Returns whether this daemon is the one of its service that tries a quarantined request, by rendezvous hashing over
     /// the daemons that are not known to be down.
     #[must_use]
--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -9,6 +9,7 @@
 use opentelemetry::metrics::MeterProvider;
 use prometheus::Encoder;
 
+use crate::feed_schedule;
 use crate::link_budget;
 use crate::server_notice;
 
@@ -38,6 +39,7 @@
     yielded_repeats: metrics::Counter<u64>,
     rounds: metrics::Counter<u64>,
     rejected: metrics::Counter<u64>,
+    feed: FeedInstruments,
     server_ends: metrics::Counter<u64>,
     quarantined: metrics::Gauge<u64>,
     quarantine_refusals: metrics::Counter<u64>,
@@ -107,6 +109,30 @@
     }
 }
 
+/// Instruments of the calls that wait for changes of the configuration.
+#[derive(Clone, Debug)]
+struct FeedInstruments {
+    failures: metrics::Counter<u64>,
+    sentinel: metrics::Gauge<u64>,
+}
+
+impl FeedInstruments {
+    fn new(meter: &metrics::Meter) -> Self {
+        Self {
+            failures: counter(
+                meter,
+                "damasktrack_config_feed_failures",
+                "Calls to the store for the configuration that failed or got no response in time",
+            ),
+            sentinel: gauge(
+                meter,
+                "damasktrack_config_sentinel",
+                "Whether this daemon follows the store with short waits",
+            ),
+        }
+    }
+}
+
 /// Instruments of the account of bytes and connections.
 #[derive(Clone, Debug)]
 struct AccountInstruments {
@@ -218,6 +244,7 @@
                 "damasktrack_rejected",
                 "Heartbeats and deregistrations that failed validation, by kind",
             ),
+            feed: FeedInstruments::new(&meter),
             server_ends: counter(
                 &meter,
                 "damasktrack_server_ends",
@@ -321,6 +348,18 @@
         self.rejected.add(1, &[opentelemetry::KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a call for the configuration that failed.
+    pub fn count_feed_failure(&self) {
+        self.feed.failures.add(1, &[]);
+    }
+
+    /// Sets the gauge of the role in which this daemon follows the store.
+    pub fn record_feed_role(&self, role: feed_schedule::FeedRole) {
+        self.feed
+            .sentinel
+            .record(u64::from(role == feed_schedule::FeedRole::Sentinel), &[]);
+    }
+
     /// Counts a crash of the backend server with calls in flight.
     pub fn count_server_end(&self, planned: bool) {
         self.server_ends
--- a/crates/forward/src/forward_settings.rs
+++ b/crates/forward/src/forward_settings.rs
@@ -41,6 +41,8 @@
     /// Time since the last confirmation of the configuration after which requests with a key are refused; `None` if
     /// they are served without a limit.
     pub revoke_limit: Option<time::Duration>,
+    /// Longest time from the end of an outage of the store until a change of the configuration is heard.
+    pub hear_limit: time::Duration,
     /// When a request that crashes the servers that run it is refused.
     pub quarantine: quarantine_table::QuarantinePolicy,
     /// Memory and descriptors of the process.
--- a/crates/forward/src/http_link.rs
+++ b/crates/forward/src/http_link.rs
@@ -249,6 +249,11 @@
         });
     }
 
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes the connection that has been idle for longest.
     pub(crate) fn close_oldest(&self) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod crash_watch;
 pub mod departure_log;
 pub mod entry_call;
+pub mod feed_schedule;
 pub mod forward_core;
 pub mod forward_metrics;
 pub mod forward_settings;
--- a/crates/forward/src/member_tasks.rs
+++ b/crates/forward/src/member_tasks.rs
@@ -23,7 +23,10 @@
 pub(crate) const PEER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 /// Delay before the configuration of a peer is fetched, if one is in force. Most changes reach every daemon sooner
 /// through the store.
-const CONFIG_FETCH_DELAY: time::Duration = time::Duration::from_millis(300);
+const CONFIG_FETCH_DELAY: time::Duration = time::Duration::from_millis(100);
+/// Largest number of concurrent fetches of the configuration. Several peers announce a new version, and one of them may
+/// not answer.
+const MAX_CONFIG_FETCHES: usize = 3;
 
 /// Passes received gossip datagrams to the core; never returns.
 pub async fn receive_gossip(node: rc::Rc<node_context::NodeContext>, socket: rc::Rc<tokio::net::UdpSocket>) {
@@ -46,6 +49,8 @@
     port: rc::Rc<store_port::StorePort>,
     mut effects: mpsc::UnboundedReceiver<forward_core::CoreEffect>,
 ) {
+    // Each fetch holds a reference.
+    let fetches = rc::Rc::new(());
     while let Some(effect) = effects.recv().await {
         match effect {
             forward_core::CoreEffect::Send(send) => {
@@ -58,7 +63,13 @@
                 task::spawn_local(exchange(rc::Rc::clone(&node), address));
             }
             forward_core::CoreEffect::FetchConfig(address) => {
-                task::spawn_local(fetch_config(rc::Rc::clone(&node), rc::Rc::clone(&port), address));
+                if rc::Rc::strong_count(&fetches) <= MAX_CONFIG_FETCHES {
+                    let (node, port, fetch) = (rc::Rc::clone(&node), rc::Rc::clone(&port), rc::Rc::clone(&fetches));
+                    task::spawn_local(async move {
+                        fetch_config(node, port, address).await;
+                        drop(fetch);
+                    });
+                }
             }
             forward_core::CoreEffect::CloseLinks(address) => node.close_links(address),
             forward_core::CoreEffect::Superseded => {
--- a/crates/forward/src/store_port.rs
+++ b/crates/forward/src/store_port.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 
 use crate::config_text;
+use crate::feed_schedule;
 use crate::log_limiter;
 use crate::node_context;
 use crate::quota_tasks;
@@ -30,6 +31,8 @@
 const MIN_BACKOFF: time::Duration = time::Duration::from_millis(250);
 /// Longest backoff after a failed call to the store.
 const MAX_BACKOFF: time::Duration = time::Duration::from_secs(2);
+/// Interval at which a daemon checks whether it has become a sentinel.
+const ROLE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Delay from the first list of members to the second, which includes daemons that started at the same time and wrote
 /// their rows after the first list.
 const SECOND_LIST_DELAY: time::Duration = time::Duration::from_millis(1500);
@@ -118,10 +121,10 @@
 
 /// Calls to the store, and the decoder of the operators' configuration.
 pub struct StorePort {
-    /// Reads the configuration.
-    pub read_config: Box<dyn Fn() -> StoreFuture<StoredConfig>>,
-    /// Waits up to a few seconds for a configuration newer than a version.
-    pub await_config: Box<dyn Fn(StoreVersion) -> StoreFuture<StoredConfig>>,
+    /// Reads the configuration within a time limit.
+    pub read_config: Box<dyn Fn(time::Duration) -> StoreFuture<StoredConfig>>,
+    /// Waits for a configuration newer than a version.
+    pub await_config: Box<dyn Fn(StoreVersion, feed_schedule::FeedWait) -> StoreFuture<StoredConfig>>,
     /// Writes the row of this daemon and returns its version.
     pub write_member: Box<dyn Fn(member_row::MemberRow) -> StoreFuture<StoreVersion>>,
     /// Removes a daemon's row if it still has the given version.
@@ -163,17 +166,33 @@
 
 /// Exponential backoff with jitter, doubled after each failure up to [`MAX_BACKOFF`].
 #[derive(Debug)]
-pub(crate) struct RetryBackoff(time::Duration);
+pub(crate) struct RetryBackoff {
+    next: time::Duration,
+    longest: time::Duration,
+}
 
 impl RetryBackoff {
     pub(crate) fn new() -> Self {
-        Self(MIN_BACKOFF)
+        Self::up_to(MAX_BACKOFF)
+    }
+
+    pub(crate) fn up_to(longest: time::Duration) -> Self {
+        Self {
+            next: MIN_BACKOFF.min(longest),
+            longest,
+        }
     }
 
     pub(crate) async fn wait(&mut self) {
+        self.wait_since(time::Instant::now()).await;
+    }
+
+    /// Waits until the backoff since `began`, the start of the failed call, has passed. A call that failed by its time
+    /// limit is followed by the next one at once.
+    async fn wait_since(&mut self, began: time::Instant) {
         let share = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(self.0.mul_f64(share)).await;
-        self.0 = (self.0 * 2).min(MAX_BACKOFF);
+        tokio::time::sleep_until((began + self.next.mul_f64(share)).into()).await;
+        self.next = (self.next * 2).min(self.longest);
     }
 }
 
@@ -208,15 +227,21 @@
 
 /// Applies the changes of the configuration in the store; never returns.
 pub async fn follow_config(node: rc::Rc<node_context::NodeContext>, port: rc::Rc<StorePort>) {
-    let mut backoff = RetryBackoff::new();
+    let schedule = feed_schedule::FeedSchedule::new(node.settings.hear_limit, node.settings.revoke_limit);
+    let new_backoff = || RetryBackoff::up_to(schedule.response_limit());
+    let mut backoff = new_backoff();
     let mut cursor = ConfigCursor::Unknown;
     let mut lost = false;
     loop {
         // The response reflects the store at some time after the call was sent.
         let sent = stall_watch::boot_time();
+        let began = time::Instant::now();
         let read = match cursor {
-            ConfigCursor::Unknown => (port.read_config)().await,
-            ConfigCursor::At { version, .. } => (port.await_config)(version).await,
+            ConfigCursor::Unknown => (port.read_config)(schedule.response_limit()).await,
+            ConfigCursor::At { version, .. } => match await_change(&node, &port, &schedule, version).await {
+                FeedEnd::Done(read) => read,
+                FeedEnd::RoleChanged => continue,
+            },
         };
         match read {
             Ok(stored) => {
@@ -224,7 +249,9 @@
                     log::info!(version = stored.version, era = stored.era; "store regained");
                     lost = false;
                 }
-                backoff = RetryBackoff::new();
+                if cursor != ConfigCursor::Unknown {
+                    backoff = new_backoff();
+                }
                 let empty = cursor == ConfigCursor::Unknown && stored.text.is_none();
                 cursor = cursor.after(&stored);
                 if let Some(text) = stored.text {
@@ -237,20 +264,56 @@
             Err(StoreFailure::HistoryGone) => {
                 log::info!(cursor:? = cursor; "store dropped its history; reading the configuration again");
                 cursor = ConfigCursor::Unknown;
+                // The store may drop its history again and again.
+                backoff.wait_since(began).await;
             }
             Err(failure) => {
+                node.metrics.count_feed_failure();
                 if !lost {
-                    log::warn!(failure:% = failure, cursor:? = cursor; "store lost");
+                    let waited = began.elapsed().as_millis();
+                    log::warn!(failure:% = failure, cursor:? = cursor, waited_ms = waited; "store lost");
                     lost = true;
                 }
                 // The store may come back from a copy. A wait from the old cursor would show that only when it ends.
                 cursor = ConfigCursor::Unknown;
-                backoff.wait().await;
+                backoff.wait_since(began).await;
             }
         }
     }
 }
 
+/// How a wait for a change of the configuration ended.
+enum FeedEnd {
+    /// With a response or a failure.
+    Done(Result<StoredConfig, StoreFailure>),
+    /// This daemon has become a sentinel, which must not wait for long.
+    RoleChanged,
+}
+
+async fn await_change(
+    node: &node_context::NodeContext,
+    port: &StorePort,
+    schedule: &feed_schedule::FeedSchedule,
+    version: StoreVersion,
+) -> FeedEnd {
+    let role_of = || node.core.ask(|core, _now| core.feed_role());
+    let role = role_of();
+    node.metrics.record_feed_role(role);
+    let became_sentinel = async {
+        let mut current = role;
+        while role == current || current == feed_schedule::FeedRole::Follower {
+            tokio::time::sleep(ROLE_INTERVAL).await;
+            current = role_of();
+        }
+        log::info!(role:% = current; "this daemon follows the store closely now");
+    };
+    let wait = schedule.next_wait(role, &mut rand::rng());
+    tokio::select! {
+        read = (port.await_config)(version, wait) => FeedEnd::Done(read),
+        () = became_sentinel => FeedEnd::RoleChanged,
+    }
+}
+
 /// Version of this daemon's row in the store; `None` while there is none.
 pub type OwnRow = rc::Rc<cell::Cell<Option<StoreVersion>>>;
 
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -39,6 +39,7 @@
         },
         quota_bounds: None,
         revoke_limit: None,
+        hear_limit: Duration::from_secs(4),
         quarantine: damasktrack_quarantine::quarantine_table::QuarantinePolicy::default(),
         process_limits: ProcessLimits {
             memory_mb: None,
--- a/crates/membership/src/gossip_context.rs
+++ b/crates/membership/src/gossip_context.rs
@@ -27,6 +27,9 @@
 pub const GOSSIP_PERIOD: time::Duration = time::Duration::from_secs(1);
 /// Random live members that get an immediate probe with a change of this daemon's state.
 const ANNOUNCE_FANOUT: usize = 4;
+/// Random live members that get an immediate probe with a new configuration revision. Those that all of these probes
+/// miss learn it from a periodic one.
+const REVISION_FANOUT: usize = 8;
 /// Time after the start within which a daemon requests an exchange from another member when a member refused one.
 const JOIN_RETRY_WINDOW: time::Duration = time::Duration::from_secs(30);
 /// Bytes by which the array header of the updates may exceed that of an empty array.
@@ -237,6 +240,17 @@
         self.revision = self.revision.max(revision);
     }
 
+    /// Sets the configuration revision like [`Self::set_revision`], and announces a change of it at once.
+    pub fn announce_revision(&mut self, revision: ids::Revision, now: time::Instant) -> GossipOutput {
+        let before = self.revision;
+        self.set_revision(revision);
+        // A joining daemon learns its first revision; the others have it.
+        if before != 0 && before < self.revision {
+            self.announce_to(REVISION_FANOUT, now);
+        }
+        self.take_output()
+    }
+
     /// Merges rows of the table service. They are not gossiped on, since all daemons read them.
     pub fn learn_rows(&mut self, records: &[member_record::MemberRecord], now: time::Instant) -> GossipOutput {
         for record in records {
@@ -363,7 +377,11 @@
     }
 
     fn announce(&mut self, now: time::Instant) {
-        for key in self.random_live(ANNOUNCE_FANOUT, None) {
+        self.announce_to(ANNOUNCE_FANOUT, now);
+    }
+
+    fn announce_to(&mut self, members: usize, now: time::Instant) {
+        for key in self.random_live(members, None) {
             self.probe_member(key, gossip_detector::ProbePurpose::Announce, now);
         }
     }
--- a/crates/standins/src/platform_store.rs
+++ b/crates/standins/src/platform_store.rs
@@ -18,6 +18,9 @@
 /// Most rows in one response of `/rows-get`.
 const MAX_ROWS: usize = 500;
 
+/// Delay of each request under [`StoreCondition::Slow`].
+const SLOW_DELAY: time::Duration = time::Duration::from_millis(2500);
+
 /// Response header with the number of times that the store was restored from a copy.
 const STORE_ERA: &str = "Store-Era";
 
@@ -34,6 +37,12 @@
     Busy,
     /// The connection is closed when a request arrives; the request has no effect and gets no response.
     Closing,
+    /// Requests have no effect and get no response, and their connections deliver nothing further.
+    Silent,
+    /// Requests are executed, but their responses are lost, and their connections deliver nothing further.
+    LosingResponses,
+    /// Each request is executed after [`SLOW_DELAY`].
+    Slow,
 }
 
 #[derive(Debug, Default)]
@@ -50,6 +59,10 @@
     calls: u64,
     /// Number of restores, in the header [`STORE_ERA`] of all responses.
     era: u64,
+    /// Number of connections accepted since the start; also the number of the newest one.
+    connections: u64,
+    /// Connections up to this number deliver nothing further.
+    muted: u64,
 }
 
 /// Contents of a store at one moment.
@@ -124,6 +137,12 @@
         self.shared.1.notify_all();
     }
 
+    /// Lets all open connections go silent for good, without a reset. New ones work.
+    pub fn mute_open_connections(&self) {
+        let mut state = self.lock();
+        state.muted = state.connections;
+    }
+
     /// Removes the history of changes; later `/rows-feed` requests from before the current version get status 410.
     pub fn compact(&self) {
         let mut state = self.lock();
@@ -144,12 +163,21 @@
     }
 
     fn serve(&self, stream: &net::TcpStream) {
+        let mut state = self.lock();
+        state.connections += 1;
+        let connection = state.connections;
+        drop(state);
         let mut reader = BufReader::new(stream);
         let mut writer = stream;
         while let Ok(Some(request)) = http_exchange::read_request(&mut reader) {
             let Some(mut response) = self.respond(&request) else {
                 return;
             };
+            if self.loses_responses(connection) {
+                // The open connection delivers nothing until the caller closes it.
+                while let Ok(Some(_request)) = http_exchange::read_request(&mut reader) {}
+                return;
+            }
             response.headers.push((STORE_ERA, self.lock().era.to_string()));
             if http_exchange::write_response(&mut writer, &response).is_err() {
                 return;
@@ -164,9 +192,13 @@
         let condition = state.condition;
         drop(state);
         match condition {
-            StoreCondition::Serving => {}
-            StoreCondition::Busy => return Some(http_exchange::HttpResponse::json(503, &json!({}))),
+            StoreCondition::Serving | StoreCondition::LosingResponses => {}
+            // `Self::serve` drops the response under `Silent`.
+            StoreCondition::Busy | StoreCondition::Silent => {
+                return Some(http_exchange::HttpResponse::json(503, &json!({})));
+            }
             StoreCondition::Closing => return None,
+            StoreCondition::Slow => thread::sleep(SLOW_DELAY),
         }
         let (path, query) = http_query::split(&request.target);
         Some(match path {
@@ -177,6 +209,12 @@
         })
     }
 
+    fn loses_responses(&self, connection: u64) -> bool {
+        let state = self.lock();
+        let loses = [StoreCondition::Silent, StoreCondition::LosingResponses].contains(&state.condition);
+        loses || connection <= state.muted
+    }
+
     fn commit(&self, body: &[u8]) -> http_exchange::HttpResponse {
         let Ok(transaction) = serde_json::from_slice::<Value>(body) else {
             return http_exchange::HttpResponse::json(400, &json!({}));
