Acknowledge a departure only when the store has it

Cause: the daemon waited 0.7 s for the store and acknowledged a departure all the same, so the promise lived in the memory of some processes only.

Evidence: the log line of that decision precedes the kill, and no row in the store has the departure afterwards, which excludes a new process that ignores the row.

A departure whose start is unknown can't be saved and isn't acknowledged. After a restore that lost the row, nothing is acknowledged before it is written again.

--- a/crates/forward/src/departure_log.rs
+++ b/crates/forward/src/departure_log.rs
@@ -6,16 +6,17 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
-/// Longest wait for the store before a departure is acknowledged. The backend server discards an acknowledgement that
-/// arrives a second after its message.
-const SAVE_TIMEOUT: time::Duration = time::Duration::from_millis(700);
+/// Longest wait for the store before a departure is left without an acknowledgement. The backend server discards one
+/// that arrives a second after its message.
+const SAVE_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 
 /// Whether the store has a departure.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SaveResult {
     /// The store has it.
     Saved,
-    /// The store did not confirm it in time. Only this process and the daemons that its gossip reached know it.
+    /// The store did not confirm it in time, or its start is unknown. Only this process and the daemons that its gossip
+    /// reached know it.
     Unconfirmed,
 }
 
@@ -28,13 +29,18 @@
 }
 
 impl DepartureLog {
+    /// Requests that the store gets this departure, unless it has it or a later one.
+    pub fn request(&self, departure: server_departure::ServerDeparture) {
+        if *self.saved.borrow() < Some(departure) {
+            self.due.notify_one();
+        }
+    }
+
     /// Waits until the store has this departure or a later one, but not longer than an acknowledgement may take.
     pub async fn save(&self, departure: server_departure::ServerDeparture) -> SaveResult {
         let mut saved = self.saved.subscribe();
+        self.request(departure.clone());
         let wanted = Some(departure);
-        if *saved.borrow() < wanted {
-            self.due.notify_one();
-        }
         match tokio::time::timeout(SAVE_TIMEOUT, saved.wait_for(|saved| *saved >= wanted)).await {
             Ok(Ok(_saved)) => SaveResult::Saved,
             Ok(Err(_)) | Err(_) => SaveResult::Unconfirmed,
--- a/crates/forward/src/forward_metrics.rs
+++ b/crates/forward/src/forward_metrics.rs
@@ -40,7 +40,7 @@
     rounds: metrics::Counter<u64>,
     rejected: metrics::Counter<u64>,
     feed: FeedInstruments,
-    server_ends: metrics::Counter<u64>,
+    server: ServerInstruments,
     quarantined: metrics::Gauge<u64>,
     quarantine_refusals: metrics::Counter<u64>,
     quotas: QuotaInstruments,
@@ -133,6 +133,30 @@
     }
 }
 
+/// Instruments of the backend server's life.
+#[derive(Clone, Debug)]
+struct ServerInstruments {
+    ends: metrics::Counter<u64>,
+    unacknowledged_departures: metrics::Counter<u64>,
+}
+
+impl ServerInstruments {
+    fn new(meter: &metrics::Meter) -> Self {
+        Self {
+            ends: counter(
+                meter,
+                "damasktrack_server_ends",
+                "Ends of the backend server with calls in flight, by whether it had announced its departure",
+            ),
+            unacknowledged_departures: counter(
+                meter,
+                "damasktrack_unacknowledged_departures",
+                "Departure messages of the backend server that were not acknowledged, since the store doesn't have them",
+            ),
+        }
+    }
+}
+
 /// Instruments of the account of bytes and connections.
 #[derive(Clone, Debug)]
 struct AccountInstruments {
@@ -245,11 +269,7 @@
                 "Heartbeats and deregistrations that failed validation, by kind",
             ),
             feed: FeedInstruments::new(&meter),
-            server_ends: counter(
-                &meter,
-                "damasktrack_server_ends",
-                "Ends of the backend server with calls in flight, by whether it had announced its departure",
-            ),
+            server: ServerInstruments::new(&meter),
             quarantined: gauge(
                 &meter,
                 "damasktrack_quarantined_requests",
@@ -360,9 +380,15 @@
             .record(u64::from(role == feed_schedule::FeedRole::Sentinel), &[]);
     }
 
+    /// Counts a message about a departure that was not acknowledged.
+    pub fn count_unacknowledged_departure(&self) {
+        self.server.unacknowledged_departures.add(1, &[]);
+    }
+
     /// Counts a crash of the backend server with calls in flight.
     pub fn count_server_end(&self, planned: bool) {
-        self.server_ends
+        self.server
+            .ends
             .add(1, &[opentelemetry::KeyValue::new("planned", planned)]);
     }
 
--- a/crates/forward/src/node_context.rs
+++ b/crates/forward/src/node_context.rs
@@ -138,14 +138,32 @@
         self.peers.borrow_mut().remove(&address);
     }
 
-    /// Saves the departure of the backend server, if it has announced one. Precedes each acknowledgement to it, which
-    /// binds also a later process of this daemon.
-    pub async fn settle_departure(&self) {
-        let Some(departure) = self.core.ask(|core, _now| core.server().departure()) else {
-            return;
+    /// Saves the departure of the backend server, if it has announced one. Precedes each acknowledgement of a departure,
+    /// which binds all daemons after a restart as well. It must not be given unless the store has the departure.
+    pub async fn settle_departure(&self) -> departure_log::SaveResult {
+        let (departure, unidentified) = self.core.ask(|core, _now| {
+            let server = core.server();
+            (server.departure(), server.has_unidentified_departure())
+        });
+        let result = match departure {
+            _ if unidentified => departure_log::SaveResult::Unconfirmed,
+            Some(departure) => self.departures.save(departure).await,
+            None => departure_log::SaveResult::Saved,
         };
-        if self.departures.save(departure).await == departure_log::SaveResult::Unconfirmed {
-            log::warn!("departure of the backend server acknowledged before the store has it");
+        if result == departure_log::SaveResult::Unconfirmed {
+            self.metrics.count_unacknowledged_departure();
+            log::warn!(
+                unidentified = unidentified;
+                "departure of the backend server not acknowledged, since the store doesn't have it"
+            );
+        }
+        result
+    }
+
+    /// Requests that the store gets the departure of the backend server, if there is one.
+    pub fn request_departure_save(&self) {
+        if let Some(departure) = self.core.ask(|core, _now| core.server().departure()) {
+            self.departures.request(departure);
         }
     }
 
--- a/crates/forward/src/server_report.rs
+++ b/crates/forward/src/server_report.rs
@@ -281,6 +281,12 @@
         reported.into_iter().chain(later).max()
     }
 
+    /// Returns whether a departure has no start time, so that no later process could tell which start has left.
+    #[must_use]
+    pub fn has_unidentified_departure(&self) -> bool {
+        self.departures.iter().any(|departure| departure.started_ms.is_none())
+    }
+
     /// Returns whether the backend server is serving and didn't refuse the last connection.
     #[must_use]
     pub fn is_up(&self) -> bool {
--- a/crates/forward/src/store_port.rs
+++ b/crates/forward/src/store_port.rs
@@ -329,6 +329,7 @@
     // acknowledged.
     let mut step = MemberStep::List;
     loop {
+        let began = time::Instant::now();
         let done = match step {
             MemberStep::Write => write_own_row(&node, &port, &own).await,
             MemberStep::List => {
@@ -338,7 +339,7 @@
         };
         if let Err(failure) = done {
             log::warn!(step:? = step, failure:% = failure; "member rows not synchronized");
-            backoff.wait().await;
+            backoff.wait_since(began).await;
             continue;
         }
         backoff = RetryBackoff::new();
@@ -397,6 +398,9 @@
     let listed = listed.map(|listed| (&listed.record, listed.version));
     own.set(own_row_version(&own_record, listed, own.get()));
     if own.get().is_none() {
+        // No acknowledgement of a departure before the row has it again.
+        node.departures
+            .note_saved(listed.and_then(|listed| listed.0.departure.clone()));
         log::info!("own member row missing from the store or outdated; writing it");
     }
     remove_departed(node, port, records).await;
