Never use the number of a credit link or report twice in a process

Cause: when the number of groups of tenants changed, quota_state created holders that numbered their links and reports from 0 in the same incarnation. A coordinator remembers an account by incarnation and link for 10 s, so it took the new totals for those of the earlier holder and granted its past once more. Late replies and refunds could be mistaken in the same way.

Change: quota::holder_groups owns the holders of a process, and new ones continue the numbers of all earlier ones. An open report is known by its number. Requests that wait for a replaced holder look for the new one.

--- a/crates/forward/src/quota_state.rs
+++ b/crates/forward/src/quota_state.rs
@@ -12,6 +12,7 @@
 use damasktrack_quota::credit_holder;
 use damasktrack_quota::credit_limit;
 use damasktrack_quota::credit_message;
+use damasktrack_quota::holder_groups;
 use damasktrack_quota::known_daemons;
 use rand::RngExt;
 use tokio::sync;
@@ -31,14 +32,13 @@
 /// Time without a refusal after which a tenant's next refusal is logged again.
 const REFUSAL_LOG_AGE: time::Duration = time::Duration::from_secs(10);
 
-/// Holder of the credits of one group.
-#[derive(Debug)]
-struct GroupHolder {
-    holder: credit_holder::CreditHolder,
+/// Reports of the holder of one group to its coordinator.
+#[derive(Debug, Default)]
+struct GroupReports {
     /// Chosen coordinator and its peer address.
     coordinator: Option<(ids::DaemonId, net::SocketAddr)>,
-    /// Whether a report is sent and its reply outstanding.
-    is_open: bool,
+    /// Number of the report whose reply is outstanding.
+    open: Option<u64>,
     /// Whether a request waits for a report that hasn't been sent.
     is_urgent: bool,
     replied: rc::Rc<sync::Notify>,
@@ -70,7 +70,9 @@
 struct QuotaParts {
     known: known_daemons::KnownDaemons,
     /// Holders by group; empty while no tenant has a limit.
-    holders: Vec<GroupHolder>,
+    holders: holder_groups::HolderGroups,
+    /// Reports of each of `holders`, in the same order.
+    reports: Vec<GroupReports>,
     coordinators: collections::HashMap<coordinator_choice::GroupKey, credit_coordinator::CreditCoordinator>,
     members_read: Option<stall_watch::BootTime>,
     pruned: stall_watch::BootTime,
@@ -128,19 +130,15 @@
     ) -> bool {
         let groups = coordinator_choice::group_count(limited) as usize;
         let mut parts = self.parts.borrow_mut();
-        if parts.holders.len() != groups {
-            if !parts.holders.is_empty() {
-                // The coordinators of the previous groups count the share until the end of the lease.
-                parts.known.withhold(now);
-            }
-            let holder = || GroupHolder {
-                holder: credit_holder::CreditHolder::new(identity.clone(), now),
-                coordinator: None,
-                is_open: false,
-                is_urgent: false,
-                replied: rc::Rc::default(),
-            };
-            parts.holders = std::iter::repeat_with(holder).take(groups).collect();
+        let parts = &mut *parts;
+        if parts.holders.resize(groups, identity, &mut parts.known, now) == holder_groups::ResizeResult::Replaced {
+            log::info!(groups = groups, limited = limited; "holders of the quotas replaced");
+            // Requests that wait for a reply look for the new holders.
+            parts
+                .reports
+                .iter()
+                .for_each(|reports| reports.replied.notify_waiters());
+            parts.reports = std::iter::repeat_with(GroupReports::default).take(groups).collect();
             parts.members_read = None;
         }
         groups > 0
@@ -166,26 +164,27 @@
         let groups = u32::try_from(parts.holders.len()).unwrap_or(u32::MAX);
         let (share, expected) = (parts.known.share(now), parts.known.settled_at());
         let mut due = Vec::new();
-        for (index, group) in (0..groups).zip(&mut parts.holders) {
-            group.holder.set_share(share, expected, now);
-            let is_due = group.is_urgent || group.holder.next_report() <= now;
-            let Some((coordinator, address)) = group.coordinator.as_ref().filter(|_chosen| is_due && !group.is_open)
-            else {
+        let holders = parts.holders.iter_mut().zip(&mut parts.reports);
+        for (index, (holder, reports)) in (0..groups).zip(holders) {
+            holder.set_share(share, expected, now);
+            let is_due = reports.open.is_none() && (reports.is_urgent || holder.next_report() <= now);
+            let Some((coordinator, address)) = reports.coordinator.as_ref().filter(|_chosen| is_due) else {
                 continue;
             };
-            group.is_urgent = false;
-            group.is_open = true;
+            let report = holder.begin_report(coordinator, now);
+            reports.is_urgent = false;
+            reports.open = Some(report.sequence);
             due.push(DueReport {
                 group: (index, groups),
                 coordinator: coordinator.clone(),
                 address: *address,
-                report: group.holder.begin_report(coordinator, now),
+                report,
             });
         }
         due
     }
 
-    /// Ends a report, with its reply if one arrived.
+    /// Ends a report, with its reply if one arrived. Nothing happens if the holder that sent it was replaced.
     pub fn finish_report(
         &self,
         group: coordinator_choice::GroupKey,
@@ -194,17 +193,18 @@
         now: stall_watch::BootTime,
     ) {
         let mut parts = self.parts.borrow_mut();
-        if parts.holders.len() != group.1 as usize {
-            return;
-        }
-        let Some(holder) = parts.holders.get_mut(group.0 as usize) else {
+        let parts = &mut *parts;
+        let index = group.0 as usize;
+        let Some((holder, reports)) = parts.holders.get_mut(index).zip(parts.reports.get_mut(index)) else {
             return;
         };
-        holder.is_open = false;
+        if reports.open.take_if(|open| *open == sequence).is_none() {
+            return;
+        }
         if let Some(reply) = reply {
-            holder.holder.finish_report(sequence, reply, now);
+            holder.finish_report(sequence, reply, now);
         }
-        holder.replied.notify_waiters();
+        reports.replied.notify_waiters();
     }
 
     /// Handles a report as coordinator; `None` if it is older than one handled before.
@@ -231,16 +231,18 @@
         step: impl FnOnce(&mut credit_holder::CreditHolder) -> R,
     ) -> Option<R> {
         let mut parts = self.parts.borrow_mut();
-        Some(step(&mut parts.group_mut(tenant)?.holder))
+        let group = parts.group_of(tenant)?.0 as usize;
+        Some(step(parts.holders.get_mut(group)?))
     }
 
     /// Returns the notification of the next reply. Requests a report at once if it is urgent.
     pub fn await_report(&self, tenant: &ids::TenantName, is_urgent: bool) -> Option<rc::Rc<sync::Notify>> {
         let mut parts = self.parts.borrow_mut();
-        let group = parts.group_mut(tenant)?;
-        let replied = rc::Rc::clone(&group.replied);
+        let group = parts.group_of(tenant)?.0 as usize;
+        let reports = parts.reports.get_mut(group)?;
+        let replied = rc::Rc::clone(&reports.replied);
         if is_urgent {
-            group.is_urgent = true;
+            reports.is_urgent = true;
             self.wake.notify_one();
         }
         Some(replied)
@@ -294,11 +296,13 @@
         now: stall_watch::BootTime,
     ) -> (Option<ids::DaemonId>, credit_holder::CreditOrigin, u64) {
         let parts = self.parts.borrow();
-        let Some(group) = parts.group_of(tenant).and_then(|key| parts.holders.get(key.0 as usize)) else {
+        let group = parts.group_of(tenant).map(|key| key.0 as usize);
+        let group = group.and_then(|group| parts.holders.get(group).zip(parts.reports.get(group)));
+        let Some((holder, reports)) = group else {
             return (None, credit_holder::CreditOrigin::NoShare, 0);
         };
-        let coordinator = group.coordinator.as_ref().map(|chosen| chosen.0.clone());
-        (coordinator, group.holder.origin(now), group.holder.held_of(tenant, now))
+        let coordinator = reports.coordinator.as_ref().map(|chosen| chosen.0.clone());
+        (coordinator, holder.origin(now), holder.held_of(tenant, now))
     }
 
     /// Returns the credits of a tenant that this daemon coordinates; `None` for another.
@@ -323,15 +327,16 @@
     #[must_use]
     pub fn next_report(&self) -> Option<stall_watch::BootTime> {
         let parts = self.parts.borrow();
-        let idle = parts.holders.iter().filter(|group| !group.is_open);
-        idle.map(|group| group.holder.next_report()).min()
+        let holders = parts.holders.iter().zip(&parts.reports);
+        let idle = holders.filter(|(_holder, reports)| reports.open.is_none());
+        idle.map(|(holder, _reports)| holder.next_report()).min()
     }
 
     /// Returns the credits held and the credits granted as coordinator since the start.
     #[must_use]
     pub fn totals(&self, now: stall_watch::BootTime) -> (u64, u64) {
         let parts = self.parts.borrow();
-        let held = parts.holders.iter().map(|group| group.holder.held(now)).sum();
+        let held = parts.holders.iter().map(|holder| holder.held(now)).sum();
         let granted = parts
             .coordinators
             .values()
@@ -346,17 +351,12 @@
         Some((coordinator_choice::group_of(tenant, groups), groups))
     }
 
-    fn group_mut(&mut self, tenant: &ids::TenantName) -> Option<&mut GroupHolder> {
-        let index = self.group_of(tenant)?.0;
-        self.holders.get_mut(index as usize)
-    }
-
     /// Reads the live members, and chooses the coordinators among those that aren't leaving.
     fn read_members(&mut self, core: &forward_core::ForwardCore, now: stall_watch::BootTime) {
         let records = core.gossip().table().iter().map(|(_key, entry)| &entry.record);
         let live: Vec<_> = records.filter(|record| record.state.is_live()).collect();
         self.known.note(live.iter().map(|record| &record.daemon_id), now);
-        for (index, group) in (0_u32..).zip(&mut self.holders) {
+        for (index, group) in (0_u32..).zip(&mut self.reports) {
             let staying = live.iter().filter(|record| !record.leaving);
             let chosen = coordinator_choice::choose(index, staying.map(|record| &record.daemon_id));
             let chosen = chosen.and_then(|id| core.gossip().table().find(id));
--- a/crates/quota/src/credit_holder.rs
+++ b/crates/quota/src/credit_holder.rs
@@ -45,6 +45,24 @@
     pub started_ms: u64,
 }
 
+/// Numbers of the latest link and report of a holder.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HolderNumbers {
+    links: u64,
+    sequence: u64,
+}
+
+impl HolderNumbers {
+    /// Returns the later number of each kind.
+    #[must_use]
+    pub fn later(self, other: Self) -> Self {
+        Self {
+            links: self.links.max(other.links),
+            sequence: self.sequence.max(other.sequence),
+        }
+    }
+}
+
 /// Result of [`CreditHolder::take`].
 #[derive(Clone, Debug, PartialEq)]
 pub enum TakeResult {
@@ -135,14 +153,14 @@
 
 /// Commands.
 impl CreditHolder {
-    /// Creates a holder without credits.
+    /// Creates a holder without credits. Its links and reports have later numbers than `used`.
     #[must_use]
-    pub fn new(identity: HolderIdentity, now: time::Duration) -> Self {
+    pub fn new(identity: HolderIdentity, used: HolderNumbers, now: time::Duration) -> Self {
         Self {
             identity,
-            sequence: 0,
+            sequence: used.sequence,
             link: None,
-            links: 0,
+            links: used.links,
             open: None,
             unanswered_since: None,
             share_end: time::Duration::ZERO,
@@ -438,6 +456,15 @@
         self.next_report
     }
 
+    /// Returns the numbers of the latest link and report.
+    #[must_use]
+    pub fn numbers(&self) -> HolderNumbers {
+        HolderNumbers {
+            links: self.links,
+            sequence: self.sequence,
+        }
+    }
+
     /// Returns the coordinator whose credits are in use; `None` without one.
     #[must_use]
     pub fn coordinator(&self, now: time::Duration) -> Option<&ids::DaemonId> {
@@ -477,6 +504,22 @@
         account.map_or(0, tenant_account::TenantAccount::available)
     }
 
+    /// Returns the tokens of this daemon's own share that a tenant may use; 0 while a coordinator counts the share.
+    #[must_use]
+    pub fn own_tokens(&self, tenant: &ids::TenantName, limit: &credit_limit::CreditLimit, now: time::Duration) -> f64 {
+        let account = self.accounts.get(tenant).filter(|_account| self.owns_share(now));
+        let Some(mut own) = account.and_then(|account| account.own.clone()) else {
+            return 0.0;
+        };
+        own.fill(
+            limit.rate * self.share,
+            now.as_secs_f64(),
+            limit.capacity * self.share,
+            now,
+        );
+        own.level()
+    }
+
     /// Returns whether this daemon may use its own share: no coordinator counts it.
     #[must_use]
     pub fn owns_share(&self, now: time::Duration) -> bool {
--- a/crates/quota/tests/quotas/failures.rs
+++ b/crates/quota/tests/quotas/failures.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use damasktrack_quota::coordinator_choice;
 use damasktrack_quota::credit_coordinator::CreditCoordinator;
-use damasktrack_quota::credit_holder::{CreditHolder, HolderIdentity, TakeResult};
+use damasktrack_quota::credit_holder::{CreditHolder, HolderIdentity, HolderNumbers, TakeResult};
 use damasktrack_quota::credit_limit::CreditLimit;
 use damasktrack_quota::credit_message::{CreditReport, TenantReport};
 
@@ -83,7 +83,7 @@
         world.request(holder, 0);
         world.run(2 * TICK);
     }
-    let held = world.daemons[holder].holder.held(Duration::ZERO);
+    let held = world.daemons[holder].holder().held(Duration::ZERO);
     world.daemons[holder].paused = true;
     world.run(Duration::from_secs(3));
     // The coordinator counts the credits as spent and fills the bucket again.
@@ -275,7 +275,7 @@
     };
     let (mut coordinator, mut now) = coordinator_with_shares();
     let limits = |_name: &Bytes| Some(limit(10.0, 10.0));
-    let mut holder = CreditHolder::new(identity, now);
+    let mut holder = CreditHolder::new(identity, HolderNumbers::default(), now);
     holder.set_share(0.5, None, now);
     let id = Bytes::from_static(b"c");
     let mut exchange = |holder: &mut CreditHolder, now: Duration| {
@@ -504,9 +504,9 @@
         world.request(caller, 0);
         world.run(2 * TICK);
     }
-    assert!(world.daemons[caller].holder.held(Duration::ZERO) > 0);
+    assert!(world.daemons[caller].holder().held(Duration::ZERO) > 0);
     world.run(Duration::from_millis(4500));
-    assert_eq!(world.daemons[caller].holder.held(Duration::ZERO), 0);
+    assert_eq!(world.daemons[caller].holder().held(Duration::ZERO), 0);
 }
 
 /// Lets each tenant send at 0.6 of its rate from all daemons, and returns how many requests were sent and refused.
--- a/crates/quota/tests/quotas/main.rs
+++ b/crates/quota/tests/quotas/main.rs
@@ -3,6 +3,7 @@
 mod comparison;
 mod failures;
 mod fuzz;
+mod limit_changes;
 mod messages;
 mod quota_world;
 mod rates;
--- a/crates/quota/tests/quotas/quota_world.rs
+++ b/crates/quota/tests/quotas/quota_world.rs
@@ -9,6 +9,7 @@
 use damasktrack_quota::credit_limit::{CreditLimit, QuotaBounds};
 use damasktrack_quota::credit_message::{self, CreditReply, CreditReport};
 use damasktrack_quota::credit_wait::{CreditWait, WaitStep};
+use damasktrack_quota::holder_groups::HolderGroups;
 use damasktrack_quota::known_daemons::KnownDaemons;
 use rand::rngs::StdRng;
 use rand::{Rng, RngExt, SeedableRng};
@@ -37,6 +38,8 @@
     ShareAtOnce,
     /// Daemons without a coordinator use the whole limit.
     WholeLimitAlone,
+    /// Links and reports of a holder that replaces another one have the same numbers again.
+    ReusedNumbers,
     /// Refunds are charged only to the time since the report that contains them.
     UndatedRefunds,
     /// Requests don't wait for the end of an outage.
@@ -45,7 +48,8 @@
 
 pub struct SimDaemon {
     pub id: Bytes,
-    pub holder: CreditHolder,
+    pub groups: HolderGroups,
+    identity: HolderIdentity,
     pub coordinator: CreditCoordinator,
     pub known: KnownDaemons,
     pub live: bool,
@@ -70,6 +74,11 @@
 
 enum Message {
     Report(CreditReport),
+    /// The coordinator did not take the report.
+    Refusal {
+        incarnation: u64,
+        sequence: u64,
+    },
     Reply {
         incarnation: u64,
         sequence: u64,
@@ -96,6 +105,8 @@
     /// Group of each daemon in a partition.
     pub sides: Vec<u8>,
     pub fault: Fault,
+    /// Whether a holder learns at once that a report wasn't taken, and not only by its time limit.
+    pub sends_refusals: bool,
     /// Times of the credits spent, by tenant, and whether they were given back.
     pub spent: Vec<Vec<Duration>>,
     pub refused: Vec<u64>,
@@ -112,6 +123,21 @@
     Bytes::from(format!("tenant{tenant}"))
 }
 
+impl SimDaemon {
+    /// Returns whether the configuration of this daemon has limits.
+    pub fn is_limited(&self) -> bool {
+        !self.groups.is_empty()
+    }
+
+    pub fn holder(&self) -> &CreditHolder {
+        self.groups.get(0).unwrap()
+    }
+
+    fn holder_mut(&mut self) -> &mut CreditHolder {
+        self.groups.get_mut(0).unwrap()
+    }
+}
+
 impl QuotaWorld {
     pub fn new(daemons: usize, limits: Vec<CreditLimit>, seed: u64, fault: Fault) -> Self {
         let rng = StdRng::seed_from_u64(seed);
@@ -126,6 +152,7 @@
             delay: Duration::from_millis(35),
             sides: vec![0; daemons],
             fault,
+            sends_refusals: false,
             spent: vec![Vec::new(); tenants],
             refused: vec![0; tenants],
             waits: vec![Vec::new(); tenants],
@@ -159,9 +186,12 @@
         } else {
             known.note_list(local);
         }
+        let mut groups = HolderGroups::default();
+        groups.resize(1, &identity, &mut known, local);
         SimDaemon {
             id,
-            holder: CreditHolder::new(identity, local),
+            groups,
+            identity,
             coordinator: CreditCoordinator::new(self.rng.next_u64(), local),
             known,
             live: true,
@@ -194,6 +224,35 @@
         self.daemons[index] = SimDaemon { view, ..daemon };
     }
 
+    /// Puts a configuration in force at a daemon whose tenants have limits, or none.
+    pub fn set_limited(&mut self, index: usize, limited: bool) {
+        let local = self.local(index);
+        let fault = self.fault;
+        let daemon = &mut self.daemons[index];
+        if fault == Fault::ReusedNumbers && daemon.is_limited() != limited {
+            daemon.known.withhold(local);
+            daemon.groups = HolderGroups::default();
+        }
+        if daemon.is_limited() != limited {
+            daemon.open = None;
+        }
+        let groups = usize::from(limited);
+        daemon.groups.resize(groups, &daemon.identity, &mut daemon.known, local);
+    }
+
+    /// Returns the credits of a tenant that may be spent without a further message: those that holders have, and the
+    /// tokens of the shares that daemons use themselves.
+    pub fn spendable(&self, tenant: usize) -> f64 {
+        let name = tenant_name(tenant);
+        let daemons =
+            (0..self.daemons.len()).filter(|index| self.daemons[*index].live && self.daemons[*index].is_limited());
+        let sum = daemons.map(|index| {
+            let (holder, local) = (self.daemons[index].holder(), self.local(index));
+            holder.held_of(&name, local) as f64 + holder.own_tokens(&name, &self.limits[tenant], local)
+        });
+        sum.sum()
+    }
+
     /// Sends a request; returns its credit, or `None` if it waits or was refused.
     pub fn request(&mut self, index: usize, tenant: usize) -> Option<SpentCredit> {
         if !self.daemons[index].live || self.daemons[index].paused {
@@ -214,9 +273,13 @@
         let local = self.local(index);
         let tenant = request.tenant;
         let name = tenant_name(tenant);
+        if !self.daemons[index].is_limited() {
+            // The request is sent, and counts for no limit.
+            return None;
+        }
         let may_hold = self.fault != Fault::NoHold;
         let daemon = &mut self.daemons[index];
-        let result = daemon.holder.take(&name, &self.limits[tenant], local);
+        let result = daemon.holder_mut().take(&name, &self.limits[tenant], local);
         let step = request.wait.decide(&result, may_hold, local);
         let (urgent, pause) = match step {
             Some(WaitStep::Report(pause)) => (true, pause),
@@ -224,7 +287,7 @@
             Some(WaitStep::Refuse(_)) | None => {
                 let waited = self.now.saturating_sub(request.since);
                 if !first {
-                    daemon.holder.end_wait(&name);
+                    daemon.holder_mut().end_wait(&name);
                     self.waits[tenant].push((step.is_none(), waited));
                 }
                 let TakeResult::Granted(credit) = result else {
@@ -239,7 +302,7 @@
             }
         };
         if first {
-            daemon.holder.begin_wait(&name);
+            daemon.holder_mut().begin_wait(&name);
         }
         daemon.urgent |= urgent && (first || daemon.open.is_none());
         request.due = local + pause;
@@ -250,7 +313,10 @@
     /// Ends a request that has not run.
     pub fn refund(&mut self, index: usize, tenant: usize, credit: SpentCredit, spent: Duration) {
         let local = self.local(index);
-        self.daemons[index].holder.refund(&tenant_name(tenant), credit, local);
+        if self.daemons[index].is_limited() {
+            let holder = self.daemons[index].holder_mut();
+            holder.refund(&tenant_name(tenant), credit, local);
+        }
         let times = &mut self.spent[tenant];
         let position = times.iter().rposition(|time| *time == spent).unwrap();
         times.remove(position);
@@ -281,18 +347,22 @@
     }
 
     fn send_report(&mut self, index: usize) {
+        if !self.daemons[index].is_limited() {
+            return;
+        }
         let local = self.local(index);
         let fault = self.fault;
         let daemon = &mut self.daemons[index];
         let mut share = daemon.known.share(local);
-        if fault == Fault::WholeLimitAlone && daemon.holder.coordinator(local).is_none() {
+        if fault == Fault::WholeLimitAlone && daemon.holder_mut().coordinator(local).is_none() {
             share = share.signum();
         }
-        daemon.holder.set_share(share, daemon.known.settled_at(), local);
+        let expected = daemon.known.settled_at();
+        daemon.holder_mut().set_share(share, expected, local);
         daemon.open = daemon
             .open
             .filter(|(_sequence, sent)| self.now.saturating_sub(*sent) < REPORT_TIMEOUT);
-        let due = daemon.urgent || daemon.holder.next_report() <= local;
+        let due = daemon.urgent || daemon.holder_mut().next_report() <= local;
         if daemon.open.is_some() || !due {
             return;
         }
@@ -305,7 +375,7 @@
             .clone();
         let to = self.daemons.iter().position(|other| other.id == chosen).unwrap();
         let daemon = &mut self.daemons[index];
-        let mut report = daemon.holder.begin_report(&chosen, local);
+        let mut report = daemon.holder_mut().begin_report(&chosen, local);
         daemon.open = Some((report.sequence, self.now));
         if self.fault == Fault::UndatedReports {
             report.sent_ms = u64::MAX;
@@ -362,8 +432,13 @@
                 let limit = |name: &Bytes| std::str::from_utf8(&name[6..]).unwrap().parse::<usize>().ok();
                 let incarnation = report.incarnation;
                 let sequence = report.sequence;
-                let limit = |name: &Bytes| limit(name).map(|tenant| limits[tenant]);
+                let limited = daemon.is_limited();
+                let limit = |name: &Bytes| limit(name).map(|tenant| limits[tenant]).filter(|_limit| limited);
                 let Some(reply) = daemon.coordinator.report(&report, limit, local) else {
+                    self.send(envelope.to, envelope.from, || Message::Refusal {
+                        incarnation,
+                        sequence,
+                    });
                     return;
                 };
                 self.bytes += credit_message::encode(&reply).unwrap().len() as u64;
@@ -373,16 +448,21 @@
                     reply: reply.clone(),
                 });
             }
+            Message::Refusal { incarnation, sequence } => {
+                if daemon.incarnation == incarnation {
+                    daemon.open.take_if(|(open, _sent)| *open == sequence);
+                }
+            }
             Message::Reply {
                 incarnation,
                 sequence,
                 reply,
             } => {
-                if daemon.incarnation != incarnation {
+                if daemon.incarnation != incarnation || !daemon.is_limited() {
                     return;
                 }
                 let matched = daemon.open.is_some_and(|(open, _sent)| open == sequence);
-                daemon.holder.finish_report(sequence, &reply, holder_time);
+                daemon.holder_mut().finish_report(sequence, &reply, holder_time);
                 if matched {
                     daemon.open = None;
                     let waiting = daemon.waiting.iter_mut();
