Identify requests by 128 bits of BLAKE3

Cause: the quarantine counts crashes by the digest of a request, which was an unkeyed xxh3 of 64 bits. Two inputs with the same xxh3 are easy to find, so one tenant could craft a request with the digest of another tenant's, send it to servers that it crashes, and get the other request refused. Found by reading; no such pair was crafted.

Change: the digest is 128 bits of BLAKE3, from the crate blake3.

--- a/crates/forward/src/crash_watch.rs
+++ b/crates/forward/src/crash_watch.rs
@@ -296,7 +296,7 @@
     requests.sort_unstable();
     requests.dedup();
     node.metrics.count_server_end(planned);
-    let digests: Vec<_> = requests.iter().map(|digest| format!("{digest:016x}")).collect();
+    let digests: Vec<_> = requests.iter().map(|digest| format!("{digest:032x}")).collect();
     log::warn!(
         planned = planned, calls = lost.len(), requests = digests.join(" ");
         "backend server ended with calls in flight"
--- a/crates/forward/src/local_reply.rs
+++ b/crates/forward/src/local_reply.rs
@@ -82,7 +82,7 @@
             Self::Rejected(fault) => fault.to_string(),
             Self::NotRun(reason) => reason.to_string(),
             Self::Quarantined { digest, .. } => {
-                format!("{}, digest {digest:016x}", call_outcome::RefusalReason::Quarantined)
+                format!("{}, digest {digest:032x}", call_outcome::RefusalReason::Quarantined)
             }
             Self::MayHaveRun => "no usable response".to_owned(),
             Self::Timeout => "timeout".to_owned(),
--- a/crates/forward/src/quarantine_state.rs
+++ b/crates/forward/src/quarantine_state.rs
@@ -96,7 +96,7 @@
         }
         let urgency = match table.verdict(digest) {
             quarantine_table::RequestVerdict::Quarantined(crashes) => {
-                log::info!(request = format!("{digest:016x}"), crashes = crashes; "quarantined request completed; released");
+                log::info!(request = format!("{digest:032x}"), crashes = crashes; "quarantined request completed; released");
                 NewsUrgency::Prompt
             }
             _ => NewsUrgency::Deferred,
@@ -118,7 +118,7 @@
     pub fn record_trial(&self, id: crash_report::CrashId, digest: request_digest::RequestDigest) {
         let now = stall_watch::boot_time();
         let effect = self.table.borrow_mut().record_trial(id, digest, now);
-        log::info!(request = format!("{digest:016x}"); "quarantined request is tried once");
+        log::info!(request = format!("{digest:032x}"); "quarantined request is tried once");
         self.apply(effect, NewsUrgency::Prompt, "trial");
     }
 
@@ -155,7 +155,7 @@
         let policy = self.table.borrow().policy();
         for (digest, crashes) in effect.quarantined {
             log::warn!(
-                request = format!("{digest:016x}"), crashes = crashes, limit = policy.crashes,
+                request = format!("{digest:032x}"), crashes = crashes, limit = policy.crashes,
                 hold_s = policy.hold.as_secs(), source = source;
                 "request quarantined: servers crashed while it ran, and none has completed it since"
             );
--- a/crates/quarantine/src/request_digest.rs
+++ b/crates/quarantine/src/request_digest.rs
@@ -4,8 +4,12 @@
 use damasktrack_entity::ids;
 use xxhash_rust::xxh3;
 
-/// Digest of the parts of a request that make it the same one when it is sent again.
-pub type RequestDigest = u64;
+/// Digest of the parts of a request that make it the same one when it is sent again: 128 bits of BLAKE3. With fewer bits, or a
+/// digest that isn't cryptographic, a caller could craft a request with the digest of another caller's, and get that one
+/// quarantined.
+pub type RequestDigest = u128;
+
+const DIGEST_BYTES: usize = size_of::<RequestDigest>();
 
 /// Parts of a request that its digest covers. Attempt id, deadline and other headers differ between attempts.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,7 +38,7 @@
             self.host,
             self.target.as_bytes(),
         ];
-        let mut hasher = xxh3::Xxh3::new();
+        let mut hasher = blake3::Hasher::new();
         for part in parts {
             // The length separates the parts.
             hasher.update(&(part.len() as u64).to_le_bytes());
@@ -43,12 +47,17 @@
         for chunk in body {
             hasher.update(&chunk);
         }
-        hasher.digest()
+        let mut digest = [0; DIGEST_BYTES];
+        hasher.finalize_xof().fill(&mut digest);
+        RequestDigest::from_le_bytes(digest)
     }
 }
 
 /// Returns the weight of a daemon for a request in rendezvous hashing.
 #[must_use]
 pub fn daemon_weight(digest: RequestDigest, daemon: &ids::DaemonId) -> u64 {
-    xxh3::xxh3_64_with_seed(daemon, digest)
+    let mut hasher = xxh3::Xxh3::new();
+    hasher.update(&digest.to_le_bytes());
+    hasher.update(daemon);
+    hasher.digest()
 }
