Count no fixed choice of the requests in flight at a crash

Cause: of more than 512 requests in flight at a crash, the table kept those with the lowest digests. A request with a high digest was cut from each crash, so it never counted and crashed servers without end.

Change: the daemon beside the server keeps the suspects of earlier crashes first, and of the others a choice by a hash with the crash's random id. A log line names the numbers when some are left out.

--- a/crates/forward/src/quarantine_state.rs
+++ b/crates/forward/src/quarantine_state.rs
@@ -110,6 +110,12 @@
     pub fn record_crash(&self, id: crash_report::CrashId, mut suspects: Vec<request_digest::RequestDigest>) {
         let now = stall_watch::boot_time();
         suspects.retain(|digest| !self.completions.borrow_mut().contains(*digest, now));
+        if suspects.len() > crash_report::MAX_SUSPECTS {
+            log::warn!(
+                requests = suspects.len(), limit = crash_report::MAX_SUSPECTS;
+                "more requests in flight at a crash than are kept"
+            );
+        }
         let effect = self.table.borrow_mut().record_crash(id, suspects, now);
         self.apply(effect, NewsUrgency::Prompt, "crash");
     }
--- a/crates/quarantine/src/quarantine_table.rs
+++ b/crates/quarantine/src/quarantine_table.rs
@@ -112,7 +112,8 @@
         suspects: impl IntoIterator<Item = request_digest::RequestDigest>,
         now: TableTime,
     ) -> MergeEffect {
-        self.record(id, crash_report::RecordKind::Crash, suspects.into_iter().collect(), now)
+        let suspects = self.select_suspects(id, suspects.into_iter().collect());
+        self.record(id, crash_report::RecordKind::Crash, suspects, now)
     }
 
     /// Records that a quarantined request is sent once more.
@@ -194,6 +195,28 @@
         }
     }
 
+    /// Returns the suspects of a new crash that are kept: those of earlier crashes first, and of the others a choice that
+    /// differs between crashes, so that no request is left out of all of them.
+    fn select_suspects(
+        &self,
+        id: crash_report::CrashId,
+        mut suspects: Vec<request_digest::RequestDigest>,
+    ) -> Vec<request_digest::RequestDigest> {
+        if suspects.len() > crash_report::MAX_SUSPECTS {
+            suspects.sort_unstable();
+            suspects.dedup();
+            suspects.sort_by_cached_key(|digest| {
+                let count = self.counts.get(digest).copied().unwrap_or_default();
+                (
+                    std::cmp::Reverse(count),
+                    xxh3::xxh3_64_with_seed(&digest.to_le_bytes(), id),
+                )
+            });
+            suspects.truncate(crash_report::MAX_SUSPECTS);
+        }
+        suspects
+    }
+
     fn record(
         &mut self,
         id: crash_report::CrashId,
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -122,6 +122,22 @@
     );
 }
 
+/// Guards against a request that is never counted since more are in flight at each crash than are kept.
+#[test]
+fn request_among_many_in_flight_is_quarantined() {
+    const CAUSE: RequestDigest = RequestDigest::MAX;
+    let mut table = QuarantineTable::new(POLICY);
+    let mut crashes = 0;
+    while table.verdict(CAUSE) != RequestVerdict::Quarantined(POLICY.crashes) {
+        crashes += 1;
+        assert!(crashes <= 40, "{:?} after {crashes} crashes", table.verdict(CAUSE));
+        // The other requests in flight differ between the crashes.
+        let others = (0..2_000).map(|number| RequestDigest::from(crashes * 10_000 + number));
+        table.record_crash(crashes, others.chain([CAUSE]), at(0));
+    }
+    println!("quarantined after {crashes} crashes");
+}
+
 /// Guards against a refreshed crash that daemons pass on to each other without end.
 #[test]
 fn transfer_times_are_no_news() {
