Give requests to other daemons a module of their own

Cause: ten modules of forward depended on each other in a circle, by way of member_tasks::post and PEER_TIMEOUT, the paths and empty responses of peer_server, and crash_watch, which recorded crashes through quarantine_tasks.

Change: peer_client has post, which takes the connection pool of the peer, the time limit and the paths. empty_response moves to http_server, request_of to http_link, CallIdentity to call_identity, and the recording of crashes and trials to NodeContext. No behaviour changes.

Result: the largest circle has two modules (crash_watch and node_context; three other pairs as before).

--- a/crates/forward/src/callee_call.rs
+++ b/crates/forward/src/callee_call.rs
@@ -13,6 +13,7 @@
 use tokio::sync::oneshot;
 use tokio::task;
 
+use crate::call_identity;
 use crate::crash_watch;
 use crate::forward_core;
 use crate::http_link;
@@ -122,7 +123,7 @@
     let attempt_id = request.headers.get(&node.settings.headers.attempt_id).cloned();
     let refuse = |reason| refuse(node, head, attempt_id.as_ref(), arrived, reason);
     let identity =
-        crash_watch::CallIdentity::of_call(head, &request.method, &request.uri, &request.headers, &request.body);
+        call_identity::CallIdentity::of_call(head, &request.method, &request.uri, &request.headers, &request.body);
     let is_quarantined =
         || kind == RunKind::Usual && node.quarantine.decide(&identity) != quarantine_state::QuarantineDecision::Admit;
     if is_quarantined() {
@@ -207,7 +208,7 @@
     head: &peer_call::CallHead,
     permit: &forward_core::WorkPermit,
     request: CallRequest,
-    identity: crash_watch::CallIdentity,
+    identity: call_identity::CallIdentity,
     deadline: time::Instant,
     mut guard: WorkGuard,
 ) -> CallResult {
@@ -368,22 +369,12 @@
             headers.remove(&names.tenant);
         }
     }
-    Some(request_of(request.method, request.uri, headers, request.body))
-}
-
-/// Builds a request from its parts.
-#[must_use]
-pub fn request_of(
-    method: hyper::Method,
-    uri: hyper::Uri,
-    headers: header::HeaderMap,
-    body: impl Into<chunk_list::ChunkedBody>,
-) -> hyper::Request<http_link::LinkBody> {
-    let mut request = hyper::Request::new(body.into());
-    *request.method_mut() = method;
-    *request.uri_mut() = uri;
-    *request.headers_mut() = headers;
-    request
+    Some(http_link::request_of(
+        request.method,
+        request.uri,
+        headers,
+        request.body,
+    ))
 }
 
 /// Why a response is not forwarded.
--- a/crates/forward/src/config_check.rs
+++ b/crates/forward/src/config_check.rs
@@ -11,9 +11,8 @@
 use rand::seq::IndexedRandom;
 use tokio::task;
 
-use crate::member_tasks;
 use crate::node_context;
-use crate::peer_server;
+use crate::peer_client;
 use crate::stall_watch;
 
 /// Checks in the time limit of a confirmation.
@@ -76,12 +75,11 @@
 
 async fn ask(node: rc::Rc<node_context::NodeContext>, address: net::SocketAddr) {
     let sent = stall_watch::boot_time();
-    let reply = member_tasks::post(
-        &node,
-        address,
-        peer_server::CONFIG_AGE_PATH,
+    let reply = peer_client::post(
+        &node.peer(address),
+        peer_client::CONFIG_AGE_PATH,
         Vec::new(),
-        member_tasks::PEER_TIMEOUT,
+        peer_client::PEER_TIMEOUT,
     )
     .await;
     let Some(reply) = reply.and_then(|bytes| rmp_serde::from_slice::<ConfigAge>(&bytes).ok()) else {
--- a/crates/forward/src/crash_watch.rs
+++ b/crates/forward/src/crash_watch.rs
@@ -7,17 +7,13 @@
 use std::rc;
 use std::time;
 
-use damasktrack_entity::ids;
-use damasktrack_pipeline::chunk_list;
 use damasktrack_quarantine::request_digest;
-use hyper::header;
 use tokio::task;
 
+use crate::call_identity;
 use crate::forward_core;
 use crate::http_link;
 use crate::node_context;
-use crate::peer_call;
-use crate::quarantine_tasks;
 
 /// Pauses before the connections are looked at again. Their ends arrive one after the other, and a busy process handles
 /// them late.
@@ -32,65 +28,6 @@
 /// that has started again says so with its next heartbeat.
 const UNEXPLAINED_LIFETIME: time::Duration = time::Duration::from_secs(10);
 
-/// A call's request, as far as its identity needs it.
-#[derive(Clone, Debug)]
-pub struct CallIdentity {
-    caller: ids::ServiceName,
-    tenant: Option<ids::TenantName>,
-    method: hyper::Method,
-    uri: hyper::Uri,
-    host: Option<header::HeaderValue>,
-    body: chunk_list::ChunkedBody,
-}
-
-impl CallIdentity {
-    /// Returns the identity of a request that began at the service `caller`.
-    #[must_use]
-    pub fn new(
-        caller: &ids::ServiceName,
-        tenant: Option<&ids::TenantName>,
-        method: &hyper::Method,
-        uri: &hyper::Uri,
-        headers: &header::HeaderMap,
-        body: &chunk_list::ChunkedBody,
-    ) -> Self {
-        Self {
-            caller: caller.clone(),
-            tenant: tenant.cloned(),
-            method: method.clone(),
-            uri: uri.clone(),
-            host: headers.get(header::HOST).cloned(),
-            body: body.clone(),
-        }
-    }
-
-    /// Returns the identity of a forwarded call.
-    #[must_use]
-    pub fn of_call(
-        head: &peer_call::CallHead,
-        method: &hyper::Method,
-        uri: &hyper::Uri,
-        headers: &header::HeaderMap,
-        body: &chunk_list::ChunkedBody,
-    ) -> Self {
-        Self::new(&head.caller_service, head.tenant.as_ref(), method, uri, headers, body)
-    }
-
-    /// Returns the digest, which takes time in proportion to the body.
-    #[must_use]
-    pub fn digest(&self) -> request_digest::RequestDigest {
-        let target = self.uri.path_and_query();
-        let identity = request_digest::RequestIdentity {
-            caller: &self.caller,
-            tenant: self.tenant.as_ref(),
-            method: self.method.as_str(),
-            host: self.host.as_ref().map_or(&[][..], header::HeaderValue::as_bytes),
-            target: target.map_or("", |target| target.as_str()),
-        };
-        identity.digest(self.body.chunks())
-    }
-}
-
 /// Call that ended without a response of the server.
 #[derive(Clone, Copy, Debug)]
 struct LostCall {
@@ -122,7 +59,7 @@
 )]
 enum TicketIdentity {
     /// Its parts, with the body.
-    Parts(CallIdentity),
+    Parts(call_identity::CallIdentity),
     /// Its digest.
     Digest(request_digest::RequestDigest),
 }
@@ -140,7 +77,11 @@
 
 /// Begins to watch a call that is sent now to the server with this start, in milliseconds since 1970.
 #[must_use]
-pub fn begin(node: &rc::Rc<node_context::NodeContext>, identity: CallIdentity, started_ms: u64) -> CallTicket {
+pub fn begin(
+    node: &rc::Rc<node_context::NodeContext>,
+    identity: call_identity::CallIdentity,
+    started_ms: u64,
+) -> CallTicket {
     let sent = time::Instant::now();
     node.crash_watch.running.borrow_mut().push(sent);
     CallTicket {
@@ -302,6 +243,6 @@
         "backend server ended with calls in flight"
     );
     if !planned && !requests.is_empty() {
-        quarantine_tasks::record_crash(node, requests);
+        node.record_crash(requests);
     }
 }
--- a/crates/forward/src/entry_call.rs
+++ b/crates/forward/src/entry_call.rs
@@ -18,9 +18,9 @@
 use hyper::http::request;
 use rand::RngExt;
 
+use crate::call_identity;
 use crate::callee_call;
 use crate::caller_key;
-use crate::crash_watch;
 use crate::forward_core;
 use crate::http_link;
 use crate::local_reply;
@@ -29,7 +29,6 @@
 use crate::node_context;
 use crate::peer_call;
 use crate::quarantine_state;
-use crate::quarantine_tasks;
 use crate::quota_gate;
 use crate::request_end;
 use crate::route_config;
@@ -261,7 +260,7 @@
         if !is_due || !node.core.ask(|core, _now| core.tries_request(digest)) {
             return Err(quarantine_refusal(node, entry));
         }
-        quarantine_tasks::record_trial(node, digest);
+        node.record_trial(digest);
         entry.is_trial.set(true);
     }
     tokio::select! {
@@ -419,8 +418,8 @@
 }
 
 /// Returns the identity of a request, as the callee daemon sees it.
-fn identity(node: &node_context::NodeContext, entry: &EntryRequest) -> crash_watch::CallIdentity {
-    crash_watch::CallIdentity::new(
+fn identity(node: &node_context::NodeContext, entry: &EntryRequest) -> call_identity::CallIdentity {
+    call_identity::CallIdentity::new(
         &node.settings.service,
         entry.tenant.as_ref().map(|tenant| &tenant.name),
         &entry.request.method,
@@ -560,7 +559,7 @@
     if entry.is_trial.get() {
         headers.insert(peer_call::TRIAL_HEADER, header::HeaderValue::from_static("1"));
     }
-    let request = callee_call::request_of(
+    let request = http_link::request_of(
         entry.request.method.clone(),
         entry.request.uri.clone(),
         headers,
--- a/crates/forward/src/http_link.rs
+++ b/crates/forward/src/http_link.rs
@@ -347,6 +347,21 @@
     }
 }
 
+/// Builds a request from its parts.
+#[must_use]
+pub fn request_of(
+    method: hyper::Method,
+    uri: hyper::Uri,
+    headers: hyper::header::HeaderMap,
+    body: impl Into<LinkBody>,
+) -> hyper::Request<LinkBody> {
+    let mut request = hyper::Request::new(body.into());
+    *request.method_mut() = method;
+    *request.uri_mut() = uri;
+    *request.headers_mut() = headers;
+    request
+}
+
 /// Sets the options of a connection to a server: no delay, and an end if the server no longer responds.
 fn set_client_options(stream: &tokio::net::TcpStream) {
     set_common_options(stream);
--- a/crates/forward/src/http_server.rs
+++ b/crates/forward/src/http_server.rs
@@ -237,3 +237,11 @@
         log::debug!(error:% = error; "inbound connection ended");
     }
 }
+
+/// Returns a response without a body.
+#[must_use]
+pub fn empty_response(code: hyper::StatusCode) -> ServerResponse {
+    let mut response = hyper::Response::new(message_body::ReplyBody::whole(bytes::Bytes::new()));
+    *response.status_mut() = code;
+    response
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,6 +9,7 @@
 //! platform's names and formats are defined outside this crate.
 
 pub mod bounded_stream;
+pub mod call_identity;
 pub mod callee_call;
 pub mod caller_key;
 pub mod capacity_log;
@@ -37,6 +38,7 @@
 pub mod node_logs;
 pub mod node_run;
 pub mod peer_call;
+pub mod peer_client;
 pub mod peer_server;
 pub mod process_limits;
 pub mod quarantine_state;
--- a/crates/forward/src/member_tasks.rs
+++ b/crates/forward/src/member_tasks.rs
@@ -4,23 +4,18 @@
 use std::rc;
 use std::time;
 
-use bytes::Bytes;
 use damasktrack_membership::anti_entropy;
 use damasktrack_membership::gossip_context;
 use damasktrack_membership::gossip_message;
-use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 use tokio::task;
 
-use crate::callee_call;
 use crate::config_text;
 use crate::forward_core;
 use crate::node_context;
-use crate::peer_server;
+use crate::peer_client;
 use crate::store_port;
 
-/// Time limit of one request of a member exchange, or for the configuration of a peer.
-pub(crate) const PEER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 /// Delay before the configuration of a peer is fetched, if one is in force. Most changes reach every daemon sooner
 /// through the store.
 const CONFIG_FETCH_DELAY: time::Duration = time::Duration::from_millis(100);
@@ -89,7 +84,14 @@
     let Ok(body) = anti_entropy::encode(&request) else {
         return;
     };
-    let Some(reply) = post(&node, address, peer_server::EXCHANGE_PATH, body, PEER_TIMEOUT).await else {
+    let Some(reply) = peer_client::post(
+        &node.peer(address),
+        peer_client::EXCHANGE_PATH,
+        body,
+        peer_client::PEER_TIMEOUT,
+    )
+    .await
+    else {
         return;
     };
     let Ok(reply) = anti_entropy::decode::<anti_entropy::ExchangeReply>(&reply) else {
@@ -102,7 +104,13 @@
     if !returned.records.is_empty()
         && let Ok(body) = anti_entropy::encode(&returned)
     {
-        post(&node, address, peer_server::RETURN_PATH, body, PEER_TIMEOUT).await;
+        peer_client::post(
+            &node.peer(address),
+            peer_client::RETURN_PATH,
+            body,
+            peer_client::PEER_TIMEOUT,
+        )
+        .await;
     }
 }
 
@@ -124,39 +132,14 @@
             return;
         }
     }
-    if let Some(text) = post(&node, address, peer_server::CONFIG_PATH, Vec::new(), PEER_TIMEOUT).await {
+    if let Some(text) = peer_client::post(
+        &node.peer(address),
+        peer_client::CONFIG_PATH,
+        Vec::new(),
+        peer_client::PEER_TIMEOUT,
+    )
+    .await
+    {
         store_port::adopt(&node, &port, config_text::ConfigText::new(text), "peer");
     }
 }
-
-/// Sends a request to a peer and returns the body of its response; `None` on a failure, a timeout, or a status other
-/// than 200.
-pub(crate) async fn post(
-    node: &node_context::NodeContext,
-    address: net::SocketAddr,
-    path: &'static str,
-    body: Vec<u8>,
-    timeout: time::Duration,
-) -> Option<Bytes> {
-    let uri = hyper::Uri::from_static(path);
-    let mut headers = hyper::header::HeaderMap::new();
-    headers.insert(
-        hyper::header::HOST,
-        hyper::header::HeaderValue::try_from(address.to_string()).ok()?,
-    );
-    let request = callee_call::request_of(hyper::Method::POST, uri, headers, Bytes::from(body));
-    let work = async {
-        let (response, lease) = node.peer(address).send(request, time::Duration::MAX).await.ok()?;
-        if response.status() != hyper::StatusCode::OK {
-            return None;
-        }
-        let body = response.into_body().collect().await.ok()?.to_bytes();
-        lease.release(None, time::Instant::now());
-        Some(body)
-    };
-    let reply = tokio::time::timeout(timeout, work).await.ok().flatten();
-    if reply.is_none() {
-        log::debug!(peer:% = address, path = path; "request to a peer failed");
-    }
-    reply
-}
--- a/crates/forward/src/node_context.rs
+++ b/crates/forward/src/node_context.rs
@@ -9,7 +9,9 @@
 use damasktrack_entity::ids;
 use damasktrack_pipeline::account_handle;
 use damasktrack_quarantine::crash_report;
+use damasktrack_quarantine::request_digest;
 use hyper::header;
+use rand::RngExt;
 use tokio::sync::mpsc;
 
 use crate::core_handle;
@@ -59,7 +61,7 @@
     /// Requests that crash the servers that run them.
     pub quarantine: quarantine_state::QuarantineState,
     /// Crashes of the backend server that the store has to keep.
-    pub crash_rows: mpsc::UnboundedSender<crash_report::CrashId>,
+    crash_rows: mpsc::UnboundedSender<crash_report::CrashId>,
     /// Planned stop of this daemon, once it has begun.
     pub stop: stop_schedule::PlannedStop,
     /// Number of callers' requests in flight.
@@ -167,6 +169,25 @@
         }
     }
 
+    /// Records the crash of the backend server with these requests in flight, here and in the store.
+    pub fn record_crash(&self, suspects: Vec<request_digest::RequestDigest>) {
+        let id = rand::rng().random();
+        self.quarantine.record_crash(id, suspects);
+        self.save_crash(id);
+    }
+
+    /// Records that a quarantined request is sent once more, here and in the store.
+    pub fn record_trial(&self, digest: request_digest::RequestDigest) {
+        let id = rand::rng().random();
+        self.quarantine.record_trial(id, digest);
+        self.save_crash(id);
+    }
+
+    fn save_crash(&self, id: crash_report::CrashId) {
+        // Nothing reads the queue in tests of single parts.
+        let _closed = self.crash_rows.send(id);
+    }
+
     /// Closes connections that have been idle for longer than their limit.
     pub fn close_idle_links(&self, now: time::Instant) {
         self.server.close_idle(now);
--- a/crates/forward/src/node_run.rs
+++ b/crates/forward/src/node_run.rs
@@ -207,7 +207,7 @@
             } else {
                 hyper::StatusCode::SERVICE_UNAVAILABLE
             };
-            std::future::ready(peer_server::empty_response(status))
+            std::future::ready(http_server::empty_response(status))
         },
     )?;
     let Some(address) = node.settings.metrics_listen else {
@@ -235,7 +235,7 @@
         Ok(text) => hyper::Response::new(message_body::ReplyBody::whole(Bytes::from(text))),
         Err(error) => {
             log::warn!(error:% = error; "metrics can't be written");
-            peer_server::empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR)
+            http_server::empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR)
         }
     }
 }
@@ -243,13 +243,13 @@
 /// Returns the quotas of the tenants; status 404 if the settings have no bounds for quotas.
 fn tenants_response(node: &node_context::NodeContext, name: Option<&[u8]>) -> http_server::ServerResponse {
     let Some(document) = quota_view::document(node, name) else {
-        return peer_server::empty_response(hyper::StatusCode::NOT_FOUND);
+        return http_server::empty_response(hyper::StatusCode::NOT_FOUND);
     };
     match serde_json::to_vec(&document) {
         Ok(bytes) => hyper::Response::new(message_body::ReplyBody::whole(Bytes::from(bytes))),
         Err(error) => {
             log::warn!(error:% = error; "quotas can't be written");
-            peer_server::empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR)
+            http_server::empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR)
         }
     }
 }
--- a/crates/forward/src/peer_server.rs
+++ b/crates/forward/src/peer_server.rs
@@ -18,18 +18,11 @@
 use crate::message_body;
 use crate::node_context;
 use crate::peer_call;
+use crate::peer_client;
 use crate::quarantine_tasks;
 use crate::quota_tasks;
 use crate::stall_watch;
 
-/// Path of the first message of a member exchange.
-pub const EXCHANGE_PATH: &str = "/members/exchange";
-/// Path of the last message of a member exchange, which returns records that the responder lacks.
-pub const RETURN_PATH: &str = "/members/return";
-/// Path of the source text of the configuration in force.
-pub const CONFIG_PATH: &str = "/config";
-/// Path of the age of the configuration's last confirmation.
-pub const CONFIG_AGE_PATH: &str = "/config/age";
 /// Maximum body of a request between daemons, in bytes; equal to the largest body that callers may send.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
@@ -44,7 +37,7 @@
     let (parts, incoming) = request.into_parts();
     let body = match internal_body::receive(&hold, incoming, MAX_BODY_BYTES).await {
         internal_body::BodyResult::Complete(body) => body,
-        internal_body::BodyResult::Malformed => return empty_response(hyper::StatusCode::BAD_REQUEST),
+        internal_body::BodyResult::Malformed => return http_server::empty_response(hyper::StatusCode::BAD_REQUEST),
         // The entry daemon takes it for a refusal for want of capacity.
         internal_body::BodyResult::NoRoom => {
             let refused = callee_call::CallResult::NotRun(call_outcome::RefusalReason::QueueFull);
@@ -57,35 +50,35 @@
                 head.left = head.left.saturating_sub(waited + began.elapsed());
                 serve_call(&node, &head, parts, body).await
             }
-            None => empty_response(hyper::StatusCode::BAD_REQUEST),
+            None => http_server::empty_response(hyper::StatusCode::BAD_REQUEST),
         };
     }
     let body = body.into_bytes();
     match parts.uri.path() {
-        EXCHANGE_PATH => serve_exchange(&node, &body),
-        RETURN_PATH => {
+        peer_client::EXCHANGE_PATH => serve_exchange(&node, &body),
+        peer_client::RETURN_PATH => {
             if let Ok(returned) = anti_entropy::decode::<anti_entropy::ExchangeReturn>(&body) {
                 node.core.ask(|core, now| {
                     core.exchange(now, |gossip| ((), gossip.learn(&returned.records, now)));
                 });
             }
-            empty_response(hyper::StatusCode::OK)
+            http_server::empty_response(hyper::StatusCode::OK)
         }
         quarantine_tasks::PUSH_PATH => quarantine_tasks::serve_push(&node, &body),
         quarantine_tasks::COMPARE_PATH => quarantine_tasks::serve_compare(&node, &body),
         quota_tasks::REPORT_PATH => quota_tasks::serve_report(&node, &body),
-        CONFIG_PATH => {
+        peer_client::CONFIG_PATH => {
             let text = node.core.ask(|core, _now| core.config_text().bytes().clone());
             if text.is_empty() {
-                return empty_response(hyper::StatusCode::NOT_FOUND);
+                return http_server::empty_response(hyper::StatusCode::NOT_FOUND);
             }
             hyper::Response::new(message_body::ReplyBody::whole(text))
         }
-        CONFIG_AGE_PATH => match config_check::reply(&node) {
+        peer_client::CONFIG_AGE_PATH => match config_check::reply(&node) {
             Some(bytes) => hyper::Response::new(message_body::ReplyBody::whole(Bytes::from(bytes))),
-            None => empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR),
+            None => http_server::empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR),
         },
-        _ => empty_response(hyper::StatusCode::NOT_FOUND),
+        _ => http_server::empty_response(hyper::StatusCode::NOT_FOUND),
     }
 }
 
@@ -121,11 +114,11 @@
         callee_call::CallResult::Answered(response) => (peer_call::CallVerdict::Answered, *response),
         callee_call::CallResult::NotRun(reason) => (
             peer_call::CallVerdict::NotRun(reason),
-            empty_response(hyper::StatusCode::SERVICE_UNAVAILABLE),
+            http_server::empty_response(hyper::StatusCode::SERVICE_UNAVAILABLE),
         ),
         callee_call::CallResult::MayHaveRun => (
             peer_call::CallVerdict::MayHaveRun,
-            empty_response(hyper::StatusCode::BAD_GATEWAY),
+            http_server::empty_response(hyper::StatusCode::BAD_GATEWAY),
         ),
     };
     let (hint, load) = node.core.ask(|core, now| {
@@ -148,7 +141,7 @@
 
 fn serve_exchange(node: &node_context::NodeContext, body: &[u8]) -> http_server::ServerResponse {
     let Ok(request) = anti_entropy::decode::<anti_entropy::ExchangeRequest>(body) else {
-        return empty_response(hyper::StatusCode::BAD_REQUEST);
+        return http_server::empty_response(hyper::StatusCode::BAD_REQUEST);
     };
     let reply = node.core.ask(|core, now| {
         core.exchange(now, |gossip| {
@@ -162,15 +155,7 @@
         Ok(bytes) => hyper::Response::new(message_body::ReplyBody::whole(Bytes::from(bytes))),
         Err(error) => {
             log::warn!(error:% = error; "exchange reply can't be encoded");
-            empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR)
+            http_server::empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR)
         }
     }
 }
-
-/// Returns a response without a body.
-#[must_use]
-pub fn empty_response(code: hyper::StatusCode) -> http_server::ServerResponse {
-    let mut response = hyper::Response::new(message_body::ReplyBody::whole(Bytes::new()));
-    *response.status_mut() = code;
-    response
-}
--- a/crates/forward/src/quarantine_state.rs
+++ b/crates/forward/src/quarantine_state.rs
@@ -9,7 +9,7 @@
 use damasktrack_quarantine::request_digest;
 use tokio::sync::Notify;
 
-use crate::crash_watch;
+use crate::call_identity;
 use crate::stall_watch;
 
 /// Table of crashes, and what of it the other daemons have to learn.
@@ -64,12 +64,12 @@
     }
 
     /// Decides on a request that is to be sent to a server. A refusal prolongs the quarantine.
-    pub fn decide(&self, identity: &crash_watch::CallIdentity) -> QuarantineDecision {
+    pub fn decide(&self, identity: &call_identity::CallIdentity) -> QuarantineDecision {
         self.decide_with(|| identity.clone())
     }
 
     /// As [`Self::decide`]; `identity` is called only if some request is suspected.
-    pub fn decide_with(&self, identity: impl FnOnce() -> crash_watch::CallIdentity) -> QuarantineDecision {
+    pub fn decide_with(&self, identity: impl FnOnce() -> call_identity::CallIdentity) -> QuarantineDecision {
         let mut table = self.table.borrow_mut();
         if table.is_sound() {
             return QuarantineDecision::Admit;
--- a/crates/forward/src/quarantine_tasks.rs
+++ b/crates/forward/src/quarantine_tasks.rs
@@ -12,10 +12,9 @@
 use tokio::task;
 
 use crate::http_server;
-use crate::member_tasks;
 use crate::message_body;
 use crate::node_context;
-use crate::peer_server;
+use crate::peer_client;
 use crate::store_port;
 
 /// Path of crashes that a daemon pushes.
@@ -50,28 +49,6 @@
 /// Share of the starting daemons that remove expired rows.
 const REMOVE_SHARE: f64 = 0.2;
 
-/// Records the crash of the backend server with these requests in flight, here and in the store.
-pub fn record_crash(
-    node: &rc::Rc<node_context::NodeContext>,
-    suspects: Vec<damasktrack_quarantine::request_digest::RequestDigest>,
-) {
-    let id = rand::rng().random();
-    node.quarantine.record_crash(id, suspects);
-    save(node, id);
-}
-
-/// Records that a quarantined request is sent once more, here and in the store.
-pub fn record_trial(node: &node_context::NodeContext, digest: damasktrack_quarantine::request_digest::RequestDigest) {
-    let id = rand::rng().random();
-    node.quarantine.record_trial(id, digest);
-    save(node, id);
-}
-
-fn save(node: &node_context::NodeContext, id: crash_report::CrashId) {
-    // Nothing reads the queue in tests of single parts.
-    let _closed = node.crash_rows.send(id);
-}
-
 /// Pushes news and compares tables; never returns. Sends nothing while no crash is known, except at the start.
 pub async fn spread(node: rc::Rc<node_context::NodeContext>) {
     ask_at_start(&node).await;
@@ -142,7 +119,7 @@
     for address in random_members(node, PUSH_FANOUT) {
         let (node, body) = (rc::Rc::clone(node), body.clone());
         task::spawn_local(async move {
-            member_tasks::post(&node, address, PUSH_PATH, body, MESSAGE_TIMEOUT).await;
+            peer_client::post(&node.peer(address), PUSH_PATH, body, MESSAGE_TIMEOUT).await;
         });
     }
 }
@@ -155,7 +132,7 @@
     let Ok(body) = crash_report::encode(&request) else {
         return;
     };
-    let reply = member_tasks::post(&node, address, COMPARE_PATH, body, MESSAGE_TIMEOUT).await;
+    let reply = peer_client::post(&node.peer(address), COMPARE_PATH, body, MESSAGE_TIMEOUT).await;
     let reply = reply.and_then(|body| crash_report::decode::<crash_report::CompareReply>(&body));
     let Some(crash_report::CompareReply::Differs(report)) = reply else {
         return;
@@ -165,7 +142,7 @@
     if !missing.is_empty()
         && let Ok(body) = crash_report::encode(&missing)
     {
-        member_tasks::post(&node, address, PUSH_PATH, body, MESSAGE_TIMEOUT).await;
+        peer_client::post(&node.peer(address), PUSH_PATH, body, MESSAGE_TIMEOUT).await;
     }
 }
 
@@ -173,17 +150,17 @@
 #[must_use]
 pub fn serve_push(node: &node_context::NodeContext, body: &[u8]) -> http_server::ServerResponse {
     let Some(report) = crash_report::decode::<crash_report::CrashReport>(body) else {
-        return peer_server::empty_response(hyper::StatusCode::BAD_REQUEST);
+        return http_server::empty_response(hyper::StatusCode::BAD_REQUEST);
     };
     node.quarantine.merge(&report, "push");
-    peer_server::empty_response(hyper::StatusCode::OK)
+    http_server::empty_response(hyper::StatusCode::OK)
 }
 
 /// Serves a comparison of tables.
 #[must_use]
 pub fn serve_compare(node: &node_context::NodeContext, body: &[u8]) -> http_server::ServerResponse {
     let Some(request) = crash_report::decode::<crash_report::CompareRequest>(body) else {
-        return peer_server::empty_response(hyper::StatusCode::BAD_REQUEST);
+        return http_server::empty_response(hyper::StatusCode::BAD_REQUEST);
     };
     let reply = if request.summary == node.quarantine.summary() {
         crash_report::CompareReply::Same
@@ -194,7 +171,7 @@
         Ok(bytes) => hyper::Response::new(message_body::ReplyBody::whole(bytes::Bytes::from(bytes))),
         Err(error) => {
             log::warn!(error:% = error; "crashes can't be encoded");
-            peer_server::empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR)
+            http_server::empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR)
         }
     }
 }
--- a/crates/forward/src/quota_tasks.rs
+++ b/crates/forward/src/quota_tasks.rs
@@ -10,10 +10,9 @@
 use tokio::task;
 
 use crate::http_server;
-use crate::member_tasks;
 use crate::message_body;
 use crate::node_context;
-use crate::peer_server;
+use crate::peer_client;
 use crate::quota_state;
 use crate::stall_watch;
 
@@ -87,7 +86,7 @@
     };
     let sequence = due.report.sequence;
     let reply = match credit_message::encode_report(due.group, &due.report) {
-        Ok(body) => member_tasks::post(&node, due.address, REPORT_PATH, body, REPORT_TIMEOUT).await,
+        Ok(body) => peer_client::post(&node.peer(due.address), REPORT_PATH, body, REPORT_TIMEOUT).await,
         Err(error) => {
             log::warn!(error:% = error; "quota report can't be encoded");
             None
@@ -104,16 +103,16 @@
 pub fn serve_report(node: &node_context::NodeContext, body: &[u8]) -> http_server::ServerResponse {
     let message = credit_message::decode_report(body);
     let (Some(quota), Some((group, report))) = (&node.quota, message) else {
-        return peer_server::empty_response(hyper::StatusCode::BAD_REQUEST);
+        return http_server::empty_response(hyper::StatusCode::BAD_REQUEST);
     };
     let Some(reply) = serve(node, quota, group, &report) else {
-        return peer_server::empty_response(hyper::StatusCode::CONFLICT);
+        return http_server::empty_response(hyper::StatusCode::CONFLICT);
     };
     match credit_message::encode(&reply) {
         Ok(bytes) => hyper::Response::new(message_body::ReplyBody::whole(Bytes::from(bytes))),
         Err(error) => {
             log::warn!(error:% = error; "quota reply can't be encoded");
-            peer_server::empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR)
+            http_server::empty_response(hyper::StatusCode::INTERNAL_SERVER_ERROR)
         }
     }
 }
--- a/crates/forward/tests/link_budget.rs
+++ b/crates/forward/tests/link_budget.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use damasktrack_forward::callee_call::request_of;
+use damasktrack_forward::http_link::request_of;
 use damasktrack_forward::http_link::{LinkError, LinkLease, LinkPolicy, LinkPool};
 use damasktrack_forward::link_budget::LinkBudget;
 use damasktrack_pipeline::account_handle::AccountHandle;
--- a/crates/forward/tests/reply_memory.rs
+++ b/crates/forward/tests/reply_memory.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use damasktrack_forward::http_link::{LinkPolicy, LinkPool};
 use damasktrack_forward::link_budget::LinkBudget;
-use damasktrack_forward::{callee_call, message_body};
+use damasktrack_forward::{http_link, message_body};
 use damasktrack_pipeline::account_handle::AccountHandle;
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, Method, Uri};
@@ -51,7 +51,7 @@
         idle_limit: Duration::from_secs(5),
     };
     let pool = LinkPool::new(address, policy, &LinkBudget::unbounded());
-    let request = callee_call::request_of(Method::GET, Uri::from_static("/"), HeaderMap::new(), Bytes::new());
+    let request = http_link::request_of(Method::GET, Uri::from_static("/"), HeaderMap::new(), Bytes::new());
     let (response, lease) = pool.send(request, Duration::ZERO).await.unwrap();
     let deadline = Instant::now() + Duration::from_mins(5);
     let (_parts, body) = message_body::receive(response, lease, deadline, &AccountHandle::default())
