Hold up no acknowledgement for a departure of another server

Cause: a departure without a start time, before the first report of its server, isn't acknowledged, since it can't be saved. The check didn't look at the server that reports since, so the departures of all later servers beside this daemon would have got 503 as well. Found while reading.

Change: such a departure counts only until the first report.

Result: departure_without_a_start_is_unidentified_until_a_report; its last line fails on the code before.

--- a/crates/forward/src/server_report.rs
+++ b/crates/forward/src/server_report.rs
@@ -281,10 +281,12 @@
         reported.into_iter().chain(later).max()
     }
 
-    /// Returns whether a departure has no start time, so that no later process could tell which start has left.
+    /// Returns whether the server may be one that has announced its departure without a start time, before its first report
+    /// here. No later process could tell which start has left.
     #[must_use]
     pub fn has_unidentified_departure(&self) -> bool {
-        self.departures.iter().any(|departure| departure.started_ms.is_none())
+        let mut departures = self.departures.iter();
+        self.report.is_none() && departures.any(|departure| departure.started_ms.is_none())
     }
 
     /// Returns whether the backend server is serving and didn't refuse the last connection.
--- a/crates/forward/tests/states.rs
+++ b/crates/forward/tests/states.rs
@@ -29,6 +29,22 @@
     }
 }
 
+/// Guards against a departure without a start time that is acknowledged although no later process could recall it, and
+/// against one that holds up the acknowledgement of every later server.
+#[test]
+fn departure_without_a_start_is_unidentified_until_a_report() {
+    let mut state = ServerState::default();
+    state.apply_departure(&Bytes::from_static(b"i-1"), None);
+    assert!(state.has_unidentified_departure() && state.departure().is_none());
+    let mut successor = ServerState::default();
+    successor.apply_departure(&Bytes::from_static(b"i-1"), None);
+    state.apply_report(report("i-1", 10, 5, ServerCondition::Ready));
+    assert_eq!(state.departure(), Some(departure("i-1", 10)));
+    assert!(!state.has_unidentified_departure());
+    successor.apply_report(report("i-2", 20, 1, ServerCondition::Ready));
+    assert!(!successor.has_unidentified_departure() && successor.is_up());
+}
+
 /// Guards against a delayed heartbeat that overwrites a newer one.
 #[test]
 fn late_report_of_the_same_start_is_stale() {
