Give servers that read large bodies late more than 1.5 s

Cause: TCP_USER_TIMEOUT of 1.5 s on connections to servers and daemons. The kernel applies it also to a peer that is alive and has closed its window.

Evidence: the link alone, without a deadline, breaks the request off after 1.9 s.

Change: a request of over 16 KiB, which may fill the receive buffer of the peer, has the limit of accepted connections, 10 s without a byte taken. A smaller one can't close the window and keeps 1.5 s, so that an unreachable peer is noticed as soon as before. The limit follows the requests of a kept connection.

--- a/crates/forward/src/bounded_stream.rs
+++ b/crates/forward/src/bounded_stream.rs
@@ -9,6 +9,7 @@
 use std::pin;
 use std::rc;
 use std::task;
+use std::time;
 
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -26,6 +27,8 @@
 pub struct InputMeter {
     /// Bytes that may still arrive before the final head; `None` while no head is awaited.
     head_left: cell::Cell<Option<usize>>,
+    /// Time limit of data that the peer doesn't take, to be set before the next write.
+    due_write_limit: cell::Cell<Option<time::Duration>>,
 }
 
 impl InputMeter {
@@ -34,6 +37,12 @@
         self.head_left.set(Some(MAX_HEAD_BYTES));
     }
 
+    /// Sets how long data may stay unacknowledged, or the peer's window closed, before the connection is closed. Applies
+    /// from the next write on.
+    pub fn set_write_limit(&self, limit: time::Duration) {
+        self.due_write_limit.set(Some(limit));
+    }
+
     /// Records that the final head of the response is complete.
     pub fn finish_head(&self) {
         self.head_left.set(None);
@@ -62,6 +71,15 @@
 }
 
 impl BoundedStream {
+    fn apply_write_limit(&self) {
+        let Some(limit) = self.meter.due_write_limit.take() else {
+            return;
+        };
+        if let Err(error) = socket2::SockRef::from(&self.stream).set_tcp_user_timeout(Some(limit)) {
+            log::warn!(error:% = error; "time limit of unacknowledged data can't be set");
+        }
+    }
+
     /// Reads at most as many bytes as a head may still have in this turn.
     fn poll_head(
         &mut self,
@@ -137,6 +155,7 @@
         cx: &mut task::Context<'_>,
         buf: &[u8],
     ) -> task::Poll<io::Result<usize>> {
+        self.apply_write_limit();
         pin::Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -153,6 +172,7 @@
         cx: &mut task::Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> task::Poll<io::Result<usize>> {
+        self.apply_write_limit();
         pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
--- a/crates/forward/src/http_link.rs
+++ b/crates/forward/src/http_link.rs
@@ -10,6 +10,7 @@
 use std::time;
 
 use damasktrack_pipeline::chunk_list;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -20,10 +21,15 @@
 use crate::link_budget;
 
 /// Time after which unacknowledged data closes a connection (`TCP_USER_TIMEOUT`). A peer may become unreachable without
-/// a reset. The longest round trip between regions is 60 ms.
+/// a reset. The longest round trip between regions is 60 ms. The kernel applies it to a peer that is alive and has closed
+/// its window as well, so [`UNREAD_TIMEOUT`] holds for requests that may fill the window.
 const UNACKED_TIMEOUT: time::Duration = time::Duration::from_millis(1500);
-/// As [`UNACKED_TIMEOUT`], for accepted connections. A peer that does not read a response for longer has lost it.
+/// As [`UNACKED_TIMEOUT`], for accepted connections and large requests. A peer that takes no byte for longer has lost
+/// the rest.
 const UNREAD_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+/// Largest body, in bytes, that fits with its head into the receive buffer of any peer, so that the peer's window stays
+/// open although it reads nothing.
+const WINDOW_BODY_BYTES: u64 = 16 * 1024;
 /// Idle time before the first TCP keepalive probe, and time between probes; the minimum that the socket options allow.
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Unanswered keepalive probes after which a connection is closed.
@@ -96,12 +102,31 @@
     sender: http1::SendRequest<LinkBody>,
     meter: rc::Rc<bounded_stream::InputMeter>,
     _task: ConnectionTask,
+    /// Limit of unacknowledged data in force.
+    write_limit: time::Duration,
     idle_since: time::Instant,
     /// Idle time after which this connection is not reused: the limit of the pool, or a shorter one from the server's
     /// `Keep-Alive` header.
     idle_limit: time::Duration,
 }
 
+impl OpenLink {
+    /// Prepares the connection for a request that is sent next.
+    fn prepare(&mut self, request: &hyper::Request<LinkBody>) {
+        self.meter.expect_head();
+        let is_small = request
+            .body()
+            .size_hint()
+            .upper()
+            .is_some_and(|bytes| bytes <= WINDOW_BODY_BYTES);
+        let limit = if is_small { UNACKED_TIMEOUT } else { UNREAD_TIMEOUT };
+        if limit != self.write_limit {
+            self.write_limit = limit;
+            self.meter.set_write_limit(limit);
+        }
+    }
+}
+
 /// Pool of connections to one address.
 #[derive(Debug)]
 pub struct LinkPool {
@@ -194,7 +219,7 @@
                 if !matches!(ready, Ok(Ok(()))) {
                     continue;
                 }
-                link.meter.expect_head();
+                link.prepare(&request);
                 match link.sender.try_send_request(request).await {
                     Ok(response) => return Ok((response, self.lease(link, LinkOrigin::Kept))),
                     Err(mut error) => match error.take_message() {
@@ -211,7 +236,7 @@
         };
         let connected = self.connect(slot).await;
         let mut link = connected.map_err(|error| LinkError::NotSent(error.to_string()))?;
-        link.meter.expect_head();
+        link.prepare(&request);
         match link.sender.try_send_request(request).await {
             Ok(response) => Ok((response, self.lease(link, LinkOrigin::Opened))),
             Err(mut error) => {
@@ -315,6 +340,7 @@
             sender,
             meter,
             _task: ConnectionTask(task),
+            write_limit: UNACKED_TIMEOUT,
             idle_since: time::Instant::now(),
             idle_limit: self.policy.idle_limit,
         })
